--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,184 @@
+package transport
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// maxStreamsServed bounds the calls that run at once in this process.
+	maxStreamsServed = 4096
+	// headerTimeout bounds the time to read a call's request.
+	headerTimeout = 5 * time.Second
+	// maxCallTimeout bounds the wait that a caller may ask for.
+	maxCallTimeout = 60 * time.Second
+)
+
+type handler func(ctx context.Context, payload []byte) (proto.Message, error)
+
+// Server answers calls of other instances.
+type Server struct {
+	token    string
+	log      *log.Logger
+	handlers map[string]handler
+	slots    chan struct{}
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]struct{}
+	listener net.Listener
+	closed   bool
+	done     sync.WaitGroup
+}
+
+// NewServer makes a server that takes calls bearing token.
+func NewServer(token string, logger *log.Logger) *Server {
+	return &Server{
+		token:    token,
+		log:      logger,
+		handlers: make(map[string]handler),
+		slots:    make(chan struct{}, maxStreamsServed),
+		sessions: make(map[*yamux.Session]struct{}),
+	}
+}
+
+// message is a pointer to T that is a protobuf message.
+type message[T any] interface {
+	*T
+	proto.Message
+}
+
+// Handle registers fn for method. It must be called before Serve.
+func Handle[Req any, PReq message[Req], Resp proto.Message](s *Server, method string, fn func(context.Context, PReq) (Resp, error)) {
+	s.handlers[method] = func(ctx context.Context, payload []byte) (proto.Message, error) {
+		req := PReq(new(Req))
+		if err := proto.Unmarshal(payload, req); err != nil {
+			return nil, err
+		}
+		return fn(ctx, req)
+	}
+}
+
+// Serve accepts sessions on l until Close; it then returns nil.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return l.Close()
+	}
+	s.listener = l
+	s.mu.Unlock()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			s.log.Warn().Err(err).Str("step", "accept").Msg("accepting a peer connection failed")
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		s.startSession(conn)
+	}
+}
+
+const acceptRetryDelay = 50 * time.Millisecond
+
+func (s *Server) startSession(conn net.Conn) {
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		session.Close()
+		return
+	}
+	s.sessions[session] = struct{}{}
+	s.done.Go(func() { s.serveSession(session) })
+}
+
+func (s *Server) serveSession(session *yamux.Session) {
+	defer func() {
+		session.Close()
+		s.mu.Lock()
+		delete(s.sessions, session)
+		s.mu.Unlock()
+	}()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		select {
+		case s.slots <- struct{}{}:
+		default:
+			stream.Close()
+			continue
+		}
+		s.done.Go(func() {
+			defer func() { <-s.slots }()
+			s.serveStream(stream)
+		})
+	}
+}
+
+func (s *Server) serveStream(stream *yamux.Stream) {
+	defer stream.Close()
+	_ = stream.SetDeadline(time.Now().Add(headerTimeout))
+	header := &pb.CallHeader{}
+	if _, err := readFrame(stream, header); err != nil {
+		return
+	}
+	timeout := min(time.Duration(header.TimeoutMs)*time.Millisecond, maxCallTimeout)
+	_ = stream.SetDeadline(time.Now().Add(timeout + headerTimeout))
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if _, err := writeFrame(stream, s.dispatch(ctx, header)); err != nil {
+		s.log.Debug().Err(err).Str("step", "reply").Str("peer", stream.RemoteAddr().String()).Msg("the reply was not sent")
+	}
+}
+
+func (s *Server) dispatch(ctx context.Context, header *pb.CallHeader) *pb.CallReply {
+	if subtle.ConstantTimeCompare([]byte(header.Token), []byte(s.token)) != 1 {
+		return &pb.CallReply{Status: pb.CallStatus_CALL_STATUS_UNAUTHORIZED, Message: "wrong peer token"}
+	}
+	h, ok := s.handlers[header.Method]
+	if !ok {
+		return &pb.CallReply{Status: pb.CallStatus_CALL_STATUS_NO_METHOD, Message: "no such method: " + header.Method}
+	}
+	resp, err := h(ctx, header.Payload)
+	if err != nil {
+		return replyFor(err)
+	}
+	payload, err := proto.Marshal(resp)
+	if err != nil {
+		return replyFor(err)
+	}
+	return &pb.CallReply{Payload: payload}
+}
+
+// Close stops accepting, ends all sessions and waits for running handlers.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	for session := range s.sessions {
+		session.Close()
+	}
+	s.mu.Unlock()
+	s.done.Wait()
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,159 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.uber.org/goleak"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// relay forwards TCP to target until frozen; then it stays open and silent.
+type relay struct {
+	net.Listener
+	target string
+	frozen atomic.Bool
+}
+
+func startRelay(t *testing.T, target string) *relay {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{Listener: l, target: target}
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				in.Close()
+				continue
+			}
+			// New connections work again even while old ones are silent.
+			silent := &atomic.Bool{}
+			go r.copy(in, out, silent)
+			go r.copy(out, in, silent)
+		}
+	}()
+	t.Cleanup(func() { l.Close() })
+	return r
+}
+
+func (r *relay) copy(dst, src net.Conn, silent *atomic.Bool) {
+	defer dst.Close()
+	buf := make([]byte, 4096)
+	for {
+		n, err := src.Read(buf)
+		if err != nil {
+			return
+		}
+		if r.frozen.CompareAndSwap(true, false) {
+			silent.Store(true)
+		}
+		if silent.Load() {
+			continue
+		}
+		if _, err := dst.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func startServer(t *testing.T) (addr string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer("secret", &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+	Handle(s, "echo", func(_ context.Context, req *pb.StoredAnswer) (*pb.StoredAnswer, error) {
+		return req, nil
+	})
+	Handle(s, "refuse", func(context.Context, *pb.StoredAnswer) (*pb.StoredAnswer, error) {
+		return nil, Fail(pb.CallStatus_CALL_STATUS_NOT_LEADER, "not here")
+	})
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Close)
+	return l.Addr().String()
+}
+
+func echo(ctx context.Context, p *Pool, addr string) error {
+	resp := &pb.StoredAnswer{}
+	err := p.Call(ctx, addr, "echo", &pb.StoredAnswer{Body: []byte("x")}, resp)
+	if err == nil && string(resp.Body) != "x" {
+		return errors.New("the answer is another's")
+	}
+	return err
+}
+
+func TestCall(t *testing.T) {
+	addr := startServer(t)
+	p := NewPool("secret", nil, nil)
+	defer p.Close()
+	for range 100 {
+		if err := echo(t.Context(), p, addr); err != nil {
+			t.Fatal(err)
+		}
+	}
+	err := p.Call(t.Context(), addr, "refuse", &pb.StoredAnswer{}, &pb.StoredAnswer{})
+	if Status(err) != pb.CallStatus_CALL_STATUS_NOT_LEADER {
+		t.Fatalf("status of %v", err)
+	}
+	wrong := NewPool("guess", nil, nil)
+	defer wrong.Close()
+	if err := echo(t.Context(), wrong, addr); Status(err) != pb.CallStatus_CALL_STATUS_UNAUTHORIZED {
+		t.Fatalf("wrong token: %v", err)
+	}
+}
+
+func TestDialFailureIsNotSent(t *testing.T) {
+	p := NewPool("secret", nil, nil)
+	defer p.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	if err := echo(t.Context(), p, addr); !errors.Is(err, ErrNotSent) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// A session that goes silent is found by pings: the call on it fails long
+// before its own deadline, and the next one uses a new connection.
+func TestSilentSessionIsReplaced(t *testing.T) {
+	r := startRelay(t, startServer(t))
+	p := NewPool("secret", nil, nil)
+	defer p.Close()
+	addr := r.Addr().String()
+	if err := echo(t.Context(), p, addr); err != nil {
+		t.Fatal(err)
+	}
+	r.frozen.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	start := time.Now()
+	if err := echo(ctx, p, addr); err == nil {
+		t.Fatal("the call on a silent session succeeded")
+	}
+	if took := time.Since(start); took > 2*(pingInterval+pingTimeout) {
+		t.Fatalf("a silent session was noticed after %v", took)
+	}
+	if err := echo(ctx, p, addr); err != nil {
+		t.Fatalf("the next call did not use a new connection: %v", err)
+	}
+}
