--- /dev/null
+++ b/internal/announce/announce_test.go
@@ -0,0 +1,206 @@
+package announce
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.uber.org/goleak"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func quietLogger() *log.Logger {
+	return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+}
+
+// fakeRouter is a registry and a view.
+type fakeRouter struct {
+	mu       sync.Mutex
+	statuses []*pb.TargetStatus
+	proven   []time.Time
+	left     []string
+	refuse   error
+	others   []string
+}
+
+func (f *fakeRouter) Announce(st *pb.TargetStatus, provenAt time.Time) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.statuses = append(f.statuses, st)
+	f.proven = append(f.proven, provenAt)
+	return f.refuse
+}
+
+func (f *fakeRouter) TargetLeaves(id string, _ uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.left = append(f.left, id)
+}
+
+func (f *fakeRouter) Self() *pb.RouterStatus { return &pb.RouterStatus{Id: "self"} }
+
+func (f *fakeRouter) Routers() []*pb.RouterStatus {
+	routers := []*pb.RouterStatus{{Id: "self", TargetAddr: "127.0.0.1:1"}}
+	for _, addr := range f.others {
+		routers = append(routers, &pb.RouterStatus{Id: addr, TargetAddr: addr})
+	}
+	return routers
+}
+
+func (f *fakeRouter) Targets() []*pb.TargetStatus    { return nil }
+func (f *fakeRouter) Target(string) *pb.TargetStatus { return nil }
+func (f *fakeRouter) snapshot() (n int, last time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n = len(f.proven); n > 0 {
+		last = f.proven[n-1]
+	}
+	return n, last
+}
+
+func startRouter(t *testing.T, f *fakeRouter) *httptest.Server {
+	s := httptest.NewServer(NewHandler(Config{Token: "secret", Registry: f, View: f, Logger: quietLogger()}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func post(t *testing.T, url, token, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	answer, _ := io.ReadAll(resp.Body)
+	http.DefaultClient.CloseIdleConnections()
+	return resp.StatusCode, string(answer)
+}
+
+// Each bad input gets one clear line.
+func TestBadInput(t *testing.T) {
+	f := &fakeRouter{}
+	s := startRouter(t, f)
+	engine := func(fields string) string {
+		return `{"id":"e","kind":"engine","addr":"10.0.0.1:80","incarnation":1,"sequence":1,"capacity":1` + fields + `}`
+	}
+	for _, c := range []struct {
+		path, body, want string
+		status           int
+	}{
+		{PathAnnounce, `{`, "not a JSON object", 400},
+		{PathAnnounce, engine(`,"colour":"red"`), "colour", 400},
+		{PathAnnounce, engine(`,"addr":"host:80"`), "IP number", 400},
+		{PathAnnounce, engine(`,"addr":"0.0.0.0:80"`), "names no instance", 400},
+		{PathAnnounce, engine(`,"addr":"10.0.0.1:0"`), "IP number", 400},
+		{PathAnnounce, engine(`,"kind":"robot"`), "kind", 400},
+		{PathAnnounce, engine(`,"incarnation":0`), "incarnation", 400},
+		{PathAnnounce, engine(`,"sequence":0`), "sequence", 400},
+		{PathAnnounce, engine(`,"capacity":0`), "capacity", 400},
+		{PathAnnounce, engine(`,"routes":[{"path_prefix":"/x"}]`), "engine declares", 400},
+		{PathAnnounce, engine(`,"id":"a\nb"`), "control characters", 400},
+		{PathAnnounce, engine(`,"stamp":7`), "stamp", 400},
+		{PathAnnounce, `{"id":"s","kind":"service","addr":"[::1]:80","incarnation":"1","sequence":1,"service":"a/b"}`, "slash", 400},
+		{PathAnnounce, engine(`,"models":["` + strings.Repeat(`m","`, 600) + `x"]`), "bytes encoded", 400},
+		{PathAnnounce, strings.Repeat(" ", MaxBodyBytes+1), "over the bound", 413},
+		{PathCacheEvents, `{"target":"e","incarnation":1,"events":[{"sequence":1,"kind":"lost","chat":"c"}]}`, "stored", 400},
+		{PathCacheEvents, `{"target":"e","incarnation":1,"events":[{"sequence":2,"kind":"stored","chat":"c"},{"sequence":2,"kind":"stored","chat":"c"}]}`, "must grow", 400},
+		{PathLeave, `{"id":"e"}`, "incarnation", 400},
+		{"/v1/targets/other", `{}`, "no such path", 404},
+	} {
+		status, answer := post(t, s.URL+c.path, "secret", c.body)
+		if status != c.status || !strings.Contains(answer, c.want) || strings.Count(answer, "\n") != 1 {
+			t.Errorf("%s %.80s: %d %q, want %d with %q", c.path, c.body, status, answer, c.status, c.want)
+		}
+	}
+	if status, _ := post(t, s.URL+PathAnnounce, "guess", engine("")); status != http.StatusUnauthorized {
+		t.Errorf("wrong token: %d", status)
+	}
+	if n, _ := f.snapshot(); n != 0 {
+		t.Errorf("%d bad announcements were taken", n)
+	}
+	f.refuse = errors.New("it has left")
+	if status, answer := post(t, s.URL+PathAnnounce, "secret", engine("")); status != http.StatusConflict || !strings.Contains(answer, "it has left") {
+		t.Errorf("refused by the registry: %d %s", status, answer)
+	}
+}
+
+// An announcement is proven fresh only by the stamp of an answer of the same
+// process, and only as fresh as that answer.
+func TestStampProvesFreshness(t *testing.T) {
+	start := time.Now()
+	ours, theirs := newStamps(start), newStamps(start)
+	stamp := ours.issue(start.Add(3 * time.Second))
+	at, ok := ours.issuedAt(stamp, start.Add(time.Minute))
+	if !ok || !at.Equal(start.Add(3*time.Second)) {
+		t.Fatalf("own stamp: %v %v", at.Sub(start), ok)
+	}
+	if _, ok := theirs.issuedAt(stamp, start.Add(time.Minute)); ok {
+		t.Fatal("another process's stamp was taken")
+	}
+	if _, ok := ours.issuedAt(stamp, start.Add(time.Second)); ok {
+		t.Fatal("a stamp from the future was taken")
+	}
+	if at, ok := ours.issuedAt("", start); ok || !at.IsZero() {
+		t.Fatal("an empty stamp was taken")
+	}
+}
+
+// The announcer is listed by its second announcement, turns to another router
+// when the one in use ends, and leaves.
+func TestAnnouncer(t *testing.T) {
+	first, second := &fakeRouter{}, &fakeRouter{}
+	a, b := startRouter(t, first), startRouter(t, second)
+	first.others = []string{b.Listener.Addr().String()}
+	announcer, err := NewAnnouncer(AnnouncerConfig{
+		Routers: []string{a.Listener.Addr().String()},
+		Token:   "secret",
+		Status: func() *pb.TargetStatus {
+			return &pb.TargetStatus{Id: "e", Kind: pb.TargetKind_TARGET_KIND_ENGINE, Addr: "10.0.0.1:80", Incarnation: 1 << 60, Capacity: 1}
+		},
+		Logger: quietLogger(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer announcer.Close()
+	proven := func(f *fakeRouter) func() bool {
+		return func() bool {
+			n, last := f.snapshot()
+			return n >= 2 && !last.IsZero()
+		}
+	}
+	eventually(t, "a proven announcement at the first router", proven(first))
+	a.CloseClientConnections()
+	a.Close()
+	eventually(t, "a proven announcement at the second router", proven(second))
+	if err := announcer.Leave(t.Context()); err != nil || len(second.left) != 1 {
+		t.Fatalf("leave: %v, %v", err, second.left)
+	}
+}
+
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !cond() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not seen: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/announce/announcer.go
@@ -0,0 +1,244 @@
+package announce
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// callTimeout bounds one announcement, so that several routers can be
+	// tried within a lease.
+	callTimeout = 500 * time.Millisecond
+	// retryDelay follows a failed announcement.
+	retryDelay = 100 * time.Millisecond
+	// maxRouters bounds the addresses that an announcer remembers.
+	maxRouters = 64
+	// maxReplyBytes bounds a router's answer.
+	maxReplyBytes = 64 << 10
+)
+
+// AnnouncerConfig sets up an announcer.
+type AnnouncerConfig struct {
+	// Routers are addresses (IP number and port) of routers' target listeners
+	// to begin with.
+	Routers []string
+	// Token that targets bear.
+	Token string
+	// Status returns the target's present status. The announcer sets the
+	// sequence itself.
+	Status func() *pb.TargetStatus
+	// Transport makes the calls; nil means an own one.
+	Transport http.RoundTripper
+	Logger    *log.Logger
+}
+
+// Announcer announces one target to one router at a time, and turns to another
+// when that one doesn't answer.
+type Announcer struct {
+	cfg    AnnouncerConfig
+	client *http.Client
+
+	// calls serialises announcements, so that sequences arrive in order.
+	calls    sync.Mutex
+	sequence uint64
+	// routers are the known addresses; the first one is in use.
+	routers []string
+	// stamps are the last stamps by router.
+	stamps map[string]string
+
+	now  chan struct{}
+	stop chan struct{}
+	once sync.Once
+	done sync.WaitGroup
+}
+
+// NewAnnouncer makes an announcer and starts it; Close ends it.
+func NewAnnouncer(cfg AnnouncerConfig) (*Announcer, error) {
+	if len(cfg.Routers) == 0 {
+		return nil, errs.New(step, "", "no router to announce to")
+	}
+	if cfg.Transport == nil {
+		cfg.Transport = &http.Transport{IdleConnTimeout: 10 * time.Second}
+	}
+	a := &Announcer{
+		cfg:     cfg,
+		client:  &http.Client{Transport: cfg.Transport, Timeout: callTimeout},
+		routers: slices.Clone(cfg.Routers),
+		stamps:  make(map[string]string),
+		now:     make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+	}
+	rand.Shuffle(len(a.routers), func(i, j int) { a.routers[i], a.routers[j] = a.routers[j], a.routers[i] })
+	a.done.Go(a.loop)
+	return a, nil
+}
+
+const step = "announce"
+
+// Now announces at once, after a change of the status.
+func (a *Announcer) Now() {
+	select {
+	case a.now <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Announcer) loop() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-a.stop:
+			return
+		case <-a.now:
+		case <-timer.C:
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		wait, err := a.announce(ctx)
+		cancel()
+		if err != nil {
+			a.cfg.Logger.Warn().Err(err).Str("step", errs.Step(err)).Str("peer", errs.Peer(err)).Msg("an announcement failed")
+		}
+		timer.Reset(wait)
+	}
+}
+
+// announce makes one announcement and returns when to make the next one.
+func (a *Announcer) announce(ctx context.Context) (time.Duration, error) {
+	a.calls.Lock()
+	defer a.calls.Unlock()
+	router := a.routers[0]
+	body, err := a.body(router)
+	if err != nil {
+		return DefaultEvery, errs.Wrap(err, step, "")
+	}
+	reply := &Reply{}
+	if err := a.post(ctx, router, PathAnnounce, body, reply); err != nil {
+		a.turnAwayFrom(router)
+		return retryDelay, err
+	}
+	a.stamps[router] = reply.Stamp
+	a.learn(router, reply.Routers)
+	if !reply.Listed {
+		return retryDelay / 10, nil
+	}
+	return max(retryDelay, time.Duration(reply.AnnounceEveryMS)*time.Millisecond), nil
+}
+
+// body encodes the status with the stamp of the router that it goes to.
+func (a *Announcer) body(router string) ([]byte, error) {
+	a.sequence++
+	st := a.cfg.Status()
+	st.Sequence = a.sequence
+	encoded, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(st)
+	if err != nil {
+		return nil, err
+	}
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(encoded, &fields); err != nil {
+		return nil, err
+	}
+	stamp, err := json.Marshal(a.stamps[router])
+	if err != nil {
+		return nil, err
+	}
+	fields["stamp"] = stamp
+	return json.Marshal(fields)
+}
+
+// learn keeps the router in use and replaces the others by those it named.
+func (a *Announcer) learn(inUse string, others []string) {
+	known := []string{inUse}
+	for _, addr := range slices.Concat(others, a.cfg.Routers) {
+		if len(known) < maxRouters && !slices.Contains(known, addr) {
+			known = append(known, addr)
+		}
+	}
+	a.routers = known
+	for addr := range a.stamps {
+		if !slices.Contains(known, addr) {
+			delete(a.stamps, addr)
+		}
+	}
+}
+
+// turnAwayFrom puts a router that failed last.
+func (a *Announcer) turnAwayFrom(router string) {
+	if a.routers[0] == router {
+		a.routers = append(a.routers[1:], router)
+	}
+}
+
+func (a *Announcer) post(ctx context.Context, router, path string, body []byte, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+path, bytes.NewReader(body))
+	if err != nil {
+		return errs.Wrap(err, step, router)
+	}
+	req.Header.Set("Authorization", "Bearer "+a.cfg.Token)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return errs.Wrap(err, step, router)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return errs.Wrap(err, step, router)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errs.New(step, router, fmt.Sprintf("the router answered %s: %s", resp.Status, bytes.TrimSpace(answer)))
+	}
+	return errs.Wrap(json.Unmarshal(answer, into), step, router)
+}
+
+// CacheEvents sends cache events to the router in use.
+func (a *Announcer) CacheEvents(ctx context.Context, events *CacheEvents) (resync bool, err error) {
+	body, err := json.Marshal(events)
+	if err != nil {
+		return false, errs.Wrap(err, step, "")
+	}
+	a.calls.Lock()
+	defer a.calls.Unlock()
+	reply := &CacheReply{}
+	err = a.post(ctx, a.routers[0], PathCacheEvents, body, reply)
+	return reply.Resync, err
+}
+
+// Leave ends this incarnation for new work. It tries all known routers until
+// one took it; announcements may go on until the work in flight has ended.
+func (a *Announcer) Leave(ctx context.Context) error {
+	st := a.cfg.Status()
+	body, err := json.Marshal(LeaveRequest{ID: st.Id, Incarnation: st.Incarnation})
+	if err != nil {
+		return errs.Wrap(err, step, "")
+	}
+	a.calls.Lock()
+	defer a.calls.Unlock()
+	for _, router := range slices.Clone(a.routers) {
+		if err = a.post(ctx, router, PathLeave, body, &struct{}{}); err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+// Close ends the announcements; without Leave the target's leases run out.
+func (a *Announcer) Close() {
+	a.once.Do(func() { close(a.stop) })
+	a.done.Wait()
+	a.client.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/announce/handler.go
@@ -0,0 +1,231 @@
+package announce
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// Defaults of the periods that targets are told.
+const (
+	DefaultLease = 2500 * time.Millisecond
+	DefaultEvery = 500 * time.Millisecond
+)
+
+// Paths of the targets' interface.
+const (
+	PathAnnounce    = "/v1/targets/announce"
+	PathCacheEvents = "/v1/targets/cache-events"
+	PathLeave       = "/v1/targets/leave"
+)
+
+// Registry takes what targets announce; member.Members is one.
+type Registry interface {
+	// Announce takes a status that is proven to have been sent at provenAt or
+	// later; the zero time proves nothing.
+	Announce(st *pb.TargetStatus, provenAt time.Time) error
+	// TargetLeaves ends an incarnation for new work, for good.
+	TargetLeaves(id string, incarnation uint64)
+}
+
+// Config sets up the handler.
+type Config struct {
+	// Token that targets bear.
+	Token    string
+	Registry Registry
+	View     fleet.View
+	// CacheEvents takes cache events and tells whether a resync is wanted; nil
+	// drops them.
+	CacheEvents func(ctx context.Context, e *CacheEvents) (resync bool)
+	// Lease and Every are what targets are told; zero means the defaults.
+	Lease  time.Duration
+	Every  time.Duration
+	Logger *log.Logger
+	// Scope takes the metrics; nil drops them.
+	Scope tally.Scope
+}
+
+type handler struct {
+	Config
+	stamps   stamps
+	accepted tally.Counter
+	refused  tally.Counter
+}
+
+// NewHandler returns the handler of the targets' listener.
+func NewHandler(cfg Config) http.Handler {
+	if cfg.Lease == 0 {
+		cfg.Lease = DefaultLease
+	}
+	if cfg.Every == 0 {
+		cfg.Every = DefaultEvery
+	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	if cfg.CacheEvents == nil {
+		cfg.CacheEvents = func(context.Context, *CacheEvents) bool { return false }
+	}
+	scope := cfg.Scope.SubScope("announce")
+	h := &handler{
+		Config:   cfg,
+		stamps:   newStamps(time.Now()),
+		accepted: scope.Counter("accepted"),
+		refused:  scope.Counter("refused"),
+	}
+	r := mux.NewRouter()
+	r.HandleFunc(PathAnnounce, h.announce).Methods(http.MethodPost)
+	r.HandleFunc(PathCacheEvents, h.cacheEvents).Methods(http.MethodPost)
+	r.HandleFunc(PathLeave, h.leave).Methods(http.MethodPost)
+	r.NotFoundHandler = http.HandlerFunc(h.notFound)
+	r.MethodNotAllowedHandler = http.HandlerFunc(h.notAllowed)
+	r.Use(h.authorize)
+	return r
+}
+
+func (h *handler) authorize(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(token), []byte(h.Token)) != 1 {
+			h.fail(w, r, http.StatusUnauthorized, "unauthorized", "the target token is missing or wrong")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (h *handler) announce(w http.ResponseWriter, r *http.Request) {
+	body, ok := h.read(w, r)
+	if !ok {
+		return
+	}
+	st, stamp, err := parseAnnouncement(body)
+	if err != nil {
+		h.fail(w, r, http.StatusBadRequest, "invalid", oneLine(err))
+		return
+	}
+	now := time.Now()
+	provenAt, proven := h.stamps.issuedAt(stamp, now)
+	if err := h.Registry.Announce(st, provenAt); err != nil {
+		h.fail(w, r, http.StatusConflict, "conflict", oneLine(err))
+		return
+	}
+	h.accepted.Inc(1)
+	h.reply(w, &Reply{
+		LeaseMS:         h.Lease.Milliseconds(),
+		AnnounceEveryMS: h.Every.Milliseconds(),
+		Routers:         h.routersFor(st.DataCentre),
+		Stamp:           h.stamps.issue(now),
+		Listed:          proven && now.Sub(provenAt) < h.Lease,
+	})
+}
+
+// routersFor returns where else the target may announce, its own data centre
+// first.
+func (h *handler) routersFor(dataCentre string) []string {
+	near, far := []string{}, []string{}
+	self := h.View.Self().GetId()
+	for _, r := range h.View.Routers() {
+		switch {
+		case r.Id == self || r.TargetAddr == "" || r.State == pb.RouterState_ROUTER_STATE_DRAINING:
+		case r.DataCentre == dataCentre:
+			near = append(near, r.TargetAddr)
+		default:
+			far = append(far, r.TargetAddr)
+		}
+	}
+	return append(near, far...)
+}
+
+func (h *handler) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	events := &CacheEvents{}
+	if !h.readJSON(w, r, events) {
+		return
+	}
+	if err := checkCacheEvents(events); err != nil {
+		h.fail(w, r, http.StatusBadRequest, "invalid", oneLine(err))
+		return
+	}
+	h.reply(w, &CacheReply{Resync: h.CacheEvents(r.Context(), events)})
+}
+
+func (h *handler) leave(w http.ResponseWriter, r *http.Request) {
+	req := &LeaveRequest{}
+	if !h.readJSON(w, r, req) {
+		return
+	}
+	if req.ID == "" || len(req.ID) > MaxNameBytes || req.Incarnation == 0 {
+		h.fail(w, r, http.StatusBadRequest, "invalid", "id and incarnation of the leaving target must be given")
+		return
+	}
+	h.Registry.TargetLeaves(req.ID, req.Incarnation)
+	h.Logger.Info().Str("step", "leave").Str("peer", req.ID).Uint64("incarnation", req.Incarnation).Msg("a target leaves")
+	h.reply(w, struct{}{})
+}
+
+func (h *handler) notFound(w http.ResponseWriter, r *http.Request) {
+	h.fail(w, r, http.StatusNotFound, "not_found", "no such path: "+r.URL.Path)
+}
+
+func (h *handler) notAllowed(w http.ResponseWriter, r *http.Request) {
+	h.fail(w, r, http.StatusMethodNotAllowed, "method_not_allowed", "this path takes POST only")
+}
+
+func (h *handler) read(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		h.fail(w, r, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("the body is over the bound of %d bytes", MaxBodyBytes))
+	case err != nil:
+		h.fail(w, r, http.StatusBadRequest, "invalid", "the body was not received whole")
+	}
+	return body, err == nil
+}
+
+func (h *handler) readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	body, ok := h.read(w, r)
+	if !ok {
+		return false
+	}
+	decoder := json.NewDecoder(strings.NewReader(string(body)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		h.fail(w, r, http.StatusBadRequest, "invalid", "the body can't be read: "+oneLine(err))
+		return false
+	}
+	return true
+}
+
+func (h *handler) reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		h.Logger.Debug().Err(err).Str("step", "announce").Msg("an answer to a target was not sent")
+	}
+}
+
+func (h *handler) fail(w http.ResponseWriter, r *http.Request, status int, code, message string) {
+	h.refused.Inc(1)
+	h.Logger.Warn().Str("step", "announce").Str("peer", r.RemoteAddr).Int("status", status).Msg(message)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(ErrorReply{Error: ErrorDetail{Code: code, Message: message, Step: "announce"}})
+}
+
+// oneLine makes an error one line of plain spaces.
+func oneLine(err error) string {
+	return strings.Join(strings.Fields(err.Error()), " ")
+}
--- /dev/null
+++ b/internal/announce/messages.go
@@ -0,0 +1,241 @@
+package announce
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// Bounds of what a target may send.
+const (
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes = 64 << 10
+	// MaxStatusBytes bounds an encoded status, since routers pass it on in
+	// datagrams.
+	MaxStatusBytes = 1000
+	// MaxNameBytes bounds ids, models, services, roles and data centres.
+	MaxNameBytes = 128
+	// MaxCapacity bounds the requests that an engine may claim to run at once.
+	MaxCapacity = 100_000
+	// MaxCacheEvents bounds the events in one request.
+	MaxCacheEvents = 1000
+)
+
+// Reply answers an announcement.
+type Reply struct {
+	// LeaseMS is how long the target stays listed after its last announcement.
+	LeaseMS int64 `json:"lease_ms"`
+	// AnnounceEveryMS is when to announce next.
+	AnnounceEveryMS int64 `json:"announce_every_ms"`
+	// Routers are addresses (IP number and port) that take announcements.
+	Routers []string `json:"routers"`
+	// Stamp must be returned to the same router in the next announcement.
+	Stamp string `json:"stamp"`
+	// Listed is false if the announcement bore no valid stamp: announce again
+	// at once, with the new one.
+	Listed bool `json:"listed"`
+}
+
+// CacheEvents are changes of an engine's prefix cache.
+type CacheEvents struct {
+	Target      string `json:"target"`
+	Incarnation uint64 `json:"incarnation"`
+	// FromSequence is the number of the first event in the batch.
+	FromSequence uint64       `json:"from_sequence"`
+	Events       []CacheEvent `json:"events"`
+}
+
+// CacheEvent is one change of an engine's prefix cache.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	// Kind is "stored" or "evicted".
+	Kind string `json:"kind"`
+	Chat string `json:"chat"`
+}
+
+// CacheReply answers cache events.
+type CacheReply struct {
+	// Resync asks the engine to send all that it holds, from sequence 1 on.
+	Resync bool `json:"resync"`
+}
+
+// LeaveRequest ends one incarnation of a target for new work.
+type LeaveRequest struct {
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// ErrorReply is the body of every answer that is not a success.
+type ErrorReply struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail is one error.
+type ErrorDetail struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Step    string `json:"step"`
+}
+
+// parseAnnouncement reads an announcement and the stamp that it returns.
+func parseAnnouncement(body []byte) (*pb.TargetStatus, string, error) {
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, "", fmt.Errorf("the body is not a JSON object: %w", err)
+	}
+	stamp := ""
+	if raw, ok := fields["stamp"]; ok {
+		if err := json.Unmarshal(raw, &stamp); err != nil {
+			return nil, "", errors.New("stamp must be a string")
+		}
+		delete(fields, "stamp")
+	}
+	expandKind(fields)
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return nil, "", err
+	}
+	st := &pb.TargetStatus{}
+	if err := protojson.Unmarshal(body, st); err != nil {
+		return nil, "", fmt.Errorf("the announcement can't be read: %w", err)
+	}
+	return st, stamp, checkStatus(st)
+}
+
+// expandKind replaces the short names of kinds by the full ones.
+func expandKind(fields map[string]json.RawMessage) {
+	switch string(fields["kind"]) {
+	case `"engine"`:
+		fields["kind"] = json.RawMessage(`"TARGET_KIND_ENGINE"`)
+	case `"service"`:
+		fields["kind"] = json.RawMessage(`"TARGET_KIND_SERVICE"`)
+	}
+}
+
+func checkStatus(st *pb.TargetStatus) error {
+	if err := checkName("id", st.Id, true); err != nil {
+		return err
+	}
+	if st.Incarnation == 0 {
+		return errors.New("incarnation must be above zero and grow with each start")
+	}
+	if st.Sequence == 0 {
+		return errors.New("sequence must be above zero and grow with each announcement")
+	}
+	addr, err := netip.ParseAddrPort(st.Addr)
+	if err != nil || addr.Port() == 0 {
+		return fmt.Errorf("addr %q must be an IP number and a port", st.Addr)
+	}
+	if addr.Addr().IsUnspecified() {
+		return fmt.Errorf("addr %q names no instance; give the IP number at which routers reach the target", st.Addr)
+	}
+	if err := checkName("data_centre", st.DataCentre, false); err != nil {
+		return err
+	}
+	if err := checkName("role", st.Role, false); err != nil {
+		return err
+	}
+	if err := checkKind(st); err != nil {
+		return err
+	}
+	if n := proto.Size(st); n > MaxStatusBytes {
+		return fmt.Errorf("the announcement takes %d bytes encoded, over the bound of %d; declare fewer models or routes", n, MaxStatusBytes)
+	}
+	return nil
+}
+
+func checkKind(st *pb.TargetStatus) error {
+	switch st.Kind {
+	case pb.TargetKind_TARGET_KIND_ENGINE:
+		return checkEngine(st)
+	case pb.TargetKind_TARGET_KIND_SERVICE:
+		return checkService(st)
+	default:
+		return errors.New(`kind must be "engine" or "service"`)
+	}
+}
+
+func checkEngine(st *pb.TargetStatus) error {
+	if st.Capacity == 0 || st.Capacity > MaxCapacity {
+		return fmt.Errorf("capacity of an engine must be from 1 to %d", MaxCapacity)
+	}
+	for _, model := range st.Models {
+		if err := checkName("models", model, true); err != nil {
+			return err
+		}
+	}
+	if st.Load.GetCachePermille() > 1000 {
+		return errors.New("load.cache_permille must be from 0 to 1000")
+	}
+	if len(st.Routes) > 0 || st.Service != "" {
+		return errors.New("an engine declares models, not a service or routes")
+	}
+	return nil
+}
+
+func checkService(st *pb.TargetStatus) error {
+	if err := checkName("service", st.Service, true); err != nil {
+		return err
+	}
+	if strings.Contains(st.Service, "/") {
+		return errors.New("service must not contain a slash")
+	}
+	if len(st.Models) > 0 {
+		return errors.New("a service declares routes, not models")
+	}
+	for _, route := range st.Routes {
+		if !strings.HasPrefix(route.PathPrefix, "/") {
+			return fmt.Errorf("path_prefix %q of a route must begin with a slash", route.PathPrefix)
+		}
+	}
+	return nil
+}
+
+// checkName bounds a name and keeps control characters out of logs.
+func checkName(field, name string, required bool) error {
+	if name == "" && required {
+		return fmt.Errorf("%s must not be empty", field)
+	}
+	if len(name) > MaxNameBytes {
+		return fmt.Errorf("%s must be at most %d bytes long", field, MaxNameBytes)
+	}
+	for _, r := range name {
+		if r < ' ' || r == 0x7f {
+			return fmt.Errorf("%s must not contain control characters", field)
+		}
+	}
+	return nil
+}
+
+func checkCacheEvents(e *CacheEvents) error {
+	if err := checkName("target", e.Target, true); err != nil {
+		return err
+	}
+	if e.Incarnation == 0 {
+		return errors.New("incarnation must be above zero")
+	}
+	if len(e.Events) > MaxCacheEvents {
+		return fmt.Errorf("at most %d events may be sent at once", MaxCacheEvents)
+	}
+	last := uint64(0)
+	for i, event := range e.Events {
+		if event.Kind != "stored" && event.Kind != "evicted" {
+			return fmt.Errorf(`kind of event %d must be "stored" or "evicted"`, i+1)
+		}
+		if event.Chat == "" {
+			return fmt.Errorf("chat of event %d must not be empty", i+1)
+		}
+		if event.Sequence <= last || event.Sequence < e.FromSequence {
+			return fmt.Errorf("sequence of event %d must grow and not be below from_sequence", i+1)
+		}
+		last = event.Sequence
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,217 @@
+// Package budget counts all control and probe bytes of a process and holds
+// them under one rate, with priorities between kinds of traffic.
+package budget
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+)
+
+// Class is a kind of traffic; a lower number has the higher priority.
+type Class int
+
+// Classes under the budget, most urgent first, then those counted apart.
+const (
+	// Lease is configuration leases and calls to the control replicas.
+	Lease Class = iota
+	// Drain is news that a target or router leaves.
+	Drain
+	// Liveness is probes, their answers and other membership news.
+	Liveness
+	// Load is load reports and renewals.
+	Load
+	// Hint is cache hints.
+	Hint
+	// Replica is a control replica's own state traffic, outside the budget.
+	Replica
+	// Request is traffic on behalf of callers' requests, outside the budget.
+	Request
+
+	numClasses
+	numBudgeted = Replica
+)
+
+var classNames = [numClasses]string{"lease", "drain", "liveness", "load", "hint", "replica", "request"}
+
+// String returns the class's name in metrics.
+func (c Class) String() string { return classNames[c] }
+
+const (
+	// DefaultBytesPerSecond is the budget of one process.
+	DefaultBytesPerSecond = 4096
+	// DefaultBurstBytes is what may be spent at once after a quiet time.
+	DefaultBurstBytes = 8192
+)
+
+// reserved is the share of the burst, in eighths, that a class leaves to the
+// classes above it.
+var reserved = [numBudgeted]int{0, 0, 1, 2, 4}
+
+// Config sets up a budget; zero fields take the defaults.
+type Config struct {
+	BytesPerSecond int
+	BurstBytes     int
+	// Scope takes the metrics; nil drops them.
+	Scope tally.Scope
+}
+
+// Budget is the one counter and limiter of a process. It implements
+// transport.Meter.
+type Budget struct {
+	rate    int
+	burst   int
+	limiter *rate.Limiter
+
+	mu     sync.Mutex
+	window window
+	stats  Stats
+
+	sent     [numClasses]tally.Counter
+	received [numClasses]tally.Counter
+	refused  [numClasses]tally.Counter
+}
+
+// Stats are the bytes counted since the start, by class.
+type Stats struct {
+	Sent     [numClasses]int64
+	Received [numClasses]int64
+	// Refused is what the budget did not let out.
+	Refused [numClasses]int64
+}
+
+// Control returns the bytes sent in all classes under the budget.
+func (s Stats) Control() int64 {
+	sum := int64(0)
+	for _, n := range s.Sent[:numBudgeted] {
+		sum += n
+	}
+	return sum
+}
+
+// ControlReceived returns the bytes received in all classes under the budget.
+func (s Stats) ControlReceived() int64 {
+	sum := int64(0)
+	for _, n := range s.Received[:numBudgeted] {
+		sum += n
+	}
+	return sum
+}
+
+// New makes a budget whose bucket starts full.
+func New(cfg Config) *Budget {
+	if cfg.BytesPerSecond == 0 {
+		cfg.BytesPerSecond = DefaultBytesPerSecond
+	}
+	if cfg.BurstBytes == 0 {
+		cfg.BurstBytes = DefaultBurstBytes
+	}
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	b := &Budget{
+		rate:    cfg.BytesPerSecond,
+		burst:   cfg.BurstBytes,
+		limiter: rate.NewLimiter(rate.Limit(cfg.BytesPerSecond), cfg.BurstBytes),
+	}
+	for c := range numClasses {
+		scope := cfg.Scope.Tagged(map[string]string{"class": c.String()})
+		b.sent[c] = scope.Counter("control_sent_bytes")
+		b.received[c] = scope.Counter("control_received_bytes")
+		b.refused[c] = scope.Counter("control_refused_bytes")
+	}
+	return b
+}
+
+// Allow spends n bytes in class c now, or tells that the class must wait or
+// drop. A class may use all that it need not leave to the classes above it.
+func (b *Budget) Allow(c Class, n int) bool { return b.AllowAt(time.Now(), c, n) }
+
+// AllowAt is Allow at a given time.
+func (b *Budget) AllowAt(now time.Time, c Class, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c < numBudgeted && !b.spendLocked(now, c, n) {
+		b.stats.Refused[c] += int64(n)
+		b.refused[c].Inc(int64(n))
+		return false
+	}
+	b.countSentLocked(c, n)
+	return true
+}
+
+func (b *Budget) spendLocked(now time.Time, c Class, n int) bool {
+	left := b.limiter.TokensAt(now) - float64(n)
+	if left < float64(b.burst*reserved[c]/8) || !b.limiter.AllowN(now, n) {
+		return false
+	}
+	b.window.add(now, n)
+	b.window.check(now, b.rate, b.burst)
+	return true
+}
+
+// Charge counts n bytes in class c that were spent already. They are taken
+// from what the classes may spend next, so that the rate holds over time.
+func (b *Budget) Charge(c Class, n int) { b.ChargeAt(time.Now(), c, n) }
+
+// ChargeAt is Charge at a given time.
+func (b *Budget) ChargeAt(now time.Time, c Class, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.countSentLocked(c, n)
+	if c >= numBudgeted {
+		return
+	}
+	b.window.add(now, n)
+	for n > 0 {
+		part := min(n, b.burst)
+		b.limiter.ReserveN(now, part)
+		n -= part
+	}
+}
+
+func (b *Budget) countSentLocked(c Class, n int) {
+	b.stats.Sent[c] += int64(n)
+	b.sent[c].Inc(int64(n))
+}
+
+// CountReceived counts n bytes received in class c.
+func (b *Budget) CountReceived(c Class, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stats.Received[c] += int64(n)
+	b.received[c].Inc(int64(n))
+}
+
+// Stats returns the counts so far.
+func (b *Budget) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stats
+}
+
+// Sent charges the bytes of a call that was sent.
+func (b *Budget) Sent(method string, n int) { b.Charge(ClassOf(method), n) }
+
+// Received counts the bytes of a call's answer.
+func (b *Budget) Received(method string, n int) { b.CountReceived(ClassOf(method), n) }
+
+// ClassOf returns the class of a call's method, by its prefix.
+func ClassOf(method string) Class {
+	prefix, _, _ := strings.Cut(method, ".")
+	switch prefix {
+	case "control":
+		return Lease
+	case "raft":
+		return Replica
+	case "schedule", "limits", "ledger", "forward":
+		return Request
+	case "hint":
+		return Hint
+	default:
+		return Liveness
+	}
+}
--- /dev/null
+++ b/internal/lookup/lookup.go
@@ -0,0 +1,180 @@
+// Package lookup answers callers that ask which entries of the fleet to use.
+// No balancer stands in front of the fleet: a caller asks any instance, keeps
+// the answer for a while and connects to one of the addresses itself.
+package lookup
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// DefaultTTL is how long callers may keep an answer.
+	DefaultTTL = 5 * time.Second
+	// DefaultSpread bounds the time until no other router lists one that
+	// began to drain, cut-off ones included.
+	DefaultSpread = 4 * time.Second
+	// MaxEntries bounds the addresses in one answer.
+	MaxEntries = 16
+	// maxKeyBytes bounds the chat that a caller names.
+	maxKeyBytes = 512
+)
+
+// Entry is one address for callers.
+type Entry struct {
+	Addr       string `json:"addr"`
+	DataCentre string `json:"data_centre"`
+}
+
+// Answer is what a caller gets: addresses, best first.
+type Answer struct {
+	Entries []Entry `json:"entries"`
+	// TTLMS is how long the caller may keep the answer.
+	TTLMS int64 `json:"ttl_ms"`
+}
+
+// Config sets up a handler.
+type Config struct {
+	View fleet.View
+	// TTL and Spread default to DefaultTTL and DefaultSpread.
+	TTL    time.Duration
+	Spread time.Duration
+}
+
+// Handler serves GET /v1/entries.
+type Handler struct {
+	view   fleet.View
+	ttl    time.Duration
+	spread time.Duration
+
+	mu sync.Mutex
+	// listedUntil is the end of the last answer that listed this router.
+	listedUntil time.Time
+	draining    bool
+}
+
+// NewHandler makes a handler.
+func NewHandler(cfg Config) *Handler {
+	h := &Handler{view: cfg.View, ttl: cfg.TTL, spread: cfg.Spread}
+	if h.ttl == 0 {
+		h.ttl = DefaultTTL
+	}
+	if h.spread == 0 {
+		h.spread = DefaultSpread
+	}
+	return h
+}
+
+// ServeHTTP answers with the entries for the chat in the query, if there is
+// one. The answer is never empty-handed without saying when to come back.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	chat := r.URL.Query().Get("chat")
+	if len(chat) > maxKeyBytes {
+		http.Error(w, "chat is longer than 512 bytes", http.StatusBadRequest)
+		return
+	}
+	answer := h.Lookup(chat)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	if len(answer.Entries) == 0 {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// Lookup returns the entries, the chat's home first. Without a chat they come
+// in random order, those of this data centre first.
+func (h *Handler) Lookup(chat string) *Answer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	serving := h.servingLocked()
+	answer := &Answer{Entries: []Entry{}, TTLMS: h.ttl.Milliseconds()}
+	self := h.view.Self().Id
+	for _, r := range rank(chat, serving, h.view.Self().DataCentre) {
+		if len(answer.Entries) == MaxEntries {
+			break
+		}
+		if r.Id == self {
+			h.listedUntil = time.Now().Add(h.ttl)
+		}
+		answer.Entries = append(answer.Entries, Entry{Addr: r.CallerAddr, DataCentre: r.DataCentre})
+	}
+	return answer
+}
+
+// servingLocked returns the routers that take new work: draining ones and
+// those without a configuration lease do not.
+func (h *Handler) servingLocked() []*pb.RouterStatus {
+	var serving []*pb.RouterStatus
+	self := h.view.Self().Id
+	for _, r := range h.view.Routers() {
+		if r.State != pb.RouterState_ROUTER_STATE_SERVING || r.CallerAddr == "" {
+			continue
+		}
+		if r.Id == self && h.draining {
+			continue
+		}
+		serving = append(serving, r)
+	}
+	return serving
+}
+
+func rank(chat string, routers []*pb.RouterStatus, dataCentre string) []*pb.RouterStatus {
+	if chat == "" {
+		return nearFirst(routers, dataCentre)
+	}
+	byID := make(map[string]*pb.RouterStatus, len(routers))
+	ids := make([]string, 0, len(routers))
+	for _, r := range routers {
+		byID[r.Id] = r
+		ids = append(ids, r.Id)
+	}
+	ranked := make([]*pb.RouterStatus, 0, len(routers))
+	for _, id := range fleet.Rank(chat, ids) {
+		ranked = append(ranked, byID[id])
+	}
+	return ranked
+}
+
+func nearFirst(routers []*pb.RouterStatus, dataCentre string) []*pb.RouterStatus {
+	var near, far []*pb.RouterStatus
+	for _, i := range rand.Perm(len(routers)) {
+		if routers[i].DataCentre == dataCentre {
+			near = append(near, routers[i])
+		} else {
+			far = append(far, routers[i])
+		}
+	}
+	return append(near, far...)
+}
+
+// StartDrain takes this router out of its own answers.
+func (h *Handler) StartDrain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.draining {
+		return
+	}
+	h.draining = true
+	// Others list this router until they hear that it drains.
+	others := time.Now().Add(h.spread + h.ttl)
+	if others.After(h.listedUntil) {
+		h.listedUntil = others
+	}
+}
+
+// KeptUntil returns until when callers may keep an answer that lists this
+// router; the zero time if none was given. After StartDrain it covers the
+// answers of other routers too and doesn't grow any more.
+func (h *Handler) KeptUntil() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.listedUntil
+}
--- /dev/null
+++ b/internal/lookup/lookup_test.go
@@ -0,0 +1,78 @@
+package lookup
+
+import (
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+type fakeView struct{ routers []*pb.RouterStatus }
+
+func (v fakeView) Self() *pb.RouterStatus         { return v.routers[0] }
+func (v fakeView) Routers() []*pb.RouterStatus    { return v.routers }
+func (v fakeView) Targets() []*pb.TargetStatus    { return nil }
+func (v fakeView) Target(string) *pb.TargetStatus { return nil }
+
+func router(id string, state pb.RouterState) *pb.RouterStatus {
+	return &pb.RouterStatus{Id: id, CallerAddr: id + ":80", State: state}
+}
+
+const (
+	serving  = pb.RouterState_ROUTER_STATE_SERVING
+	unleased = pb.RouterState_ROUTER_STATE_UNLEASED
+	draining = pb.RouterState_ROUTER_STATE_DRAINING
+)
+
+func TestOnlyServingRoutersHomeFirst(t *testing.T) {
+	view := fakeView{routers: []*pb.RouterStatus{
+		router("a", serving), router("b", unleased), router("c", serving), router("d", draining), router("e", serving),
+	}}
+	h := NewHandler(Config{View: view})
+	for _, chat := range []string{"1", "2", "3", "4", "5"} {
+		answer := h.Lookup(chat)
+		if len(answer.Entries) != 3 {
+			t.Fatalf("entries %v", answer.Entries)
+		}
+		if home := fleet.Home(chat, []string{"a", "c", "e"}); answer.Entries[0].Addr != home+":80" {
+			t.Fatalf("chat %s: %v first, home %s", chat, answer.Entries[0], home)
+		}
+	}
+}
+
+// The kept time covers all answers that list this router, and a drain also
+// those of routers that have not heard of it yet.
+func TestKeptUntil(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := NewHandler(Config{View: fakeView{routers: []*pb.RouterStatus{router("a", serving), router("b", serving)}}})
+		if !h.KeptUntil().IsZero() {
+			t.Fatal("kept before any answer")
+		}
+		h.Lookup("")
+		if want := time.Now().Add(DefaultTTL); !h.KeptUntil().Equal(want) {
+			t.Fatalf("kept until %v, want %v", h.KeptUntil(), want)
+		}
+		time.Sleep(time.Second)
+		h.StartDrain()
+		want := time.Now().Add(DefaultSpread + DefaultTTL)
+		time.Sleep(time.Second)
+		if answer := h.Lookup("x"); len(answer.Entries) != 1 || answer.Entries[0].Addr != "b:80" {
+			t.Fatalf("a draining router lists itself: %v", answer.Entries)
+		}
+		if !h.KeptUntil().Equal(want) {
+			t.Fatalf("kept until %v, want %v", h.KeptUntil(), want)
+		}
+	})
+}
+
+func TestNoEntries(t *testing.T) {
+	h := NewHandler(Config{View: fakeView{routers: []*pb.RouterStatus{router("a", unleased)}}})
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest("GET", "/v1/entries", nil))
+	if w.Code != 503 || w.Header().Get("Retry-After") == "" {
+		t.Fatalf("%d %v", w.Code, w.Header())
+	}
+}
--- /dev/null
+++ b/internal/member/core.go
@@ -0,0 +1,268 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/assert"
+	"github.com/wigeonwood/wigeonwood/internal/budget"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// core is the membership state machine of one router. Time and messages are
+// passed in, packets are taken out; it holds no clock and does no I/O.
+type core struct {
+	iv    Intervals
+	seeds []string
+	rng   *rand.Rand
+	// allow spends budget for one packet, or refuses it.
+	allow func(now time.Time, class budget.Class, bytes int) bool
+
+	self    *routerEntry
+	routers map[string]*routerEntry
+	targets map[string]*targetEntry
+	byKey   map[uint64]*targetEntry
+	history *history
+	news    *queue
+
+	probes map[uint32]*probe
+	// questions holds when each sync that awaits its replies was sent.
+	questions map[uint32]time.Time
+	order     []string
+	nonce     uint32
+	rounds    int
+
+	lastTick   time.Time
+	nextProbe  time.Time
+	nextSync   time.Time
+	nextJoin   time.Time
+	nextGC     time.Time
+	left       bool
+	syncWanted bool
+
+	// changes counts changes that a reader of the view can see.
+	changes uint64
+	out     []packet
+	counts  counts
+}
+
+// packet is one datagram to send.
+type packet struct {
+	to  string
+	msg *pb.Gossip
+}
+
+// counts are what the core counts for the metrics.
+type counts struct {
+	suspicions  int64
+	deaths      int64
+	refutations int64
+	syncs       int64
+	refused     int64
+}
+
+type coreConfig struct {
+	self      *pb.RouterStatus
+	seeds     []string
+	intervals Intervals
+	rng       *rand.Rand
+	allow     func(now time.Time, class budget.Class, bytes int) bool
+}
+
+func newCore(cfg coreConfig, now time.Time) *core {
+	self := proto.CloneOf(cfg.self)
+	self.Version = max(1, self.Version)
+	c := &core{
+		iv:        cfg.intervals.withDefaults(),
+		rng:       cfg.rng,
+		allow:     cfg.allow,
+		self:      &routerEntry{status: self, generation: self.Incarnation},
+		routers:   make(map[string]*routerEntry),
+		targets:   make(map[string]*targetEntry),
+		byKey:     make(map[uint64]*targetEntry),
+		history:   newHistory(maxHistory),
+		news:      newQueue(),
+		probes:    make(map[uint32]*probe),
+		questions: make(map[uint32]time.Time),
+		nonce:     cfg.rng.Uint32(),
+		lastTick:  now,
+		nextProbe: now,
+		nextSync:  now,
+		nextJoin:  now,
+		nextGC:    now.Add(gcInterval),
+	}
+	for _, seed := range cfg.seeds {
+		if seed != self.PeerAddr {
+			c.seeds = append(c.seeds, seed)
+		}
+	}
+	c.self.rehash()
+	c.news.add(routerNews, self.Id)
+	return c
+}
+
+// tick does all that is due at now.
+func (c *core) tick(now time.Time) {
+	if now.Sub(c.lastTick) > pauseBound {
+		c.forgivePause(now)
+	}
+	c.lastTick = now
+	if c.left {
+		return
+	}
+	c.expireProbes(now)
+	c.expireSuspicions(now)
+	if !now.Before(c.nextProbe) {
+		c.nextProbe = now.Add(c.iv.Probe)
+		c.startProbe(now)
+	}
+	if !now.Before(c.nextJoin) {
+		c.nextJoin = now.Add(c.joinInterval())
+		c.rejoin(now)
+	}
+	if c.syncWanted && !now.Before(c.nextSync) {
+		c.syncWithRandom(now)
+	}
+	if !now.Before(c.nextGC) {
+		c.nextGC = now.Add(gcInterval)
+		c.collect(now)
+	}
+}
+
+// next returns when tick has something to do again.
+func (c *core) next() time.Time {
+	if c.left {
+		return c.lastTick.Add(farFuture)
+	}
+	next := earliest(c.nextProbe, c.nextJoin, c.nextGC)
+	if c.syncWanted {
+		next = earliest(next, c.nextSync)
+	}
+	for _, p := range c.probes {
+		next = earliest(next, p.deadline)
+	}
+	for _, e := range c.routers {
+		if e.state == suspect {
+			next = earliest(next, e.suspectUntil)
+		}
+	}
+	return next
+}
+
+func earliest(first time.Time, others ...time.Time) time.Time {
+	for _, t := range others {
+		if t.Before(first) {
+			first = t
+		}
+	}
+	return first
+}
+
+// receive handles one message that arrived from a peer address.
+func (c *core) receive(now time.Time, from string, m *pb.Gossip) {
+	if c.left || m.From == c.self.status.Id {
+		return
+	}
+	for _, d := range m.Routers {
+		c.mergeRouter(now, d)
+	}
+	for _, d := range m.Targets {
+		c.mergeTarget(now, d)
+	}
+	switch m.Kind {
+	case pb.GossipKind_GOSSIP_KIND_PING:
+		c.onPing(now, from, m)
+	case pb.GossipKind_GOSSIP_KIND_ACK:
+		c.onAck(now, m)
+	case pb.GossipKind_GOSSIP_KIND_PING_REQUEST:
+		c.onPingRequest(now, from, m)
+	case pb.GossipKind_GOSSIP_KIND_INDIRECT_ACK:
+		c.onIndirectAck(m)
+	case pb.GossipKind_GOSSIP_KIND_SYNC:
+		c.onSync(now, from, m)
+	case pb.GossipKind_GOSSIP_KIND_SYNC_REPLY:
+		c.onSyncReply(now, m)
+	}
+}
+
+// packets returns what is to be sent and forgets it.
+func (c *core) packets() []packet {
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// send queues m if the budget allows it in this class.
+func (c *core) send(now time.Time, to string, class budget.Class, m *pb.Gossip) bool {
+	size := proto.Size(m)
+	assert.That(size <= maxMessageBytes, "send datagram", func() string {
+		return fmt.Sprintf("a %s of %d bytes is over the bound of %d", m.Kind, size, maxMessageBytes)
+	})
+	if !c.allow(now, class, size+headerBytes+packetOverheadBytes) {
+		c.counts.refused++
+		return false
+	}
+	c.out = append(c.out, packet{to: to, msg: m})
+	return true
+}
+
+// message starts a message of this router.
+func (c *core) message(kind pb.GossipKind, nonce uint32) *pb.Gossip {
+	return &pb.Gossip{Kind: kind, From: c.self.status.Id, Nonce: nonce}
+}
+
+// newNonce returns a number that no open question uses. It is never zero.
+func (c *core) newNonce() uint32 {
+	c.nonce++
+	if c.nonce == 0 {
+		c.nonce++
+	}
+	return c.nonce
+}
+
+// setState publishes this router's new state.
+func (c *core) setState(state pb.RouterState) {
+	if c.self.status.State == state {
+		return
+	}
+	c.publishSelf(func(s *pb.RouterStatus) { s.State = state })
+}
+
+// publishSelf replaces this router's status; readers may hold the old one.
+func (c *core) publishSelf(change func(*pb.RouterStatus)) {
+	status := proto.CloneOf(c.self.status)
+	status.Version++
+	change(status)
+	c.self.status = status
+	c.self.rehash()
+	c.news.add(routerNews, status.Id)
+	c.changes++
+}
+
+// leave tells some peers that this router is gone; it takes no part after.
+func (c *core) leave(now time.Time) {
+	if !c.left {
+		c.publishSelf(func(s *pb.RouterStatus) { s.State = pb.RouterState_ROUTER_STATE_GONE })
+	}
+	c.left = true
+	for _, e := range c.randomPeers(leaveFanout, "") {
+		m := c.message(pb.GossipKind_GOSSIP_KIND_UPDATE, c.newNonce())
+		m.Routers = []*pb.RouterDelta{c.self.goneDelta()}
+		c.send(now, e.status.PeerAddr, budget.Drain, m)
+	}
+}
+
+// forgivePause restarts all waits after this process did not run for a while:
+// answers that it could not take are no evidence against their senders.
+func (c *core) forgivePause(now time.Time) {
+	clear(c.probes)
+	for _, e := range c.routers {
+		if e.state == suspect {
+			e.suspectUntil = now.Add(c.suspectTimeout())
+		}
+	}
+	c.syncWanted = true
+}
--- /dev/null
+++ b/internal/member/loads.go
@@ -0,0 +1,68 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// loadRounds is the number of probes of which one asks for loads.
+	loadRounds = 4
+	// maxLoads bounds the reports in one answer, the newest ones first.
+	maxLoads = 24
+)
+
+// loads returns the newest load reports known here.
+func (c *core) loads(now time.Time) *pb.Loads {
+	list, _ := c.presentTargets(now)
+	list = slices.DeleteFunc(list, func(e *targetEntry) bool { return e.status.Load == nil || !c.leased(now, e) })
+	slices.SortStableFunc(list, func(a, b *targetEntry) int { return b.loadAt.Compare(a.loadAt) })
+	l := &pb.Loads{}
+	for _, e := range list[:min(len(list), maxLoads)] {
+		l.Keys = append(l.Keys, e.key)
+		l.Running = append(l.Running, e.status.Load.Running)
+		l.Waiting = append(l.Waiting, e.status.Load.Waiting)
+		l.CachePermille = append(l.CachePermille, e.status.Load.CachePermille)
+		l.AgesMs = append(l.AgesMs, ageMs(now, e.loadAt))
+	}
+	return l
+}
+
+// applyLoads takes the reports in the answer to a question asked at askedAt.
+func (c *core) applyLoads(now time.Time, l *pb.Loads, askedAt time.Time) {
+	for i, key := range l.GetKeys() {
+		e := c.byKey[key]
+		if e == nil {
+			continue
+		}
+		load := &pb.Load{Running: l.Running[i], Waiting: l.Waiting[i], CachePermille: l.CachePermille[i]}
+		c.setLoad(now, e, load, askedAt.Add(-milliseconds(l.AgesMs[i])))
+	}
+}
+
+// setLoad takes a load report if it is newer than the one known.
+func (c *core) setLoad(now time.Time, e *targetEntry, load *pb.Load, at time.Time) {
+	if e.status.Load != nil && !at.After(e.loadAt) {
+		return
+	}
+	next := shallow(e.status)
+	next.Load = &pb.Load{
+		Running:       load.Running,
+		Waiting:       load.Waiting,
+		CachePermille: load.CachePermille,
+		AgeMs:         ageMs(now, at),
+	}
+	e.status = next
+	e.loadAt = at
+	c.changes++
+}
+
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// ageMs rounds up, so that an age is never understated.
+func ageMs(now, at time.Time) uint32 {
+	age := now.Sub(at) + time.Millisecond - 1
+	return uint32(max(0, age.Milliseconds()))
+}
--- /dev/null
+++ b/internal/member/members.go
@@ -0,0 +1,223 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/wigeonwood/wigeonwood/internal/budget"
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// leaveRepeats and leaveInterval say how a leaving router tells its peers,
+	// since datagrams may be lost.
+	leaveRepeats  = 2
+	leaveInterval = 100 * time.Millisecond
+	// readRetryDelay follows a failed read, so that a failing connection is
+	// not read in a busy loop.
+	readRetryDelay = 50 * time.Millisecond
+)
+
+// Members is this router's part in the membership. It implements fleet.View.
+type Members struct {
+	conn    net.PacketConn
+	codec   *codec
+	budget  *budget.Budget
+	log     *log.Logger
+	metrics *metrics
+
+	mu   sync.Mutex
+	core *core
+	snap *snapshot
+
+	// wake tells the timer loop that the next due time may have changed.
+	wake chan struct{}
+	stop chan struct{}
+	once sync.Once
+	done sync.WaitGroup
+}
+
+// Start joins the fleet through the seeds and takes part until Close.
+func Start(cfg Config) (*Members, error) {
+	if err := cfg.complete(); err != nil {
+		return nil, err
+	}
+	m := &Members{
+		conn:    cfg.Conn,
+		codec:   newCodec(cfg.Token),
+		budget:  cfg.Budget,
+		log:     cfg.Logger,
+		metrics: newMetrics(cfg.Scope),
+		wake:    make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+	}
+	m.core = newCore(coreConfig{
+		self:      cfg.Self,
+		seeds:     cfg.Seeds,
+		intervals: cfg.Intervals,
+		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		allow:     cfg.Budget.AllowAt,
+	}, time.Now())
+	m.done.Go(m.tickLoop)
+	m.done.Go(m.readLoop)
+	return m, nil
+}
+
+// do runs fn on the core and sends what it put out.
+func (m *Members) do(fn func(c *core, now time.Time)) {
+	m.mu.Lock()
+	fn(m.core, time.Now())
+	out := m.core.packets()
+	m.metrics.update(m.core)
+	m.mu.Unlock()
+	for _, p := range out {
+		m.write(p)
+	}
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Members) write(p packet) {
+	datagram, err := m.codec.encode(p.msg)
+	if err != nil {
+		m.log.Error().Err(err).Str("step", "encode datagram").Str("peer", p.to).Msg("a membership message was dropped")
+		return
+	}
+	addr, err := netip.ParseAddrPort(p.to)
+	if err != nil {
+		m.log.Debug().Err(err).Str("step", "send datagram").Str("peer", p.to).Msg("a router's peer address is not an IP number and port")
+		return
+	}
+	if _, err := m.conn.WriteTo(datagram, net.UDPAddrFromAddrPort(addr)); err != nil && !errors.Is(err, net.ErrClosed) {
+		m.log.Debug().Err(err).Str("step", "send datagram").Str("peer", p.to).Msg("a membership message was not sent")
+	}
+}
+
+func (m *Members) tickLoop() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-m.stop:
+			return
+		case <-m.wake:
+		case <-timer.C:
+			m.do(func(c *core, now time.Time) { c.tick(now) })
+		}
+		m.mu.Lock()
+		timer.Reset(time.Until(m.core.next()))
+		m.mu.Unlock()
+	}
+}
+
+func (m *Members) readLoop() {
+	buf := make([]byte, maxDatagramBytes+1)
+	for {
+		n, from, err := m.conn.ReadFrom(buf)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) || !m.pause(readRetryDelay) {
+				return
+			}
+			continue
+		}
+		m.budget.CountReceived(budget.Liveness, n+packetOverheadBytes)
+		msg, err := m.codec.decode(buf[:n])
+		if err != nil {
+			m.metrics.malformed.Inc(1)
+			m.log.Debug().Err(err).Str("step", "read datagram").Str("peer", from.String()).Msg("a datagram was dropped")
+			continue
+		}
+		m.do(func(c *core, now time.Time) { c.receive(now, from.String(), msg) })
+	}
+}
+
+// pause waits; it returns false if Close came meanwhile.
+func (m *Members) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-m.stop:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// Announce takes a target's own announcement. It is proven that the target
+// made it at provenAt or later, on this process's clock.
+func (m *Members) Announce(st *pb.TargetStatus, provenAt time.Time) error {
+	var err error
+	m.do(func(c *core, now time.Time) { err = c.announce(now, st, provenAt) })
+	return err
+}
+
+// TargetLeaves ends an incarnation of a target for new work, for good.
+func (m *Members) TargetLeaves(id string, incarnation uint64) {
+	m.do(func(c *core, now time.Time) {
+		c.describe(now, &pb.TargetStatus{Id: id, Incarnation: incarnation, Leaving: true})
+	})
+}
+
+// SetState publishes this router's state.
+func (m *Members) SetState(state pb.RouterState) {
+	m.do(func(c *core, _ time.Time) { c.setState(state) })
+}
+
+// Leave tells the fleet that this router is gone. The view stays readable.
+func (m *Members) Leave(ctx context.Context) error {
+	for range leaveRepeats {
+		m.do(func(c *core, now time.Time) { c.leave(now) })
+		timer := time.NewTimer(leaveInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return errs.Wrap(ctx.Err(), "leave", "")
+		case <-m.stop:
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+	return nil
+}
+
+// Close ends all work and closes the connection. It doesn't say goodbye.
+func (m *Members) Close() {
+	m.once.Do(func() {
+		close(m.stop)
+		_ = m.conn.Close()
+	})
+	m.done.Wait()
+}
+
+func (m *Members) view() *snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if !m.snap.valid(m.core, now) {
+		m.snap = m.core.snapshot(now)
+	}
+	return m.snap
+}
+
+// Self returns this router's own status.
+func (m *Members) Self() *pb.RouterStatus { return m.view().self }
+
+// Routers returns the routers believed alive, this one included, by id.
+func (m *Members) Routers() []*pb.RouterStatus { return m.view().routers }
+
+// Targets returns the targets whose lease at this router holds, by id.
+func (m *Members) Targets() []*pb.TargetStatus { return m.view().targets }
+
+// Target returns one target, or nil if its lease at this router ended.
+func (m *Members) Target(id string) *pb.TargetStatus { return m.view().byID[id] }
--- /dev/null
+++ b/internal/member/members_test.go
@@ -0,0 +1,117 @@
+package member
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.uber.org/goleak"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func quietLogger() *log.Logger {
+	return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+}
+
+func startMember(t *testing.T, id string, seeds ...string) *Members {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := Start(Config{
+		Self: &pb.RouterStatus{
+			Id:          id,
+			Incarnation: 1,
+			PeerAddr:    conn.LocalAddr().String(),
+			State:       pb.RouterState_ROUTER_STATE_SERVING,
+		},
+		Seeds:  seeds,
+		Conn:   conn,
+		Token:  "secret",
+		Logger: quietLogger(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	return m
+}
+
+// eventually waits for a condition; the bound only ends a failing test.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !cond() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not seen: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Three routers over UDP on loopback find each other and pass on a target; a
+// state change, a target's leave and a router's leave reach all.
+func TestRoutersOverUDP(t *testing.T) {
+	a := startMember(t, "a")
+	seed := a.Self().PeerAddr
+	all := []*Members{a, startMember(t, "b", seed), startMember(t, "c", seed)}
+	everywhere := func(cond func(m *Members) bool) func() bool {
+		return func() bool {
+			for _, m := range all {
+				if !cond(m) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, "three routers everywhere", everywhere(func(m *Members) bool { return len(m.Routers()) == 3 }))
+
+	st := &pb.TargetStatus{Id: "engine-1", Kind: pb.TargetKind_TARGET_KIND_ENGINE, Addr: "127.0.0.1:1", Incarnation: 5, Capacity: 4, Load: &pb.Load{Running: 3}}
+	announce := func() {
+		st.Sequence++
+		if err := a.Announce(shallow(st), time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	eventually(t, "the target and its load everywhere", everywhere(func(m *Members) bool {
+		announce()
+		return m.Target("engine-1").GetLoad().GetRunning() == 3
+	}))
+	all[2].SetState(pb.RouterState_ROUTER_STATE_DRAINING)
+	all[2].TargetLeaves("engine-1", 5)
+	eventually(t, "the leave everywhere", everywhere(func(m *Members) bool {
+		target := m.Target("engine-1")
+		return target == nil || target.Leaving
+	}))
+	eventually(t, "the draining state", everywhere(func(m *Members) bool {
+		return m.Routers()[2].State == pb.RouterState_ROUTER_STATE_DRAINING
+	}))
+	if err := a.Announce(shallow(st), time.Now()); err == nil {
+		t.Fatal("an incarnation that left was taken again")
+	}
+	if err := all[2].Leave(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	all = all[:2]
+	eventually(t, "two routers left", everywhere(func(m *Members) bool { return len(m.Routers()) == 2 }))
+}
+
+func TestOtherTokenIsNotHeard(t *testing.T) {
+	ours := newCodec("secret")
+	datagram, err := newCodec("guess").encode(&pb.Gossip{From: "x"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ours.decode(datagram); err != errDatagramMAC {
+		t.Fatalf("got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/member/queue.go
@@ -0,0 +1,72 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+)
+
+type newsKind int
+
+const (
+	routerNews newsKind = iota
+	targetNews
+)
+
+// newsKey names an entry whose present state is news.
+type newsKey struct {
+	kind newsKind
+	id   string
+}
+
+type newsItem struct {
+	key  newsKey
+	sent int
+	// added orders items that were sent equally often, newest first.
+	added uint64
+}
+
+// queue holds the entries to pass on, each a bounded number of times. It
+// holds keys only: what is sent is the present state. Its size is bounded by
+// the tables of routers and targets and the history.
+type queue struct {
+	items map[newsKey]*newsItem
+	added uint64
+}
+
+func newQueue() *queue {
+	return &queue{items: make(map[newsKey]*newsItem)}
+}
+
+// add makes an entry news, also if it was passed on before.
+func (q *queue) add(kind newsKind, id string) {
+	q.added++
+	key := newsKey{kind: kind, id: id}
+	q.items[key] = &newsItem{key: key, added: q.added}
+}
+
+// ordered returns the news, the least passed on first.
+func (q *queue) ordered() []*newsItem {
+	items := make([]*newsItem, 0, len(q.items))
+	for _, item := range q.items {
+		items = append(items, item)
+	}
+	slices.SortFunc(items, func(a, b *newsItem) int {
+		if c := cmp.Compare(a.sent, b.sent); c != 0 {
+			return c
+		}
+		return cmp.Compare(b.added, a.added)
+	})
+	return items
+}
+
+// passed counts one sending of each item and drops those sent often enough.
+func (q *queue) passed(items []*newsItem, limit int) {
+	for _, item := range items {
+		item.sent++
+		if item.sent >= limit && q.items[item.key] == item {
+			delete(q.items, item.key)
+		}
+	}
+}
+
+func (q *queue) drop(key newsKey) { delete(q.items, key) }
--- /dev/null
+++ b/internal/member/sync.go
@@ -0,0 +1,228 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/budget"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// numBuckets is the number of parts of a view that are compared.
+	numBuckets = 64
+	// maxSyncDatagrams bounds the answer to one sync. What doesn't fit follows
+	// at the next one.
+	maxSyncDatagrams = 6
+	// maxQuestions bounds the syncs that await their replies.
+	maxQuestions = 16
+	// renewalsOverheadBytes are the tags and lengths of renewals.
+	renewalsOverheadBytes = 16
+	// questionTimeout is how long replies to a sync are taken.
+	questionTimeout = 2 * time.Second
+	// syncInterval is the least time between two syncs that a difference
+	// starts.
+	syncInterval = 500 * time.Millisecond
+	// joinInterval is the time between tries to join while no other router is
+	// known, rejoinInterval the time between tries to reach lost ones.
+	aloneJoinInterval = 500 * time.Millisecond
+	rejoinInterval    = 3 * time.Second
+)
+
+func bucketOf(id string) int { return int(hashOf(id) % numBuckets) }
+
+// buckets returns the digests of the parts of this view: the routers not
+// known to be dead and the present targets.
+func (c *core) buckets(now time.Time) []uint32 {
+	sums := make([]uint32, numBuckets)
+	sums[bucketOf(c.self.status.Id)] ^= fold(c.self.hash)
+	for id, e := range c.routers {
+		if e.state != dead {
+			sums[bucketOf(id)] ^= fold(e.hash)
+		}
+	}
+	for id, e := range c.targets {
+		if c.present(now, e) {
+			sums[bucketOf(id)] ^= fold(e.hash)
+		}
+	}
+	return sums
+}
+
+func fold(h uint64) uint32 { return uint32(h ^ h>>32) }
+
+func (c *core) digest(now time.Time) uint32 {
+	sum := uint32(1)
+	for _, b := range c.buckets(now) {
+		sum = sum*31 + b
+	}
+	return sum
+}
+
+func (c *core) joinInterval() time.Duration {
+	if len(c.randomPeers(1, "")) == 0 {
+		return aloneJoinInterval
+	}
+	return rejoinInterval
+}
+
+// rejoin asks one address at which no living router is known: a seed, or a
+// router that died and may be back on the other side of a cut that ended.
+func (c *core) rejoin(now time.Time) {
+	known := make(map[string]bool)
+	var lost []string
+	for _, id := range c.sortedRouters() {
+		e := c.routers[id]
+		addr := e.status.PeerAddr
+		if e.state != dead {
+			known[addr] = true
+		} else if addr != "" && e.status.State != pb.RouterState_ROUTER_STATE_GONE {
+			lost = append(lost, addr)
+		}
+	}
+	lost = append(lost, c.seeds...)
+	lost = slices.DeleteFunc(lost, func(addr string) bool { return known[addr] })
+	if len(lost) > 0 {
+		c.askSync(now, lost[c.rng.IntN(len(lost))])
+	}
+}
+
+func (c *core) syncWithRandom(now time.Time) {
+	c.syncWanted = false
+	c.nextSync = now.Add(syncInterval)
+	for _, e := range c.randomPeers(1, "") {
+		c.askSync(now, e.status.PeerAddr)
+	}
+}
+
+func (c *core) askSync(now time.Time, addr string) {
+	for nonce, asked := range c.questions {
+		if now.Sub(asked) > questionTimeout {
+			delete(c.questions, nonce)
+		}
+	}
+	if len(c.questions) >= maxQuestions {
+		return
+	}
+	nonce := c.newNonce()
+	m := c.message(pb.GossipKind_GOSSIP_KIND_SYNC, nonce)
+	m.Buckets = c.buckets(now)
+	m.Routers = []*pb.RouterDelta{c.self.delta()}
+	if c.send(now, addr, budget.Liveness, m) {
+		c.questions[nonce] = now
+		c.counts.syncs++
+	}
+}
+
+// onSync answers with the entries of all parts in which the views differ.
+func (c *core) onSync(now time.Time, from string, m *pb.Gossip) {
+	differs := make([]bool, numBuckets)
+	for i, sum := range c.buckets(now) {
+		differs[i] = i >= len(m.Buckets) || m.Buckets[i] != sum
+	}
+	reply := c.message(pb.GossipKind_GOSSIP_KIND_SYNC_REPLY, m.Nonce)
+	if e := c.routers[m.From]; e != nil && e.state == dead {
+		reply.Routers = append(reply.Routers, e.delta())
+	}
+	routers := c.routersIn(differs)
+	targets := c.targetsIn(now, differs)
+	for range maxSyncDatagrams {
+		routers = fillRouters(reply, routers)
+		targets = c.fillTargets(now, reply, targets)
+		if len(reply.Routers)+len(reply.Targets) == 0 || !c.send(now, from, budget.Liveness, reply) {
+			return
+		}
+		reply = c.message(pb.GossipKind_GOSSIP_KIND_SYNC_REPLY, m.Nonce)
+	}
+}
+
+// routersIn returns the routers of the parts, in random order so that a
+// bounded answer brings others each time.
+func (c *core) routersIn(differs []bool) []*pb.RouterDelta {
+	deltas := []*pb.RouterDelta{}
+	for _, id := range c.sortedRouters() {
+		if differs[bucketOf(id)] {
+			deltas = append(deltas, c.routers[id].delta())
+		}
+	}
+	c.rng.Shuffle(len(deltas), func(i, j int) { deltas[i], deltas[j] = deltas[j], deltas[i] })
+	// The living first: a joiner needs them most.
+	slices.SortStableFunc(deltas, func(a, b *pb.RouterDelta) int { return cmp.Compare(deadRank(a), deadRank(b)) })
+	return append([]*pb.RouterDelta{c.self.delta()}, deltas...)
+}
+
+func deadRank(d *pb.RouterDelta) int {
+	if d.Dead {
+		return 1
+	}
+	return 0
+}
+
+func (c *core) targetsIn(now time.Time, differs []bool) []*targetEntry {
+	var entries []*targetEntry
+	for id, e := range c.targets {
+		if differs[bucketOf(id)] && c.present(now, e) {
+			entries = append(entries, e)
+		}
+	}
+	slices.SortFunc(entries, func(a, b *targetEntry) int { return cmp.Compare(a.key, b.key) })
+	c.rng.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	return entries
+}
+
+func fillRouters(m *pb.Gossip, deltas []*pb.RouterDelta) (rest []*pb.RouterDelta) {
+	room := maxMessageBytes - proto.Size(m)
+	for i, d := range deltas {
+		if room -= proto.Size(d) + deltaOverheadBytes; room < 0 {
+			return deltas[i:]
+		}
+		m.Routers = append(m.Routers, d)
+	}
+	return nil
+}
+
+// fillTargets adds statuses together with the renewals that list them.
+func (c *core) fillTargets(now time.Time, m *pb.Gossip, entries []*targetEntry) (rest []*targetEntry) {
+	room := maxMessageBytes - proto.Size(m) - renewalsOverheadBytes
+	r := &pb.Renewals{}
+	for i, e := range entries {
+		d := c.targetDelta(e.status.Id)
+		if room -= proto.Size(d) + deltaOverheadBytes + renewalBytes; room < 0 {
+			rest = entries[i:]
+			break
+		}
+		m.Targets = append(m.Targets, d)
+		if c.leased(now, e) && !e.status.Leaving {
+			addRenewal(r, now, e)
+		}
+	}
+	if len(r.Keys) > 0 {
+		m.Renewals = r
+	}
+	return rest
+}
+
+func (c *core) onSyncReply(now time.Time, m *pb.Gossip) {
+	asked, open := c.questions[m.Nonce]
+	if !open || now.Sub(asked) > questionTimeout {
+		return
+	}
+	c.applyRenewals(now, m.Renewals, asked, nil)
+}
+
+// collect removes entries that are past their retention.
+func (c *core) collect(now time.Time) {
+	for id, e := range c.routers {
+		if e.state == dead && now.Sub(e.diedAt) > deadRetention {
+			delete(c.routers, id)
+		}
+	}
+	for _, e := range c.targets {
+		if now.Sub(e.seen) > lapsedRetention {
+			c.removeTarget(e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/member/targets.go
@@ -0,0 +1,247 @@
+package member
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/assert"
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// maxTargets bounds the table of targets.
+	maxTargets = 2048
+	// presentFor is how long after it was last proven alive a target is
+	// compared between views, and can return by a renewal alone.
+	presentFor = 20 * time.Second
+	// lapsedRetention is how long it stays in the table.
+	lapsedRetention = 30 * time.Second
+	// MaxStatusBytes bounds a target's encoded status without its load, so
+	// that it fits in a datagram.
+	MaxStatusBytes = 1000
+
+	announceStep = "announce"
+)
+
+// targetEntry is one target as this router knows it.
+type targetEntry struct {
+	status *pb.TargetStatus
+	key    uint64
+	// described is the sequence at which the status, apart from sequence and
+	// load, was last changed.
+	described uint64
+	// fresh is the latest time at which the target is proven to have
+	// announced itself; the lease counts from it.
+	fresh time.Time
+	// loadAt is when the engine took the load in status.
+	loadAt time.Time
+	// seen is when the target was last proven alive, or else added.
+	seen time.Time
+	hash uint64
+}
+
+func (e *targetEntry) rehash() {
+	e.hash = hashOf(e.status.Id, e.status.Incarnation, e.described, leavingBit(e.status))
+}
+
+func targetKey(id string, incarnation uint64) uint64 { return hashOf(id, incarnation) }
+
+// leased tells whether the target's lease at this router holds.
+func (c *core) leased(now time.Time, e *targetEntry) bool {
+	return !e.fresh.IsZero() && now.Before(e.fresh.Add(c.iv.TargetLease))
+}
+
+// announce takes a target's own announcement, which is proven to have been
+// made at provenAt or later.
+func (c *core) announce(now time.Time, st *pb.TargetStatus, provenAt time.Time) error {
+	if err := c.checkAnnouncement(st); err != nil {
+		return errs.Wrap(err, announceStep, st.Id)
+	}
+	c.describe(now, st)
+	e := c.targets[st.Id]
+	if e == nil {
+		return errs.New(announceStep, st.Id, fmt.Sprintf("this router already knows %d targets", maxTargets))
+	}
+	if st.Load != nil {
+		c.setLoad(now, e, st.Load, now.Add(-milliseconds(st.Load.AgeMs)))
+	}
+	if st.Sequence > e.status.Sequence {
+		e.status = shallow(e.status)
+		e.status.Sequence = st.Sequence
+	}
+	c.renew(now, e, provenAt)
+	return nil
+}
+
+func (c *core) checkAnnouncement(st *pb.TargetStatus) error {
+	past, known := c.history.get(st.Id)
+	if !known {
+		return nil
+	}
+	if st.Incarnation < past.incarnation {
+		return fmt.Errorf("incarnation %d of target %s is older than %d, which is known", st.Incarnation, st.Id, past.incarnation)
+	}
+	if st.Incarnation > past.incarnation {
+		return nil
+	}
+	if past.left && !st.Leaving {
+		return fmt.Errorf("incarnation %d of target %s has left; a restart needs a higher one", st.Incarnation, st.Id)
+	}
+	if e := c.targets[st.Id]; e != nil && st.Sequence <= e.status.Sequence {
+		return fmt.Errorf("sequence %d of target %s is not above %d, which is known", st.Sequence, st.Id, e.status.Sequence)
+	}
+	return nil
+}
+
+// mergeTarget takes news of a target from another router. It renews no lease.
+func (c *core) mergeTarget(now time.Time, d *pb.TargetDelta) {
+	st := d.Status
+	past, known := c.history.get(st.Id)
+	stale := known && (st.Incarnation < past.incarnation || st.Incarnation == past.incarnation && past.left)
+	if stale {
+		if !st.Leaving {
+			// The sender has not heard of the end of this incarnation yet.
+			c.news.add(targetNews, st.Id)
+		}
+		return
+	}
+	c.describe(now, st)
+}
+
+// describe takes the status, apart from its load, of an incarnation that is
+// not older than what is known.
+func (c *core) describe(now time.Time, st *pb.TargetStatus) {
+	e := c.targets[st.Id]
+	if e != nil && e.status.Incarnation < st.Incarnation {
+		c.removeTarget(e)
+		e = nil
+	}
+	if st.Leaving {
+		c.markLeaving(st.Id, st.Incarnation)
+		if e == nil && st.Addr != "" {
+			c.addTarget(now, st)
+		}
+		return
+	}
+	if e == nil {
+		c.addTarget(now, st)
+		return
+	}
+	if st.Sequence > e.described && !sameDescription(e.status, st) {
+		next := withoutLoad(st)
+		next.Load = e.status.Load
+		next.Sequence = max(st.Sequence, e.status.Sequence)
+		e.status = next
+		e.described = st.Sequence
+		e.rehash()
+		c.changes++
+		c.news.add(targetNews, st.Id)
+	}
+}
+
+func (c *core) addTarget(now time.Time, st *pb.TargetStatus) {
+	if len(c.targets) >= maxTargets {
+		return
+	}
+	e := &targetEntry{
+		status:    withoutLoad(st),
+		key:       targetKey(st.Id, st.Incarnation),
+		described: st.Sequence,
+		seen:      now,
+	}
+	e.rehash()
+	c.targets[st.Id] = e
+	c.byKey[e.key] = e
+	c.history.set(st.Id, st.Incarnation, st.Leaving)
+	c.changes++
+	c.news.add(targetNews, st.Id)
+}
+
+func (c *core) removeTarget(e *targetEntry) {
+	delete(c.targets, e.status.Id)
+	delete(c.byKey, e.key)
+	c.changes++
+}
+
+// markLeaving ends an incarnation for new work, for good.
+func (c *core) markLeaving(id string, incarnation uint64) {
+	past, known := c.history.get(id)
+	if known && past.incarnation == incarnation && past.left {
+		return
+	}
+	c.history.set(id, incarnation, true)
+	c.news.add(targetNews, id)
+	e := c.targets[id]
+	if e == nil || e.status.Incarnation != incarnation {
+		return
+	}
+	next := withoutLoad(e.status)
+	next.Leaving = true
+	e.status = next
+	e.rehash()
+	c.changes++
+}
+
+// renew takes the proof that the target announced itself at provenAt or later.
+func (c *core) renew(now time.Time, e *targetEntry, provenAt time.Time) {
+	assert.That(!provenAt.After(now), "target lease", func() string {
+		return "target " + e.status.Id + " is proven alive in the future"
+	})
+	if provenAt.After(e.fresh) {
+		if !c.leased(now, e) {
+			c.changes++
+		}
+		e.fresh = provenAt
+		e.seen = provenAt
+	}
+}
+
+// targetDelta returns the news of a target, nil if nothing is known of it.
+func (c *core) targetDelta(id string) *pb.TargetDelta {
+	if e := c.targets[id]; e != nil && !e.status.Leaving {
+		st := withoutLoad(e.status)
+		st.Sequence = e.described
+		return &pb.TargetDelta{Status: st}
+	}
+	past, known := c.history.get(id)
+	if !known || !past.left {
+		return nil
+	}
+	return &pb.TargetDelta{Status: &pb.TargetStatus{Id: id, Incarnation: past.incarnation, Leaving: true}}
+}
+
+// sameDescription compares statuses apart from sequence and load.
+func sameDescription(a, b *pb.TargetStatus) bool {
+	x, y := withoutLoad(a), withoutLoad(b)
+	x.Sequence, y.Sequence = 0, 0
+	return proto.Equal(x, y)
+}
+
+func withoutLoad(st *pb.TargetStatus) *pb.TargetStatus {
+	next := shallow(st)
+	next.Load = nil
+	return next
+}
+
+// shallow copies a status; models, routes and load stay shared.
+func shallow(st *pb.TargetStatus) *pb.TargetStatus {
+	return &pb.TargetStatus{
+		Id:            st.Id,
+		Kind:          st.Kind,
+		Addr:          st.Addr,
+		Incarnation:   st.Incarnation,
+		Sequence:      st.Sequence,
+		DataCentre:    st.DataCentre,
+		Models:        st.Models,
+		Capacity:      st.Capacity,
+		Service:       st.Service,
+		Routes:        st.Routes,
+		Load:          st.Load,
+		Leaving:       st.Leaving,
+		ChecksFencing: st.ChecksFencing,
+		Role:          st.Role,
+	}
+}
