--- /dev/null
+++ b/internal/consensus/follower.go
@@ -0,0 +1,57 @@
+package consensus
+
+import (
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// followLeader takes a message of the present term's leader.
+func (c *Core) followLeader(m *pb.RaftMessage) {
+	invariant.Check(c.role != Leader, "one leader a term", "id", c.cfg.ID, "term", c.term, "other", m.From)
+	invariant.Check(c.leader == "" || c.leader == m.From, "one leader a term",
+		"id", c.cfg.ID, "term", c.term, "leader", c.leader, "other", m.From)
+	if c.role != Follower || c.leader != m.From {
+		c.becomeFollower(c.term, m.From)
+	}
+	c.electionElapsed = 0
+	c.quietTicks = 0
+	switch m.Kind {
+	case pb.RaftKind_RAFT_KIND_APPEND:
+		c.handleAppend(m)
+	case pb.RaftKind_RAFT_KIND_HEARTBEAT:
+		c.log.commitTo(max(c.log.committed, m.Commit))
+		c.send(&pb.RaftMessage{Kind: pb.RaftKind_RAFT_KIND_HEARTBEAT_REPLY, To: m.From, Round: m.Round})
+	case pb.RaftKind_RAFT_KIND_SNAPSHOT:
+		c.handleSnapshot(m)
+	}
+}
+
+func (c *Core) handleAppend(m *pb.RaftMessage) {
+	if m.Index < c.log.committed {
+		c.acknowledge(m.From, c.log.committed)
+		return
+	}
+	if term, ok := c.log.term(m.Index); !ok || term != m.LogTerm {
+		c.rejectAppend(m)
+		return
+	}
+	c.log.merge(m.Entries)
+	last := m.Index + uint64(len(m.Entries))
+	c.log.commitTo(max(c.log.committed, min(m.Commit, last)))
+	c.acknowledge(m.From, last)
+}
+
+// acknowledge tells the leader that all up to index is synced here; the
+// message leaves after the sync.
+func (c *Core) acknowledge(to string, index uint64) {
+	c.send(&pb.RaftMessage{Kind: pb.RaftKind_RAFT_KIND_APPEND_REPLY, To: to, Index: index})
+}
+
+func (c *Core) rejectAppend(m *pb.RaftMessage) {
+	hint := c.log.findMatch(m.Index, m.LogTerm)
+	hintTerm, _ := c.log.term(hint)
+	c.send(&pb.RaftMessage{
+		Kind: pb.RaftKind_RAFT_KIND_APPEND_REPLY, To: m.From, Reject: true,
+		Index: m.Index, HintIndex: hint, HintTerm: hintTerm,
+	})
+}
--- /dev/null
+++ b/internal/consensus/leader.go
@@ -0,0 +1,240 @@
+package consensus
+
+import (
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// Propose appends data to the leader's log. The entry's time is nowMs, or that
+// of the entry before if that is later.
+func (c *Core) Propose(data []byte, nowMs int64) (index, term uint64, err error) {
+	if c.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	if c.uncommittedBytes+len(data) > maxUncommittedBytes {
+		return 0, 0, ErrOverloaded
+	}
+	e := c.appendOwn(pb.EntryKind_ENTRY_KIND_COMMAND, data, nowMs)
+	return e.Index, e.Term, nil
+}
+
+func (c *Core) appendOwn(kind pb.EntryKind, data []byte, nowMs int64) *pb.LogEntry {
+	e := &pb.LogEntry{
+		Term:   c.term,
+		Index:  c.log.lastIndex() + 1,
+		Kind:   kind,
+		TimeMs: max(nowMs, c.log.lastTime()),
+		Data:   data,
+	}
+	c.log.push(e)
+	c.uncommittedBytes += len(data)
+	c.unsent = true
+	if kind == pb.EntryKind_ENTRY_KIND_MEMBERSHIP {
+		c.syncPeers()
+	}
+	return e
+}
+
+// CommittedInTerm tells whether this leader has committed an entry of its own
+// term; only then does it know all that earlier leaders committed.
+func (c *Core) CommittedInTerm() bool {
+	return c.role == Leader && c.log.committed >= c.firstOfTerm
+}
+
+// quorumActive tells whether a quorum of voters was heard of since the last
+// call.
+func (c *Core) quorumActive() bool {
+	active := c.quorumValue(func(p *progress) uint64 {
+		if p == c.peers[c.cfg.ID] || p.active {
+			return 1
+		}
+		return 0
+	})
+	for _, p := range c.peers {
+		p.active = false
+	}
+	return active == 1
+}
+
+func (c *Core) handleFollowerReply(m *pb.RaftMessage) {
+	p := c.peers[m.From]
+	if c.role != Leader || p == nil {
+		return
+	}
+	p.active = true
+	switch m.Kind {
+	case pb.RaftKind_RAFT_KIND_APPEND_REPLY:
+		c.handleAppendReply(m, p)
+	case pb.RaftKind_RAFT_KIND_HEARTBEAT_REPLY:
+		c.handleHeartbeatReply(m, p)
+	case pb.RaftKind_RAFT_KIND_SNAPSHOT_REPLY:
+		c.handleSnapshotReply(m, p)
+	}
+}
+
+func (c *Core) handleAppendReply(m *pb.RaftMessage, p *progress) {
+	if m.Reject {
+		c.handleRejection(m, p)
+		return
+	}
+	wasPaused := p.paused()
+	moved := p.acked(m.Index)
+	switch {
+	case p.state == probing && (moved || m.Index == p.match):
+		p.replicate()
+	case p.state == snapshotting && p.match >= p.snapshotIndex:
+		p.probe()
+	}
+	if moved {
+		c.maybeCommit()
+	}
+	if c.role == Leader && (wasPaused || p.next <= c.log.lastIndex()) {
+		c.sendEntries(m.From, p)
+	}
+}
+
+// handleRejection moves a probe back to where the logs may match.
+func (c *Core) handleRejection(m *pb.RaftMessage, p *progress) {
+	switch p.state {
+	case snapshotting:
+		return
+	case replicating:
+		if m.Index <= p.match {
+			return
+		}
+		p.probe()
+	case probing:
+		if m.Index != p.next-1 {
+			return
+		}
+		p.next = c.log.findMatch(min(m.HintIndex, m.Index-1), m.HintTerm) + 1
+		p.next = max(p.next, p.match+1)
+		p.probed = false
+	}
+	c.sendAppend(m.From, p)
+}
+
+func (c *Core) handleHeartbeatReply(m *pb.RaftMessage, p *progress) {
+	if m.Round > p.round {
+		p.round = m.Round
+		c.confirmRounds()
+	}
+	if p.state == snapshotting {
+		c.retryChunk(m.From, p)
+		return
+	}
+	p.probed = false
+	if p.state == replicating && len(p.inflight) >= maxInflight {
+		p.inflight = p.inflight[1:]
+	}
+	if p.match < c.log.lastIndex() {
+		// Empty if all was sent: the answer tells whether it arrived.
+		c.sendAppend(m.From, p)
+	}
+}
+
+// Unreachable tells the leader that messages to a member may be lost.
+func (c *Core) Unreachable(id string) {
+	if p := c.peers[id]; p != nil && p.state == replicating {
+		p.probe()
+	}
+}
+
+func (c *Core) maybeCommit() {
+	index := c.quorumValue(func(p *progress) uint64 { return p.match })
+	term, ok := c.log.term(index)
+	if index <= c.log.committed || !ok || term != c.term {
+		return
+	}
+	hadCommitted := c.CommittedInTerm()
+	for _, e := range c.log.slice(c.log.committed, index) {
+		c.uncommittedBytes = max(0, c.uncommittedBytes-len(e.Data))
+	}
+	c.log.commitTo(index)
+	if !hadCommitted && c.CommittedInTerm() {
+		c.startWaitingReads()
+	}
+	c.stepDownIfRemoved()
+}
+
+// stepDownIfRemoved ends the leadership of a replica that is no voter any more,
+// once the membership without it is committed.
+func (c *Core) stepDownIfRemoved() {
+	members := &c.log.members
+	if members.currentIndex() > c.log.committed || isVoter(members.current(), c.cfg.ID) {
+		return
+	}
+	for _, m := range members.current().Members {
+		c.sendAppend(m.Id, c.peers[m.Id])
+	}
+	c.becomeFollower(c.term, "")
+}
+
+// broadcast sends new entries to all members that are not waited for.
+func (c *Core) broadcast() {
+	c.unsent = false
+	for _, m := range c.log.members.current().Members {
+		if m.Id != c.cfg.ID {
+			c.sendEntries(m.Id, c.peers[m.Id])
+		}
+	}
+}
+
+// sendEntries sends append messages while the member may take more.
+func (c *Core) sendEntries(to string, p *progress) {
+	for !p.paused() && p.next <= c.log.lastIndex() {
+		if !c.sendAppend(to, p) {
+			return
+		}
+	}
+}
+
+// sendAppend sends one append message, empty if there is nothing new; false
+// if a snapshot is sent instead.
+func (c *Core) sendAppend(to string, p *progress) bool {
+	prev := p.next - 1
+	prevTerm, ok := c.log.term(prev)
+	if !ok {
+		c.startSnapshot(to, p)
+		return false
+	}
+	entries := limitBytes(c.log.slice(prev, c.log.lastIndex()), maxMessageBytes)
+	c.sendPrompt(&pb.RaftMessage{
+		Kind:    pb.RaftKind_RAFT_KIND_APPEND,
+		To:      to,
+		Index:   prev,
+		LogTerm: prevTerm,
+		Entries: entries,
+		Commit:  c.log.committed,
+	})
+	if len(entries) > 0 {
+		p.sent(entries[len(entries)-1].Index)
+	}
+	return true
+}
+
+// limitBytes returns the longest prefix within the bound, at least one entry.
+func limitBytes(entries []*pb.LogEntry, bound int) []*pb.LogEntry {
+	size := 0
+	for i, e := range entries {
+		size += len(e.Data) + entryOverheadBytes
+		if i > 0 && size > bound {
+			return entries[:i:i]
+		}
+	}
+	return entries[:len(entries):len(entries)]
+}
+
+// entryOverheadBytes is counted for each entry besides its data.
+const entryOverheadBytes = 32
+
+// findMatch returns the last index up to index whose term is at most term.
+func (l *raftLog) findMatch(index, term uint64) uint64 {
+	index = min(index, l.lastIndex())
+	for {
+		t, ok := l.term(index)
+		if !ok || t <= term {
+			return index
+		}
+		index--
+	}
+}
--- /dev/null
+++ b/internal/consensus/readonly.go
@@ -0,0 +1,126 @@
+package consensus
+
+import (
+	"slices"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// ReadState answers a ReadIndex: the leader was confirmed after the request,
+// and all that was committed before it is at or below Index.
+type ReadState struct {
+	ID    uint64
+	Index uint64
+}
+
+type pendingRead struct {
+	id    uint64
+	index uint64
+	// round confirms the read, zero while none was started for it.
+	round uint64
+}
+
+// readRounds numbers the leader's confirmation rounds. A round is confirmed
+// once a quorum answered a heartbeat that was sent with or after it.
+type readRounds struct {
+	round     uint64
+	confirmed uint64
+	pending   []pendingRead
+}
+
+func (r *readRounds) reset() { *r = readRounds{} }
+
+// ReadIndex asks for a ReadState with id. The read waits until the leader has
+// committed an entry of its own term, before which its commit index may lag.
+func (c *Core) ReadIndex(id uint64) error {
+	if c.role != Leader {
+		return ErrNotLeader
+	}
+	read := pendingRead{id: id}
+	if c.CommittedInTerm() {
+		c.startRound()
+		read.index = c.log.committed
+		read.round = c.reads.round
+	}
+	c.reads.pending = append(c.reads.pending, read)
+	c.releaseReads()
+	return nil
+}
+
+// startWaitingReads gives reads that waited for the first commit their round.
+func (c *Core) startWaitingReads() {
+	started := false
+	for i := range c.reads.pending {
+		read := &c.reads.pending[i]
+		if read.round != 0 {
+			continue
+		}
+		if !started {
+			c.startRound()
+			started = true
+		}
+		read.index = c.log.committed
+		read.round = c.reads.round
+	}
+	c.releaseReads()
+}
+
+// Round returns the number of the last round started in this term, and the
+// highest that a quorum confirmed.
+func (c *Core) Round() (started, confirmed uint64) {
+	return c.reads.round, c.reads.confirmed
+}
+
+// startRound sends heartbeats under a new round number.
+func (c *Core) startRound() {
+	c.heartbeatElapsed = 0
+	c.reads.round++
+	if self := c.peers[c.cfg.ID]; self != nil {
+		self.round = c.reads.round
+	}
+	for _, m := range c.log.members.current().Members {
+		if m.Id == c.cfg.ID {
+			continue
+		}
+		c.sendPrompt(&pb.RaftMessage{
+			Kind:   pb.RaftKind_RAFT_KIND_HEARTBEAT,
+			To:     m.Id,
+			Commit: min(c.peers[m.Id].match, c.log.committed),
+			Round:  c.reads.round,
+		})
+	}
+	c.confirmRounds()
+}
+
+// confirmRounds finds the highest round that a quorum of voters answered.
+func (c *Core) confirmRounds() {
+	confirmed := c.quorumValue(func(p *progress) uint64 { return p.round })
+	c.reads.confirmed = max(c.reads.confirmed, confirmed)
+	c.releaseReads()
+}
+
+func (c *Core) releaseReads() {
+	c.reads.pending = slices.DeleteFunc(c.reads.pending, func(r pendingRead) bool {
+		if r.round == 0 || r.round > c.reads.confirmed {
+			return false
+		}
+		c.out.Reads = append(c.out.Reads, ReadState{ID: r.id, Index: r.index})
+		return true
+	})
+}
+
+// quorumValue returns the highest value that a quorum of voters reaches.
+func (c *Core) quorumValue(value func(*progress) uint64) uint64 {
+	membership := c.log.members.current()
+	values := make([]uint64, 0, len(membership.Members))
+	for _, m := range membership.Members {
+		if !m.Learner {
+			values = append(values, value(c.peers[m.Id]))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)-quorumOf(membership)]
+}
--- /dev/null
+++ b/internal/consensus/snapshot.go
@@ -0,0 +1,95 @@
+package consensus
+
+import (
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// startSnapshot begins to send the newest snapshot to a member that needs
+// entries which are no longer held.
+func (c *Core) startSnapshot(to string, p *progress) {
+	invariant.Check(c.log.snapshot != nil, "send snapshot", "to", to, "next", p.next, "base", c.log.baseIndex)
+	p.probe()
+	p.state = snapshotting
+	p.snapshotIndex = c.log.snapshot.Index
+	p.snapshotOffset = 0
+	c.sendChunk(to, p)
+}
+
+// sendChunk asks the caller to send the chunk at the member's offset.
+func (c *Core) sendChunk(to string, p *progress) {
+	c.sendPrompt(&pb.RaftMessage{
+		Kind:   pb.RaftKind_RAFT_KIND_SNAPSHOT,
+		To:     to,
+		Index:  p.snapshotIndex,
+		Offset: p.snapshotOffset,
+	})
+}
+
+// retryChunk sends a chunk again that was not answered for a heartbeat.
+func (c *Core) retryChunk(to string, p *progress) {
+	if p.chunkMoved {
+		p.chunkMoved = false
+		return
+	}
+	c.sendChunk(to, p)
+}
+
+// SnapshotGone tells the leader that the snapshot which it sends to a member
+// can no longer be read; sending starts again with the newest one.
+func (c *Core) SnapshotGone(to string) {
+	if p := c.peers[to]; c.role == Leader && p != nil && p.state == snapshotting {
+		c.startSnapshot(to, p)
+	}
+}
+
+func (c *Core) handleSnapshotReply(m *pb.RaftMessage, p *progress) {
+	if p.state != snapshotting || m.Index != p.snapshotIndex || m.Offset == p.snapshotOffset {
+		return
+	}
+	p.snapshotOffset = m.Offset
+	p.chunkMoved = true
+	c.sendChunk(m.From, p)
+}
+
+// handleSnapshot passes a chunk on to be stored, unless the log already holds
+// what the snapshot covers.
+func (c *Core) handleSnapshot(m *pb.RaftMessage) {
+	if m.Index <= c.log.committed {
+		c.acknowledge(m.From, c.log.committed)
+		return
+	}
+	c.out.Chunks = append(c.out.Chunks, m)
+}
+
+// ChunkStored answers a chunk: the bytes before offset are held.
+func (c *Core) ChunkStored(m *pb.RaftMessage, offset uint64) {
+	if m.Term != c.term || c.leader != m.From {
+		return
+	}
+	c.send(&pb.RaftMessage{
+		Kind: pb.RaftKind_RAFT_KIND_SNAPSHOT_REPLY, To: m.From, Index: m.Index, Offset: offset,
+	})
+}
+
+// InstallSnapshot replaces the log by a snapshot that was received, synced and
+// restored. It must not be called between Ready and Advance.
+func (c *Core) InstallSnapshot(meta *pb.SnapshotMeta) {
+	invariant.Check(meta.Index > c.log.committed, "install snapshot",
+		"id", c.cfg.ID, "index", meta.Index, "committed", c.log.committed)
+	c.log.reset(meta)
+	if c.leader != "" && c.role == Follower {
+		c.acknowledge(c.leader, meta.Index)
+	}
+}
+
+// Compact tells that a snapshot was taken and synced here; entries up to keep
+// may be dropped from memory.
+func (c *Core) Compact(meta *pb.SnapshotMeta, keep uint64) {
+	invariant.Check(meta.Index <= c.log.applied, "compact", "index", meta.Index, "applied", c.log.applied)
+	if c.log.snapshot != nil && c.log.snapshot.Index >= meta.Index {
+		return
+	}
+	c.log.snapshot = meta
+	c.log.compact(min(keep, meta.Index))
+}
--- /dev/null
+++ b/internal/journal/identity.go
@@ -0,0 +1,154 @@
+package journal
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	identityName  = "identity"
+	formationName = "formation"
+	// identityBytes of randomness make one identity.
+	identityBytes = 8
+)
+
+func formatName(prefix string, n uint64) string { return fmt.Sprintf("%s%020d", prefix, n) }
+
+func parseName(name, prefix string) (uint64, bool) {
+	digits, ok := strings.CutPrefix(name, prefix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(digits, 10, 64)
+	return n, err == nil
+}
+
+// loadIdentity reads the identity, "" if there is none yet.
+func (j *Journal) loadIdentity(names []string) (string, error) {
+	if !slices.Contains(names, identityName) {
+		return "", nil
+	}
+	rec, err := j.readRecordFile(identityName)
+	return string(rec.payload), err
+}
+
+// initialise makes an identity in an empty folder. The first segment comes
+// before it, so that an identity without a log shows that files were removed.
+// A replica that lost its log must not act under its old identity.
+func (j *Journal) initialise(names []string) (string, error) {
+	first := formatName(segmentPrefix, 1)
+	for _, name := range names {
+		if name != lockName && name != first {
+			return "", fmt.Errorf("the folder holds %s but no identity", name)
+		}
+	}
+	if slices.Contains(names, first) {
+		if err := j.requireUnused(first); err != nil {
+			return "", err
+		}
+	}
+	if err := j.roll(); err != nil {
+		return "", err
+	}
+	var raw [identityBytes]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return "", err
+	}
+	id := hex.EncodeToString(raw[:])
+	return id, j.writeRecordFile(identityName, []byte(id))
+}
+
+// requireUnused fails if a segment holds more than its first record.
+func (j *Journal) requireUnused(name string) error {
+	f, err := j.fs.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	size, err := f.Size()
+	if err == nil && size > recordHeaderBytes {
+		err = fmt.Errorf("the folder holds records in %s but no identity", name)
+	}
+	return err
+}
+
+// writeRecordFile replaces a small file whole: written aside, synced, renamed,
+// directory synced.
+func (j *Journal) writeRecordFile(name string, payload []byte) error {
+	f, err := j.fs.Create(name + tempSuffix)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(appendRecord(nil, record{kind: recordSegment, payload: payload}))
+	if err == nil {
+		err = f.Sync()
+	}
+	if err := errors.Join(err, f.Close()); err != nil {
+		return err
+	}
+	if err := j.fs.Rename(name+tempSuffix, name); err != nil {
+		return err
+	}
+	return j.fs.SyncDir()
+}
+
+func (j *Journal) readRecordFile(name string) (record, error) {
+	f, err := j.fs.Open(name)
+	if err != nil {
+		return record{}, err
+	}
+	defer f.Close()
+	data, err := readAll(f)
+	if err != nil {
+		return record{}, err
+	}
+	rec, _, err := parseRecord(data)
+	if err != nil {
+		return record{}, &DamageError{File: name, Reason: err.Error()}
+	}
+	return rec, nil
+}
+
+// SaveFormation records the founding membership that this replica accepted.
+func (j *Journal) SaveFormation(m *pb.Membership) error {
+	return j.guard("save formation", func() error {
+		payload, err := proto.Marshal(m)
+		if err != nil {
+			return err
+		}
+		return j.writeRecordFile(formationName, payload)
+	})
+}
+
+// Formation returns the accepted founding membership, nil if there is none.
+func (j *Journal) Formation() (*pb.Membership, error) {
+	names, err := j.fs.List()
+	if err != nil || !slices.Contains(names, formationName) {
+		return nil, err
+	}
+	rec, err := j.readRecordFile(formationName)
+	if err != nil {
+		return nil, err
+	}
+	m := &pb.Membership{}
+	return m, proto.Unmarshal(rec.payload, m)
+}
+
+// DropFormation forgets an accepted founding membership that came to nothing.
+func (j *Journal) DropFormation() error {
+	return j.guard("drop formation", func() error {
+		if err := j.fs.Remove(formationName); err != nil {
+			return err
+		}
+		return j.fs.SyncDir()
+	})
+}
--- /dev/null
+++ b/internal/journal/replay.go
@@ -0,0 +1,130 @@
+package journal
+
+import (
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// DamageError reports stored bytes that were synced and changed since.
+type DamageError struct {
+	File   string
+	Offset int64
+	Reason string
+}
+
+// Error names the file and the offset.
+func (e *DamageError) Error() string {
+	return fmt.Sprintf("journal file %s is damaged at offset %d: %s", e.File, e.Offset, e.Reason)
+}
+
+// replay rebuilds the log's state from its records.
+type replay struct {
+	hardState *pb.HardState
+	entries   []*pb.LogEntry
+	// resetTo is the index that the last reset record named.
+	resetTo uint64
+	closed  bool
+}
+
+func (r *replay) apply(rec record) error {
+	r.closed = rec.kind == recordClose
+	switch rec.kind {
+	case recordEntry:
+		e := &pb.LogEntry{}
+		if err := proto.Unmarshal(rec.payload, e); err != nil {
+			return err
+		}
+		if e.Index != rec.index {
+			return fmt.Errorf("record %d holds entry %d", rec.index, e.Index)
+		}
+		return r.add(e)
+	case recordHardState:
+		hs := &pb.HardState{}
+		if err := proto.Unmarshal(rec.payload, hs); err != nil {
+			return err
+		}
+		r.hardState = hs
+	case recordReset:
+		r.entries = nil
+		r.resetTo = rec.index
+	case recordSegment, recordClose:
+	default:
+		return fmt.Errorf("unknown record kind %d", rec.kind)
+	}
+	return nil
+}
+
+func (r *replay) add(e *pb.LogEntry) error {
+	if len(r.entries) == 0 {
+		r.entries = append(r.entries, e)
+		return nil
+	}
+	first := r.entries[0].Index
+	last := r.entries[len(r.entries)-1].Index
+	switch {
+	case e.Index > last+1:
+		return fmt.Errorf("entry %d follows entry %d", e.Index, last)
+	case e.Index < first:
+		r.entries = r.entries[:0]
+	default:
+		r.entries = r.entries[:e.Index-first]
+	}
+	r.entries = append(r.entries, e)
+	return nil
+}
+
+// segmentScan is what reading one segment found.
+type segmentScan struct {
+	// size is the length of the whole records.
+	size int64
+	// torn is the length of what follows them.
+	torn int64
+	// maxIndex is the highest entry index in the segment.
+	maxIndex uint64
+}
+
+// scan replays one segment. Only the last one may have a torn tail.
+func (r *replay) scan(name string, f File, number uint64, last bool) (segmentScan, error) {
+	data, err := readAll(f)
+	if err != nil {
+		return segmentScan{}, err
+	}
+	var s segmentScan
+	for s.size < int64(len(data)) {
+		rec, n, err := parseRecord(data[s.size:])
+		if err == nil && s.size == 0 && (rec.kind != recordSegment || rec.index != number) {
+			err = fmt.Errorf("the segment does not start with its number %d", number)
+		}
+		if err != nil {
+			if !last || syncedPast(data[s.size:], uint64(s.size)) {
+				return s, &DamageError{File: name, Offset: s.size, Reason: err.Error()}
+			}
+			s.torn = int64(len(data)) - s.size
+			return s, nil
+		}
+		if err := r.apply(rec); err != nil {
+			return s, &DamageError{File: name, Offset: s.size, Reason: err.Error()}
+		}
+		if rec.kind == recordEntry {
+			s.maxIndex = max(s.maxIndex, rec.index)
+		}
+		s.size += int64(n)
+	}
+	return s, nil
+}
+
+func readAll(f File) ([]byte, error) {
+	size, err := f.Size()
+	if err != nil {
+		return nil, err
+	}
+	data := make([]byte, size)
+	if _, err := f.ReadAt(data, 0); err != nil && err != io.EOF {
+		return nil, err
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/replica/apply.go
@@ -0,0 +1,189 @@
+package replica
+
+import (
+	"io"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
+	"github.com/wigeonwood/wigeonwood/internal/journal"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// applyQueue bounds jobs and results between the loop and the applier. The
+// core gives out one batch at a time, so that neither side ever blocks on it.
+const applyQueue = 8
+
+// applier is the only user of the machine. It runs beside the loop, so that a
+// long apply or snapshot holds up no heartbeat.
+type applier struct {
+	node    *Node
+	jobs    chan applyJob
+	results chan applyResult
+	stopped chan struct{}
+
+	// last describes the state after the last applied entry.
+	last *pb.SnapshotMeta
+	// entries and bytes were applied since the last snapshot.
+	entries uint64
+	bytes   uint64
+}
+
+// applyJob is a batch of entries, or a snapshot to load.
+type applyJob struct {
+	entries  []*pb.LogEntry
+	snapshot uint64
+	loaded   chan error
+}
+
+// applyResult reports an applied index, a snapshot taken, or a failure.
+type applyResult struct {
+	index    uint64
+	snapshot *pb.SnapshotMeta
+	err      error
+}
+
+func newApplier(n *Node, base *pb.SnapshotMeta) *applier {
+	a := &applier{
+		node:    n,
+		jobs:    make(chan applyJob, applyQueue),
+		results: make(chan applyResult, applyQueue),
+		stopped: make(chan struct{}),
+		last:    &pb.SnapshotMeta{},
+	}
+	if base != nil {
+		a.last = proto.CloneOf(base)
+	}
+	return a
+}
+
+// apply queues a batch.
+func (a *applier) apply(entries []*pb.LogEntry) {
+	if len(entries) > 0 {
+		a.jobs <- applyJob{entries: entries}
+	}
+}
+
+// loadSnapshot replaces the machine's state and waits for it.
+func (a *applier) loadSnapshot(index uint64) error {
+	loaded := make(chan error, 1)
+	a.jobs <- applyJob{snapshot: index, loaded: loaded}
+	select {
+	case err := <-loaded:
+		return err
+	case <-a.stopped:
+		return a.node.ctx.Err()
+	}
+}
+
+func (a *applier) run() {
+	defer close(a.stopped)
+	for {
+		select {
+		case <-a.node.ctx.Done():
+			return
+		case job := <-a.jobs:
+			if job.loaded != nil {
+				job.loaded <- a.load(job.snapshot)
+				continue
+			}
+			a.applyBatch(job.entries)
+		}
+	}
+}
+
+// wait returns once the applier has ended, or at once if it never ran.
+func (a *applier) wait() {
+	if a.node.core != nil {
+		<-a.stopped
+	}
+}
+
+func (a *applier) applyBatch(entries []*pb.LogEntry) {
+	for _, e := range entries {
+		a.applyEntry(e)
+	}
+	a.node.metrics.commits.Inc(int64(len(entries)))
+	a.node.metrics.applied.Update(float64(a.last.Index))
+	a.results <- applyResult{index: a.last.Index}
+	if a.entries >= a.node.cfg.SnapshotEntries || a.bytes >= a.node.cfg.SnapshotBytes {
+		a.takeSnapshot()
+	}
+}
+
+func (a *applier) applyEntry(e *pb.LogEntry) {
+	invariant.Check(e.Index == a.last.Index+1, "apply", "index", e.Index, "last", a.last.Index)
+	invariant.Check(e.Term >= a.last.Term && e.TimeMs >= a.last.TimeMs, "apply",
+		"index", e.Index, "term", e.Term, "last term", a.last.Term, "time", e.TimeMs, "last time", a.last.TimeMs)
+	at := Position{Term: e.Term, Index: e.Index}
+	var result []byte
+	switch e.Kind {
+	case pb.EntryKind_ENTRY_KIND_COMMAND:
+		result = a.node.cfg.Machine.Apply(Entry{Position: at, TimeMs: e.TimeMs, Data: e.Data})
+	case pb.EntryKind_ENTRY_KIND_MEMBERSHIP:
+		membership := &pb.Membership{}
+		err := proto.Unmarshal(e.Data, membership)
+		invariant.Check(err == nil, "apply", "index", e.Index, "error", err)
+		a.last.Membership = membership
+	}
+	a.last.Index, a.last.Term, a.last.TimeMs = e.Index, e.Term, e.TimeMs
+	a.entries++
+	a.bytes += uint64(len(e.Data))
+	a.node.waiters.resolve(at, result)
+}
+
+func (a *applier) takeSnapshot() {
+	start := time.Now()
+	meta := proto.CloneOf(a.last)
+	err := a.node.journal.WriteSnapshot(meta, func(w io.Writer) error { return a.node.cfg.Machine.Snapshot(w) })
+	a.entries, a.bytes = 0, 0
+	a.node.metrics.snapshot.Record(time.Since(start))
+	a.results <- applyResult{snapshot: meta, err: err}
+}
+
+// load replaces the machine's state by the snapshot at index.
+func (a *applier) load(index uint64) error {
+	s, err := a.node.journal.OpenSnapshot(index)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if err := a.node.cfg.Machine.Restore(s.State()); err != nil {
+		return errs.Wrap(err, "restore snapshot", "")
+	}
+	a.last = proto.CloneOf(s.Meta)
+	a.entries, a.bytes = 0, 0
+	return nil
+}
+
+// storeChunk takes one chunk of a leader's snapshot, and installs it with the
+// last one: first on disk, then in the machine, then in the core.
+func (n *Node) storeChunk(m *pb.RaftMessage) error {
+	next, meta, err := n.journal.StoreChunk(journal.Chunk{
+		From: m.From, Index: m.Index, Offset: m.Offset, Data: m.Chunk, Last: m.LastChunk,
+	})
+	if err != nil {
+		return err
+	}
+	if meta == nil {
+		n.core.ChunkStored(m, next)
+		return nil
+	}
+	if meta.Index <= n.core.Status().Committed {
+		return nil
+	}
+	hs := &pb.HardState{Term: n.core.Term(), Vote: n.core.Vote(), Commit: meta.Index}
+	if err := n.journal.InstallSnapshot(meta, hs); err != nil {
+		return err
+	}
+	if err := n.applier.loadSnapshot(meta.Index); err != nil {
+		return err
+	}
+	n.core.InstallSnapshot(meta)
+	// Entries that the snapshot stands for are not applied one by one.
+	n.waiters.failAfter(0)
+	n.reads.applied = max(n.reads.applied, meta.Index)
+	return nil
+}
--- /dev/null
+++ b/internal/replica/loop.go
@@ -0,0 +1,175 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/wigeonwood/wigeonwood/internal/consensus"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// loop drives the core until the node ends.
+func (n *Node) loop() {
+	ticker := time.NewTicker(n.cfg.TickInterval)
+	defer ticker.Stop()
+	for {
+		if !n.waitInput(ticker.C) {
+			return
+		}
+		if err := n.process(); err != nil {
+			n.fail(err)
+			return
+		}
+	}
+}
+
+// waitInput takes one input and all that wait behind it, so that they share
+// the next sync. It returns false once the node ends.
+func (n *Node) waitInput(ticks <-chan time.Time) bool {
+	select {
+	case <-n.ctx.Done():
+		return false
+	case <-ticks:
+		n.lease.woke = time.Now()
+		n.tick()
+	case b := <-n.incoming:
+		n.lease.woke = time.Now()
+		n.step(b)
+	case p := <-n.proposals:
+		n.lease.woke = time.Now()
+		n.takeProposals(p)
+	case r := <-n.readCalls:
+		n.lease.woke = time.Now()
+		n.takeReads(r)
+	case c := <-n.changes:
+		n.lease.woke = time.Now()
+		n.takeChange(c)
+	case r := <-n.applier.results:
+		n.lease.woke = time.Now()
+		return n.takeResult(r)
+	case id := <-n.unreachable:
+		n.lease.woke = time.Now()
+		n.core.Unreachable(id)
+	}
+	return n.drainInputs()
+}
+
+func (n *Node) drainInputs() bool {
+	for range queuedBatches {
+		select {
+		case b := <-n.incoming:
+			n.step(b)
+		case r := <-n.applier.results:
+			if !n.takeResult(r) {
+				return false
+			}
+		default:
+			select {
+			case p := <-n.proposals:
+				n.takeProposals(p)
+			case r := <-n.readCalls:
+				n.takeReads(r)
+			default:
+			}
+			return true
+		}
+	}
+	return true
+}
+
+func (n *Node) tick() {
+	n.core.Tick()
+	n.reconcileMembers()
+}
+
+func (n *Node) step(b *pb.RaftBatch) {
+	for _, m := range b.Messages {
+		n.peers.heard(m.From, b.FromAddr)
+		n.core.Step(m)
+	}
+}
+
+// process carries out what the core asks for, in the order that Ready names.
+func (n *Node) process() error {
+	for n.core.HasReady() {
+		rd := n.core.Ready()
+		n.peers.update(n.core)
+		n.sendPrompt(rd.Prompt)
+		if err := n.save(rd); err != nil {
+			return err
+		}
+		n.peers.send(rd.Messages)
+		n.reads.confirmed(rd.Reads)
+		n.applier.apply(rd.Committed)
+		n.core.Advance(rd)
+		for _, m := range rd.Chunks {
+			if err := n.storeChunk(m); err != nil {
+				return err
+			}
+		}
+	}
+	n.publish()
+	return nil
+}
+
+func (n *Node) save(rd consensus.Ready) error {
+	if rd.HardState == nil && len(rd.Entries) == 0 {
+		return nil
+	}
+	start := time.Now()
+	if err := n.journal.Save(rd.HardState, rd.Entries, rd.Sync); err != nil {
+		return err
+	}
+	if rd.Sync {
+		n.metrics.sync.Record(time.Since(start))
+		n.metrics.syncs.Inc(1)
+	}
+	return nil
+}
+
+// takeResult handles what the applier reports; false after a failure.
+func (n *Node) takeResult(r applyResult) bool {
+	if r.err != nil {
+		n.fail(r.err)
+		return false
+	}
+	if r.snapshot != nil {
+		n.core.Compact(r.snapshot, r.snapshot.Index-min(r.snapshot.Index, trailingEntries))
+		if err := n.journal.Compact(r.snapshot.Index); err != nil {
+			n.fail(err)
+			return false
+		}
+		n.event(log.InfoLevel, "snapshot").Uint64("index", r.snapshot.Index).Msg("a snapshot was taken")
+		return true
+	}
+	n.core.Applied(r.index)
+	n.reads.release(r.index, n.core.Term())
+	return true
+}
+
+// publish makes the core's state visible to other goroutines.
+func (n *Node) publish() {
+	s := n.core.Status()
+	membership, _ := n.core.Membership()
+	started, confirmed := n.core.Round()
+	n.lease.update(s, started, confirmed)
+	if s.Role != consensus.Leader {
+		n.waiters.failAfter(s.Committed)
+		n.reads.failAll(ErrNotLeader)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.status.Leader != s.Leader || n.status.Term != s.Term {
+		n.metrics.term.Update(float64(s.Term))
+		n.event(log.InfoLevel, "elect").Uint64("term", s.Term).Str("leader", s.Leader).Msg("the leader changed")
+	}
+	n.status.Status = s
+	n.status.membership = membership
+	n.status.leaderAddr = n.peers.addr(s.Leader)
+	n.status.leaseUntil = n.lease.until(n.cfg.leasePeriod())
+	n.status.leaseReady = n.core.CommittedInTerm() && s.Applied >= n.core.FirstOfTerm()
+	if s.Last > 0 {
+		n.status.formation = pb.FormationState_FORMATION_STATE_RUNNING
+	}
+}
--- /dev/null
+++ b/internal/replica/members.go
@@ -0,0 +1,263 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/consensus"
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+var (
+	// ErrUnknownReplica means that no member has this id or address.
+	ErrUnknownReplica = errors.New("no such replica")
+	// ErrQuorumAtRisk means that a removal would leave no live quorum.
+	ErrQuorumAtRisk = errors.New("the remaining replicas would have no live quorum")
+)
+
+const (
+	// changeRetryInterval lies between two tries while an earlier change is
+	// not committed.
+	changeRetryInterval = 100 * time.Millisecond
+	// joinInterval lies between two requests to be admitted.
+	joinInterval = 500 * time.Millisecond
+	// joinTimeout bounds one such request.
+	joinTimeout = 5 * time.Second
+)
+
+// membershipChange is made on the loop, from the membership found there. A nil
+// result of edit means that nothing is left to change.
+type membershipChange struct {
+	edit func(current *pb.Membership) (*pb.Membership, error)
+	done chan error
+	wait chan outcome
+}
+
+// takeChange proposes a change; its waiter hears of the commit.
+func (n *Node) takeChange(c *membershipChange) {
+	if n.core.Role() != consensus.Leader {
+		c.done <- ErrNotLeader
+		return
+	}
+	current, _ := n.core.Membership()
+	next, err := c.edit(current)
+	if err != nil || next == nil {
+		close(c.wait)
+		c.done <- err
+		return
+	}
+	index, term, err := n.core.ProposeMembership(next, time.Now().UnixMilli())
+	if err != nil {
+		c.done <- err
+		return
+	}
+	n.waiters.add(Position{Term: term, Index: index}, c.wait)
+	c.done <- nil
+}
+
+// change makes one membership change and waits until it is committed.
+func (n *Node) change(ctx context.Context, edit func(*pb.Membership) (*pb.Membership, error)) error {
+	for {
+		err := n.tryChange(ctx, edit)
+		if !errors.Is(err, consensus.ErrMembershipPending) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.done:
+			return ErrNotLeader
+		case <-time.After(changeRetryInterval):
+		}
+	}
+}
+
+func (n *Node) tryChange(ctx context.Context, edit func(*pb.Membership) (*pb.Membership, error)) error {
+	if !n.running() {
+		return ErrNotLeader
+	}
+	c := &membershipChange{edit: edit, done: make(chan error, 1), wait: make(chan outcome, 1)}
+	select {
+	case n.changes <- c:
+	default:
+		return ErrOverloaded
+	}
+	select {
+	case err := <-c.done:
+		if err != nil {
+			return err
+		}
+	case <-ctx.Done():
+		return errors.Join(ErrOutcomeUnknown, ctx.Err())
+	case <-n.done:
+		return ErrNotLeader
+	}
+	select {
+	case o := <-c.wait:
+		return o.err
+	case <-ctx.Done():
+		return errors.Join(ErrOutcomeUnknown, ctx.Err())
+	case <-n.done:
+		return ErrOutcomeUnknown
+	}
+}
+
+// admit makes member a learner. A member of another identity at the same
+// address has lost its folder and is replaced in the same entry, so that no
+// leader change can leave the repair half done. Without operator, only such a
+// replacement is admitted.
+func (n *Node) admit(ctx context.Context, member *pb.Member, operator bool) error {
+	asked := n.snapshotStatus().Committed
+	return n.change(ctx, func(current *pb.Membership) (*pb.Membership, error) {
+		if consensus.FindMember(current, member.Id) != nil {
+			return nil, nil
+		}
+		rest := slices.DeleteFunc(slices.Clone(current.Members), func(m *pb.Member) bool { return m.Addr == member.Addr })
+		if len(rest) == len(current.Members) && !operator {
+			return nil, errs.Wrap(ErrUnknownReplica, "admit replica", member.Addr)
+		}
+		learner := &pb.Member{Id: member.Id, Addr: member.Addr, DataCentre: member.DataCentre, Learner: true, JoinIndex: asked}
+		return consensus.NewMembership(append(rest, learner)...), nil
+	})
+}
+
+// reconcileMembers makes a learner a voter once it has synced all that was
+// committed when it asked, and the entry that admitted it.
+func (n *Node) reconcileMembers() {
+	if n.core.Role() != consensus.Leader {
+		return
+	}
+	current, committed := n.core.Membership()
+	if !committed || !n.core.CommittedInTerm() {
+		return
+	}
+	match := n.core.Status().Match
+	for i, m := range current.Members {
+		if !m.Learner || match[m.Id] < max(m.JoinIndex, n.core.MembershipIndex()) {
+			continue
+		}
+		next := proto.CloneOf(current)
+		next.Members[i].Learner = false
+		if _, _, err := n.core.ProposeMembership(next, time.Now().UnixMilli()); err == nil {
+			n.event(log.InfoLevel, "promote replica").Str("replica", m.Id).Msg("a learner becomes a voter")
+		}
+		return
+	}
+}
+
+// AddReplica implements Log. The replica must answer at addr and hold no log;
+// an empty id stands for the one that it has. It returns once the learner's
+// admission is committed.
+func (n *Node) AddReplica(ctx context.Context, id, addr, dataCentre string) error {
+	return errs.Wrap(n.addReplica(ctx, id, addr, dataCentre), "add replica", addr)
+}
+
+func (n *Node) addReplica(ctx context.Context, id, addr, dataCentre string) error {
+	if role := n.snapshotStatus().Role; role != consensus.Leader {
+		return ErrNotLeader
+	}
+	reply, err := n.hello(addr)
+	if err != nil {
+		return err
+	}
+	if id != "" && reply.Id != id {
+		return fmt.Errorf("the replica at %s is %s, not %s", addr, reply.Id, id)
+	}
+	if voter, learner := n.memberState(reply.Id); voter || learner {
+		return nil
+	}
+	if reply.State != pb.FormationState_FORMATION_STATE_EMPTY {
+		return fmt.Errorf("the replica %s holds a log already", reply.Id)
+	}
+	if dataCentre == "" {
+		dataCentre = reply.DataCentre
+	}
+	return n.admit(ctx, &pb.Member{Id: reply.Id, Addr: addr, DataCentre: dataCentre}, true)
+}
+
+// RemoveReplica implements Log. It refuses to leave a membership without a
+// live quorum.
+func (n *Node) RemoveReplica(ctx context.Context, id string) error {
+	err := n.change(ctx, func(current *pb.Membership) (*pb.Membership, error) {
+		if consensus.FindMember(current, id) == nil {
+			return nil, ErrUnknownReplica
+		}
+		rest := slices.DeleteFunc(slices.Clone(current.Members), func(m *pb.Member) bool { return m.Id == id })
+		next := consensus.NewMembership(rest...)
+		if !n.quorumAlive(next) {
+			return nil, ErrQuorumAtRisk
+		}
+		return next, nil
+	})
+	return errs.Wrap(err, "remove replica", id)
+}
+
+// quorumAlive tells whether a majority of voters was heard of lately.
+func (n *Node) quorumAlive(m *pb.Membership) bool {
+	limit := electionTicks * n.cfg.TickInterval
+	voters, alive := 0, 0
+	for _, member := range m.Members {
+		if member.Learner {
+			continue
+		}
+		voters++
+		if member.Id == n.id || time.Since(n.peers.lastHeard[member.Id]) < limit {
+			alive++
+		}
+	}
+	return 2*alive > voters
+}
+
+func (n *Node) memberState(id string) (voter, learner bool) {
+	m := consensus.FindMember(n.snapshotStatus().membership, id)
+	if m == nil {
+		return false, false
+	}
+	return !m.Learner, m.Learner
+}
+
+// joinWhileOutside asks to be admitted as long as the own log names no
+// membership with this replica.
+func (n *Node) joinWhileOutside() {
+	next := 0
+	for n.sleep(joinInterval) == nil {
+		if voter, learner := n.memberState(n.id); voter || learner {
+			return
+		}
+		targets := n.joinTargets()
+		if len(targets) == 0 {
+			continue
+		}
+		next++
+		n.requestJoin(targets[next%len(targets)])
+	}
+}
+
+// joinTargets lists the other founders.
+func (n *Node) joinTargets() []string {
+	return slices.DeleteFunc(slices.Clone(n.cfg.Founders), func(addr string) bool { return addr == n.cfg.Addr })
+}
+
+func (n *Node) requestJoin(addr string) {
+	ctx, cancel := context.WithTimeout(n.ctx, joinTimeout)
+	defer cancel()
+	req := &pb.JoinRequest{
+		Group:  n.cfg.Group,
+		Member: &pb.Member{Id: n.id, Addr: n.cfg.Addr, DataCentre: n.cfg.DataCentre},
+	}
+	reply := &pb.JoinReply{}
+	err := n.cfg.Pool.Call(ctx, addr, n.method("join"), req, reply)
+	if err == nil && reply.LeaderAddr != "" && reply.LeaderAddr != addr {
+		err = n.cfg.Pool.Call(ctx, reply.LeaderAddr, n.method("join"), req, reply)
+	}
+	if err != nil && n.ctx.Err() == nil {
+		n.event(log.WarnLevel, "join").Err(err).Str("asked", addr).Msg("the request to join failed")
+	}
+}
--- /dev/null
+++ b/internal/replica/propose.go
@@ -0,0 +1,149 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/consensus"
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+)
+
+// ErrOverloaded means that too many proposals wait; nothing was appended.
+var ErrOverloaded = errors.New("too many proposals are waiting")
+
+type outcome struct {
+	result []byte
+	at     Position
+	err    error
+}
+
+type proposal struct {
+	data []byte
+	done chan outcome
+}
+
+// Propose implements Log.
+func (n *Node) Propose(ctx context.Context, data []byte) ([]byte, Position, error) {
+	if !n.running() {
+		return nil, Position{}, errs.Wrap(ErrNotLeader, "propose", n.cfg.Addr)
+	}
+	p := &proposal{data: data, done: make(chan outcome, 1)}
+	select {
+	case n.proposals <- p:
+	default:
+		return nil, Position{}, errs.Wrap(ErrOverloaded, "propose", n.cfg.Addr)
+	}
+	var o outcome
+	select {
+	case o = <-p.done:
+	case <-ctx.Done():
+		o.err = errors.Join(ErrOutcomeUnknown, ctx.Err())
+	case <-n.done:
+		o = lastOutcome(p.done)
+	}
+	return o.result, o.at, errs.Wrap(o.err, "propose", n.cfg.Addr)
+}
+
+// lastOutcome returns the outcome that was left when the node ended.
+func lastOutcome(done <-chan outcome) outcome {
+	select {
+	case o := <-done:
+		return o
+	default:
+		return outcome{err: ErrOutcomeUnknown}
+	}
+}
+
+// takeProposals appends p and the proposals that wait behind it.
+func (n *Node) takeProposals(p *proposal) {
+	now := time.Now().UnixMilli()
+	n.propose(p, now)
+	for range n.cfg.MaxBatch - 1 {
+		select {
+		case next := <-n.proposals:
+			n.propose(next, now)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) propose(p *proposal, nowMs int64) {
+	n.metrics.proposals.Inc(1)
+	index, term, err := n.core.Propose(p.data, nowMs)
+	switch {
+	case errors.Is(err, consensus.ErrNotLeader):
+		p.done <- outcome{err: ErrNotLeader}
+	case err != nil:
+		p.done <- outcome{err: ErrOverloaded}
+	default:
+		n.waiters.add(Position{Term: term, Index: index}, p.done)
+	}
+}
+
+// failQueued answers what was never taken from the queues.
+func (n *Node) failQueued() {
+	for {
+		select {
+		case p := <-n.proposals:
+			p.done <- outcome{err: ErrNotLeader}
+		case r := <-n.readCalls:
+			r.done <- readOutcome{err: ErrNotLeader}
+		case c := <-n.changes:
+			c.done <- ErrNotLeader
+		default:
+			return
+		}
+	}
+}
+
+// waiters are the proposals that wait for their entry to be applied here.
+type waiters struct {
+	mu      sync.Mutex
+	byIndex map[uint64]waiter
+}
+
+type waiter struct {
+	term uint64
+	done chan<- outcome
+}
+
+func newWaiters() *waiters { return &waiters{byIndex: make(map[uint64]waiter)} }
+
+func (w *waiters) add(at Position, done chan<- outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byIndex[at.Index] = waiter{at.Term, done}
+}
+
+// resolve answers the proposal at an applied position.
+func (w *waiters) resolve(at Position, result []byte) {
+	w.mu.Lock()
+	found, ok := w.byIndex[at.Index]
+	delete(w.byIndex, at.Index)
+	w.mu.Unlock()
+	switch {
+	case !ok:
+	case found.term != at.Term:
+		// Another entry was committed in its place, so it never will be.
+		found.done <- outcome{err: ErrNotLeader}
+	default:
+		found.done <- outcome{result: result, at: at}
+	}
+}
+
+// failAfter answers the proposals above the committed index with an unknown
+// outcome, since another leader may still commit them. Those up to it are
+// answered when they are applied here.
+func (w *waiters) failAfter(committed uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for index, found := range w.byIndex {
+		if index > committed {
+			delete(w.byIndex, index)
+			found.done <- outcome{err: ErrOutcomeUnknown}
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/repair_test.go
@@ -0,0 +1,108 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// smallSnapshots makes a snapshot every few entries.
+func smallSnapshots(cfg *Config) { cfg.SnapshotEntries = 25 }
+
+func commitMany(f fleet, want []string, n int) []string {
+	for range n {
+		s := fmt.Sprintf("command %d", len(want))
+		f.propose(s)
+		want = append(want, s)
+	}
+	return want
+}
+
+// voters counts the voters that the leader knows.
+func (f fleet) voters() int {
+	n := 0
+	for _, r := range f.leader().node.Replicas() {
+		if !r.Learner {
+			n++
+		}
+	}
+	return n
+}
+
+func TestEmptiedFounderRejoinsUnderNewIdentity(t *testing.T) {
+	f := newFleet(t, 3, smallSnapshots)
+	want := commitMany(f, nil, 100)
+	lost := f[1]
+	oldID := lost.node.ID()
+	lost.stop()
+	lost.emptyDir()
+	lost.start()
+	eventually(t, "the new identity is a voter", func() bool {
+		for _, r := range f.leader().node.Replicas() {
+			if r.Id == oldID {
+				return false
+			}
+			if r.Id == lost.node.ID() && !r.Learner {
+				return true
+			}
+		}
+		return false
+	})
+	requireHeld(t, lost, want)
+	if n := f.voters(); n != 3 {
+		t.Fatalf("%d voters, want 3", n)
+	}
+	// The loss of a second one right after the repair loses nothing.
+	f[0].stop()
+	want = commitMany(f, want, 5)
+	requireHeld(t, lost, want)
+}
+
+func TestEmptiedMinorityFormsNoSystem(t *testing.T) {
+	f := newFleet(t, 3, nil)
+	want := commitMany(f, nil, 3)
+	for _, in := range f {
+		in.stop()
+	}
+	f[0].emptyDir()
+	f[0].start()
+	time.Sleep(3 * pollInterval)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if _, _, err := f[0].node.Propose(ctx, []byte("alone")); err == nil {
+		t.Fatal("an emptied minority committed a command")
+	}
+	f[1].start()
+	f[2].start()
+	want = commitMany(f, want, 1)
+	requireHeld(t, f[0], want)
+}
+
+func TestAddAndRemoveReplica(t *testing.T) {
+	f := newFleet(t, 3, smallSnapshots)
+	want := commitMany(f, nil, 60)
+	added := &instance{t: t, addr: freeAddr(t), dir: t.TempDir(), founders: f[0].founders, edit: smallSnapshots}
+	added.start()
+	t.Cleanup(added.stop)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := f.leader().node.AddReplica(ctx, "", added.addr, ""); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "four voters", func() bool { return f.voters() == 4 })
+	requireHeld(t, added, want)
+	all := append(f, added)
+	leader := all.leader()
+	if err := leader.node.RemoveReplica(ctx, leader.node.ID()); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the removed leader leads no more", func() bool {
+		_, _, ok := leader.node.ActUntil()
+		return !ok
+	})
+	leader.stop()
+	want = commitMany(all, want, 5)
+	eventually(t, "three voters", func() bool { return all.voters() == 3 })
+	requireHeld(t, added, want)
+}
--- /dev/null
+++ b/internal/replica/send.go
@@ -0,0 +1,234 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/consensus"
+	"github.com/wigeonwood/wigeonwood/internal/journal"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// queuedMessages bounds the messages that wait for one peer.
+	queuedMessages = 512
+	// batchMessages and batchBytes bound one call.
+	batchMessages = 128
+	batchBytes    = 4 << 20
+	// sendTimeoutTicks bounds one call, in tick intervals.
+	sendTimeoutTicks = electionTicks
+	// chunkBytes is the size of a snapshot chunk.
+	chunkBytes = 512 << 10
+	// maxLearnedAddrs bounds the addresses of senders outside the membership.
+	maxLearnedAddrs = 64
+)
+
+// peerSet holds one sender for each other replica. The loop goroutine alone
+// uses it.
+type peerSet struct {
+	node    *Node
+	senders map[string]*sender
+	// learned holds the addresses of replicas that sent something.
+	learned    map[string]string
+	lastHeard  map[string]time.Time
+	membership *pb.Membership
+}
+
+func newPeerSet(n *Node) *peerSet {
+	return &peerSet{
+		node:      n,
+		senders:   make(map[string]*sender),
+		learned:   make(map[string]string),
+		lastHeard: make(map[string]time.Time),
+	}
+}
+
+// heard notes that a replica sent something, and from where.
+func (ps *peerSet) heard(id, addr string) {
+	if _, known := ps.learned[id]; !known && len(ps.learned) >= maxLearnedAddrs {
+		clear(ps.learned)
+		clear(ps.lastHeard)
+	}
+	ps.learned[id] = addr
+	ps.lastHeard[id] = time.Now()
+}
+
+// update ends the senders of replicas that are no members any more.
+func (ps *peerSet) update(core *consensus.Core) {
+	membership, _ := core.Membership()
+	if membership == ps.membership {
+		return
+	}
+	ps.membership = membership
+	for id, s := range ps.senders {
+		if m := consensus.FindMember(membership, id); m == nil || m.Addr != s.addr {
+			s.close()
+			delete(ps.senders, id)
+		}
+	}
+}
+
+// addr returns a replica's peer address, "" if unknown.
+func (ps *peerSet) addr(id string) string {
+	if id == ps.node.id {
+		return ps.node.cfg.Addr
+	}
+	if m := consensus.FindMember(ps.membership, id); m != nil {
+		return m.Addr
+	}
+	return ps.learned[id]
+}
+
+func (ps *peerSet) send(messages []*pb.RaftMessage) {
+	for _, m := range messages {
+		if s := ps.sender(m.To); s != nil {
+			s.enqueue(m)
+		}
+	}
+}
+
+func (ps *peerSet) sender(id string) *sender {
+	if s := ps.senders[id]; s != nil {
+		return s
+	}
+	addr := ps.addr(id)
+	if addr == "" {
+		return nil
+	}
+	s := newSender(ps.node, id, addr)
+	ps.senders[id] = s
+	return s
+}
+
+func (ps *peerSet) close() {
+	for _, s := range ps.senders {
+		s.close()
+	}
+}
+
+// sender passes messages to one peer, in order, several to a call.
+type sender struct {
+	node   *Node
+	id     string
+	addr   string
+	queue  chan *pb.RaftMessage
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newSender(n *Node, id, addr string) *sender {
+	s := &sender{node: n, id: id, addr: addr, queue: make(chan *pb.RaftMessage, queuedMessages)}
+	s.ctx, s.cancel = context.WithCancel(n.ctx)
+	n.tasks.Go(s.run)
+	return s
+}
+
+func (s *sender) close() { s.cancel() }
+
+// enqueue drops the message if the queue is full; the core sends again.
+func (s *sender) enqueue(m *pb.RaftMessage) {
+	select {
+	case s.queue <- m:
+	default:
+		s.node.metrics.dropped.Inc(1)
+		s.reportUnreachable()
+	}
+}
+
+func (s *sender) run() {
+	method := s.node.method("step")
+	for {
+		var first *pb.RaftMessage
+		select {
+		case <-s.ctx.Done():
+			return
+		case first = <-s.queue:
+		}
+		ctx, cancel := context.WithTimeout(s.ctx, sendTimeoutTicks*s.node.cfg.TickInterval)
+		err := s.node.cfg.Pool.Call(ctx, s.addr, method, s.batch(first), &pb.RaftAck{})
+		cancel()
+		if err != nil && s.ctx.Err() == nil {
+			s.reportUnreachable()
+			s.pause()
+		}
+	}
+}
+
+// batch adds the messages that wait behind first.
+func (s *sender) batch(first *pb.RaftMessage) *pb.RaftBatch {
+	b := &pb.RaftBatch{Messages: []*pb.RaftMessage{first}, FromAddr: s.node.cfg.Addr}
+	size := messageBytes(first)
+	for len(b.Messages) < batchMessages && size < batchBytes {
+		select {
+		case m := <-s.queue:
+			b.Messages = append(b.Messages, m)
+			size += messageBytes(m)
+		default:
+			return b
+		}
+	}
+	return b
+}
+
+// messageBytes estimates a message's size.
+func messageBytes(m *pb.RaftMessage) int {
+	size := len(m.Chunk)
+	for _, e := range m.Entries {
+		size += len(e.Data)
+	}
+	return size
+}
+
+func (s *sender) reportUnreachable() {
+	select {
+	case s.node.unreachable <- s.id:
+	default:
+	}
+}
+
+// pause keeps a refused connection from being tried in a busy loop.
+func (s *sender) pause() {
+	t := time.NewTimer(s.node.cfg.TickInterval)
+	defer t.Stop()
+	select {
+	case <-s.ctx.Done():
+	case <-t.C:
+	}
+}
+
+// sendPrompt sends a leader's messages and fills in snapshot chunks.
+func (n *Node) sendPrompt(messages []*pb.RaftMessage) {
+	for _, m := range messages {
+		if m.Kind == pb.RaftKind_RAFT_KIND_SNAPSHOT && !n.fillChunk(m) {
+			continue
+		}
+		n.peers.send([]*pb.RaftMessage{m})
+	}
+}
+
+func (n *Node) fillChunk(m *pb.RaftMessage) bool {
+	s := n.transfers[m.To]
+	if s == nil || s.Meta.Index != m.Index {
+		opened, err := n.journal.OpenSnapshot(m.Index)
+		if errors.Is(err, journal.ErrNoSnapshot) {
+			n.core.SnapshotGone(m.To)
+			return false
+		}
+		if err != nil {
+			n.fail(err)
+			return false
+		}
+		if s != nil {
+			s.Close()
+		}
+		s = opened
+		n.transfers[m.To] = s
+	}
+	chunk, last, err := s.ReadChunk(m.Offset, chunkBytes)
+	if err != nil {
+		return false
+	}
+	m.Chunk, m.LastChunk = chunk, last
+	return true
+}
--- /dev/null
+++ b/internal/replica/server.go
@@ -0,0 +1,60 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+// method returns the wire name of one of this group's methods.
+func (n *Node) method(name string) string {
+	return fmt.Sprintf("raft.%d.%s", n.cfg.Group, name)
+}
+
+func (n *Node) register() {
+	transport.Handle(n.cfg.Server, n.method("step"), n.handleStep)
+	transport.Handle(n.cfg.Server, n.method("hello"), n.handleHello)
+	transport.Handle(n.cfg.Server, n.method("join"), n.handleJoin)
+}
+
+func (n *Node) handleStep(_ context.Context, b *pb.RaftBatch) (*pb.RaftAck, error) {
+	if !n.running() {
+		return nil, transport.Fail(pb.CallStatus_CALL_STATUS_FAILED, "the replica does not run")
+	}
+	select {
+	case n.incoming <- b:
+		return &pb.RaftAck{}, nil
+	default:
+		return nil, transport.Fail(pb.CallStatus_CALL_STATUS_OVERLOADED, "too many messages are waiting")
+	}
+}
+
+func (n *Node) handleHello(context.Context, *pb.HelloRequest) (*pb.HelloReply, error) {
+	s := n.snapshotStatus()
+	return &pb.HelloReply{
+		Id:         n.id,
+		Addr:       n.cfg.Addr,
+		DataCentre: n.cfg.DataCentre,
+		State:      s.formation,
+		Membership: s.founding,
+	}, nil
+}
+
+func (n *Node) handleJoin(ctx context.Context, req *pb.JoinRequest) (*pb.JoinReply, error) {
+	if req.Member == nil || req.Member.Id == "" || req.Member.Addr == "" {
+		return nil, transport.Fail(pb.CallStatus_CALL_STATUS_FAILED, "the request names no replica")
+	}
+	err := n.admit(ctx, req.Member, false)
+	if errors.Is(err, ErrNotLeader) {
+		_, addr := n.Leader()
+		return &pb.JoinReply{LeaderAddr: addr}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	voter, learner := n.memberState(req.Member.Id)
+	return &pb.JoinReply{Voter: voter, Learner: learner}, nil
+}
--- /dev/null
+++ b/internal/replica/status.go
@@ -0,0 +1,66 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/consensus"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// status is what other goroutines see of the core.
+type status struct {
+	consensus.Status
+	membership *pb.Membership
+	leaderAddr string
+	leaseUntil time.Time
+	// leaseReady tells that the leader applied an entry of its own term.
+	leaseReady bool
+
+	formation pb.FormationState
+	founding  *pb.Membership
+}
+
+func (n *Node) snapshotStatus() status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.status
+}
+
+func (n *Node) setFormationState(state pb.FormationState) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.status.formation = state
+}
+
+func (n *Node) setFounding(m *pb.Membership, state pb.FormationState) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.status.founding = m
+	n.status.formation = state
+}
+
+// Leader implements Log.
+func (n *Node) Leader() (id, addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.status.Leader, n.status.leaderAddr
+}
+
+// Replicas implements Log. Match indexes are known on the leader only.
+func (n *Node) Replicas() []*pb.ReplicaInfo {
+	s := n.snapshotStatus()
+	infos := make([]*pb.ReplicaInfo, 0, len(s.membership.GetMembers()))
+	for _, m := range s.membership.GetMembers() {
+		infos = append(infos, &pb.ReplicaInfo{
+			Id:          m.Id,
+			Addr:        m.Addr,
+			DataCentre:  m.DataCentre,
+			Learner:     m.Learner,
+			Leader:      m.Id == s.Leader,
+			Term:        s.Term,
+			MatchIndex:  s.Match[m.Id],
+			CommitIndex: s.Committed,
+		})
+	}
+	return infos
+}
