--- /dev/null
+++ b/internal/contractfile/contractfile_test.go
@@ -0,0 +1,79 @@
+package contractfile
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const hash = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+
+const whole = `version: 1
+customer: kilang-satu
+replaces: 7
+key_hashes: [` + hash + `]
+weight: 3
+limits: {requests_per_second: 20, tokens_per_second: 4000, concurrency: 8}
+models: [draft-large]
+services: [returns]
+objectives: {first_token: 300ms, first_token_share: 0.9, answered_share: 0.99, not_refused_share: 0.95}
+`
+
+func TestWriteThenParseKeepsTheContract(t *testing.T) {
+	docs, err := Parse(strings.NewReader(whole + "---\nversion: 1\ncustomer: b\nkey_hashes: [" + hash + "]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(docs) != 2 || docs[0].Replaces != 7 || docs[0].Contract.Weight != 3 || docs[1].Contract.Weight != 1 {
+		t.Fatalf("parsed %v", docs)
+	}
+	var buf bytes.Buffer
+	if err := Write(&buf, docs[0].Contract); err != nil {
+		t.Fatal(err)
+	}
+	again, err := Parse(&buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !proto.Equal(docs[0].Contract, again[0].Contract) {
+		t.Fatalf("wrote %v, read %v", docs[0].Contract, again[0].Contract)
+	}
+}
+
+func TestEveryFaultAtOnceWithLineAndField(t *testing.T) {
+	_, err := Parse(strings.NewReader(`version: 2
+customer: "a b"
+colour: red
+weight: 0
+weight: 5
+limits:
+  concurrency: many
+  burst: 3
+objectives:
+  answered_share: 1
+key_hashes: [abc]
+`))
+	if err == nil {
+		t.Fatal("a bad file passed")
+	}
+	for _, want := range []string{
+		"line 1: version:", "line 2: customer:", "line 3: colour: unknown field",
+		"line 4: weight:", "line 5: weight: given twice", "line 7: limits.concurrency:",
+		"line 8: limits.burst: unknown field", "line 10: objectives.answered_share:",
+		"line 11: key_hashes:",
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no fault %q in:\n%v", want, err)
+		}
+	}
+}
+
+func TestMalformedAndEmptyFiles(t *testing.T) {
+	for _, text := range []string{"", "customer: [", "- 1", "just text"} {
+		if _, err := Parse(strings.NewReader(text)); err == nil {
+			t.Errorf("%q passed", text)
+		}
+	}
+}
