Admin interface, explain store, operators' page

Cause: operators act through one instance and ask for decisions afterwards. Ruled out: JSON types of our own beside the protobuf messages (two forms of one thing). Before: nothing. Conclusion: to be wired.

--- /dev/null
+++ b/internal/admin/changes.go
@@ -0,0 +1,105 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	defaultHistory = 50
+	maxHistory     = 1000
+)
+
+// change commits an operator's change and waits up to wait_ms until it is in
+// force everywhere.
+func (s *server) change(w http.ResponseWriter, r *http.Request) {
+	change := &pb.ConfigChange{}
+	if !readMessage(w, r, change) {
+		return
+	}
+	wait, ok := waitFrom(w, r)
+	if !ok {
+		return
+	}
+	cmd := &pb.Command{Body: &pb.Command_Change{Change: change}}
+	reply, err := s.Control.Submit(r.Context(), cmd)
+	if err != nil {
+		writeControlError(w, err)
+		return
+	}
+	result := reply.GetResult().GetChange()
+	s.Logger.Info().Str("step", "change").Str("operator", change.Operator).Str("operation", change.OperationId).
+		Str("status", result.GetStatus().String()).Uint64("revision", result.GetRevision()).Msg("an operator's change was decided")
+	answer := &pb.ChangeAnswer{Result: result}
+	if result.GetStatus() != pb.ChangeStatus_CHANGE_STATUS_ACCEPTED {
+		writeMessage(w, refusedStatus(result.GetStatus()), answer)
+		return
+	}
+	s.awaitInForce(r.Context(), wait, answer)
+	writeMessage(w, http.StatusOK, answer)
+}
+
+func refusedStatus(status pb.ChangeStatus) int {
+	if status == pb.ChangeStatus_CHANGE_STATUS_INVALID {
+		return http.StatusUnprocessableEntity
+	}
+	return http.StatusConflict
+}
+
+func waitFrom(w http.ResponseWriter, r *http.Request) (time.Duration, bool) {
+	text := r.URL.Query().Get("wait_ms")
+	if text == "" {
+		return 0, true
+	}
+	ms, err := strconv.ParseUint(text, 10, 32)
+	wait := time.Duration(ms) * time.Millisecond
+	if err != nil || wait > maxWait {
+		writeError(w, http.StatusBadRequest, "bad-wait", "wait_ms is not a number of milliseconds up to "+maxWait.String(), nil)
+		return 0, false
+	}
+	return wait, true
+}
+
+func (s *server) awaitInForce(ctx context.Context, wait time.Duration, answer *pb.ChangeAnswer) {
+	if wait == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	reply, err := s.Control.InForce(ctx, answer.Result.Revision)
+	if err != nil {
+		// The change is accepted all the same; only its spread is unknown.
+		s.Logger.Warn().Err(err).Str("step", "in-force").Uint64("revision", answer.Result.Revision).Msg("the wait for a change to be in force failed")
+		return
+	}
+	answer.InForce = reply.InForce
+	answer.Waiting = reply.Waiting
+}
+
+func (s *server) contracts(w http.ResponseWriter, r *http.Request) {
+	s.query(w, r, &pb.QueryRequest{
+		What: pb.QueryRequest_WHAT_CONTRACTS,
+		Name: r.URL.Query().Get("customer"),
+	})
+}
+
+func (s *server) history(w http.ResponseWriter, r *http.Request) {
+	limit := uint64(defaultHistory)
+	if text := r.URL.Query().Get("limit"); text != "" {
+		var err error
+		limit, err = strconv.ParseUint(text, 10, 32)
+		if err != nil || limit == 0 || limit > maxHistory {
+			writeError(w, http.StatusBadRequest, "bad-limit", "limit is not a number from 1 to "+strconv.Itoa(maxHistory), nil)
+			return
+		}
+	}
+	s.query(w, r, &pb.QueryRequest{
+		What:  pb.QueryRequest_WHAT_HISTORY,
+		Name:  r.URL.Query().Get("name"),
+		Limit: uint32(limit),
+	})
+}
--- /dev/null
+++ b/internal/admin/explain.go
@@ -0,0 +1,64 @@
+package admin
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+func (s *server) explainRequest(w http.ResponseWriter, r *http.Request) {
+	found, silent := s.Explain(r.Context(), mux.Vars(r)["id"])
+	if found != nil {
+		writeMessage(w, http.StatusOK, found)
+		return
+	}
+	message := "no router remembers this request"
+	if len(silent) > 0 {
+		message += "; no answer from " + strings.Join(silent, ", ")
+	}
+	writeError(w, http.StatusNotFound, "not-found", message, nil)
+}
+
+func (s *server) explainTarget(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["id"]
+	row := &pb.TargetRow{Status: s.View.Target(id), Intent: s.Lease.Intent(id)}
+	if row.Status == nil && row.Intent == nil {
+		writeError(w, http.StatusNotFound, "not-found", "no such target: nobody announced it here within its lease and no operator named it", nil)
+		return
+	}
+	writeMessage(w, http.StatusOK, row)
+}
+
+func (s *server) explainRevision(w http.ResponseWriter, r *http.Request) {
+	number, err := strconv.ParseUint(mux.Vars(r)["number"], 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "bad-revision", "the revision is not a whole number", nil)
+		return
+	}
+	history, err := s.Control.Query(r.Context(), &pb.QueryRequest{What: pb.QueryRequest_WHAT_HISTORY, Limit: maxHistory})
+	if err != nil {
+		writeControlError(w, err)
+		return
+	}
+	out := &pb.RevisionExplained{}
+	for _, record := range history.History {
+		if record.Revision == number {
+			out.Record = record
+		}
+	}
+	if out.Record == nil {
+		writeError(w, http.StatusNotFound, "not-found", "the kept history has no such revision", nil)
+		return
+	}
+	holds, err := s.Control.Query(r.Context(), &pb.QueryRequest{What: pb.QueryRequest_WHAT_ROUTERS})
+	if err != nil {
+		writeControlError(w, err)
+		return
+	}
+	out.Holds = holds.Routers
+	writeMessage(w, http.StatusOK, out)
+}
--- /dev/null
+++ b/internal/explain/find.go
@@ -0,0 +1,92 @@
+package explain
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// Method is the name of the call between instances.
+const Method = "report.explain"
+
+const (
+	callsAtOnce = 32
+	callTimeout = 3 * time.Second
+)
+
+var classNames = map[filter.Class]string{
+	filter.ClassCheck: "check",
+	filter.ClassNote:  "note",
+	filter.ClassDraft: "draft",
+}
+
+// Answer looks a request up in this router's store.
+func (s *Store) Answer(router string, req *pb.ExplainRequest) *pb.ExplainReply {
+	rec := s.Find(req.RequestId)
+	if rec == nil {
+		return &pb.ExplainReply{Router: router}
+	}
+	reply := &pb.ExplainReply{
+		Found:        true,
+		Router:       router,
+		RequestId:    rec.RequestID,
+		Customer:     rec.Customer,
+		Class:        classNames[rec.Class],
+		Chat:         rec.Chat,
+		Model:        rec.Model,
+		Service:      rec.Service,
+		StartUnixMs:  rec.Start.UnixMilli(),
+		FirstTokenUs: uint32(rec.FirstToken.Microseconds()),
+		TotalUs:      uint64(rec.Total.Microseconds()),
+		Status:       uint32(rec.Status),
+		Outcome:      string(rec.Outcome),
+		Refused:      rec.Refused,
+		Whole:        rec.Whole,
+		Target:       rec.Target,
+		Tries:        uint32(rec.Tries),
+		Revision:     rec.Revision,
+	}
+	for _, reason := range rec.Reasons {
+		reply.Reasons = append(reply.Reasons, &pb.ExplainReason{Step: reason.Step, Target: reason.Target, Text: reason.Text})
+	}
+	return reply
+}
+
+// Caller makes calls to other instances; transport.Pool is one.
+type Caller interface {
+	Call(ctx context.Context, addr, method string, req, resp proto.Message) error
+}
+
+// Find asks all routers for a request. It returns nil if none remembers it,
+// and the routers that did not answer.
+func Find(ctx context.Context, view fleet.View, caller Caller, requestID string) (found *pb.ExplainReply, silent []string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	slots := make(chan struct{}, callsAtOnce)
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, r := range view.Routers() {
+		calls.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			reply := &pb.ExplainReply{}
+			err := caller.Call(ctx, r.PeerAddr, Method, &pb.ExplainRequest{RequestId: requestID}, reply)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err != nil:
+				silent = append(silent, r.Id)
+			case reply.Found:
+				found = reply
+			}
+		})
+	}
+	calls.Wait()
+	return found, silent
+}
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -37,9 +37,6 @@
 	MaxConnections  int
 	EntryKeep       time.Duration
 	ShutdownTimeout time.Duration
-	FirstByteWait   time.Duration
-	BetweenBytes    time.Duration
-	RetryShare      float64
 }
 
 // Bounds and defaults of the settings.
@@ -53,9 +50,6 @@
 	defaultEntryKeep       = 5 * time.Second
 	maxEntryKeep           = 10 * time.Minute
 	defaultShutdownTimeout = 10 * time.Minute
-	defaultFirstByteWait   = 30 * time.Second
-	defaultBetweenBytes    = 10 * time.Second
-	defaultRetryShare      = 0.1
 	minTokenLength         = 8
 )
 
@@ -77,15 +71,19 @@
 	s.addTuning(fs)
 }
 
+// DefaultServe returns settings with the flags' defaults.
+func DefaultServe() *Serve {
+	s := &Serve{}
+	s.AddFlags(pflag.NewFlagSet("serve", pflag.ContinueOnError))
+	return s
+}
+
 func (s *Serve) addTuning(fs *pflag.FlagSet) {
 	fs.Float64Var(&s.LoadBound, "load-bound", defaultLoadBound, "highest load of an engine as a multiple of the mean")
 	fs.Int64Var(&s.MaxBodyBytes, "max-body-bytes", defaultMaxBodyBytes, "largest request body taken from a caller, in bytes")
 	fs.IntVar(&s.MaxConnections, "max-connections", defaultMaxConnections, "most open caller connections")
 	fs.DurationVar(&s.EntryKeep, "entry-keep", defaultEntryKeep, "how long callers may keep an entry address")
 	fs.DurationVar(&s.ShutdownTimeout, "shutdown-timeout", defaultShutdownTimeout, "longest wait for requests in flight at shutdown")
-	fs.DurationVar(&s.FirstByteWait, "first-byte-wait", defaultFirstByteWait, "longest wait for a target's first byte")
-	fs.DurationVar(&s.BetweenBytes, "between-bytes-wait", defaultBetweenBytes, "longest silence within a target's answer")
-	fs.Float64Var(&s.RetryShare, "retry-share", defaultRetryShare, "retries as a share of requests, at most")
 }
 
 // Check returns all faults of the settings, each naming flag and variable.
@@ -182,9 +180,6 @@
 	check(s.MaxConnections > 0, "max-connections", "%d is not above 0", s.MaxConnections)
 	check(s.EntryKeep >= time.Second && s.EntryKeep <= maxEntryKeep, "entry-keep", "%v is outside 1s to %v", s.EntryKeep, maxEntryKeep)
 	check(s.ShutdownTimeout > 0, "shutdown-timeout", "%v is not above 0", s.ShutdownTimeout)
-	check(s.FirstByteWait > 0, "first-byte-wait", "%v is not above 0", s.FirstByteWait)
-	check(s.BetweenBytes > 0, "between-bytes-wait", "%v is not above 0", s.BetweenBytes)
-	check(s.RetryShare >= 0 && s.RetryShare <= 1, "retry-share", "%v is outside 0 to 1", s.RetryShare)
 	return faults
 }
 
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -91,11 +91,11 @@
 	}
 	payload, err := proto.Marshal(req)
 	if err != nil {
-		return errs.Wrap(errors.Join(ErrNotSent, err), method, addr)
+		return errs.Wrap(fmt.Errorf("%w: %w", ErrNotSent, err), method, addr)
 	}
 	stream, session, err := p.openStream(ctx, addr)
 	if err != nil {
-		return errs.Wrap(errors.Join(ErrNotSent, err), method, addr)
+		return errs.Wrap(fmt.Errorf("%w: %w", ErrNotSent, err), method, addr)
 	}
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
