Add the replicated state machine: contracts, intents, operations, ledger

Claims never pass to another claimant by timeout; a release is remembered so that a late copy of its claim isn't granted.

--- /dev/null
+++ b/internal/state/change.go
@@ -0,0 +1,126 @@
+package state
+
+import (
+	"crypto/sha256"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/replica"
+)
+
+// change decides one configuration change. The operation id is looked up
+// first: a resend must get the first answer, also when the object has moved on
+// since.
+func (m *Machine) change(e replica.Entry, c *pb.ConfigChange) *pb.ChangeResult {
+	if text := invalidChange(c); text != "" {
+		return invalid(e, text)
+	}
+	digest := contentDigest(c)
+	if first, ok := m.operations.find(c.OperationId); ok {
+		return resent(e, first, digest)
+	}
+	key := keyOf(c)
+	present := m.objects.get(key)
+	if present.revision() != c.Replaces {
+		result := conflict(e, present)
+		m.operations.add(c.OperationId, digest, m.nowMs, result)
+		return result
+	}
+	if text := m.inadmissible(key, c); text != "" {
+		return invalid(e, text)
+	}
+	result := m.accept(e, key, c)
+	m.operations.add(c.OperationId, digest, m.nowMs, result)
+	return result
+}
+
+func (m *Machine) accept(e replica.Entry, key objectKey, c *pb.ConfigChange) *pb.ChangeResult {
+	m.revision++
+	c = proto.CloneOf(c)
+	setRevision(c, m.revision)
+	m.objects.put(key, newObject(c, m.nowMs))
+	m.history.add(&pb.ChangeRecord{
+		Revision:    m.revision,
+		Operator:    c.Operator,
+		OperationId: c.OperationId,
+		TimeUnixMs:  m.nowMs,
+		Change:      c,
+	})
+	return &pb.ChangeResult{
+		Status:   pb.ChangeStatus_CHANGE_STATUS_ACCEPTED,
+		Revision: m.revision,
+		Term:     e.Term,
+		Index:    e.Index,
+	}
+}
+
+// inadmissible checks a change against the present state.
+func (m *Machine) inadmissible(key objectKey, c *pb.ConfigChange) string {
+	if c.Replaces == 0 && m.objects.len() >= m.bounds.Objects {
+		return "the table of configuration objects is full"
+	}
+	for _, sum := range c.GetContract().GetKeyHashes() {
+		if owner, ok := m.objects.keyOwner([32]byte(sum)); ok && owner != key.name {
+			return "a bearer key already belongs to another customer"
+		}
+	}
+	return ""
+}
+
+// contentDigest covers all that the operator sent.
+func contentDigest(c *pb.ConfigChange) [sha256.Size]byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(c)
+	if err != nil {
+		// The change was decoded from valid protobuf.
+		panic("encoding a change: " + err.Error())
+	}
+	return sha256.Sum256(data)
+}
+
+func setRevision(c *pb.ConfigChange, revision uint64) {
+	if k := c.GetContract(); k != nil {
+		k.Revision = revision
+	}
+	if i := c.GetIntent(); i != nil {
+		i.Revision = revision
+	}
+}
+
+func invalid(e replica.Entry, text string) *pb.ChangeResult {
+	return &pb.ChangeResult{
+		Status:  pb.ChangeStatus_CHANGE_STATUS_INVALID,
+		Message: text,
+		Term:    e.Term,
+		Index:   e.Index,
+	}
+}
+
+func conflict(e replica.Entry, present *object) *pb.ChangeResult {
+	result := &pb.ChangeResult{
+		Status:          pb.ChangeStatus_CHANGE_STATUS_CONFLICT,
+		PresentRevision: present.revision(),
+		Message:         "the object is at another revision than the change replaces",
+		Term:            e.Term,
+		Index:           e.Index,
+	}
+	if present != nil {
+		result.PresentOperator = present.operator
+		result.PresentTimeUnixMs = present.timeMs
+	}
+	return result
+}
+
+func resent(e replica.Entry, first *operation, digest [sha256.Size]byte) *pb.ChangeResult {
+	if first.digest != digest {
+		return &pb.ChangeResult{
+			Status:  pb.ChangeStatus_CHANGE_STATUS_OPERATION_REUSED,
+			Message: "the operation id was used before with other content",
+			Term:    e.Term,
+			Index:   e.Index,
+		}
+	}
+	result := proto.CloneOf(first.result)
+	result.Resent = true
+	return result
+}
--- /dev/null
+++ b/internal/state/history.go
@@ -0,0 +1,38 @@
+package state
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// history keeps the newest accepted changes, bounded by count and bytes.
+type history struct {
+	maxRecords int
+	maxBytes   int
+	records    []*pb.ChangeRecord
+	bytes      int
+}
+
+func (h *history) add(r *pb.ChangeRecord) {
+	h.records = append(h.records, r)
+	h.bytes += proto.Size(r)
+	for len(h.records) > h.maxRecords || h.bytes > h.maxBytes {
+		h.bytes -= proto.Size(h.records[0])
+		h.records[0] = nil
+		h.records = h.records[1:]
+	}
+}
+
+// newest returns up to limit records, newest first; name filters by customer
+// or target unless it is empty.
+func (h *history) newest(name string, limit int) []*pb.ChangeRecord {
+	var out []*pb.ChangeRecord
+	for i := len(h.records) - 1; i >= 0 && len(out) < limit; i-- {
+		r := h.records[i]
+		if name == "" || keyOf(r.Change).name == name {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/ledger.go
@@ -0,0 +1,235 @@
+package state
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// ledger decides which request may be dispatched. A key passes through
+//
+//	absent -> claimed -> done | unknown
+//	          claimed -> absent, if the claimant proves that nothing was sent
+//
+// and never back. Only the claimant (router, incarnation, attempt) ends its
+// claim. A claim is never handed to another claimant by timeout: it turns
+// unknown, and stays so until the key's life is over.
+type ledger struct {
+	bounds  Bounds
+	table   ledgerTable
+	routers routerTable
+	// answers is the bytes of all stored answers.
+	answers int
+}
+
+func newLedger(b Bounds) ledger {
+	return ledger{bounds: b, table: newLedgerTable(), routers: newRouterTable()}
+}
+
+// expireBatch bounds the entries that one log entry removes, so that a burst
+// of old keys doesn't hold up the log. One log entry adds at most one.
+const expireBatch = 64
+
+func (l *ledger) expire(nowMs int64) {
+	for range expireBatch {
+		if !l.expireOne(&l.table.keys, nowMs-l.bounds.KeyLife.Milliseconds()) &&
+			!l.expireOne(&l.table.releases, nowMs-l.bounds.ReleaseLife.Milliseconds()) {
+			return
+		}
+	}
+}
+
+// expireOne removes the oldest entry of the list if it was made at or before
+// untilMs.
+func (l *ledger) expireOne(list *entryList, untilMs int64) bool {
+	slot := list.head
+	if slot == noSlot || l.table.at(slot).timeMs > untilMs {
+		return false
+	}
+	l.remove(slot)
+	return true
+}
+
+func (l *ledger) remove(slot uint32) {
+	e := l.table.at(slot)
+	l.answers -= len(e.answer())
+	l.routers.release(e.router)
+	l.table.remove(slot)
+}
+
+// find returns the live entry of a key.
+func (l *ledger) find(key entryKey, nowMs int64) (uint32, *entry) {
+	slot, ok := l.table.find(key)
+	if !ok {
+		return noSlot, nil
+	}
+	e := l.table.at(slot)
+	life := l.bounds.KeyLife
+	if e.state == stateReleased {
+		life = l.bounds.ReleaseLife
+	}
+	if e.timeMs+life.Milliseconds() <= nowMs {
+		// Past its life but not yet reached by expire.
+		l.remove(slot)
+		return noSlot, nil
+	}
+	return slot, e
+}
+
+// state returns an entry's state now. An open claim is unknown once it is too
+// old or its router claimed under a later incarnation; both conditions only
+// ever become true, so unknown stays.
+func (l *ledger) state(e *entry, nowMs int64) entryState {
+	if e.state != stateClaimed {
+		return e.state
+	}
+	if e.timeMs+l.bounds.OpenLife.Milliseconds() <= nowMs {
+		return stateUnknown
+	}
+	if l.routers.at(e.router).incarnation > e.incarnation {
+		return stateUnknown
+	}
+	return stateClaimed
+}
+
+// claim grants a key to the first claimant only. A repeat of a granted claim
+// is told so by Resent: it may be the retry of a claimant that lost the
+// answer, or a late copy that nobody waits for, and only the claimant's own
+// process can tell them apart.
+func (l *ledger) claim(c *pb.Claim, nowMs int64) *pb.ClaimResult {
+	if !validClaimant(c.GetCustomer(), c.GetKey(), c.GetRouter()) || len(c.Digest) != DigestBytes || len(c.RequestId) > MaxNameBytes {
+		return &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_INVALID}
+	}
+	if !l.routers.observe(c.Router, c.RouterIncarnation) {
+		return &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_STALE_CLAIMANT}
+	}
+	by := claimant{router: c.Router, incarnation: c.RouterIncarnation, attempt: c.Attempt}
+	if _, released := l.find(releaseKey(c.Customer, c.Key, by), nowMs); released != nil {
+		// A late copy of a claim that its claimant gave up.
+		return &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS, RequestId: c.RequestId}
+	}
+	key := claimKey(c.Customer, c.Key)
+	if _, e := l.find(key, nowMs); e != nil {
+		return l.claimHeld(e, c, by, nowMs)
+	}
+	if l.table.len() >= l.bounds.LedgerEntries {
+		return &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_FULL}
+	}
+	e := l.add(key, by, stateClaimed, nowMs)
+	e.digest = shortDigest(c.Digest)
+	e.setTail(c.RequestId, nil)
+	return &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_GRANTED, RequestId: c.RequestId}
+}
+
+func (l *ledger) claimHeld(e *entry, c *pb.Claim, by claimant, nowMs int64) *pb.ClaimResult {
+	result := &pb.ClaimResult{RequestId: e.requestID()}
+	if e.digest != shortDigest(c.Digest) {
+		result.Status = pb.ClaimStatus_CLAIM_STATUS_DIGEST_MISMATCH
+		return result
+	}
+	switch l.state(e, nowMs) {
+	case stateDone:
+		result.Status = pb.ClaimStatus_CLAIM_STATUS_DONE
+		result.Answer = e.storedAnswer()
+	case stateUnknown:
+		result.Status = pb.ClaimStatus_CLAIM_STATUS_UNKNOWN
+	default:
+		result.Status = pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS
+		if l.claimedBy(e, by) {
+			result.Status = pb.ClaimStatus_CLAIM_STATUS_GRANTED
+			result.Resent = true
+		}
+	}
+	return result
+}
+
+func (l *ledger) claimedBy(e *entry, by claimant) bool {
+	return e.attempt == by.attempt &&
+		e.incarnation == by.incarnation &&
+		l.routers.at(e.router).id == by.router
+}
+
+func (l *ledger) add(key entryKey, by claimant, state entryState, nowMs int64) *entry {
+	e := l.table.add(key, state, nowMs)
+	e.router = l.routers.acquire(by.router, by.incarnation)
+	e.incarnation = by.incarnation
+	e.attempt = by.attempt
+	return e
+}
+
+// resolve ends a claim. Repeats give the first answer.
+func (l *ledger) resolve(r *pb.Resolve, nowMs int64) *pb.ResolveResult {
+	if !validClaimant(r.GetCustomer(), r.GetKey(), r.GetRouter()) {
+		return &pb.ResolveResult{}
+	}
+	by := claimant{router: r.Router, incarnation: r.RouterIncarnation, attempt: r.Attempt}
+	slot, e := l.find(claimKey(r.Customer, r.Key), nowMs)
+	own := e != nil && l.claimedBy(e, by)
+	if r.Outcome == pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED {
+		return &pb.ResolveResult{Applied: l.releaseClaim(r, by, slot, own, nowMs)}
+	}
+	if !own {
+		return &pb.ResolveResult{}
+	}
+	return &pb.ResolveResult{Applied: l.finish(e, r, nowMs)}
+}
+
+func (l *ledger) finish(e *entry, r *pb.Resolve, nowMs int64) bool {
+	var target entryState
+	switch r.Outcome {
+	case pb.ClaimOutcome_CLAIM_OUTCOME_DONE:
+		target = stateDone
+	case pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN:
+		target = stateUnknown
+	default:
+		return false
+	}
+	state := l.state(e, nowMs)
+	if state != stateClaimed {
+		return state == target
+	}
+	e.state = target
+	if target == stateDone {
+		l.store(e, r.Answer)
+	}
+	return true
+}
+
+// releaseClaim frees the key and remembers the release, also if the claim
+// itself has not come yet: a copy of it that commits later finds the release
+// and is not granted.
+func (l *ledger) releaseClaim(r *pb.Resolve, by claimant, slot uint32, own bool, nowMs int64) bool {
+	key := releaseKey(r.Customer, r.Key, by)
+	if _, released := l.find(key, nowMs); released != nil {
+		return true
+	}
+	if own {
+		if l.state(l.table.at(slot), nowMs) != stateClaimed {
+			return false
+		}
+		l.remove(slot)
+	}
+	if l.table.len() >= l.bounds.LedgerEntries {
+		return own
+	}
+	l.add(key, by, stateReleased, nowMs)
+	return true
+}
+
+// store keeps the answer, without its body if that is too large.
+func (l *ledger) store(e *entry, a *pb.StoredAnswer) {
+	if a == nil {
+		a = &pb.StoredAnswer{}
+	}
+	room := min(l.bounds.AnswerBytes, l.bounds.AnswersBytes-l.answers)
+	if proto.Size(a) > room {
+		a = &pb.StoredAnswer{Status: a.Status, Truncated: true}
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(a)
+	if err != nil {
+		// The answer was decoded from valid protobuf.
+		panic("encoding a stored answer: " + err.Error())
+	}
+	e.setTail(e.requestID(), data)
+	l.answers += len(data)
+}
--- /dev/null
+++ b/internal/state/ledger_table.go
@@ -0,0 +1,204 @@
+package state
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+type entryState uint8
+
+const (
+	stateClaimed entryState = iota + 1
+	stateDone
+	stateReleased
+	stateUnknown
+)
+
+// hashBytes is what the table keeps of keys and digests.
+const hashBytes = 16
+
+// entryKey is the truncated SHA-256 sum of what an entry is found by.
+type entryKey [hashBytes]byte
+
+// claimant names one dispatch.
+type claimant struct {
+	router      string
+	incarnation uint64
+	attempt     uint64
+}
+
+func hashParts(parts ...string) entryKey {
+	h := sha256.New()
+	var size [8]byte
+	for _, p := range parts {
+		binary.BigEndian.PutUint64(size[:], uint64(len(p)))
+		h.Write(size[:])
+		h.Write([]byte(p))
+	}
+	return entryKey(h.Sum(nil)[:hashBytes])
+}
+
+func claimKey(customer, key string) entryKey {
+	return hashParts("claim", customer, key)
+}
+
+func releaseKey(customer, key string, by claimant) entryKey {
+	var numbers [16]byte
+	binary.BigEndian.PutUint64(numbers[:8], by.incarnation)
+	binary.BigEndian.PutUint64(numbers[8:], by.attempt)
+	return hashParts("release", customer, key, by.router, string(numbers[:]))
+}
+
+func shortDigest(digest []byte) [hashBytes]byte { return [hashBytes]byte(digest) }
+
+// entry is one claim or one remembered release. It is laid out for a million
+// of them: one string is its only pointer.
+type entry struct {
+	key         entryKey
+	digest      [hashBytes]byte
+	incarnation uint64
+	attempt     uint64
+	timeMs      int64
+	// tail holds the length of the request id, the id and the encoded answer.
+	tail       string
+	router     uint32
+	prev, next uint32
+	state      entryState
+}
+
+func (e *entry) setTail(requestID string, answer []byte) {
+	buf := make([]byte, 0, 1+len(requestID)+len(answer))
+	buf = append(buf, byte(len(requestID)))
+	buf = append(buf, requestID...)
+	buf = append(buf, answer...)
+	e.tail = string(buf)
+}
+
+func (e *entry) requestID() string {
+	if e.tail == "" {
+		return ""
+	}
+	return e.tail[1 : 1+int(e.tail[0])]
+}
+
+func (e *entry) answer() string {
+	if e.tail == "" {
+		return ""
+	}
+	return e.tail[1+int(e.tail[0]):]
+}
+
+func (e *entry) storedAnswer() *pb.StoredAnswer {
+	a := &pb.StoredAnswer{}
+	if err := proto.Unmarshal([]byte(e.answer()), a); err != nil {
+		// The bytes were made by store or checked by Restore.
+		panic("decoding a stored answer: " + err.Error())
+	}
+	return a
+}
+
+const (
+	// noSlot marks the end of a list.
+	noSlot = ^uint32(0)
+	// chunkSlots entries are allocated at once; chunks never move.
+	chunkSlots = 4096
+)
+
+// entryList orders entries by the log time at which they were made.
+type entryList struct {
+	head, tail uint32
+	n          int
+}
+
+// ledgerTable holds entries in chunks, with an index by key and a list by age
+// for keys and for releases, which have different lives.
+type ledgerTable struct {
+	index    map[entryKey]uint32
+	chunks   [][]entry
+	used     uint32
+	free     uint32
+	keys     entryList
+	releases entryList
+}
+
+func newLedgerTable() ledgerTable {
+	empty := entryList{head: noSlot, tail: noSlot}
+	return ledgerTable{
+		index:    make(map[entryKey]uint32),
+		free:     noSlot,
+		keys:     empty,
+		releases: empty,
+	}
+}
+
+func (t *ledgerTable) len() int { return len(t.index) }
+
+func (t *ledgerTable) at(slot uint32) *entry {
+	return &t.chunks[slot/chunkSlots][slot%chunkSlots]
+}
+
+func (t *ledgerTable) find(key entryKey) (uint32, bool) {
+	slot, ok := t.index[key]
+	return slot, ok
+}
+
+func (t *ledgerTable) list(s entryState) *entryList {
+	if s == stateReleased {
+		return &t.releases
+	}
+	return &t.keys
+}
+
+// add appends an entry; its time must not be before those of earlier ones.
+func (t *ledgerTable) add(key entryKey, state entryState, timeMs int64) *entry {
+	slot := t.allocate()
+	list := t.list(state)
+	e := t.at(slot)
+	*e = entry{key: key, state: state, timeMs: timeMs, prev: list.tail, next: noSlot}
+	if list.tail == noSlot {
+		list.head = slot
+	} else {
+		t.at(list.tail).next = slot
+	}
+	list.tail = slot
+	list.n++
+	t.index[key] = slot
+	return e
+}
+
+func (t *ledgerTable) allocate() uint32 {
+	if t.free != noSlot {
+		slot := t.free
+		t.free = t.at(slot).next
+		return slot
+	}
+	slot := t.used
+	if slot%chunkSlots == 0 {
+		t.chunks = append(t.chunks, make([]entry, chunkSlots))
+	}
+	t.used++
+	return slot
+}
+
+func (t *ledgerTable) remove(slot uint32) {
+	e := t.at(slot)
+	list := t.list(e.state)
+	if e.prev == noSlot {
+		list.head = e.next
+	} else {
+		t.at(e.prev).next = e.next
+	}
+	if e.next == noSlot {
+		list.tail = e.prev
+	} else {
+		t.at(e.next).prev = e.prev
+	}
+	list.n--
+	delete(t.index, e.key)
+	*e = entry{next: t.free}
+	t.free = slot
+}
--- /dev/null
+++ b/internal/state/ledger_test.go
@@ -0,0 +1,248 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	granted    = pb.ClaimStatus_CLAIM_STATUS_GRANTED
+	inProgress = pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS
+	done       = pb.ClaimStatus_CLAIM_STATUS_DONE
+	unknown    = pb.ClaimStatus_CLAIM_STATUS_UNKNOWN
+)
+
+func claimOf(key, router string, incarnation, attempt uint64) *pb.Claim {
+	return &pb.Claim{
+		Customer:          "harga",
+		Key:               key,
+		Digest:            make([]byte, DigestBytes),
+		Router:            router,
+		RouterIncarnation: incarnation,
+		Attempt:           attempt,
+		RequestId:         fmt.Sprint(router, "-", incarnation, "-", attempt),
+	}
+}
+
+func resolveOf(c *pb.Claim, outcome pb.ClaimOutcome) *pb.Resolve {
+	return &pb.Resolve{
+		Customer:          c.Customer,
+		Key:               c.Key,
+		Router:            c.Router,
+		RouterIncarnation: c.RouterIncarnation,
+		Attempt:           c.Attempt,
+		Outcome:           outcome,
+		Answer:            &pb.StoredAnswer{Status: 201, Body: []byte(c.RequestId)},
+	}
+}
+
+func wantStatus(t *testing.T, what string, r *pb.ClaimResult, want pb.ClaimStatus) {
+	t.Helper()
+	if r.Status != want {
+		t.Fatalf("%s: %v, want %v", what, r.Status, want)
+	}
+}
+
+func TestClaimIsAnsweredFromTheLedger(t *testing.T) {
+	s := newScript(DefaultBounds())
+	a, b := claimOf("k", "r1", 1, 1), claimOf("k", "r2", 1, 1)
+	wantStatus(t, "first claim", s.claim(a), granted)
+	wantStatus(t, "another router", s.claim(b), inProgress)
+	again := s.claim(a)
+	if again.Status != granted || !again.Resent {
+		t.Fatalf("repeat of the claim: %v", again)
+	}
+	other := claimOf("k", "r2", 1, 2)
+	other.Digest[0] = 1
+	wantStatus(t, "another digest", s.claim(other), pb.ClaimStatus_CLAIM_STATUS_DIGEST_MISMATCH)
+	if s.resolve(resolveOf(b, pb.ClaimOutcome_CLAIM_OUTCOME_DONE)) {
+		t.Fatal("another router ended the claim")
+	}
+	for range 2 {
+		if !s.resolve(resolveOf(a, pb.ClaimOutcome_CLAIM_OUTCOME_DONE)) {
+			t.Fatal("the claimant's outcome was not applied")
+		}
+	}
+	s.restart(t)
+	r := s.claim(b)
+	wantStatus(t, "after the outcome", r, done)
+	if r.Answer.GetStatus() != 201 || string(r.Answer.GetBody()) != "r1-1-1" || r.RequestId != "r1-1-1" {
+		t.Fatalf("stored answer %v", r)
+	}
+}
+
+// A copy of a claim that commits after its claimant gave the key up must not
+// hold the key, whether the release came before or after the first copy.
+func TestLateCopyOfReleasedClaim(t *testing.T) {
+	s := newScript(DefaultBounds())
+	a := claimOf("k", "r1", 1, 1)
+	if !s.resolve(resolveOf(a, pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED)) {
+		t.Fatal("a release before its claim was not applied")
+	}
+	wantStatus(t, "claim after its release", s.claim(a), inProgress)
+	b := claimOf("k", "r2", 1, 1)
+	wantStatus(t, "another claimant", s.claim(b), granted)
+	s.resolve(resolveOf(b, pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED))
+	s.restart(t)
+	wantStatus(t, "late copy of the second claim", s.claim(b), inProgress)
+	wantStatus(t, "third claimant", s.claim(claimOf("k", "r3", 1, 1)), granted)
+}
+
+func TestClaimTurnsUnknownAndStays(t *testing.T) {
+	ends := map[string]func(s *script){
+		"age":              func(s *script) { s.timeMs += s.bounds.OpenLife.Milliseconds() },
+		"next incarnation": func(s *script) { s.claim(claimOf("other", "r1", 2, 1)) },
+		"claimant's word": func(s *script) {
+			s.resolve(resolveOf(claimOf("k", "r1", 1, 1), pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN))
+		},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(DefaultBounds())
+			a := claimOf("k", "r1", 1, 1)
+			s.claim(a)
+			end(s)
+			wantStatus(t, "another claimant", s.claim(claimOf("k", "r2", 1, 1)), unknown)
+			if s.resolve(resolveOf(a, pb.ClaimOutcome_CLAIM_OUTCOME_DONE)) || s.resolve(resolveOf(a, pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED)) {
+				t.Fatal("an unknown outcome was replaced")
+			}
+			s.restart(t)
+			if r := s.claim(a); r.Status == granted {
+				t.Fatal("an unknown claim was granted")
+			}
+			wantStatus(t, "after all", s.claim(claimOf("k", "r2", 1, 2)), unknown)
+		})
+	}
+}
+
+func TestStaleIncarnationIsNotGranted(t *testing.T) {
+	s := newScript(DefaultBounds())
+	s.claim(claimOf("a", "r1", 2, 1))
+	wantStatus(t, "earlier incarnation", s.claim(claimOf("b", "r1", 1, 9)), pb.ClaimStatus_CLAIM_STATUS_STALE_CLAIMANT)
+}
+
+func TestLedgerBounds(t *testing.T) {
+	b := DefaultBounds()
+	b.LedgerEntries = 3
+	b.AnswerBytes = 64
+	b.AnswersBytes = 100
+	s := newScript(b)
+	for i := range 3 {
+		c := claimOf(fmt.Sprint(i), "r1", 1, uint64(i))
+		wantStatus(t, "claim", s.claim(c), granted)
+		r := resolveOf(c, pb.ClaimOutcome_CLAIM_OUTCOME_DONE)
+		r.Answer.Body = make([]byte, 50+i)
+		s.resolve(r)
+	}
+	wantStatus(t, "one more", s.claim(claimOf("3", "r1", 1, 3)), pb.ClaimStatus_CLAIM_STATUS_FULL)
+	for i, truncated := range []bool{false, true, true} {
+		r := s.claim(claimOf(fmt.Sprint(i), "r1", 1, uint64(i)))
+		if r.Status != done || r.Answer.Truncated != truncated || r.Answer.Status != 201 {
+			t.Fatalf("answer %d: %v", i, r)
+		}
+	}
+	s.timeMs += b.KeyLife.Milliseconds()
+	wantStatus(t, "after the keys' life", s.claim(claimOf("3", "r1", 1, 3)), granted)
+	if s.ledger.answers != 0 || s.ledger.table.len() != 1 {
+		t.Fatalf("%d bytes of answers, %d entries", s.ledger.answers, s.ledger.table.len())
+	}
+}
+
+// ledgerModel knows, for each key, who was granted it and how it ended.
+type ledgerModel struct {
+	grants map[string]int
+	state  map[string]pb.ClaimStatus
+	holder map[string]*pb.Claim
+}
+
+// TestLedgerModel drives the ledger with duplicated, reordered and stale
+// commands of several routers, restarts in between. A grant without Resent may
+// come once for each key and claimant, a key is granted to one claimant at a
+// time, and done and unknown never change. Keys outlive the run.
+func TestLedgerModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := DefaultBounds()
+		b.ReleaseLife = b.KeyLife
+		s := newScript(b)
+		m := ledgerModel{grants: map[string]int{}, state: map[string]pb.ClaimStatus{}, holder: map[string]*pb.Claim{}}
+		drawClaim := func(t *rapid.T) *pb.Claim {
+			return claimOf(
+				rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key"),
+				rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "router"),
+				rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+				rapid.Uint64Range(1, 4).Draw(t, "attempt"),
+			)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"claim":   func(t *rapid.T) { m.claimed(t, drawClaim(t), s) },
+			"resolve": func(t *rapid.T) { m.resolved(t, drawClaim(t), s) },
+			"wait": func(t *rapid.T) {
+				s.timeMs += rapid.Int64Range(0, int64(10*time.Minute/time.Millisecond)).Draw(t, "ms")
+			},
+			"restart": func(t *rapid.T) { s.restart(t) },
+		})
+	})
+}
+
+func (m *ledgerModel) claimed(t *rapid.T, c *pb.Claim, s *script) {
+	r := s.claim(c)
+	before := m.state[c.Key]
+	if r.Status == granted && !r.Resent {
+		id := c.Key + "/" + c.RequestId
+		m.grants[id]++
+		if m.grants[id] > 1 {
+			t.Fatalf("claim %s was granted twice", id)
+		}
+		if before != pb.ClaimStatus_CLAIM_STATUS_UNSPECIFIED {
+			t.Fatalf("key %s was granted while %v", c.Key, before)
+		}
+		m.state[c.Key] = inProgress
+		m.holder[c.Key] = c
+	}
+	if r.Status == granted && r.Resent && m.holder[c.Key].RequestId != c.RequestId {
+		t.Fatalf("key %s of %s was granted to %s", c.Key, m.holder[c.Key].RequestId, c.RequestId)
+	}
+	if (before == done || before == unknown) && r.Status != before && r.Status != pb.ClaimStatus_CLAIM_STATUS_STALE_CLAIMANT {
+		if _, released := m.grants["released/"+c.Key+"/"+c.RequestId]; !released {
+			t.Fatalf("key %s went from %v to %v", c.Key, before, r.Status)
+		}
+	}
+	if r.Status == unknown {
+		m.state[c.Key] = unknown
+	}
+}
+
+func (m *ledgerModel) resolved(t *rapid.T, c *pb.Claim, s *script) {
+	outcome := pb.ClaimOutcome(rapid.IntRange(1, 3).Draw(t, "outcome"))
+	applied := s.resolve(resolveOf(c, outcome))
+	own := m.holder[c.Key] != nil && m.holder[c.Key].RequestId == c.RequestId
+	if !applied {
+		return
+	}
+	switch outcome {
+	case pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED:
+		m.grants["released/"+c.Key+"/"+c.RequestId] = 1
+		if own && m.state[c.Key] != inProgress && m.state[c.Key] != pb.ClaimStatus_CLAIM_STATUS_UNSPECIFIED {
+			t.Fatalf("key %s was released while %v", c.Key, m.state[c.Key])
+		}
+		if own {
+			delete(m.state, c.Key)
+			delete(m.holder, c.Key)
+		}
+	case pb.ClaimOutcome_CLAIM_OUTCOME_DONE:
+		if !own || m.state[c.Key] == unknown {
+			t.Fatalf("outcome of %s taken from %s while %v", c.Key, c.RequestId, m.state[c.Key])
+		}
+		m.state[c.Key] = done
+	case pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN:
+		if !own || m.state[c.Key] == done {
+			t.Fatalf("outcome of %s taken from %s while %v", c.Key, c.RequestId, m.state[c.Key])
+		}
+		m.state[c.Key] = unknown
+	}
+}
--- /dev/null
+++ b/internal/state/machine.go
@@ -0,0 +1,92 @@
+package state
+
+import (
+	"fmt"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/replica"
+)
+
+// Machine is the replicated state. Apply and Restore come from one goroutine;
+// reads may come from any.
+type Machine struct {
+	bounds Bounds
+
+	mu sync.RWMutex
+	// nowMs is the log time of the last entry; it never falls.
+	nowMs int64
+	// revision counts accepted changes.
+	revision   uint64
+	objects    objects
+	history    history
+	operations operations
+	ledger     ledger
+}
+
+var _ replica.Machine = (*Machine)(nil)
+
+// Option changes how New makes a machine.
+type Option func(*Machine)
+
+// WithBounds replaces the default bounds.
+func WithBounds(b Bounds) Option {
+	return func(m *Machine) { m.bounds = b }
+}
+
+// New makes an empty machine.
+func New(opts ...Option) *Machine {
+	m := &Machine{bounds: DefaultBounds()}
+	for _, o := range opts {
+		o(m)
+	}
+	m.reset()
+	return m
+}
+
+func (m *Machine) reset() {
+	m.nowMs = 0
+	m.revision = 0
+	m.objects = newObjects()
+	m.history = history{maxRecords: m.bounds.History, maxBytes: m.bounds.HistoryBytes}
+	m.operations = newOperations(m.bounds)
+	m.ledger = newLedger(m.bounds)
+}
+
+// Apply executes one committed command and returns an encoded CommandResult.
+// An entry without data only moves the log time. Data that is no command
+// gives an empty result.
+func (m *Machine) Apply(e replica.Entry) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nowMs = max(m.nowMs, e.TimeMs)
+	m.operations.expire(m.nowMs)
+	m.ledger.expire(m.nowMs)
+	if len(e.Data) == 0 {
+		return nil
+	}
+	cmd := &pb.Command{}
+	if err := proto.Unmarshal(e.Data, cmd); err != nil {
+		return nil
+	}
+	out, err := proto.MarshalOptions{Deterministic: true}.Marshal(m.execute(e, cmd))
+	if err != nil {
+		// The results hold only fields that were checked or made here.
+		panic(fmt.Sprintf("encoding the result of entry %d: %v", e.Index, err))
+	}
+	return out
+}
+
+func (m *Machine) execute(e replica.Entry, cmd *pb.Command) *pb.CommandResult {
+	switch body := cmd.Body.(type) {
+	case *pb.Command_Change:
+		return &pb.CommandResult{Body: &pb.CommandResult_Change{Change: m.change(e, body.Change)}}
+	case *pb.Command_Claim:
+		return &pb.CommandResult{Body: &pb.CommandResult_Claim{Claim: m.ledger.claim(body.Claim, m.nowMs)}}
+	case *pb.Command_Resolve:
+		return &pb.CommandResult{Body: &pb.CommandResult_Resolve{Resolve: m.ledger.resolve(body.Resolve, m.nowMs)}}
+	}
+	return &pb.CommandResult{}
+}
--- /dev/null
+++ b/internal/state/operations.go
@@ -0,0 +1,59 @@
+package state
+
+import (
+	"crypto/sha256"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// operation is the first answer to one operation id.
+type operation struct {
+	id     string
+	digest [sha256.Size]byte
+	timeMs int64
+	result *pb.ChangeResult
+}
+
+// operations keeps the answers in the order of their log time; the oldest
+// leave first, by age or by count. A resend after that can't be accepted a
+// second time: the object's revision has moved on and never comes back.
+type operations struct {
+	max    int
+	lifeMs int64
+	byID   map[string]*operation
+	fifo   []*operation
+}
+
+func newOperations(b Bounds) operations {
+	return operations{
+		max:    b.Operations,
+		lifeMs: b.OperationLife.Milliseconds(),
+		byID:   make(map[string]*operation),
+	}
+}
+
+func (t *operations) find(id string) (*operation, bool) {
+	op, ok := t.byID[id]
+	return op, ok
+}
+
+func (t *operations) add(id string, digest [sha256.Size]byte, nowMs int64, result *pb.ChangeResult) {
+	op := &operation{id: id, digest: digest, timeMs: nowMs, result: result}
+	t.byID[id] = op
+	t.fifo = append(t.fifo, op)
+	if len(t.fifo) > t.max {
+		t.dropOldest()
+	}
+}
+
+func (t *operations) expire(nowMs int64) {
+	for len(t.fifo) > 0 && t.fifo[0].timeMs+t.lifeMs <= nowMs {
+		t.dropOldest()
+	}
+}
+
+func (t *operations) dropOldest() {
+	delete(t.byID, t.fifo[0].id)
+	t.fifo[0] = nil
+	t.fifo = t.fifo[1:]
+}
--- /dev/null
+++ b/internal/state/snapshot.go
@@ -0,0 +1,145 @@
+package state
+
+import (
+	"bufio"
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// snapshotVersion names the encoding below.
+	snapshotVersion = 1
+	// snapshotBuffer is the bytes written or read at once.
+	snapshotBuffer = 256 << 10
+	// ledgerBlockEntries is how many ledger entries one record holds.
+	ledgerBlockEntries = 256
+)
+
+// snapshotWriter counts the records, so that a shortened snapshot is noticed.
+type snapshotWriter struct {
+	w       *bufio.Writer
+	records uint64
+	err     error
+}
+
+func (s *snapshotWriter) write(r *pb.SnapshotRecord) {
+	if s.err != nil {
+		return
+	}
+	s.records++
+	_, s.err = protodelim.MarshalTo(s.w, r)
+}
+
+// Snapshot writes the whole state. Equal states give equal bytes.
+func (m *Machine) Snapshot(w io.Writer) error {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	s := &snapshotWriter{w: bufio.NewWriterSize(w, snapshotBuffer)}
+	s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_Header{Header: &pb.SnapshotHeader{
+		Version:    snapshotVersion,
+		Revision:   m.revision,
+		TimeUnixMs: m.nowMs,
+		LastRouter: m.ledger.routers.last,
+	}}})
+	m.writeObjects(s)
+	for _, r := range m.history.records {
+		s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_History{History: r}})
+	}
+	for _, op := range m.operations.fifo {
+		s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_Operation{Operation: &pb.OperationRecord{
+			OperationId: op.id,
+			Digest:      op.digest[:],
+			TimeUnixMs:  op.timeMs,
+			Result:      op.result,
+		}}})
+	}
+	m.writeLedger(s)
+	s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_End{End: &pb.SnapshotEnd{Records: s.records}}})
+	return errors.Join(s.err, s.w.Flush())
+}
+
+// writeObjects writes the objects in the order of their revisions.
+func (m *Machine) writeObjects(s *snapshotWriter) {
+	for _, item := range m.objects.order {
+		if m.objects.stale(item) {
+			continue
+		}
+		o := m.objects.get(item.key)
+		r := &pb.ObjectRecord{Operator: o.operator, TimeUnixMs: o.timeMs}
+		if o.contract != nil {
+			r.Object = &pb.ObjectRecord_Contract{Contract: o.contract}
+		} else {
+			r.Object = &pb.ObjectRecord_Intent{Intent: o.intent}
+		}
+		s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_Object{Object: r}})
+	}
+}
+
+func (m *Machine) writeLedger(s *snapshotWriter) {
+	numbers := slices.SortedFunc(maps.Keys(m.ledger.routers.byNum), cmp.Compare[uint32])
+	for _, n := range numbers {
+		r := m.ledger.routers.at(n)
+		s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_Router{Router: &pb.LedgerRouter{
+			Number:      n,
+			Id:          r.id,
+			Incarnation: r.incarnation,
+		}}})
+	}
+	m.writeEntries(s, &m.ledger.table.keys)
+	m.writeEntries(s, &m.ledger.table.releases)
+}
+
+func (m *Machine) writeEntries(s *snapshotWriter, list *entryList) {
+	block := &pb.LedgerBlock{}
+	entries := make([]pb.LedgerEntry, ledgerBlockEntries)
+	flush := func() {
+		if len(block.Entries) > 0 {
+			s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_Ledger{Ledger: block}})
+			block.Entries = block.Entries[:0]
+		}
+	}
+	for slot := list.head; slot != noSlot; {
+		e := m.ledger.table.at(slot)
+		out := &entries[len(block.Entries)]
+		encodeEntry(e, out)
+		block.Entries = append(block.Entries, out)
+		if len(block.Entries) == ledgerBlockEntries {
+			flush()
+		}
+		slot = e.next
+	}
+	flush()
+}
+
+// encodeEntry sets every field, since out is used again.
+func encodeEntry(e *entry, out *pb.LedgerEntry) {
+	out.Key = e.key[:]
+	out.Digest = e.digest[:]
+	out.Router = e.router
+	out.Incarnation = e.incarnation
+	out.Attempt = e.attempt
+	out.TimeUnixMs = e.timeMs
+	out.State = pb.LedgerState(e.state)
+	out.RequestId = e.requestID()
+	out.Answer = []byte(e.answer())
+}
+
+// Restore replaces the whole state. After an error the machine is empty.
+func (m *Machine) Restore(r io.Reader) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reset()
+	if err := m.restore(r); err != nil {
+		m.reset()
+		return fmt.Errorf("restoring a snapshot: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/validate.go
@@ -0,0 +1,88 @@
+package state
+
+import (
+	"fmt"
+	"math"
+	"unicode/utf8"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// invalidChange checks what doesn't depend on the state; it returns "" for a
+// change that may be tried.
+func invalidChange(c *pb.ConfigChange) string {
+	if text := invalidName("operation id", c.GetOperationId()); text != "" {
+		return text
+	}
+	if text := invalidName("operator", c.Operator); text != "" {
+		return text
+	}
+	if size := proto.Size(c); size > MaxObjectBytes {
+		return fmt.Sprintf("the change has %d bytes, over the bound of %d", size, MaxObjectBytes)
+	}
+	switch o := c.Object.(type) {
+	case *pb.ConfigChange_Contract:
+		return invalidContract(o.Contract)
+	case *pb.ConfigChange_Intent:
+		return invalidIntent(o.Intent)
+	}
+	return "the change names no object"
+}
+
+func invalidName(what, s string) string {
+	switch {
+	case s == "":
+		return what + " is missing"
+	case len(s) > MaxNameBytes:
+		return fmt.Sprintf("%s has %d bytes, over the bound of %d", what, len(s), MaxNameBytes)
+	case !utf8.ValidString(s):
+		return what + " is not valid UTF-8"
+	}
+	return ""
+}
+
+func invalidContract(k *pb.Contract) string {
+	if text := invalidName("customer", k.GetCustomer()); text != "" {
+		return text
+	}
+	if len(k.KeyHashes) > MaxKeysPerContract {
+		return fmt.Sprintf("%d bearer keys are over the bound of %d", len(k.KeyHashes), MaxKeysPerContract)
+	}
+	for _, sum := range k.KeyHashes {
+		if len(sum) != DigestBytes {
+			return "a key hash is not a SHA-256 sum"
+		}
+	}
+	l := k.Limits
+	if !validRate(l.GetRequestsPerSecond()) || !validRate(l.GetTokensPerSecond()) {
+		return "a limit is negative or not a number"
+	}
+	o := k.Objectives
+	if !validShare(o.GetFirstTokenShare()) || !validShare(o.GetAnsweredShare()) || !validShare(o.GetNotRefusedShare()) {
+		return "an objective's share is not between 0 and 1"
+	}
+	return ""
+}
+
+func validRate(v float64) bool  { return v >= 0 && !math.IsInf(v, 0) }
+func validShare(v float64) bool { return v >= 0 && v <= 1 }
+
+func invalidIntent(i *pb.TargetIntent) string {
+	if text := invalidName("target", i.GetTarget()); text != "" {
+		return text
+	}
+	switch i.Desired {
+	case pb.DesiredState_DESIRED_STATE_SERVE, pb.DesiredState_DESIRED_STATE_DRAIN, pb.DesiredState_DESIRED_STATE_STOP:
+		return ""
+	}
+	return "the intent names no desired state"
+}
+
+// validClaimant checks the fields that name a ledger key and its claimant.
+func validClaimant(customer, key, router string) bool {
+	return invalidName("customer", customer) == "" &&
+		invalidName("router", router) == "" &&
+		key != "" && len(key) <= MaxIdempotencyKeyBytes
+}
