--- /dev/null
+++ b/internal/configlease/holder.go
@@ -0,0 +1,272 @@
+package configlease
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// DefaultPoll is the pause between two requests for the lease.
+	DefaultPoll = 400 * time.Millisecond
+	// retryPause is the pause after a request that failed.
+	retryPause = 100 * time.Millisecond
+	// askTimeout bounds one request for the lease.
+	askTimeout = 1 * time.Second
+)
+
+// Asker asks the leader for a lease; control.Client is one.
+type Asker interface {
+	Lease(ctx context.Context, req *pb.LeaseRequest) (*pb.LeaseReply, error)
+}
+
+// Config holds what a Holder works with.
+type Config struct {
+	// Router and Incarnation name this process to the leader.
+	Router      string
+	Incarnation uint64
+	Client      Asker
+	// Poll is the pause between requests; zero means DefaultPoll.
+	Poll   time.Duration
+	Logger *log.Logger
+	Scope  tally.Scope
+	// OnLease is told each time the lease is won or lost, in that order and
+	// one call at a time; nil for none. It must not block.
+	OnLease func(held bool)
+}
+
+// grant is the lease as the request path reads it.
+type grant struct {
+	revision uint64
+	// until and asked are on the local monotonic clock.
+	until time.Time
+	asked time.Time
+}
+
+// Holder polls for the lease and answers the request path from memory.
+type Holder struct {
+	cfg   Config
+	nonce uint64
+	kick  chan struct{}
+
+	grant  atomic.Pointer[grant]
+	config table
+
+	// hookMu orders the calls of OnLease.
+	hookMu   sync.Mutex
+	held     bool
+	first    chan struct{}
+	hadFirst bool
+
+	age      tally.Gauge
+	revision tally.Gauge
+	failures tally.Counter
+	lost     tally.Counter
+}
+
+var _ filter.ConfigView = (*Holder)(nil)
+
+// NewHolder makes a holder without lease; Run keeps it up.
+func NewHolder(cfg Config) *Holder {
+	if cfg.Poll == 0 {
+		cfg.Poll = DefaultPoll
+	}
+	scope := cfg.Scope.SubScope("config")
+	h := &Holder{
+		cfg:      cfg,
+		nonce:    rand.Uint64(),
+		kick:     make(chan struct{}, 1),
+		config:   newTable(),
+		first:    make(chan struct{}),
+		age:      scope.Gauge("lease_age_seconds"),
+		revision: scope.Gauge("revision"),
+		failures: scope.Counter("lease_failures"),
+		lost:     scope.Counter("leases_lost"),
+	}
+	h.grant.Store(&grant{})
+	return h
+}
+
+// Lease returns the revision in force here and the end of the lease; ok is
+// false if the lease does not hold now.
+func (h *Holder) Lease() (revision uint64, until time.Time, ok bool) {
+	g := h.grant.Load()
+	return g.revision, g.until, time.Now().Before(g.until)
+}
+
+// Age returns the time since the evidence of the present lease was asked for;
+// ok is false if there never was a lease.
+func (h *Holder) Age() (age time.Duration, ok bool) {
+	g := h.grant.Load()
+	if g.asked.IsZero() {
+		return 0, false
+	}
+	return time.Since(g.asked), true
+}
+
+// ContractByKey finds the contract of the bearer key with this SHA-256 sum.
+func (h *Holder) ContractByKey(sum [32]byte) (*pb.Contract, bool) {
+	return h.config.contractByKey(sum)
+}
+
+// Intent returns the operators' intent for a target, nil if there is none.
+func (h *Holder) Intent(target string) *pb.TargetIntent {
+	return h.config.intent(target)
+}
+
+// Contracts returns the contracts held, by customer.
+func (h *Holder) Contracts() []*pb.Contract { return h.config.contracts() }
+
+// WaitFirst returns once the first lease was won, or with ctx's error.
+func (h *Holder) WaitFirst(ctx context.Context) error {
+	select {
+	case <-h.first:
+		return nil
+	case <-ctx.Done():
+		return errs.Wrap(ctx.Err(), "first configuration lease", "")
+	}
+}
+
+// Kick asks for the lease at once, for example because a peer is known to hold
+// a higher revision. It never blocks.
+func (h *Holder) Kick() {
+	select {
+	case h.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run keeps the lease until ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	expiry := time.AfterFunc(time.Hour, h.noteLoss)
+	defer expiry.Stop()
+	for ctx.Err() == nil {
+		again, err := h.ask(ctx)
+		if g := h.grant.Load(); !g.until.IsZero() {
+			expiry.Reset(time.Until(g.until))
+		}
+		h.note(h.Lease())
+		h.report(err)
+		if again {
+			continue
+		}
+		h.pause(ctx, err)
+	}
+}
+
+func (h *Holder) pause(ctx context.Context, err error) {
+	d := h.cfg.Poll
+	if err != nil {
+		d = retryPause
+	}
+	// Jitter keeps a fleet that started at once from asking at once.
+	timer := time.NewTimer(d - d/8 + rand.N(d/4))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-h.kick:
+	case <-ctx.Done():
+	}
+}
+
+// ask makes one request. again tells that the next one should follow at once:
+// to fetch the rest, or to acknowledge what was applied.
+func (h *Holder) ask(ctx context.Context) (again bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	h.nonce++
+	held := h.config.revision()
+	req := &pb.LeaseRequest{
+		Router:       h.cfg.Router,
+		Incarnation:  h.cfg.Incarnation,
+		Nonce:        h.nonce,
+		HeldRevision: held,
+	}
+	// The lease counts from here: whatever delays the answer shortens it.
+	asked := time.Now()
+	reply, err := h.cfg.Client.Lease(ctx, req)
+	if err != nil {
+		return false, err
+	}
+	if reply.Nonce != req.Nonce {
+		return false, errs.New("configuration lease", reply.LeaderAddr, "the evidence answers another request")
+	}
+	if reply.Revision < held {
+		// Accepted revisions never fall, so this is no evidence of ours.
+		return false, errs.New("configuration lease", reply.LeaderAddr, "the evidence is for a lower revision than the one held")
+	}
+	if err := h.config.apply(reply); err != nil {
+		return false, errs.Wrap(err, "configuration lease", reply.LeaderAddr)
+	}
+	if !reply.Partial {
+		h.grant.Store(&grant{
+			revision: reply.Revision,
+			until:    asked.Add(time.Duration(reply.LeaseMs) * time.Millisecond),
+			asked:    asked,
+		})
+	}
+	return reply.Partial || reply.Revision > held, nil
+}
+
+// note tells the hook if the lease was won.
+func (h *Holder) note(_ uint64, _ time.Time, ok bool) {
+	if !ok {
+		h.noteLoss()
+		return
+	}
+	h.hookMu.Lock()
+	defer h.hookMu.Unlock()
+	if !h.hadFirst {
+		h.hadFirst = true
+		close(h.first)
+	}
+	h.setHeldLocked(true)
+}
+
+// noteLoss tells the hook if the lease has ended.
+func (h *Holder) noteLoss() {
+	h.hookMu.Lock()
+	defer h.hookMu.Unlock()
+	if _, _, ok := h.Lease(); ok {
+		return
+	}
+	h.setHeldLocked(false)
+}
+
+func (h *Holder) setHeldLocked(held bool) {
+	if h.held == held {
+		return
+	}
+	h.held = held
+	revision, _, _ := h.Lease()
+	event := h.cfg.Logger.Info()
+	if !held {
+		event = h.cfg.Logger.Warn()
+		h.lost.Inc(1)
+	}
+	event.Str("step", "configuration lease").Uint64("revision", revision).Bool("held", held).Msg("the configuration lease changed")
+	if h.cfg.OnLease != nil {
+		h.cfg.OnLease(held)
+	}
+}
+
+func (h *Holder) report(err error) {
+	if age, ok := h.Age(); ok {
+		h.age.Update(age.Seconds())
+	}
+	h.revision.Update(float64(h.config.revision()))
+	if err == nil {
+		return
+	}
+	h.failures.Inc(1)
+	h.cfg.Logger.Debug().Err(err).Str("step", "configuration lease").Str("peer", errs.Peer(err)).Msg("no lease")
+}
--- /dev/null
+++ b/internal/configlease/table.go
@@ -0,0 +1,109 @@
+package configlease
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// table is the router's copy of the configuration. Its bound is that of the
+// replicas' table, which it copies.
+type table struct {
+	mu         sync.RWMutex
+	held       uint64
+	byKey      map[[32]byte]*pb.Contract
+	byCustomer map[string]*pb.Contract
+	intents    map[string]*pb.TargetIntent
+}
+
+func newTable() table {
+	return table{
+		byKey:      make(map[[32]byte]*pb.Contract),
+		byCustomer: make(map[string]*pb.Contract),
+		intents:    make(map[string]*pb.TargetIntent),
+	}
+}
+
+func (t *table) revision() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.held
+}
+
+func (t *table) contractByKey(sum [32]byte) (*pb.Contract, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	k, ok := t.byKey[sum]
+	return k, ok
+}
+
+func (t *table) intent(target string) *pb.TargetIntent {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.intents[target]
+}
+
+func (t *table) contracts() []*pb.Contract {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return slices.SortedFunc(maps.Values(t.byCustomer), func(a, b *pb.Contract) int {
+		return cmp.Compare(a.Customer, b.Customer)
+	})
+}
+
+// apply takes the objects of a reply and moves to its revision, never back.
+func (t *table) apply(reply *pb.LeaseReply) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	to := reply.Revision
+	if reply.Partial {
+		to = reply.UpTo
+	}
+	if to < t.held || (reply.Partial && to == t.held) {
+		return errors.New("the reply makes no progress from the held revision")
+	}
+	// Old keys leave before new ones enter, since a key may move from one
+	// customer to another within one reply.
+	for _, k := range reply.Contracts {
+		t.dropLocked(k)
+	}
+	for _, k := range reply.Contracts {
+		t.putLocked(k)
+	}
+	for _, i := range reply.Intents {
+		if i.Revision > t.intents[i.Target].GetRevision() {
+			t.intents[i.Target] = i
+		}
+	}
+	t.held = to
+	return nil
+}
+
+func (t *table) dropLocked(k *pb.Contract) {
+	old := t.byCustomer[k.Customer]
+	if old == nil || old.Revision >= k.Revision {
+		return
+	}
+	for _, sum := range old.KeyHashes {
+		if key := [32]byte(sum); t.byKey[key] == old {
+			delete(t.byKey, key)
+		}
+	}
+	delete(t.byCustomer, k.Customer)
+}
+
+func (t *table) putLocked(k *pb.Contract) {
+	if k.Deleted || t.byCustomer[k.Customer] != nil {
+		return
+	}
+	t.byCustomer[k.Customer] = k
+	for _, sum := range k.KeyHashes {
+		if len(sum) == 32 {
+			t.byKey[[32]byte(sum)] = k
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,160 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func change(operation, operator string, replaces uint64) *pb.ConfigChange {
+	return &pb.ConfigChange{
+		OperationId: operation,
+		Operator:    operator,
+		Replaces:    replaces,
+		Object:      &pb.ConfigChange_Contract{Contract: &pb.Contract{Customer: "harga", Weight: 1}},
+	}
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func accept(t *testing.T, c *Client, ch *pb.ConfigChange) *pb.ChangeResult {
+	t.Helper()
+	r, err := c.Change(within(t, 5*time.Second), ch)
+	if err != nil || r.Status != pb.ChangeStatus_CHANGE_STATUS_ACCEPTED {
+		t.Fatalf("change %s: %v, %v", ch.OperationId, r, err)
+	}
+	return r
+}
+
+func TestTwoOperatorsThroughTwoReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		c := f.client(t, "op")
+		accept(t, c, change("op-1", "aina", 0))
+		results := make(chan *pb.ChangeResult, 2)
+		for _, operator := range []string{"aina", "bayani"} {
+			go func() {
+				r, err := c.Change(within(t, 5*time.Second), change("op-2-"+operator, operator, 1))
+				if err != nil {
+					t.Error(err)
+				}
+				results <- r
+			}()
+		}
+		count := map[pb.ChangeStatus]int{}
+		for range 2 {
+			r := <-results
+			count[r.GetStatus()]++
+			if r.GetStatus() == pb.ChangeStatus_CHANGE_STATUS_CONFLICT && (r.PresentRevision != 2 || r.PresentOperator == "" || r.PresentTimeUnixMs == 0) {
+				t.Errorf("the loser is told %v", r)
+			}
+		}
+		if count[pb.ChangeStatus_CHANGE_STATUS_ACCEPTED] != 1 || count[pb.ChangeStatus_CHANGE_STATUS_CONFLICT] != 1 {
+			t.Fatalf("statuses %v", count)
+		}
+	})
+}
+
+func TestResendAcrossLeaderChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		c := f.client(t, "op")
+		f.nodes["a"].loseAnswer = true
+		first := accept(t, c, change("op-first", "aina", 0))
+		if !first.Resent {
+			t.Fatal("the retry after the lost answer was not answered as a resend")
+		}
+		revision := uint64(1)
+		for i := range 500 {
+			if i == 250 {
+				f.elect("b")
+			}
+			revision = accept(t, c, change(fmt.Sprint("op-", i), "bayani", revision)).Revision
+		}
+		f.elect("c")
+		again := accept(t, c, change("op-first", "aina", 0))
+		if !proto.Equal(first, again) {
+			t.Fatalf("first %v, again %v", first, again)
+		}
+	})
+}
+
+// A cut-off leader neither answers reads nor commits; a claim sent to it ends
+// unknown or at the new leader, never as a refusal that claims no effect.
+func TestCutOffLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		c := f.client(t, "r1")
+		accept(t, c, change("op-1", "aina", 0))
+		f.setCut("a", true)
+		_, err := f.services["a"].lease(within(t, time.Second), &pb.LeaseRequest{Router: "r1", Nonce: 1})
+		if err == nil {
+			t.Fatal("a leader without quorum granted a lease")
+		}
+		_, err = f.services["a"].submit(within(t, time.Second), &pb.SubmitRequest{Command: &pb.Command{}})
+		if err == nil {
+			t.Fatal("a leader without quorum committed")
+		}
+		f.elect("b")
+		accept(t, c, change("op-2", "aina", 1))
+		q, err := c.Query(within(t, 5*time.Second), &pb.QueryRequest{What: pb.QueryRequest_WHAT_CONTRACTS})
+		if err != nil || q.Revision != 2 || len(q.Contracts) != 1 {
+			t.Fatalf("query %v, %v", q, err)
+		}
+	})
+}
+
+func TestClaimWithLostAnswerIsGrantedToOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		c := f.client(t, "r1")
+		claim := &pb.Claim{Customer: "harga", Key: "k", Digest: make([]byte, 32), Router: "r1", RouterIncarnation: 1, Attempt: 1}
+		f.nodes["a"].loseAnswer = true
+		r, err := c.Claim(within(t, 5*time.Second), claim)
+		if err != nil || r.Status != pb.ClaimStatus_CLAIM_STATUS_GRANTED {
+			t.Fatalf("claim with a lost answer: %v, %v", r, err)
+		}
+		again, err := c.Claim(within(t, 5*time.Second), claim)
+		if err != nil || again.Status != pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS {
+			t.Fatalf("second call with the same attempt: %v, %v", again, err)
+		}
+	})
+}
+
+func TestErrorsTellIfTheClaimMayBeCommitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		c := f.client(t, "r1")
+		claim := &pb.Claim{Customer: "harga", Key: "k", Digest: make([]byte, 32), Router: "r1", RouterIncarnation: 1, Attempt: 1}
+		for _, id := range f.replicas() {
+			f.net.setCut(id, "r1", true)
+			f.net.setCut(id, "relay", true)
+		}
+		_, err := c.Claim(within(t, 4*time.Second), claim)
+		if err == nil || !IsUnknown(err) || transport.Status(err) != pb.CallStatus_CALL_STATUS_OUTCOME_UNKNOWN {
+			t.Fatalf("a claim whose answers are cut off: %v", err)
+		}
+		f.elect("b")
+		f.setCut("b", true)
+		none := newClient(ClientConfig{Replicas: func() []string { return nil }, Logger: quietLogger(), Scope: f.scope()}, link{f.net, "r2"})
+		if _, err := none.Claim(within(t, time.Second), claim); err == nil || IsUnknown(err) {
+			t.Fatalf("a claim without any replica: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/lease.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// lease gives a router evidence of the committed revision. The order of the
+// steps matters: the grant is noted before the round, since from then on the
+// router may come to hold a lease with the revision of this moment; and the
+// leader's own period is checked after the round, directly before the answer.
+func (s *Service) lease(ctx context.Context, req *pb.LeaseRequest) (*pb.LeaseReply, error) {
+	if _, ok := s.leads(); !ok {
+		resp := &pb.LeaseReply{}
+		return resp, s.forward(ctx, methodLease, req, resp)
+	}
+	if !s.leases.note(req, time.Now()) {
+		s.refused.Inc(1)
+		return nil, overloaded("the table of routers is full")
+	}
+	if err := s.reads.wait(ctx); err != nil {
+		s.refused.Inc(1)
+		return nil, err
+	}
+	d := s.state.Delta(req.HeldRevision, deltaBytes)
+	if _, ok := s.leads(); !ok {
+		s.refused.Inc(1)
+		return nil, notLeader("the leader's period ended")
+	}
+	return &pb.LeaseReply{
+		Nonce:      req.Nonce,
+		Revision:   d.Revision,
+		LeaseMs:    uint32(s.leases.length.Milliseconds()),
+		Contracts:  d.Contracts,
+		Intents:    d.Intents,
+		Partial:    d.Partial,
+		UpTo:       d.UpTo,
+		LeaderAddr: s.ownAddr(),
+	}, nil
+}
+
+// inForce waits until every router that may hold a lease acknowledged the
+// revision. It is asked of the leader only; what it finds stays true, since a
+// lease granted after the commit carries the revision.
+func (s *Service) inForce(ctx context.Context, req *pb.InForceRequest) (*pb.InForceReply, error) {
+	if _, ok := s.leads(); !ok {
+		resp := &pb.InForceReply{}
+		return resp, s.forward(ctx, methodInForce, req, resp)
+	}
+	ctx, cancel := reserve(ctx)
+	defer cancel()
+	if err := s.reads.wait(ctx); err != nil {
+		return nil, err
+	}
+	for {
+		now := time.Now()
+		changed := s.leases.watch()
+		waiting, until := s.leases.waiting(req.Revision, now)
+		if _, ok := s.leads(); !ok {
+			return nil, notLeader("the leader's period ended")
+		}
+		if s.state.Revision() < req.Revision {
+			waiting = append(waiting, "the revision is not committed")
+			until = now.Add(s.leases.length)
+		}
+		if len(waiting) == 0 {
+			return &pb.InForceReply{InForce: true}, nil
+		}
+		timer := time.NewTimer(until.Sub(now))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return &pb.InForceReply{Waiting: firstN(waiting, maxQueryItems)}, nil
+		}
+		timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/control/methods.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+// Methods that Service and Relay register.
+const (
+	methodSubmit        = "control.submit"
+	methodLease         = "control.lease"
+	methodInForce       = "control.in_force"
+	methodQuery         = "control.query"
+	methodReplicaChange = "control.replica_change"
+)
+
+// maxHops is how often a call may be passed on: by a relay, and by a follower
+// whose knowledge of the leader may be one change old.
+const maxHops = 3
+
+// hopped is a request that counts how often it may still be passed on.
+type hopped interface {
+	proto.Message
+	GetHops() uint32
+}
+
+// setHops sets the count on a request of any method.
+func setHops(req hopped, hops uint32) {
+	switch r := req.(type) {
+	case *pb.SubmitRequest:
+		r.Hops = hops
+	case *pb.LeaseRequest:
+		r.Hops = hops
+	case *pb.InForceRequest:
+		r.Hops = hops
+	case *pb.QueryRequest:
+		r.Hops = hops
+	case *pb.ReplicaChangeRequest:
+		r.Hops = hops
+	}
+}
+
+// caller makes one call; transport.Pool is one.
+type caller interface {
+	Call(ctx context.Context, addr, method string, req, resp proto.Message) error
+}
+
+// handlers answers the five methods.
+type handlers interface {
+	submit(context.Context, *pb.SubmitRequest) (*pb.SubmitReply, error)
+	lease(context.Context, *pb.LeaseRequest) (*pb.LeaseReply, error)
+	inForce(context.Context, *pb.InForceRequest) (*pb.InForceReply, error)
+	query(context.Context, *pb.QueryRequest) (*pb.QueryReply, error)
+	replicaChange(context.Context, *pb.ReplicaChangeRequest) (*pb.ReplicaChangeReply, error)
+}
+
+func register(s *transport.Server, h handlers) {
+	transport.Handle(s, methodSubmit, h.submit)
+	transport.Handle(s, methodLease, h.lease)
+	transport.Handle(s, methodInForce, h.inForce)
+	transport.Handle(s, methodQuery, h.query)
+	transport.Handle(s, methodReplicaChange, h.replicaChange)
+}
--- /dev/null
+++ b/internal/control/read_batch.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wigeonwood/wigeonwood/internal/replica"
+)
+
+// readRoundTimeout bounds one read-index round.
+const readRoundTimeout = 2 * time.Second
+
+// readBatch lets all reads that arrive during one read-index round share the
+// next one. A read never joins a round that began before it arrived, so its
+// evidence is always newer than its request.
+type readBatch struct {
+	ctx    context.Context
+	done   *sync.WaitGroup
+	log    replica.Log
+	rounds tally.Counter
+	reads  tally.Counter
+
+	mu sync.Mutex
+	// next is the round not yet begun, nil if nobody waits for one.
+	next    *readRound
+	running bool
+}
+
+type readRound struct {
+	ended chan struct{}
+	err   error
+}
+
+func newReadBatch(ctx context.Context, done *sync.WaitGroup, l replica.Log, scope tally.Scope) *readBatch {
+	return &readBatch{
+		ctx:    ctx,
+		done:   done,
+		log:    l,
+		rounds: scope.Counter("read_rounds"),
+		reads:  scope.Counter("reads"),
+	}
+}
+
+// wait returns once a round that began after the call confirmed the leader.
+func (b *readBatch) wait(ctx context.Context) error {
+	b.reads.Inc(1)
+	round := b.join()
+	if round == nil {
+		return notLeader("the replica is closing")
+	}
+	select {
+	case <-round.ended:
+		return round.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (b *readBatch) join() *readRound {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ctx.Err() != nil {
+		return nil
+	}
+	if b.next == nil {
+		b.next = &readRound{ended: make(chan struct{})}
+	}
+	if !b.running {
+		b.running = true
+		b.done.Go(b.run)
+	}
+	return b.next
+}
+
+// run makes rounds until nobody waits.
+func (b *readBatch) run() {
+	for {
+		b.mu.Lock()
+		round := b.next
+		b.next = nil
+		if round == nil {
+			b.running = false
+			b.mu.Unlock()
+			return
+		}
+		b.mu.Unlock()
+		b.rounds.Inc(1)
+		ctx, cancel := context.WithTimeout(b.ctx, readRoundTimeout)
+		if _, err := b.log.ReadIndex(ctx); err != nil {
+			// A read has no effect, so its failure is never unknown.
+			round.err = notLeader("read index: " + err.Error())
+		}
+		cancel()
+		close(round.ended)
+	}
+}
--- /dev/null
+++ b/internal/control/relay.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"context"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+// RelayConfig holds what a Relay works with.
+type RelayConfig struct {
+	// Server takes the calls; Pool passes them on.
+	Server *transport.Server
+	Pool   *transport.Pool
+	// Replicas returns the peer addresses of the control replicas.
+	Replicas func() []string
+	Logger   *log.Logger
+	Scope    tally.Scope
+}
+
+// Relay passes control calls of other instances on to the replicas. It never
+// repeats a command whose outcome it doesn't know; that is the client's matter.
+type Relay struct {
+	route  *route
+	passed tally.Counter
+}
+
+// NewRelay registers the control methods on cfg.Server. Close ends it.
+func NewRelay(cfg RelayConfig) *Relay {
+	r := newRelay(cfg, cfg.Pool)
+	register(cfg.Server, r)
+	return r
+}
+
+func newRelay(cfg RelayConfig, calls caller) *Relay {
+	return &Relay{
+		route:  newRoute(calls, cfg.Replicas, nil),
+		passed: cfg.Scope.SubScope("control").Counter("calls_relayed"),
+	}
+}
+
+// Close waits for calls under way.
+func (r *Relay) Close() { r.route.close() }
+
+// pass counts a hop; it fails if none is left.
+func (r *Relay) pass(req hopped) error {
+	if req.GetHops() == 0 {
+		return notLeader("the call was passed on too often")
+	}
+	setHops(req, req.GetHops()-1)
+	r.passed.Inc(1)
+	return nil
+}
+
+func relayCommand(ctx context.Context, r *Relay, method string, req hopped, resp proto.Message) error {
+	if err := r.pass(req); err != nil {
+		return err
+	}
+	ctx, cancel := reserve(ctx)
+	defer cancel()
+	return passedOn(r.route.once(ctx, method, req, resp))
+}
+
+func relayRead[T any, R interface {
+	*T
+	proto.Message
+}](ctx context.Context, r *Relay, method string, req hopped) (R, error) {
+	if err := r.pass(req); err != nil {
+		return nil, err
+	}
+	ctx, cancel := reserve(ctx)
+	defer cancel()
+	resp, err := read[T, R](ctx, r.route, method, req)
+	return resp, passedOn(err)
+}
+
+func (r *Relay) submit(ctx context.Context, req *pb.SubmitRequest) (*pb.SubmitReply, error) {
+	resp := &pb.SubmitReply{}
+	return resp, relayCommand(ctx, r, methodSubmit, req, resp)
+}
+
+func (r *Relay) replicaChange(ctx context.Context, req *pb.ReplicaChangeRequest) (*pb.ReplicaChangeReply, error) {
+	resp := &pb.ReplicaChangeReply{}
+	return resp, relayCommand(ctx, r, methodReplicaChange, req, resp)
+}
+
+func (r *Relay) lease(ctx context.Context, req *pb.LeaseRequest) (*pb.LeaseReply, error) {
+	return relayRead[pb.LeaseReply](ctx, r, methodLease, req)
+}
+
+func (r *Relay) inForce(ctx context.Context, req *pb.InForceRequest) (*pb.InForceReply, error) {
+	return relayRead[pb.InForceReply](ctx, r, methodInForce, req)
+}
+
+func (r *Relay) query(ctx context.Context, req *pb.QueryRequest) (*pb.QueryReply, error) {
+	return relayRead[pb.QueryReply](ctx, r, methodQuery, req)
+}
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,215 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/replica"
+	"github.com/wigeonwood/wigeonwood/internal/state"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+const (
+	// DefaultLease is how long a router may serve after it asked for a lease.
+	DefaultLease = 3 * time.Second
+	// driftMargin covers the difference in rate between two monotonic clocks
+	// over one lease.
+	driftMargin = 100 * time.Millisecond
+	// deltaBytes bounds the objects in one lease reply.
+	deltaBytes = 256 << 10
+	// forwardReserve is kept of a call's time to answer after passing it on.
+	forwardReserve = 20 * time.Millisecond
+	// maxQueryItems bounds one query's answer.
+	maxQueryItems = 2000
+)
+
+// Config holds what a Service works with.
+type Config struct {
+	// Log is the replicated log of Group, State its machine here.
+	Log   replica.Log
+	State *state.Machine
+	Group uint32
+	// Server takes the calls; Pool passes them on to the leader.
+	Server *transport.Server
+	Pool   *transport.Pool
+	Logger *log.Logger
+	Scope  tally.Scope
+	// Lease is the length of routers' leases; zero means DefaultLease. All
+	// replicas must use the same.
+	Lease time.Duration
+}
+
+// Service answers routers and operators at a control replica. A follower
+// passes calls on to the leader.
+type Service struct {
+	log    replica.Log
+	state  *state.Machine
+	group  uint32
+	pool   caller
+	logger *log.Logger
+	leases *leaseTable
+	reads  *readBatch
+	stop   context.CancelFunc
+	done   *sync.WaitGroup
+
+	committed tally.Counter
+	refused   tally.Counter
+}
+
+// NewService registers the control methods on cfg.Server. Close ends it.
+func NewService(cfg Config) *Service {
+	s := newService(cfg, cfg.Pool)
+	register(cfg.Server, s)
+	return s
+}
+
+func newService(cfg Config, pool caller) *Service {
+	if cfg.Lease == 0 {
+		cfg.Lease = DefaultLease
+	}
+	scope := cfg.Scope.SubScope("control")
+	ctx, cancel := context.WithCancel(context.Background())
+	done := &sync.WaitGroup{}
+	return &Service{
+		log:       cfg.Log,
+		state:     cfg.State,
+		group:     cfg.Group,
+		pool:      pool,
+		logger:    cfg.Logger,
+		leases:    newLeaseTable(cfg.Lease),
+		reads:     newReadBatch(ctx, done, cfg.Log, scope),
+		stop:      cancel,
+		done:      done,
+		committed: scope.Counter("commands_committed"),
+		refused:   scope.Counter("leases_refused"),
+	}
+}
+
+// Close waits for rounds under way.
+func (s *Service) Close() {
+	s.stop()
+	s.done.Wait()
+}
+
+// leads returns the term in which this replica may act outward now.
+func (s *Service) leads() (term uint64, ok bool) {
+	until, term, ok := s.log.ActUntil()
+	if !ok || !time.Now().Before(until) {
+		return 0, false
+	}
+	s.leases.enter(term, time.Now())
+	return term, true
+}
+
+// forward passes a call on to the leader that this replica knows.
+func (s *Service) forward(ctx context.Context, method string, req hopped, resp proto.Message) error {
+	if req.GetHops() == 0 {
+		return notLeader("the call was passed on too often")
+	}
+	_, addr := s.log.Leader()
+	if addr == "" {
+		return notLeader("no leader is known")
+	}
+	setHops(req, req.GetHops()-1)
+	ctx, cancel := reserve(ctx)
+	defer cancel()
+	return passedOn(s.pool.Call(ctx, addr, method, req, resp))
+}
+
+// reserve ends the passed-on call a little before the caller gives up, so that
+// the caller still learns how it went.
+func reserve(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-forwardReserve))
+}
+
+func (s *Service) submit(ctx context.Context, req *pb.SubmitRequest) (*pb.SubmitReply, error) {
+	if req.Group != s.group {
+		return nil, notLeader("this replica doesn't hold the group")
+	}
+	if _, ok := s.leads(); !ok {
+		resp := &pb.SubmitReply{}
+		return resp, s.forward(ctx, methodSubmit, req, resp)
+	}
+	data, err := proto.Marshal(req.Command)
+	if err != nil {
+		return nil, err
+	}
+	out, at, err := s.log.Propose(ctx, data)
+	if err != nil {
+		return nil, logError(err)
+	}
+	s.committed.Inc(1)
+	resp := &pb.SubmitReply{Result: &pb.CommandResult{}, Term: at.Term, Index: at.Index, LeaderAddr: s.ownAddr()}
+	if err := proto.Unmarshal(out, resp.Result); err != nil {
+		return nil, outcomeUnknown("decoding the result: " + err.Error())
+	}
+	return resp, nil
+}
+
+// ownAddr is this replica's peer address while it leads.
+func (s *Service) ownAddr() string {
+	_, addr := s.log.Leader()
+	return addr
+}
+
+func (s *Service) query(ctx context.Context, req *pb.QueryRequest) (*pb.QueryReply, error) {
+	if _, ok := s.leads(); !ok {
+		resp := &pb.QueryReply{}
+		return resp, s.forward(ctx, methodQuery, req, resp)
+	}
+	if err := s.reads.wait(ctx); err != nil {
+		return nil, err
+	}
+	limit := int(req.Limit)
+	if limit == 0 || limit > maxQueryItems {
+		limit = maxQueryItems
+	}
+	resp := &pb.QueryReply{Revision: s.state.Revision()}
+	switch req.What {
+	case pb.QueryRequest_WHAT_CONTRACTS:
+		resp.Contracts = firstN(s.state.Contracts(req.Name), limit)
+	case pb.QueryRequest_WHAT_INTENTS:
+		resp.Intents = firstN(s.state.Intents(req.Name), limit)
+	case pb.QueryRequest_WHAT_HISTORY:
+		resp.History = s.state.History(req.Name, limit)
+	case pb.QueryRequest_WHAT_REPLICAS:
+		resp.Replicas = s.log.Replicas()
+	case pb.QueryRequest_WHAT_ROUTERS:
+		resp.Routers = firstN(s.leases.holds(time.Now()), limit)
+	}
+	return resp, nil
+}
+
+func firstN[T any](items []T, n int) []T {
+	return items[:min(n, len(items))]
+}
+
+func (s *Service) replicaChange(ctx context.Context, req *pb.ReplicaChangeRequest) (*pb.ReplicaChangeReply, error) {
+	if _, ok := s.leads(); !ok {
+		resp := &pb.ReplicaChangeReply{}
+		return resp, s.forward(ctx, methodReplicaChange, req, resp)
+	}
+	var err error
+	switch req.Kind {
+	case pb.ReplicaChangeRequest_KIND_ADD:
+		err = s.log.AddReplica(ctx, req.Id, req.Addr, req.DataCentre)
+	case pb.ReplicaChangeRequest_KIND_REMOVE:
+		err = s.log.RemoveReplica(ctx, req.Id)
+	default:
+		return nil, transport.Fail(pb.CallStatus_CALL_STATUS_FAILED, "the replica change names no kind")
+	}
+	if err != nil {
+		return nil, logError(err)
+	}
+	return &pb.ReplicaChangeReply{Replicas: s.log.Replicas()}, nil
+}
