Request path: filter chain, client of targets, router for callers

A chain built from a spec (lease, identify, catalog, limits, claim, schedule, check, forward), a client of targets that can't replay non-idempotent requests, and the callers' handler with relay, refusals and drain.

The lease comes before identify: contracts that may be out of date don't tell who the caller is, and a fresh router would call every key unknown.

--- /dev/null
+++ b/internal/filter/chain.go
@@ -0,0 +1,79 @@
+package filter
+
+import (
+	"context"
+	"fmt"
+)
+
+// Next runs the rest of the chain.
+type Next func(ctx context.Context, x *Exchange) error
+
+// Filter is one step of the chain. It calls next, or returns a *Rejection, or
+// sets the answer itself.
+type Filter interface {
+	Name() string
+	Handle(ctx context.Context, x *Exchange, next Next) error
+}
+
+// Spec names the filters of a chain in their order.
+type Spec []string
+
+// Names of the filters.
+const (
+	StepLease    = "lease"
+	StepIdentify = "identify"
+	StepCatalog  = "catalog"
+	StepLimits   = "limits"
+	StepClaim    = "claim"
+	StepSchedule = "schedule"
+	StepCheck    = "check"
+	StepForward  = "forward"
+)
+
+// DefaultSpec is the chain of a router. The lease comes before identify,
+// because contracts that may be out of date don't tell who the caller is. The
+// claim comes before schedule, because nothing may be sent without it.
+var DefaultSpec = Spec{
+	StepLease, StepIdentify, StepCatalog, StepLimits, StepClaim, StepSchedule, StepCheck, StepForward,
+}
+
+// Chain is a built chain.
+type Chain struct {
+	filters []Filter
+	handler Next
+}
+
+// Build puts together the filters that spec names.
+func Build(spec Spec, have ...Filter) (*Chain, error) {
+	byName := make(map[string]Filter, len(have))
+	for _, f := range have {
+		byName[f.Name()] = f
+	}
+	c := &Chain{}
+	for _, name := range spec {
+		f, ok := byName[name]
+		if !ok {
+			return nil, fmt.Errorf("the chain names an unknown filter %q", name)
+		}
+		c.filters = append(c.filters, f)
+	}
+	c.handler = link(c.filters)
+	return c, nil
+}
+
+// link nests the filters, the first one outermost.
+func link(filters []Filter) Next {
+	next := func(context.Context, *Exchange) error { return nil }
+	for i := len(filters) - 1; i >= 0; i-- {
+		f, inner := filters[i], next
+		next = func(ctx context.Context, x *Exchange) error {
+			return f.Handle(ctx, x, inner)
+		}
+	}
+	return next
+}
+
+// Run passes x through the chain. A nil error means that x.Answer is set.
+func (c *Chain) Run(ctx context.Context, x *Exchange) error {
+	return c.handler(ctx, x)
+}
--- /dev/null
+++ b/internal/filter/exchange.go
@@ -0,0 +1,121 @@
+package filter
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/forward"
+)
+
+// Exchange is one request on its way through the chain. One goroutine at a
+// time uses it.
+type Exchange struct {
+	ID       string
+	Received time.Time
+	// Method, URI and Header go to the target. Path is the decoded path that
+	// routes are matched on.
+	Method string
+	URI    string
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Bearer is the caller's key.
+	Bearer string
+	// Key is the caller's Idempotency-Key.
+	Key string
+	// Stream tells that the caller asked for server-sent events that end with
+	// the published end mark.
+	Stream bool
+	// Idempotent work may be tried more than once.
+	Idempotent bool
+	// Deadline is the end of the caller's patience; zero if not told.
+	Deadline time.Time
+	Demand   Demand
+	Revision uint64
+
+	// Token is unspent until a byte can leave.
+	Token Token
+	// Grant is the target of the present try, Tries the number of tries that
+	// were sent.
+	Grant *Grant
+	Tries int
+	// Answer is what the chain has for the caller.
+	Answer *Answer
+
+	mu      sync.Mutex
+	reasons []Reason
+	ends    []func(Usage)
+	usage   Usage
+}
+
+// Note adds a reason for operators.
+func (x *Exchange) Note(step, target, text string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.reasons = append(x.reasons, Reason{Step: step, Target: target, Text: text})
+}
+
+// AddReasons adds reasons that another package gave.
+func (x *Exchange) AddReasons(rs []Reason) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.reasons = append(x.reasons, rs...)
+}
+
+// Reasons returns the reasons so far.
+func (x *Exchange) Reasons() []Reason {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.reasons
+}
+
+// OnEnd registers f for the end of the exchange.
+func (x *Exchange) OnEnd(f func(Usage)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.ends = append(x.ends, f)
+}
+
+// SetUsage sets what the functions of OnEnd are given.
+func (x *Exchange) SetUsage(u Usage) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.usage = u
+}
+
+// End runs the functions of OnEnd once, the last one first.
+func (x *Exchange) End() {
+	x.mu.Lock()
+	ends, usage := x.ends, x.usage
+	x.ends = nil
+	x.mu.Unlock()
+	for i := len(ends) - 1; i >= 0; i-- {
+		ends[i](usage)
+	}
+}
+
+// Reject makes a rejection with the outcome that the token proves.
+func (x *Exchange) Reject(r Rejection) *Rejection {
+	x.Note(r.Step, "", r.Code+": "+r.Message)
+	return x.Token.Reject(r)
+}
+
+// dispatchRequest is the present try as the forwarder takes it.
+func (x *Exchange) dispatchRequest(t Timeouts, fresh bool) *forward.Request {
+	target := x.Grant.Target
+	return &forward.Request{
+		Target:       target.GetId(),
+		Addr:         target.GetAddr(),
+		Method:       x.Method,
+		URI:          x.URI,
+		Header:       x.Header,
+		Body:         x.Body,
+		RequestID:    x.ID,
+		Idempotent:   x.Idempotent,
+		Fresh:        fresh,
+		FirstByte:    t.FirstByte,
+		BetweenBytes: t.BetweenBytes,
+		OnSend:       x.Token.Spend,
+	}
+}
--- /dev/null
+++ b/internal/filter/identify.go
@@ -0,0 +1,74 @@
+package filter
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"slices"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// Identify finds the contract of the caller's bearer key and checks that it
+// permits the model or service.
+type Identify struct {
+	Config ConfigView
+}
+
+// Name returns the filter's name in specs.
+func (*Identify) Name() string { return StepIdentify }
+
+// Handle sets the contract of the demand.
+func (i *Identify) Handle(ctx context.Context, x *Exchange, next Next) error {
+	contract, err := i.Contract(x)
+	if err != nil {
+		return err
+	}
+	x.Demand.Contract = contract
+	if x.Demand.Chat != "" {
+		// Names that callers choose are kept apart by customer.
+		x.Demand.Chat = contract.GetCustomer() + "/" + x.Demand.Chat
+	}
+	if !Permits(contract, x.Demand.Model, x.Demand.Service) {
+		return x.Reject(Rejection{
+			Status:  http.StatusForbidden,
+			Code:    "not_permitted",
+			Message: "the contract does not permit this model or service",
+			Step:    StepIdentify,
+		})
+	}
+	return next(ctx, x)
+}
+
+// Contract returns the contract of x's bearer key, or a rejection.
+func (i *Identify) Contract(x *Exchange) (*pb.Contract, error) {
+	if x.Bearer == "" {
+		return nil, x.Reject(Rejection{
+			Status:  http.StatusUnauthorized,
+			Code:    "no_key",
+			Message: "the request needs the header Authorization: Bearer KEY",
+			Step:    StepIdentify,
+		})
+	}
+	contract, ok := i.Config.ContractByKey(sha256.Sum256([]byte(x.Bearer)))
+	if !ok || contract.GetDeleted() {
+		return nil, x.Reject(Rejection{
+			Status:  http.StatusUnauthorized,
+			Code:    "unknown_key",
+			Message: "no contract has this key",
+			Step:    StepIdentify,
+		})
+	}
+	return contract, nil
+}
+
+// Permits tells whether the contract allows the model or service that is set.
+func Permits(c *pb.Contract, model, service string) bool {
+	if model != "" && len(c.GetModels()) > 0 && !slices.Contains(c.GetModels(), model) {
+		return false
+	}
+	if service != "" && len(c.GetServices()) > 0 && !slices.Contains(c.GetServices(), service) {
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/filter/replay.go
@@ -0,0 +1,75 @@
+package filter
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// Bounds of stored answers.
+const (
+	// MaxStoredBody is the largest body that the ledger stores.
+	MaxStoredBody = 32 << 10
+	// MaxStoredHeader bounds the stored headers' names and values.
+	MaxStoredHeader = 4 << 10
+)
+
+// notStored are headers that belong to one transmission of an answer.
+var notStored = map[string]bool{
+	"Date": true, "Content-Length": true, "X-Request-Id": true, "Set-Cookie": true,
+}
+
+// stored makes the ledger's form of an answer. whole tells that body is all
+// of it.
+func stored(a *Answer, body []byte, whole bool) *pb.StoredAnswer {
+	s := &pb.StoredAnswer{Status: uint32(a.Status), Body: body}
+	if !whole || len(body) > MaxStoredBody {
+		s.Body = nil
+		s.Truncated = true
+	}
+	room := MaxStoredHeader
+	for name, values := range a.Header {
+		if notStored[name] {
+			continue
+		}
+		for _, value := range values {
+			room -= len(name) + len(value)
+			if room < 0 {
+				return s
+			}
+			s.Headers = append(s.Headers, &pb.Header{Name: name, Value: value})
+		}
+	}
+	return s
+}
+
+// replay answers with what the ledger stored.
+func replay(x *Exchange, result *pb.ClaimResult) error {
+	s := result.GetAnswer()
+	if s == nil || s.GetTruncated() {
+		return Known(Rejection{
+			Status:  http.StatusConflict,
+			Code:    "answer_not_stored",
+			Message: fmt.Sprintf("the request was run with status %d; its answer was too large to store", s.GetStatus()),
+			Step:    StepClaim,
+		}, true)
+	}
+	header := make(http.Header, len(s.GetHeaders()))
+	for _, h := range s.GetHeaders() {
+		header.Add(h.GetName(), h.GetValue())
+	}
+	x.Answer = &Answer{
+		Status:   int(s.GetStatus()),
+		Header:   header,
+		Length:   int64(len(s.GetBody())),
+		Framed:   true,
+		Body:     io.NopCloser(bytes.NewReader(s.GetBody())),
+		Events:   strings.HasPrefix(header.Get("Content-Type"), "text/event-stream"),
+		Replayed: true,
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/forward/errors.go
@@ -0,0 +1,43 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+)
+
+// Step names this package's step in errors, logs and refusals.
+const Step = "forward"
+
+var (
+	// ErrDial means that no connection to the target came about.
+	ErrDial = errors.New("no connection to the target")
+	// ErrSilent means that the target sent nothing for longer than allowed.
+	ErrSilent = errors.New("the target sent nothing in time")
+	// ErrCut means that the target's answer ended early.
+	ErrCut = errors.New("the target's answer was cut")
+	// ErrCrossed means that the answer carried another request's id.
+	ErrCrossed = errors.New("the target answered another request")
+	// ErrProtocol means an answer that a caller can't be given.
+	ErrProtocol = errors.New("the target broke the protocol")
+	// ErrKept marks a failure before the answer on a connection that was kept
+	// from an earlier request: a new connection may do better.
+	ErrKept = errors.New("on a kept connection")
+	// ErrCallerGone means that the caller left or its deadline passed.
+	ErrCallerGone = errors.New("the caller went away")
+)
+
+// classify turns an error of the transport into one of this package. sent
+// tells that a connection had been handed to the request.
+func classify(err, cause error, sent bool) error {
+	switch {
+	case errors.Is(cause, ErrSilent):
+		return ErrSilent
+	case errors.Is(cause, context.Canceled), errors.Is(cause, context.DeadlineExceeded):
+		return ErrCallerGone
+	case !sent:
+		return fmt.Errorf("%w: %w", ErrDial, err)
+	default:
+		return fmt.Errorf("%w: %w", ErrCut, err)
+	}
+}
--- /dev/null
+++ b/internal/forward/watchdog.go
@@ -0,0 +1,40 @@
+package forward
+
+import (
+	"sync"
+	"time"
+)
+
+// watchdog calls its function when a started wait lasts too long.
+type watchdog struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	fire  func()
+}
+
+func newWatchdog(fire func()) *watchdog {
+	return &watchdog{fire: fire}
+}
+
+// start begins a wait of at most d; zero means no bound.
+func (w *watchdog) start(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil {
+		w.timer = time.AfterFunc(d, w.fire)
+		return
+	}
+	w.timer.Reset(d)
+}
+
+// stop ends the wait.
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/router/chat.go
@@ -0,0 +1,161 @@
+package router
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+)
+
+// Bounds and estimates of chat requests.
+const (
+	maxChatIDBytes = 128
+	maxModelBytes  = 256
+	// bytesPerToken estimates a prompt's tokens from its size.
+	bytesPerToken = 4
+	// defaultMaxTokens is assumed where a chat names no bound.
+	defaultMaxTokens = 1024
+	// checkTokens and noteTokens are the largest answers of their classes.
+	checkTokens = 64
+	noteTokens  = 512
+	// chatNameBytes is the length of a name made from a chat's prefix.
+	chatNameBytes = 16
+)
+
+// chatRequest is what a router needs of the published chat-completions format.
+type chatRequest struct {
+	Model               string        `json:"model"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           *int          `json:"max_tokens"`
+	MaxCompletionTokens *int          `json:"max_completion_tokens"`
+	Messages            []chatMessage `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// serveChat serves POST /v1/chat/completions.
+func (r *Router) serveChat(w http.ResponseWriter, req *http.Request) {
+	x := r.exchange(req)
+	x.URI = "/v1/chat/completions"
+	x.Path = x.URI
+	// A chat has no lasting effect: generating it again gives an answer of
+	// equal worth.
+	x.Idempotent = true
+	if err := r.readChat(w, req, x); err != nil {
+		r.refuse(w, req, x, err)
+		return
+	}
+	// An encoded answer could not be checked for its end mark.
+	x.Header = x.Header.Clone()
+	x.Header.Del("Accept-Encoding")
+	r.serve(w, req, x)
+}
+
+// readChat reads the request and fills in the demand.
+func (r *Router) readChat(w http.ResponseWriter, req *http.Request, x *filter.Exchange) error {
+	if err := r.readBody(w, req, x); err != nil {
+		return err
+	}
+	if err := readTimeout(req, x); err != nil {
+		return err
+	}
+	chat, err := parseChat(x.Body)
+	if err != nil {
+		return invalid(x, http.StatusBadRequest, "malformed", err.Error())
+	}
+	x.Stream = chat.Stream
+	x.Demand.Model = chat.Model
+	x.Demand.PromptTokens = len(x.Body) / bytesPerToken
+	x.Demand.MaxTokens = chat.maxTokens()
+	if err := readPriority(req, x, chat.class()); err != nil {
+		return err
+	}
+	return nameChat(req, x, chat)
+}
+
+// parseChat reads and checks a chat request.
+func parseChat(body []byte) (*chatRequest, error) {
+	var c chatRequest
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, fmt.Errorf("malformed JSON: %w", err)
+	}
+	switch {
+	case c.Model == "":
+		return nil, fmt.Errorf("the field model is missing")
+	case len(c.Model) > maxModelBytes:
+		return nil, fmt.Errorf("the field model is longer than %d bytes", maxModelBytes)
+	case len(c.Messages) == 0:
+		return nil, fmt.Errorf("the field messages is missing or empty")
+	case c.maxTokens() <= 0:
+		return nil, fmt.Errorf("the field max_tokens is not positive")
+	}
+	return &c, nil
+}
+
+// bound returns the caller's bound on the answer's tokens, nil if none.
+func (c *chatRequest) bound() *int {
+	if c.MaxCompletionTokens != nil {
+		return c.MaxCompletionTokens
+	}
+	return c.MaxTokens
+}
+
+func (c *chatRequest) maxTokens() int {
+	if n := c.bound(); n != nil {
+		return *n
+	}
+	return defaultMaxTokens
+}
+
+// class guesses the class from the bound on the answer.
+func (c *chatRequest) class() filter.Class {
+	switch n := c.maxTokens(); {
+	case n <= checkTokens:
+		return filter.ClassCheck
+	case n <= noteTokens:
+		return filter.ClassNote
+	default:
+		return filter.ClassDraft
+	}
+}
+
+// nameChat names the chat by its header or else by its prefix.
+func nameChat(req *http.Request, x *filter.Exchange, c *chatRequest) error {
+	id := req.Header.Get(headerChatID)
+	if len(id) > maxChatIDBytes {
+		return invalid(x, http.StatusBadRequest, "bad_chat_id", fmt.Sprintf("%s is longer than %d bytes", headerChatID, maxChatIDBytes))
+	}
+	if id != "" {
+		x.Demand.Chat = "id:" + id
+		return nil
+	}
+	x.Demand.Chat = "prefix:" + c.prefixName()
+	return nil
+}
+
+// prefixName hashes the model, the system messages before the first user
+// message, and that message: later turns of one chat give the same name.
+func (c *chatRequest) prefixName() string {
+	h := sha256.New()
+	write := func(part []byte) {
+		fmt.Fprintf(h, "%d:", len(part))
+		h.Write(part)
+	}
+	write([]byte(c.Model))
+	for _, m := range c.Messages {
+		if m.Role == "system" || m.Role == "developer" || m.Role == "user" {
+			write([]byte(m.Role))
+			write(m.Content)
+		}
+		if m.Role == "user" {
+			break
+		}
+	}
+	return hex.EncodeToString(h.Sum(nil)[:chatNameBytes])
+}
--- /dev/null
+++ b/internal/router/fakes_test.go
@@ -0,0 +1,256 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// fakeFleet is a fixed fleet with a lease that can be taken away.
+type fakeFleet struct {
+	mu        sync.Mutex
+	unleased  bool
+	targets   []*pb.TargetStatus
+	contracts []*pb.Contract
+}
+
+func (f *fakeFleet) Self() *pb.RouterStatus {
+	return &pb.RouterStatus{Id: "r1", Incarnation: 1}
+}
+
+func (f *fakeFleet) Routers() []*pb.RouterStatus { return []*pb.RouterStatus{f.Self()} }
+
+func (f *fakeFleet) Targets() []*pb.TargetStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets
+}
+
+func (f *fakeFleet) Target(id string) *pb.TargetStatus {
+	for _, t := range f.Targets() {
+		if t.GetId() == id {
+			return t
+		}
+	}
+	return nil
+}
+
+func (f *fakeFleet) Lease() (uint64, time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return 7, time.Now().Add(time.Minute), !f.unleased
+}
+
+func (f *fakeFleet) ContractByKey(sum [32]byte) (*pb.Contract, bool) {
+	for _, c := range f.contracts {
+		if bytes.Equal(c.GetKeyHashes()[0], sum[:]) {
+			return c, true
+		}
+	}
+	return nil, false
+}
+
+func (f *fakeFleet) Intent(string) *pb.TargetIntent { return nil }
+
+// Admit grants the first target that offers what is asked for.
+func (f *fakeFleet) Admit(ctx context.Context, d filter.Demand, exclude []string) (*filter.Grant, error) {
+	for _, t := range f.Targets() {
+		offers := d.Service != "" && t.GetService() == d.Service || slices.Contains(t.GetModels(), d.Model)
+		if offers && !slices.Contains(exclude, t.GetId()) {
+			return &filter.Grant{Target: t, Release: func(filter.Usage) {}}, nil
+		}
+	}
+	return nil, &filter.Refusal{Code: "no_target", Text: "no target is left", RetryAfter: time.Second}
+}
+
+func (f *fakeFleet) Take(context.Context, filter.Demand) (func(filter.Usage), error) {
+	return func(filter.Usage) {}, nil
+}
+
+// fakeLedger is a ledger in memory. Hooks run before a call takes effect.
+type fakeLedger struct {
+	mu        sync.Mutex
+	open      map[string]*pb.Claim
+	ended     map[string]*pb.Resolve
+	onClaim   func() error
+	afterward func() error
+	onResolve func() error
+}
+
+func (l *fakeLedger) Claim(ctx context.Context, c *pb.Claim) (*pb.ClaimResult, error) {
+	if l.onClaim != nil {
+		if err := l.onClaim(); err != nil {
+			return nil, err
+		}
+	}
+	result := l.apply(c)
+	if l.afterward != nil {
+		if err := l.afterward(); err != nil {
+			return nil, err
+		}
+	}
+	return result, nil
+}
+
+func (l *fakeLedger) apply(c *pb.Claim) *pb.ClaimResult {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := l.open[c.GetKey()]
+	switch {
+	case held == nil:
+		if l.open == nil {
+			l.open = make(map[string]*pb.Claim)
+			l.ended = make(map[string]*pb.Resolve)
+		}
+		l.open[c.GetKey()] = proto.CloneOf(c)
+		return &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_GRANTED}
+	case !bytes.Equal(held.GetDigest(), c.GetDigest()):
+		return &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_DIGEST_MISMATCH}
+	}
+	end := l.ended[c.GetKey()]
+	switch end.GetOutcome() {
+	case pb.ClaimOutcome_CLAIM_OUTCOME_DONE:
+		return &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_DONE, Answer: end.GetAnswer(), RequestId: held.GetRequestId()}
+	case pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN:
+		return &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_UNKNOWN}
+	}
+	return &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS}
+}
+
+func (l *fakeLedger) Resolve(ctx context.Context, r *pb.Resolve) (*pb.ResolveResult, error) {
+	if l.onResolve != nil {
+		if err := l.onResolve(); err != nil {
+			return nil, err
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := l.open[r.GetKey()]
+	if held.GetAttempt() != r.GetAttempt() || held.GetRouter() != r.GetRouter() || l.ended[r.GetKey()] != nil {
+		return &pb.ResolveResult{}, nil
+	}
+	if r.GetOutcome() == pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED {
+		delete(l.open, r.GetKey())
+		return &pb.ResolveResult{Applied: true}, nil
+	}
+	l.ended[r.GetKey()] = proto.CloneOf(r)
+	return &pb.ResolveResult{Applied: true}, nil
+}
+
+// records collects what the router observes.
+type records struct {
+	mu  sync.Mutex
+	all []*filter.Record
+}
+
+func (r *records) Observe(rec *filter.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, rec)
+}
+
+func (r *records) last() *filter.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.all) == 0 {
+		return nil
+	}
+	return r.all[len(r.all)-1]
+}
+
+const testKey = "secret-of-acme"
+
+// bench is one router before fakes.
+type bench struct {
+	fleet   *fakeFleet
+	ledger  *fakeLedger
+	records *records
+	router  *Router
+	url     string
+}
+
+// newBench serves a router on loopback before the given targets.
+func newBench(t testing.TB, targets ...*pb.TargetStatus) *bench {
+	return newBenchWith(t, Config{}, targets...)
+}
+
+func newBenchWith(t testing.TB, c Config, targets ...*pb.TargetStatus) *bench {
+	t.Helper()
+	sum := sha256.Sum256([]byte(testKey))
+	b := &bench{
+		fleet: &fakeFleet{
+			targets:   targets,
+			contracts: []*pb.Contract{{Customer: "acme", KeyHashes: [][]byte{sum[:]}}},
+		},
+		ledger:  &fakeLedger{},
+		records: &records{},
+	}
+	c.View, c.Config, c.Scheduler, c.Limiter = b.fleet, b.fleet, b.fleet, b.fleet
+	c.Ledger, c.Observer = b.ledger, b.records
+	r, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.router, b.url = r, "http://"+ln.Addr().String()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		if err := r.Serve(ln); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		r.Abort()
+		<-served
+	})
+	return b
+}
+
+// do sends a request with the customer's key and returns status, header, body
+// and the error of reading it.
+func (b *bench) do(t testing.TB, method, path, body string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest(method, b.url+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Without GetBody the test's own client repeats nothing.
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return resp, string(got), err
+}
+
+// engine and service are targets at an address.
+func engine(id, addr string) *pb.TargetStatus {
+	return &pb.TargetStatus{Id: id, Kind: pb.TargetKind_TARGET_KIND_ENGINE, Addr: addr, Models: []string{"m"}}
+}
+
+func service(id, addr string, routes ...*pb.Route) *pb.TargetStatus {
+	return &pb.TargetStatus{Id: id, Kind: pb.TargetKind_TARGET_KIND_SERVICE, Addr: addr, Service: "lab", Routes: routes}
+}
--- /dev/null
+++ b/internal/router/read.go
@@ -0,0 +1,156 @@
+package router
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+)
+
+// stepRead names the reading of requests in refusals.
+const stepRead = "read"
+
+// Headers that callers send.
+const (
+	headerChatID   = "X-Chat-Id"
+	headerPriority = "X-Priority"
+	headerTimeout  = "X-Timeout-Ms"
+	headerKey      = "Idempotency-Key"
+)
+
+// bodyRetryAfter is when a router that holds too many bodies may take more.
+const bodyRetryAfter = time.Second
+
+// bodyBudget bounds the bytes of all bodies held at a time.
+type bodyBudget struct {
+	max  int64
+	used atomic.Int64
+}
+
+// take reserves n bytes.
+func (b *bodyBudget) take(n int64) bool {
+	if b.used.Add(n) > b.max {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// give returns n bytes.
+func (b *bodyBudget) give(n int64) { b.used.Add(-n) }
+
+// invalid rejects a request that can't be understood.
+func invalid(x *filter.Exchange, status int, code, message string) *filter.Rejection {
+	return x.Reject(filter.Rejection{Status: status, Code: code, Message: message, Step: stepRead})
+}
+
+// readBody reads the body into x within its bounds of size and time.
+func (r *Router) readBody(w http.ResponseWriter, req *http.Request, x *filter.Exchange) error {
+	if !req.ProtoAtLeast(1, 1) {
+		return invalid(x, http.StatusHTTPVersionNotSupported, "http_version", "a cut answer can't be shown in HTTP/1.0; use HTTP/1.1")
+	}
+	limit := r.cfg.Bounds.MaxBodyBytes
+	if req.ContentLength > limit {
+		return tooLarge(x, limit)
+	}
+	reserve := req.ContentLength
+	if reserve < 0 {
+		reserve = limit
+	}
+	if !r.bodies.take(reserve) {
+		return x.Reject(filter.Rejection{
+			Code:       "bodies_full",
+			Message:    "this router holds as many request bodies as it may",
+			Step:       stepRead,
+			RetryAfter: bodyRetryAfter,
+		})
+	}
+	x.OnEnd(func(filter.Usage) { r.bodies.give(reserve) })
+	if reserve == 0 {
+		return nil
+	}
+	control := http.NewResponseController(w)
+	// Writers that know no deadlines are those of tests.
+	_ = control.SetReadDeadline(time.Now().Add(r.cfg.Bounds.BodyTimeout))
+	body, err := readAll(http.MaxBytesReader(w, req.Body, limit), req.ContentLength)
+	if err != nil {
+		return badBody(x, err, limit)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	x.Body = body
+	return nil
+}
+
+// readAll reads a body whose size may be known.
+func readAll(body io.Reader, size int64) ([]byte, error) {
+	if size < 0 {
+		return io.ReadAll(body)
+	}
+	var b bytes.Buffer
+	b.Grow(int(size) + bytes.MinRead)
+	_, err := b.ReadFrom(body)
+	return b.Bytes(), err
+}
+
+// badBody rejects a body that could not be read.
+func badBody(x *filter.Exchange, err error, limit int64) error {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return tooLarge(x, limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return invalid(x, http.StatusRequestTimeout, "slow_body", "the body did not arrive in time")
+	default:
+		return invalid(x, http.StatusBadRequest, "bad_body", "the body could not be read: "+err.Error())
+	}
+}
+
+func tooLarge(x *filter.Exchange, limit int64) error {
+	return invalid(x, http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body is larger than %d bytes", limit))
+}
+
+// maxTimeoutMs is the longest time that callers may ask for, in milliseconds.
+const maxTimeoutMs = 24 * 60 * 60 * 1000
+
+// readTimeout sets the caller's deadline from its header.
+func readTimeout(req *http.Request, x *filter.Exchange) error {
+	text := req.Header.Get(headerTimeout)
+	if text == "" {
+		return nil
+	}
+	ms, err := strconv.Atoi(text)
+	if err != nil || ms <= 0 || ms > maxTimeoutMs {
+		return invalid(x, http.StatusBadRequest, "bad_timeout", headerTimeout+" is not a number of milliseconds")
+	}
+	x.Deadline = x.Received.Add(time.Duration(ms) * time.Millisecond)
+	return nil
+}
+
+// priorities maps the priority header's values to classes.
+var priorities = map[string]filter.Class{
+	"check": filter.ClassCheck,
+	"note":  filter.ClassNote,
+	"draft": filter.ClassDraft,
+}
+
+// readPriority sets the class from its header, or else to fallback.
+func readPriority(req *http.Request, x *filter.Exchange, fallback filter.Class) error {
+	x.Demand.Class = fallback
+	text := req.Header.Get(headerPriority)
+	if text == "" {
+		return nil
+	}
+	class, ok := priorities[text]
+	if !ok {
+		return invalid(x, http.StatusBadRequest, "bad_priority", headerPriority+" is none of check, note, draft")
+	}
+	x.Demand.Class = class
+	return nil
+}
--- /dev/null
+++ b/internal/router/record.go
@@ -0,0 +1,53 @@
+package router
+
+import (
+	"errors"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/forward"
+)
+
+// result is how a request ended for its caller.
+type result struct {
+	status  int
+	outcome filter.Outcome
+	refused bool
+	whole   bool
+	// first is the time from receipt to the answer's first byte.
+	first time.Duration
+}
+
+// observe hands the record of a finished request to the observer.
+func (r *Router) observe(x *filter.Exchange, res result) {
+	if r.cfg.Observer == nil {
+		return
+	}
+	rec := &filter.Record{
+		RequestID:  x.ID,
+		Customer:   x.Demand.Contract.GetCustomer(),
+		Class:      x.Demand.Class,
+		Chat:       x.Demand.Chat,
+		Model:      x.Demand.Model,
+		Service:    x.Demand.Service,
+		Start:      x.Received,
+		FirstToken: res.first,
+		Total:      time.Since(x.Received),
+		Status:     res.status,
+		Outcome:    res.outcome,
+		Refused:    res.refused,
+		Whole:      res.whole,
+		Tries:      x.Tries,
+		Revision:   x.Revision,
+		Reasons:    x.Reasons(),
+	}
+	if x.Grant != nil {
+		rec.Target = x.Grant.Target.GetId()
+	}
+	r.cfg.Observer.Observe(rec)
+}
+
+// failedTarget tells whether err is the target's failure, not the caller's.
+func failedTarget(err error) bool {
+	return err != nil && !errors.Is(err, errCallerWrite) && !errors.Is(err, forward.ErrCallerGone)
+}
--- /dev/null
+++ b/internal/router/refuse.go
@@ -0,0 +1,141 @@
+package router
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+)
+
+// Headers that routers add to answers.
+const (
+	headerOutcome        = "X-Wigeonwood-Outcome"
+	headerReplayed       = "X-Wigeonwood-Replayed"
+	headerEntries        = "X-Wigeonwood-Entries"
+	headerRequestID      = "X-Request-Id"
+	headerRetryAfter     = "Retry-After"
+	contentTypeJSON      = "application/json"
+	codeInternal         = "internal"
+	codeNotFound         = "not_found"
+	codeMethodNotAllowed = "method_not_allowed"
+)
+
+// errorBody is the JSON body of a refusal.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code      string         `json:"code"`
+	Message   string         `json:"message"`
+	Step      string         `json:"step"`
+	RequestID string         `json:"request_id"`
+	Outcome   filter.Outcome `json:"outcome"`
+	Entries   []string       `json:"entries,omitempty"`
+}
+
+// detail is what callers are told of a rejection.
+func detail(x *filter.Exchange, r *filter.Rejection) errorDetail {
+	return errorDetail{
+		Code:      r.Code,
+		Message:   r.Message,
+		Step:      r.Step,
+		RequestID: x.ID,
+		Outcome:   r.Outcome(),
+		Entries:   r.Entries,
+	}
+}
+
+// asRejection returns err as a rejection.
+func asRejection(x *filter.Exchange, err error) *filter.Rejection {
+	var rejection *filter.Rejection
+	if errors.As(err, &rejection) {
+		return rejection
+	}
+	return x.Reject(filter.Rejection{
+		Status:  http.StatusInternalServerError,
+		Code:    codeInternal,
+		Message: err.Error(),
+		Step:    errs.Step(err),
+	})
+}
+
+// refuse answers a request that did not enter the chain.
+func (r *Router) refuse(w http.ResponseWriter, req *http.Request, x *filter.Exchange, err error) {
+	defer x.End()
+	r.reject(w, req, x, asRejection(x, err))
+}
+
+// reject writes a rejection and records it.
+func (r *Router) reject(w http.ResponseWriter, req *http.Request, x *filter.Exchange, rejection *filter.Rejection) {
+	r.refused.Inc(1)
+	r.log(x, rejection)
+	h := w.Header()
+	h.Set("Content-Type", contentTypeJSON)
+	h.Set(headerRequestID, x.ID)
+	h.Set(headerOutcome, string(rejection.Outcome()))
+	if rejection.RetryAfter > 0 {
+		h.Set(headerRetryAfter, seconds(rejection.RetryAfter))
+	}
+	for _, entry := range rejection.Entries {
+		h.Add(headerEntries, entry)
+	}
+	if closes(rejection.Status) {
+		h.Set("Connection", "close")
+	}
+	r.closeWhileDraining(h)
+	w.WriteHeader(rejection.Status)
+	whole := true
+	if req.Method != http.MethodHead {
+		// Encoding a struct of strings can only fail at the writer.
+		whole = json.NewEncoder(w).Encode(errorBody{Error: detail(x, rejection)}) == nil
+	}
+	r.observe(x, result{
+		status:  rejection.Status,
+		outcome: rejection.Outcome(),
+		refused: true,
+		whole:   whole,
+		first:   time.Since(x.Received),
+	})
+}
+
+// closes tells whether the rest of the request may still be on its way.
+func closes(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusRequestEntityTooLarge
+}
+
+// seconds rounds up to whole seconds, as Retry-After wants them.
+func seconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
+
+// log writes one event for a refusal.
+func (r *Router) log(x *filter.Exchange, rejection *filter.Rejection) {
+	peer := ""
+	if x.Grant != nil {
+		peer = x.Grant.Target.GetId()
+	}
+	r.cfg.Logger.Info().
+		Str("step", rejection.Step).
+		Str("peer", peer).
+		Str("request_id", x.ID).
+		Str("code", rejection.Code).
+		Str("outcome", string(rejection.Outcome())).
+		Msg("refused")
+}
+
+// serveNotFound answers paths that nothing is served on.
+func (r *Router) serveNotFound(w http.ResponseWriter, req *http.Request) {
+	x := r.exchange(req)
+	r.refuse(w, req, x, invalid(x, http.StatusNotFound, codeNotFound, "nothing is served on this path"))
+}
+
+// serveWrongMethod answers methods that a path doesn't take.
+func (r *Router) serveWrongMethod(w http.ResponseWriter, req *http.Request) {
+	x := r.exchange(req)
+	r.refuse(w, req, x, invalid(x, http.StatusMethodNotAllowed, codeMethodNotAllowed, "this path does not take the method "+req.Method))
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,171 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/forward"
+)
+
+// Router serves callers.
+type Router struct {
+	cfg      Config
+	client   *forward.Client
+	identify *filter.Identify
+	lease    *filter.Lease
+	claim    *filter.Claim
+	chain    *filter.Chain
+	handler  http.Handler
+	server   *http.Server
+	ids      *idSource
+	bodies   *bodyBudget
+	draining atomic.Bool
+	inFlight atomic.Int64
+
+	requests tally.Counter
+	refused  tally.Counter
+	cuts     tally.Counter
+}
+
+// New makes a router. It fails if the chain's spec names an unknown filter.
+func New(c Config) (*Router, error) {
+	c = c.withDefaults()
+	self := c.View.Self()
+	scope := c.Scope.SubScope("router")
+	r := &Router{
+		cfg:      c,
+		client:   forward.New(c.Forward),
+		identify: &filter.Identify{Config: c.Config},
+		lease:    &filter.Lease{Config: c.Config, Entries: c.OtherEntries},
+		claim: &filter.Claim{
+			Ledger:      c.Ledger,
+			Router:      self.GetId(),
+			Incarnation: self.GetIncarnation(),
+		},
+		ids:      newIDSource(),
+		bodies:   &bodyBudget{max: c.Bounds.MaxBodiesBytes},
+		requests: scope.Counter("requests"),
+		refused:  scope.Counter("refused"),
+		cuts:     scope.Counter("cut_answers"),
+	}
+	chain, err := r.buildChain()
+	if err != nil {
+		return nil, err
+	}
+	r.chain = chain
+	r.handler = r.routes()
+	r.server = r.newServer()
+	return r, nil
+}
+
+// buildChain makes the filters that the spec may name.
+func (r *Router) buildChain() (*filter.Chain, error) {
+	return filter.Build(r.cfg.Spec,
+		r.lease,
+		r.identify,
+		&filter.Catalog{View: r.cfg.View},
+		&filter.Limits{Limiter: r.cfg.Limiter},
+		r.claim,
+		&filter.Schedule{
+			Scheduler: r.cfg.Scheduler,
+			Lease:     r.lease,
+			Budget:    filter.NewBudget(filter.RetryShare, filter.RetryBurst),
+			Routes:    idempotentAt,
+		},
+		&filter.Check{},
+		&filter.Forward{Sender: r.client, Timeouts: r.timeouts},
+	)
+}
+
+// routes maps paths to handlers. Paths are kept as callers escaped them.
+func (r *Router) routes() http.Handler {
+	m := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	m.HandleFunc("/v1/chat/completions", r.serveChat).Methods(http.MethodPost)
+	m.HandleFunc("/v1/models", r.serveModels).Methods(http.MethodGet)
+	m.HandleFunc("/v1/services/{service}", r.serveService)
+	m.HandleFunc("/v1/services/{service}/{path:.*}", r.serveService)
+	if r.cfg.Entries != nil {
+		m.Handle("/v1/entries", r.cfg.Entries).Methods(http.MethodGet)
+	}
+	m.HandleFunc("/healthz", serveHealth).Methods(http.MethodGet, http.MethodHead)
+	m.HandleFunc("/readyz", r.serveReady).Methods(http.MethodGet, http.MethodHead)
+	m.NotFoundHandler = http.HandlerFunc(r.serveNotFound)
+	m.MethodNotAllowedHandler = http.HandlerFunc(r.serveWrongMethod)
+	return m
+}
+
+// Handler returns the handler for callers.
+func (r *Router) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.inFlight.Add(1)
+		defer r.inFlight.Add(-1)
+		r.closeWhileDraining(w.Header())
+		r.handler.ServeHTTP(w, req)
+	})
+}
+
+// InFlight returns the requests being served.
+func (r *Router) InFlight() int { return int(r.inFlight.Load()) }
+
+// timeouts are the bounds of one try.
+func (r *Router) timeouts(d filter.Demand, stream bool) filter.Timeouts {
+	t := r.cfg.Timeouts[d.Class]
+	first := t.Plain
+	if stream {
+		first = t.FirstByte
+	}
+	return filter.Timeouts{FirstByte: first, BetweenBytes: t.BetweenBytes}
+}
+
+// exchange starts one.
+func (r *Router) exchange(req *http.Request) *filter.Exchange {
+	id := r.ids.next()
+	return &filter.Exchange{
+		ID:       id,
+		Received: time.Now(),
+		Method:   req.Method,
+		Header:   req.Header,
+		Bearer:   bearer(req),
+		Demand:   filter.Demand{RequestID: id},
+	}
+}
+
+// bearer returns the key of the Authorization header.
+func bearer(req *http.Request) string {
+	scheme, key, ok := strings.Cut(req.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// serve passes x through the chain and writes what comes of it.
+func (r *Router) serve(w http.ResponseWriter, req *http.Request, x *filter.Exchange) {
+	r.requests.Inc(1)
+	ctx, cancel := r.bound(req.Context(), x)
+	defer cancel()
+	defer x.End()
+	err := r.chain.Run(ctx, x)
+	if err != nil {
+		r.reject(w, req, x, asRejection(x, err))
+		return
+	}
+	defer x.Answer.Body.Close()
+	r.answer(w, req, x)
+}
+
+// bound ends the request at the caller's deadline or its class's.
+func (r *Router) bound(ctx context.Context, x *filter.Exchange) (context.Context, context.CancelFunc) {
+	end := x.Received.Add(r.cfg.Timeouts[x.Demand.Class].Total)
+	if x.Deadline.IsZero() || end.Before(x.Deadline) {
+		x.Deadline = end
+	}
+	return context.WithDeadline(ctx, x.Deadline)
+}
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+const (
+	plainChat  = `{"model":"m","messages":[{"role":"user","content":"hi"}]}`
+	streamChat = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+	wholeSSE   = "data: {\"a\":1}\n\ndata: [DONE]\n\n"
+)
+
+// target serves h on loopback and returns its address.
+func target(t testing.TB, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// chatEngine answers chats plain or streamed.
+func chatEngine(w http.ResponseWriter, req *http.Request) {
+	body, _ := io.ReadAll(req.Body)
+	if !strings.Contains(string(body), `"stream":true`) {
+		w.Header().Set("Content-Type", "application/json")
+		io.WriteString(w, `{"choices":[],"usage":{"total_tokens":9,"prompt_tokens_details":{"cached_tokens":4}}}`)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for _, event := range strings.SplitAfter(wholeSSE, "\n\n") {
+		io.WriteString(w, event)
+		w.(http.Flusher).Flush()
+	}
+}
+
+func TestChat(t *testing.T) {
+	b := newBench(t, engine("e1", target(t, chatEngine)))
+	for _, body := range []string{plainChat, streamChat} {
+		resp, got, err := b.do(t, "POST", "/v1/chat/completions", body)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%v %v %s", resp, err, got)
+		}
+		if resp.Header.Get(headerOutcome) != "run" || resp.Header.Get(headerRequestID) == "" {
+			t.Errorf("headers %v", resp.Header)
+		}
+		if body == streamChat && got != wholeSSE {
+			t.Errorf("stream %q", got)
+		}
+	}
+	if r := b.records.last(); r.Target != "e1" || !r.Whole || r.Chat == "" || r.Customer != "acme" {
+		t.Errorf("record %+v", r)
+	}
+}
+
+func TestServiceClaimedOnce(t *testing.T) {
+	var runs atomic.Int64
+	addr := target(t, func(w http.ResponseWriter, req *http.Request) {
+		n := runs.Add(1)
+		if req.URL.RequestURI() != "/book/a%2Fb?x=1" || req.Header.Get("Authorization") != "" {
+			t.Errorf("target got %s %v", req.URL.RequestURI(), req.Header)
+		}
+		w.Header().Set("X-Number", "4")
+		w.WriteHeader(201)
+		fmt.Fprintf(w, "booking %d", n)
+	})
+	b := newBench(t, service("s1", addr))
+	for i := range 2 {
+		resp, got, err := b.do(t, "POST", "/v1/services/lab/book/a%2Fb?x=1", "steel", "Idempotency-Key", "k1")
+		if err != nil || resp.StatusCode != 201 || got != "booking 1" || resp.Header.Get("X-Number") != "4" {
+			t.Fatalf("try %d: %v %v %q", i, resp, err, got)
+		}
+		if replayed := resp.Header.Get(headerReplayed) == "true"; replayed != (i == 1) {
+			t.Errorf("try %d: replayed %v", i, replayed)
+		}
+	}
+	resp, got, _ := b.do(t, "POST", "/v1/services/lab/book/a%2Fb?x=1", "wire", "Idempotency-Key", "k1")
+	if resp.StatusCode != 422 || resp.Header.Get(headerOutcome) != "not-run" {
+		t.Errorf("reused key: %v %s", resp, got)
+	}
+	if runs.Load() != 1 {
+		t.Errorf("%d runs", runs.Load())
+	}
+}
--- /dev/null
+++ b/internal/router/server.go
@@ -0,0 +1,132 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+)
+
+// stepDrain names the shutdown in errors and logs.
+const stepDrain = "drain"
+
+// connsRetryAfter is when a router with too many connections may take more.
+const connsRetryAfter = time.Second
+
+// connKey finds a request's connection in its context.
+type connKey struct{}
+
+// newServer makes the HTTP server for callers. Bodies and answers have their
+// own deadlines, since a stream may last longer than any fixed time.
+func (r *Router) newServer() *http.Server {
+	b := r.cfg.Bounds
+	return &http.Server{
+		Handler:           http.HandlerFunc(r.serveConn),
+		ReadHeaderTimeout: b.HeaderTimeout,
+		IdleTimeout:       b.IdleTimeout,
+		MaxHeaderBytes:    b.MaxHeaderBytes,
+		ErrorLog:          r.cfg.Logger.Std("", 0),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
+}
+
+// Serve serves callers on ln until Drain or Abort. It returns nil after them.
+func (r *Router) Serve(ln net.Listener) error {
+	err := r.server.Serve(newBoundListener(ln, r.cfg.Bounds.MaxConns))
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return errs.Wrap(err, "serve", ln.Addr().String())
+}
+
+// serveConn refuses requests on connections beyond the bound and serves all
+// others.
+func (r *Router) serveConn(w http.ResponseWriter, req *http.Request) {
+	// The deadline of an earlier answer on this connection must not end this
+	// one. Writers that know no deadlines are those of tests.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	c, ok := req.Context().Value(connKey{}).(*boundConn)
+	if !ok || !c.over {
+		r.Handler().ServeHTTP(w, req)
+		return
+	}
+	x := r.exchange(req)
+	w.Header().Set("Connection", "close")
+	r.refuse(w, req, x, x.Reject(filter.Rejection{
+		Code:       "connections_full",
+		Message:    "this router holds as many connections as it may",
+		Step:       stepRead,
+		RetryAfter: connsRetryAfter,
+		Entries:    r.otherEntries(),
+	}))
+}
+
+// otherEntries returns other routers' addresses for a caller not yet known.
+func (r *Router) otherEntries() []string {
+	if r.cfg.OtherEntries == nil {
+		return nil
+	}
+	return r.cfg.OtherEntries("")
+}
+
+// Drain shuts the router down without cutting off a request. It unlists the
+// router, goes on accepting while an address that was given out may still be
+// kept, then finishes what is in flight, claimed requests whose caller left
+// included. If ctx ends first, what is left is cut and an error says how much.
+func (r *Router) Drain(ctx context.Context) error {
+	r.draining.Store(true)
+	if r.cfg.SetDraining != nil {
+		r.cfg.SetDraining()
+	}
+	r.cfg.Logger.Info().Str("step", stepDrain).Int("in_flight", r.InFlight()).Msg("draining")
+	r.keepAccepting(ctx)
+	err := r.finish(ctx)
+	r.client.Close()
+	if err != nil {
+		left := r.InFlight()
+		r.server.Close()
+		return errs.Wrap(fmt.Errorf("%d requests were cut: %w", left, err), stepDrain, "")
+	}
+	r.cfg.Logger.Info().Str("step", stepDrain).Msg("drained")
+	return nil
+}
+
+// keepAccepting waits until no caller can still keep this router's address.
+func (r *Router) keepAccepting(ctx context.Context) {
+	timer := time.NewTimer(r.cfg.UnlistDelay + r.cfg.KeepEntries)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// finish closes the listener and waits for what is in flight.
+func (r *Router) finish(ctx context.Context) error {
+	if err := r.server.Shutdown(ctx); err != nil {
+		return err
+	}
+	settled := make(chan struct{})
+	go func() {
+		defer close(settled)
+		r.claim.Wait()
+	}()
+	select {
+	case <-settled:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Abort closes all connections at once; it cuts what is in flight.
+func (r *Router) Abort() {
+	r.server.Close()
+	r.client.Close()
+}
