Tests of the client of targets; first byte of the body has its own bound

net/http's transport replays a request by itself on a kept connection.

The wait for the first body byte is bounded like that for the header: an engine may send its header before the prompt is read.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -22,10 +22,12 @@
 	// connection can't be told from the end.
 	Framed bool
 
-	resp    *http.Response
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	watch   *watchdog
+	resp   *http.Response
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	watch  *watchdog
+	// wait bounds the next read: that of the first byte, then those between.
+	wait    time.Duration
 	between time.Duration
 	target  string
 	count   func(error)
@@ -41,6 +43,7 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		watch:   w,
+		wait:    r.FirstByte,
 		between: r.BetweenBytes,
 		target:  r.Target,
 		count:   count,
@@ -68,9 +71,10 @@
 
 // Read reads the body.
 func (a *Answer) Read(p []byte) (int, error) {
-	a.watch.start(a.between)
+	a.watch.start(a.wait)
 	n, err := a.resp.Body.Read(p)
 	a.watch.stop()
+	a.wait = a.between
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
--- /dev/null
+++ b/internal/forward/client_test.go
@@ -0,0 +1,189 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rawTarget hands each request it reads to serve with the request's number on
+// its connection; serve tells whether to keep the connection.
+func rawTarget(t *testing.T, serve func(n int, c net.Conn, req *http.Request) bool) (addr string, runs *atomic.Int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	runs = new(atomic.Int64)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for n := 1; ; n++ {
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, req.Body); err != nil {
+						return
+					}
+					runs.Add(1)
+					if !serve(n, c, req) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), runs
+}
+
+func request(addr string, idempotent bool, body string) *Request {
+	r := &Request{
+		Target: "t1", Addr: addr, Method: "POST", URI: "/book", Body: []byte(body),
+		Header:    http.Header{"Idempotency-Key": {"k"}},
+		RequestID: "id-1", Idempotent: idempotent,
+		FirstByte: time.Second, BetweenBytes: time.Second,
+	}
+	if idempotent {
+		r.Method = "GET"
+	}
+	return r
+}
+
+func read(a *Answer, err error) (string, error) {
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+// TestNoReplay counts the requests that a target reads when it closes the
+// connection after the second one, with the client's own choice of connection
+// and with kept connections forced.
+func TestNoReplay(t *testing.T) {
+	for _, forced := range []bool{false, true} {
+		for _, body := range []string{"", "steel"} {
+			t.Run(fmt.Sprintf("forced=%v body=%q", forced, body), func(t *testing.T) {
+				keys := make(chan string, 4)
+				addr, runs := rawTarget(t, func(n int, c net.Conn, req *http.Request) bool {
+					keys <- req.Header.Get("Idempotency-Key")
+					if n == 2 || !forced && len(keys) == 2 {
+						return false
+					}
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					return true
+				})
+				c := New(Config{})
+				defer c.Close()
+				if forced {
+					c.fresh = c.kept
+				}
+				if got, err := read(c.Do(context.Background(), request(addr, false, body))); got != "ok" || err != nil {
+					t.Fatal(got, err)
+				}
+				if _, err := c.Do(context.Background(), request(addr, false, body)); !errors.Is(err, ErrCut) {
+					t.Errorf("second request: %v", err)
+				}
+				if runs.Load() != 2 || <-keys != "k" {
+					t.Errorf("the target read %d requests, want 2", runs.Load())
+				}
+			})
+		}
+	}
+}
+
+// TestAnswers checks how each kind of answer is seen.
+func TestAnswers(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	tests := []struct {
+		name, answer, want string
+		err                error
+		unframed           bool
+	}{
+		{name: "whole", answer: ok + "Content-Length: 3\r\nX-Request-Id: id-1\r\n\r\nabc", want: "abc"},
+		{name: "early hints", answer: "HTTP/1.1 103 Early Hints\r\n\r\n" + ok + "Content-Length: 1\r\n\r\na", want: "a"},
+		{name: "chunked", answer: ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", want: "ab"},
+		{name: "short", answer: ok + "Content-Length: 5\r\n\r\nabc", want: "abc", err: ErrCut},
+		{name: "cut chunk", answer: ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nab", want: "ab", err: ErrCut},
+		{name: "no last chunk", answer: ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", want: "ab", err: ErrCut},
+		{name: "ends by close", answer: ok + "\r\nabc", want: "abc", unframed: true},
+		{name: "another's", answer: ok + "Content-Length: 1\r\nX-Request-Id: id-2\r\n\r\na", err: ErrCrossed},
+		{name: "upgrade", answer: "HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", err: ErrProtocol},
+		{name: "redirect", answer: "HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n"},
+		{name: "nothing", err: ErrCut},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			addr, _ := rawTarget(t, func(_ int, c net.Conn, _ *http.Request) bool {
+				io.WriteString(c, test.answer)
+				return false
+			})
+			c := New(Config{})
+			defer c.Close()
+			a, err := c.Do(context.Background(), request(addr, true, ""))
+			got, err := read(a, err)
+			if got != test.want || !errors.Is(err, test.err) || a != nil && a.Framed == test.unframed {
+				t.Errorf("got %q, %v, %+v", got, err, a)
+			}
+		})
+	}
+}
+
+// TestSilence bounds a target that stops at each point of its answer, and
+// finds a new connection where a kept one went silent.
+func TestSilence(t *testing.T) {
+	for _, answer := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"} {
+		ended := make(chan struct{})
+		addr, _ := rawTarget(t, func(_ int, c net.Conn, _ *http.Request) bool {
+			defer close(ended)
+			io.WriteString(c, answer)
+			io.Copy(io.Discard, c)
+			return false
+		})
+		c := New(Config{})
+		r := request(addr, true, "")
+		r.FirstByte, r.BetweenBytes = 50*time.Millisecond, 50*time.Millisecond
+		if _, err := read(c.Do(context.Background(), r)); !errors.Is(err, ErrSilent) {
+			t.Errorf("after %q: %v", answer, err)
+		}
+		// The target sees the connection end: the request is cancelled there.
+		<-ended
+		c.Close()
+	}
+}
+
+// TestRequestHeader checks what targets are sent and what they are not.
+func TestRequestHeader(t *testing.T) {
+	h := requestHeader(&Request{RequestID: "id", Header: http.Header{
+		"Connection": {"x-hop, close"}, "X-Hop": {"1"}, "Authorization": {"Bearer x"}, "Te": {"trailers"},
+		"Expect": {"100-continue"}, "X-Wigeonwood-Outcome": {"run"}, "X-Request-Id": {"forged"},
+		"X-Idempotency-Key": {"k"}, "Accept": {"*/*"},
+	}})
+	var b bytes.Buffer
+	h.Write(&b)
+	if got := strings.ReplaceAll(b.String(), "\r\n", "|"); got != "Accept: */*|X-Request-Id: id|x-idempotency-key: k|" {
+		t.Error(got)
+	}
+}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -59,7 +59,7 @@
 		h[name] = values
 	}
 	h.Del("Content-Length")
-	if a.Length >= 0 {
+	if a.Length >= 0 && hasLength(a.Status) {
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	h.Set(headerRequestID, x.ID)
@@ -71,6 +71,11 @@
 	w.WriteHeader(a.Status)
 }
 
+// hasLength tells whether answers of this status may declare a length.
+func hasLength(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // closeWhileDraining asks the caller to look for another entry next time.
 func (r *Router) closeWhileDraining(h http.Header) {
 	if r.draining.Load() {
