--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,178 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// DefaultQueueLength bounds the requests that wait in one queue.
+const DefaultQueueLength = 1024
+
+// maxFlows bounds the customers whose virtual times are kept.
+const maxFlows = 4096
+
+// Queue is a start-time fair queue over customers. It is not safe for
+// concurrent use.
+type Queue struct {
+	length int
+	// virtual is the start tag of the last request that began service. A
+	// customer that was idle resumes from it and so gains nothing by having
+	// been idle.
+	virtual float64
+	flows   map[string]*flow
+	waiting int
+}
+
+// NewQueue makes a queue that holds at most length requests.
+func NewQueue(length int) *Queue {
+	return &Queue{length: length, flows: make(map[string]*flow)}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return q.waiting }
+
+// Waiting returns the number of a customer's waiting requests.
+func (q *Queue) Waiting(customer string) int {
+	if f, ok := q.flows[customer]; ok {
+		return f.count
+	}
+	return 0
+}
+
+// Charge counts service that a customer received without waiting.
+func (q *Queue) Charge(customer string, weight uint32, cost float64) {
+	it := &Item{Customer: customer, Weight: weight, Cost: cost}
+	f := q.flow(it)
+	if f.count == 0 {
+		f.next = max(f.next, q.virtual)
+	}
+	// With requests waiting, virtual time belongs to them.
+	if q.waiting == 0 {
+		q.virtual = f.next
+	}
+	f.next += it.cost() / it.weight()
+}
+
+// Push adds a request. If the queue is full, the request that is shed is
+// returned: the last one of the customer that queues the most for its weight,
+// which may be the new request itself.
+func (q *Queue) Push(it *Item) (shed *Item) {
+	f := q.flow(it)
+	if f.count == 0 {
+		f.next = max(f.next, q.virtual)
+	}
+	f.push(it)
+	q.waiting++
+	if q.waiting <= q.length {
+		return nil
+	}
+	shed = q.longest().last()
+	return q.Remove(shed.Customer, shed.ID)
+}
+
+// Take removes and returns the next request for which admit is true, nil if
+// there is none. Customers are tried in the order of their start tags.
+func (q *Queue) Take(now time.Time, admit func(*Item) bool) *Item {
+	for _, f := range q.backlogged() {
+		var refused []string
+		for _, it := range f.heads(now) {
+			// The lane was refused for a more urgent class already.
+			if slices.Contains(refused, it.Lane) {
+				continue
+			}
+			if !admit(it) {
+				refused = append(refused, it.Lane)
+				continue
+			}
+			q.virtual = max(q.virtual, f.next)
+			f.next += it.cost() / it.weight()
+			return q.Remove(it.Customer, it.ID)
+		}
+	}
+	return nil
+}
+
+// Remove takes a request out of the queue; it returns nil if it is not there.
+func (q *Queue) Remove(customer string, id uint64) *Item {
+	f, ok := q.flows[customer]
+	if !ok {
+		return nil
+	}
+	it := f.remove(id)
+	if it != nil {
+		q.waiting--
+	}
+	return it
+}
+
+// Expired removes and returns the requests that are to be given up now.
+func (q *Queue) Expired(now time.Time) []*Item {
+	var expired []*Item
+	for _, f := range q.flows {
+		for _, lane := range f.lanes {
+			for _, it := range lane {
+				if !it.GiveUp.After(now) {
+					expired = append(expired, it)
+				}
+			}
+		}
+	}
+	slices.SortFunc(expired, func(a, b *Item) int { return cmp.Compare(a.ID, b.ID) })
+	for _, it := range expired {
+		q.Remove(it.Customer, it.ID)
+	}
+	return expired
+}
+
+func (q *Queue) flow(it *Item) *flow {
+	f, ok := q.flows[it.Customer]
+	if !ok {
+		q.trim()
+		f = &flow{customer: it.Customer, lanes: make(map[laneKey][]*Item)}
+		q.flows[it.Customer] = f
+	}
+	f.weight = it.weight()
+	return f
+}
+
+// backlogged returns the customers with waiting requests by start tag.
+func (q *Queue) backlogged() []*flow {
+	flows := make([]*flow, 0, len(q.flows))
+	for _, f := range q.flows {
+		if f.count > 0 {
+			flows = append(flows, f)
+		}
+	}
+	slices.SortFunc(flows, func(a, b *flow) int {
+		return cmp.Or(cmp.Compare(a.next, b.next), cmp.Compare(a.customer, b.customer))
+	})
+	return flows
+}
+
+// longest returns the customer that queues the most service for its weight.
+func (q *Queue) longest() *flow {
+	var longest *flow
+	for _, f := range q.flows {
+		if f.count == 0 {
+			continue
+		}
+		if longest == nil || f.excess() > longest.excess() ||
+			(f.excess() == longest.excess() && f.customer < longest.customer) {
+			longest = f
+		}
+	}
+	return longest
+}
+
+// trim forgets customers without work once the bound is reached.
+func (q *Queue) trim() {
+	if len(q.flows) < maxFlows {
+		return
+	}
+	for name, f := range q.flows {
+		if f.count == 0 {
+			delete(q.flows, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/limits/amount.go
@@ -0,0 +1,90 @@
+package limits
+
+import (
+	"math"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// unlimited is the amount of a dimension that the contract does not bound.
+var unlimited = math.Inf(1)
+
+// Amount is a part of a contract's limits, or a demand on them.
+type Amount struct {
+	// Requests and Tokens are per second.
+	Requests float64
+	Tokens   float64
+	// Concurrency counts requests in flight; it is whole.
+	Concurrency float64
+}
+
+// FromLimits returns a contract's limits; zero means unlimited there.
+func FromLimits(l *pb.Limits) Amount {
+	return Amount{
+		Requests:    orUnlimited(l.GetRequestsPerSecond()),
+		Tokens:      orUnlimited(l.GetTokensPerSecond()),
+		Concurrency: orUnlimited(float64(l.GetConcurrency())),
+	}
+}
+
+func orUnlimited(x float64) float64 {
+	if x <= 0 {
+		return unlimited
+	}
+	return x
+}
+
+// Unlimited tells whether no dimension is bounded.
+func (a Amount) Unlimited() bool {
+	return math.IsInf(a.Requests, 1) && math.IsInf(a.Tokens, 1) && math.IsInf(a.Concurrency, 1)
+}
+
+// part returns an equal part of one in n; concurrency is rounded down.
+func (a Amount) part(n int) Amount {
+	f := float64(max(n, 1))
+	return Amount{
+		Requests:    a.Requests / f,
+		Tokens:      a.Tokens / f,
+		Concurrency: math.Floor(a.Concurrency / f),
+	}
+}
+
+// atLeast returns the larger of both in each dimension.
+func (a Amount) atLeast(b Amount) Amount {
+	return Amount{
+		Requests:    max(a.Requests, b.Requests),
+		Tokens:      max(a.Tokens, b.Tokens),
+		Concurrency: max(a.Concurrency, b.Concurrency),
+	}
+}
+
+func (a Amount) toShare() *pb.Share {
+	return &pb.Share{
+		RequestsPerSecond: finite(a.Requests),
+		TokensPerSecond:   finite(a.Tokens),
+		Concurrency:       uint32(finite(a.Concurrency)),
+	}
+}
+
+func finite(x float64) float64 {
+	if math.IsInf(x, 1) {
+		return 0
+	}
+	return x
+}
+
+// fromShare reads a share of limits; dimensions without limit stay so.
+func fromShare(s *pb.Share, limits Amount) Amount {
+	return Amount{
+		Requests:    within(s.GetRequestsPerSecond(), limits.Requests),
+		Tokens:      within(s.GetTokensPerSecond(), limits.Tokens),
+		Concurrency: within(float64(s.GetConcurrency()), limits.Concurrency),
+	}
+}
+
+func within(x, limit float64) float64 {
+	if math.IsInf(limit, 1) {
+		return limit
+	}
+	return min(x, limit)
+}
--- /dev/null
+++ b/internal/limits/lender.go
@@ -0,0 +1,159 @@
+package limits
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// ShareLifetime is how long a lent share lasts without renewal.
+	ShareLifetime = 6 * time.Second
+	// maxAccounts bounds the customers that one home lends for.
+	maxAccounts = 4096
+)
+
+// Lender lends the shares of the customers that are at home at a router. It
+// is pure and not safe for concurrent use.
+type Lender struct {
+	accounts map[string]*account
+}
+
+type account struct {
+	revision uint64
+	limits   Amount
+	loans    map[string]loan
+}
+
+// loan is what one router may be using. Until the router asks again it is not
+// known whether the last answer arrived, so that both what it held when it
+// asked and what it was answered count.
+type loan struct {
+	counted Amount
+	demand  Amount
+	until   time.Time
+}
+
+// NewLender makes a lender without loans.
+func NewLender() *Lender {
+	return &Lender{accounts: make(map[string]*account)}
+}
+
+// Ask is a router's request for a share.
+type Ask struct {
+	Customer string
+	Router   string
+	// Limits are those of the contract at Revision.
+	Limits   Amount
+	Revision uint64
+	Demand   Amount
+	// Held is the share in force at the router when it asked.
+	Held Amount
+	// InUse counts the requests in flight, which a share can't take back.
+	InUse int
+}
+
+// Lend returns the router's new share, which replaces its earlier one and
+// lasts for ShareLifetime. The limits of the highest revision seen hold. The
+// sum of the shares in force is never above them, but for what routers held
+// before this home lent anything.
+func (l *Lender) Lend(now time.Time, ask Ask) Amount {
+	a := l.account(now, ask.Customer)
+	if a == nil {
+		return Amount{}
+	}
+	if ask.Revision >= a.revision {
+		a.revision, a.limits = ask.Revision, ask.Limits
+	}
+	a.expire(now)
+	delete(a.loans, ask.Router)
+	share := a.share(ask.Demand)
+	counted := share.atLeast(ask.Held)
+	counted.Concurrency = max(counted.Concurrency, float64(ask.InUse))
+	a.loans[ask.Router] = loan{counted: counted, demand: ask.Demand, until: now.Add(ShareLifetime)}
+	return share
+}
+
+// Lent returns the sum of what the routers may be using of a customer's limits.
+func (l *Lender) Lent(now time.Time, customer string) Amount {
+	a, ok := l.accounts[customer]
+	if !ok {
+		return Amount{}
+	}
+	a.expire(now)
+	return a.sum(func(lo loan) Amount { return lo.counted })
+}
+
+func (l *Lender) account(now time.Time, customer string) *account {
+	a, ok := l.accounts[customer]
+	if ok {
+		return a
+	}
+	if len(l.accounts) >= maxAccounts {
+		l.trim(now)
+	}
+	if len(l.accounts) >= maxAccounts {
+		return nil
+	}
+	a = &account{loans: make(map[string]loan)}
+	l.accounts[customer] = a
+	return a
+}
+
+// trim forgets customers of whom nothing is lent.
+func (l *Lender) trim(now time.Time) {
+	for customer, a := range l.accounts {
+		a.expire(now)
+		if len(a.loans) == 0 {
+			delete(l.accounts, customer)
+		}
+	}
+}
+
+func (a *account) expire(now time.Time) {
+	for router, lo := range a.loans {
+		if !lo.until.After(now) {
+			delete(a.loans, router)
+		}
+	}
+}
+
+func (a *account) sum(of func(loan) Amount) Amount {
+	var total Amount
+	for _, lo := range a.loans {
+		x := of(lo)
+		total.Requests += x.Requests
+		total.Tokens += x.Tokens
+		total.Concurrency += x.Concurrency
+	}
+	return total
+}
+
+// share computes what a router with this demand gets while the others keep
+// what they have.
+func (a *account) share(demand Amount) Amount {
+	lent := a.sum(func(lo loan) Amount { return lo.counted })
+	wanted := a.sum(func(lo loan) Amount { return lo.demand })
+	n := len(a.loans) + 1
+	return Amount{
+		Requests:    divide(a.limits.Requests, lent.Requests, wanted.Requests, demand.Requests, n),
+		Tokens:      divide(a.limits.Tokens, lent.Tokens, wanted.Tokens, demand.Tokens, n),
+		Concurrency: math.Floor(divide(a.limits.Concurrency, lent.Concurrency, wanted.Concurrency, demand.Concurrency, n)),
+	}
+}
+
+// divide returns one router's part of a limit: in proportion to demand if the
+// routers want more than there is, else its demand and an equal part of the
+// rest, of which one part stays for a router that has yet to ask. It never
+// takes what is lent to others.
+func divide(limit, lent, wanted, demand float64, routers int) float64 {
+	if math.IsInf(limit, 1) {
+		return limit
+	}
+	free := max(limit-lent, 0)
+	total := wanted + demand
+	fair := limit * demand / max(total, math.SmallestNonzeroFloat64)
+	if total <= limit {
+		fair = demand + (limit-total)/float64(routers+1)
+	}
+	return min(free, fair)
+}
--- /dev/null
+++ b/internal/limits/limiter.go
@@ -0,0 +1,314 @@
+package limits
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+// Codes of refusals.
+const (
+	CodeRequests    = "requests-limit"
+	CodeTokens      = "tokens-limit"
+	CodeConcurrency = "concurrency-limit"
+	CodeTooMany     = "too-many-customers"
+)
+
+const (
+	minRetryAfter = 1 * time.Second
+	maxRetryAfter = 30 * time.Second
+	// renewAfter is the age at which an active customer's share is renewed.
+	renewAfter = 2 * time.Second
+	// renewInterval is how often due renewals are looked for, and
+	// renewsPerInterval bounds those made then, oldest first. A share that is
+	// not renewed in time is asked for again by the next request.
+	renewInterval     = 1 * time.Second
+	renewsPerInterval = 8
+	// askInterval is the least time between two calls for one customer's
+	// share.
+	askInterval = 250 * time.Millisecond
+	// fallbackLifetime is how long a fallback part lasts.
+	fallbackLifetime = 1 * time.Second
+	// askTimeout bounds a call to the home.
+	askTimeout = 500 * time.Millisecond
+	// idleAfter is how long after its last request a customer's share is
+	// still renewed, and forgetAfter how long its meter is kept.
+	idleAfter   = 5 * time.Second
+	forgetAfter = 1 * time.Minute
+	// maxCustomers bounds the customers metered at one router.
+	maxCustomers = 4096
+	// methodLend is the call that asks a home for a share.
+	methodLend = "limits.lend"
+)
+
+// Config holds what a limiter needs; all but Scope are required.
+type Config struct {
+	// Self is this router's id.
+	Self string
+	View fleet.View
+	// Pool calls other routers; Server takes their calls. New registers the
+	// limiter's methods, before the server serves.
+	Pool   *transport.Pool
+	Server *transport.Server
+	Logger *log.Logger
+	Scope  tally.Scope
+}
+
+// Limiter enforces the limits of contracts over all routers.
+type Limiter struct {
+	cfg Config
+
+	lenderMu sync.Mutex
+	lender   *Lender
+
+	mu        sync.Mutex
+	customers map[string]*customer
+
+	refusals tally.Scope
+	fallback tally.Counter
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+var _ filter.Limiter = (*Limiter)(nil)
+
+// customer is what a router keeps of one customer that it serves.
+type customer struct {
+	// asking serialises calls for a share; it is taken before mu.
+	asking sync.Mutex
+
+	mu       sync.Mutex
+	contract *pb.Contract
+	meter    meter
+	askedAt  time.Time
+}
+
+// New makes a limiter and registers its methods.
+func New(cfg Config) *Limiter {
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	scope := cfg.Scope.SubScope("limits")
+	l := &Limiter{
+		cfg:       cfg,
+		lender:    NewLender(),
+		customers: make(map[string]*customer),
+		refusals:  scope,
+		fallback:  scope.Counter("fallback_shares"),
+		stop:      make(chan struct{}),
+	}
+	transport.Handle(cfg.Server, methodLend, l.handleLend)
+	return l
+}
+
+// Run renews the shares of active customers until Close or the end of ctx.
+func (l *Limiter) Run(ctx context.Context) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.stop:
+			return
+		case <-ticker.C:
+			l.renew(ctx)
+		}
+	}
+}
+
+// Close ends Run.
+func (l *Limiter) Close() { l.stopOnce.Do(func() { close(l.stop) }) }
+
+// Take takes one request from the contract's limits. The error is a
+// *filter.Refusal.
+func (l *Limiter) Take(ctx context.Context, d filter.Demand) (func(filter.Usage), error) {
+	limits := FromLimits(d.Contract.GetLimits())
+	if limits.Unlimited() {
+		return func(filter.Usage) {}, nil
+	}
+	c := l.customer(d.Contract)
+	if c == nil {
+		return nil, l.refuse(CodeTooMany, minRetryAfter)
+	}
+	tokens := float64(d.PromptTokens + d.MaxTokens)
+	code, retryAfter := c.take(tokens, true)
+	if code != "" {
+		l.ask(ctx, c)
+		code, retryAfter = c.take(tokens, false)
+	}
+	if code != "" {
+		return nil, l.refuse(code, retryAfter)
+	}
+	var once sync.Once
+	return func(u filter.Usage) {
+		once.Do(func() { c.give(tokens, float64(u.Tokens)) })
+	}, nil
+}
+
+func (l *Limiter) refuse(code string, retryAfter time.Duration) *filter.Refusal {
+	l.refusals.Tagged(map[string]string{"code": code}).Counter("refusals").Inc(1)
+	return &filter.Refusal{
+		Code:       code,
+		Text:       "the contract's limit is reached",
+		RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter),
+	}
+}
+
+func (c *customer) take(tokens float64, first bool) (code string, retryAfter time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if first {
+		c.meter.ask(now, tokens)
+	}
+	return c.meter.take(now, tokens)
+}
+
+func (c *customer) give(expected, consumed float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.meter.give(time.Now(), expected, consumed)
+}
+
+// customer returns what is kept of the contract's customer, nil if the table
+// is full of active ones.
+func (l *Limiter) customer(contract *pb.Contract) *customer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := l.customers[contract.Customer]
+	if !ok {
+		if len(l.customers) >= maxCustomers {
+			l.trimLocked()
+		}
+		if len(l.customers) >= maxCustomers {
+			return nil
+		}
+		c = &customer{contract: contract}
+		l.customers[contract.Customer] = c
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if contract.Revision >= c.contract.Revision {
+		c.contract = contract
+	}
+	return c
+}
+
+// trimLocked forgets customers that have long been idle.
+func (l *Limiter) trimLocked() {
+	now := time.Now()
+	for name, c := range l.customers {
+		c.mu.Lock()
+		idle := c.meter.inUse == 0 && now.Sub(c.meter.used) > forgetAfter
+		c.mu.Unlock()
+		if idle {
+			delete(l.customers, name)
+		}
+	}
+}
+
+// renew asks for new shares for the customers that were active lately.
+func (l *Limiter) renew(ctx context.Context) {
+	var asking sync.WaitGroup
+	for _, c := range l.due(time.Now()) {
+		asking.Go(func() { l.ask(ctx, c) })
+	}
+	asking.Wait()
+}
+
+// due returns the active customers whose shares are to be renewed.
+func (l *Limiter) due(now time.Time) []*customer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var due []*customer
+	for _, c := range l.customers {
+		if c.due(now) {
+			due = append(due, c)
+		}
+	}
+	slices.SortFunc(due, func(a, b *customer) int { return a.asked().Compare(b.asked()) })
+	return due[:min(len(due), renewsPerInterval)]
+}
+
+func (c *customer) due(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	active := c.meter.inUse > 0 || now.Sub(c.meter.used) < idleAfter
+	return active && now.Sub(c.askedAt) >= renewAfter
+}
+
+func (c *customer) asked() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.askedAt
+}
+
+// ask gets the customer a new share from its home, or the fallback part if
+// the home can't be reached. If another request asked just before, its share
+// serves this one too.
+func (l *Limiter) ask(ctx context.Context, c *customer) {
+	c.asking.Lock()
+	defer c.asking.Unlock()
+	sent := time.Now()
+	contract, ask, ok := c.beginAsk(sent)
+	if !ok {
+		return
+	}
+	ask.Router = l.cfg.Self
+	share, lifetime, err := l.lend(ctx, ask, contract.Limits)
+	if err == nil {
+		c.setShare(share, sent.Add(lifetime))
+		return
+	}
+	l.cfg.Logger.Debug().Err(err).Str("step", errs.Step(err)).Str("peer", errs.Peer(err)).
+		Str("customer", contract.Customer).Msg("the customer's home lent no share")
+	if c.fallBack(ask.Limits.part(len(l.routers())), sent) {
+		l.fallback.Inc(1)
+	}
+}
+
+func (c *customer) beginAsk(now time.Time) (*pb.Contract, Ask, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.askedAt) < askInterval {
+		return nil, Ask{}, false
+	}
+	c.askedAt = now
+	return c.contract, Ask{
+		Customer: c.contract.Customer,
+		Limits:   FromLimits(c.contract.Limits),
+		Revision: c.contract.Revision,
+		Demand:   c.meter.demand(now),
+		Held:     c.meter.present(now),
+		InUse:    c.meter.inUse,
+	}, true
+}
+
+func (c *customer) setShare(share Amount, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.meter.setShare(time.Now(), share, until)
+}
+
+// fallBack gives the customer the fallback part, unless a lent share lasts.
+func (c *customer) fallBack(part Amount, sent time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.meter.until.After(now) {
+		return false
+	}
+	c.meter.setShare(now, part, sent.Add(fallbackLifetime))
+	return true
+}
--- /dev/null
+++ b/internal/limits/limiter_test.go
@@ -0,0 +1,165 @@
+package limits
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.uber.org/goleak"
+
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeView is a view whose routers tests change.
+type fakeView struct {
+	self    string
+	routers atomic.Pointer[[]*pb.RouterStatus]
+}
+
+func (v *fakeView) Self() *pb.RouterStatus          { return nil }
+func (v *fakeView) Routers() []*pb.RouterStatus     { return *v.routers.Load() }
+func (v *fakeView) Targets() []*pb.TargetStatus     { return nil }
+func (v *fakeView) Target(string) *pb.TargetStatus  { return nil }
+func (v *fakeView) set(routers ...*pb.RouterStatus) { v.routers.Store(&routers) }
+func serving(id, addr string) *pb.RouterStatus {
+	return &pb.RouterStatus{Id: id, PeerAddr: addr, State: pb.RouterState_ROUTER_STATE_SERVING}
+}
+
+func discard() *log.Logger { return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}} }
+
+func newLimiter(t *testing.T, view *fakeView) (*Limiter, *transport.Server) {
+	calls := transport.NewPool("secret", nil, nil)
+	server := transport.NewServer("secret", discard())
+	l := New(Config{Self: view.self, View: view, Pool: calls, Server: server, Logger: discard()})
+	running := make(chan struct{})
+	go func() {
+		defer close(running)
+		l.Run(t.Context())
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		<-running
+		server.Close()
+		calls.Close()
+	})
+	return l, server
+}
+
+func contract(l *pb.Limits) filter.Demand {
+	return filter.Demand{Contract: &pb.Contract{Customer: "c", Revision: 1, Limits: l}, PromptTokens: 50, MaxTokens: 50}
+}
+
+func TestOneRouterEnforcesTheWholeContract(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := &fakeView{self: "r1"}
+		view.set(serving("r1", ""))
+		l, _ := newLimiter(t, view)
+		d := contract(&pb.Limits{RequestsPerSecond: 10, Concurrency: 4})
+		taken := 0
+		for range 600 {
+			if release, err := l.Take(t.Context(), d); err == nil {
+				taken++
+				release(filter.Usage{Tokens: 10})
+			} else if r := (*filter.Refusal)(nil); !errors.As(err, &r) || r.RetryAfter <= 0 {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		// 30 s at 10 requests a second, and the burst of one second.
+		if taken < 270 || taken > 310 {
+			t.Fatalf("took %d requests in 30 s at 10 a second", taken)
+		}
+	})
+}
+
+func TestConcurrencyIsHeldAndGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := &fakeView{self: "r1"}
+		view.set(serving("r1", ""))
+		l, _ := newLimiter(t, view)
+		d := contract(&pb.Limits{Concurrency: 3})
+		for range 5 {
+			var releases []func(filter.Usage)
+			for range 8 {
+				if release, err := l.Take(t.Context(), d); err == nil {
+					releases = append(releases, release)
+				}
+				time.Sleep(time.Second)
+			}
+			if len(releases) != 3 {
+				t.Fatalf("%d requests at once under a limit of 3", len(releases))
+			}
+			for _, release := range releases {
+				release(filter.Usage{})
+				release(filter.Usage{})
+			}
+		}
+	})
+}
+
+// Three routers over real calls hold one contract together, and go on with
+// their fallback parts when the home is lost.
+func TestRoutersShareOneContract(t *testing.T) {
+	var views []*fakeView
+	var limiters []*Limiter
+	var routers []*pb.RouterStatus
+	var servers []*transport.Server
+	for i := range 3 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		id := fmt.Sprint("r", i)
+		view := &fakeView{self: id}
+		view.set()
+		l, server := newLimiter(t, view)
+		go func() { _ = server.Serve(listener) }()
+		routers = append(routers, serving(id, listener.Addr().String()))
+		views, limiters, servers = append(views, view), append(limiters, l), append(servers, server)
+	}
+	for _, v := range views {
+		v.set(routers...)
+	}
+	d := contract(&pb.Limits{Concurrency: 6})
+	if held := takeAll(t, limiters, d); held > 6 || held < 4 {
+		t.Fatalf("%d requests at once under a limit of 6", held)
+	}
+	home, _ := limiters[0].home("c")
+	for i, r := range routers {
+		if r.Id == home {
+			servers[i].Close()
+		}
+	}
+	d.Contract = &pb.Contract{Customer: "other", Revision: 1, Limits: &pb.Limits{Concurrency: 6}}
+	if held := takeAll(t, limiters, d); held == 0 {
+		t.Fatal("nothing is served while a home can't be reached")
+	}
+}
+
+func takeAll(t *testing.T, limiters []*Limiter, d filter.Demand) int {
+	var held atomic.Int32
+	var wg sync.WaitGroup
+	for _, l := range limiters {
+		wg.Go(func() {
+			for range 10 {
+				if _, err := l.Take(t.Context(), d); err == nil {
+					held.Add(1)
+				}
+				time.Sleep(askInterval / 2)
+			}
+		})
+	}
+	wg.Wait()
+	return int(held.Load())
+}
--- /dev/null
+++ b/internal/placement/chooser.go
@@ -0,0 +1,187 @@
+package placement
+
+import "time"
+
+// DefaultTakeover is the time over which a joining engine takes over the
+// chats for which it scores highest and which nobody is known to hold.
+const DefaultTakeover = 10 * time.Minute
+
+// Engine is one eligible engine as the deciding router knows it.
+type Engine struct {
+	ID          string
+	Hash        EngineHash
+	Incarnation uint64
+	// InFlight counts the requests that the engine has in flight.
+	InFlight int
+	// Capacity is the most requests that the engine may have in flight for
+	// the chooser to add one.
+	Capacity int
+	// Blocked engines count in the mean but are never chosen.
+	Blocked bool
+	// Joined is when the engine was first seen; zero if that was long ago.
+	Joined time.Time
+}
+
+// Why says how an engine was chosen.
+type Why int
+
+// Reasons for a choice.
+const (
+	// WhyHeld: the directory knows the engine as a holder of the prefix.
+	WhyHeld Why = iota + 1
+	// WhyDefault: the engine has the highest rendezvous score.
+	WhyDefault
+	// WhySpill: engines that come first are at the load bound or full.
+	WhySpill
+)
+
+// String returns the reason in words.
+func (w Why) String() string {
+	switch w {
+	case WhyHeld:
+		return "holds the chat's prefix"
+	case WhyDefault:
+		return "highest rendezvous score"
+	case WhySpill:
+		return "the engines before it are at the load bound"
+	default:
+		return "none"
+	}
+}
+
+// Choice is the outcome of a decision.
+type Choice struct {
+	// Index into the engines; -1 if every engine is at the bound or full.
+	Index int
+	Why   Why
+}
+
+// Chooser places chats on engines. It is not safe for concurrent use.
+type Chooser struct {
+	// Factor is the c of the load bound.
+	Factor float64
+	// Takeover is the time over which a joining engine takes over chats.
+	Takeover time.Duration
+	// Directory may be nil; then placement is by rendezvous alone.
+	Directory *Directory
+}
+
+// Choose places a chat on one of the engines, all of which are eligible. An
+// engine is passed over if one more request would take it past its capacity
+// or past the load bound over the engines.
+func (c *Chooser) Choose(now time.Time, k Key, engines []Engine) Choice {
+	limit := c.limit(engines)
+	if i := c.held(k, engines, limit); i >= 0 {
+		return Choice{Index: i, Why: WhyHeld}
+	}
+	best, bestAny := c.byScore(now, k, engines, limit)
+	switch {
+	case best < 0:
+		return Choice{Index: -1}
+	case best == bestAny:
+		return Choice{Index: best, Why: WhyDefault}
+	default:
+		return Choice{Index: best, Why: WhySpill}
+	}
+}
+
+// LeastLoaded returns the engine with the fewest requests in flight relative
+// to its capacity that has room for one more, by score among equals.
+func (c *Chooser) LeastLoaded(k Key, engines []Engine) Choice {
+	limit := c.limit(engines)
+	best := -1
+	for i := range engines {
+		e := &engines[i]
+		if !hasRoom(e, limit) {
+			continue
+		}
+		if best < 0 || lessLoaded(k, e, &engines[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Choice{Index: -1}
+	}
+	return Choice{Index: best, Why: WhyDefault}
+}
+
+func lessLoaded(k Key, a, b *Engine) bool {
+	if a.InFlight != b.InFlight {
+		return a.InFlight < b.InFlight
+	}
+	return score(k, a.Hash) > score(k, b.Hash)
+}
+
+func (c *Chooser) limit(engines []Engine) int {
+	total := 1
+	for i := range engines {
+		total += engines[i].InFlight
+	}
+	return Limit(c.Factor, total, len(engines))
+}
+
+func hasRoom(e *Engine, limit int) bool {
+	return !e.Blocked && e.InFlight < limit && e.InFlight < e.Capacity
+}
+
+// held returns the first holder that is eligible, has room and still runs in
+// the incarnation that took the chat; -1 if there is none.
+func (c *Chooser) held(k Key, engines []Engine, limit int) int {
+	if c.Directory == nil || k == 0 {
+		return -1
+	}
+	for _, h := range c.Directory.Holders(k) {
+		if h.Engine == "" {
+			continue
+		}
+		for i := range engines {
+			e := &engines[i]
+			if e.ID == h.Engine && e.Incarnation == h.Incarnation && hasRoom(e, limit) {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// byScore returns the best engine with room, and the best one regardless of
+// room. A joining engine competes for a growing share of the chats; outside
+// this share it is taken only if no other has room.
+func (c *Chooser) byScore(now time.Time, k Key, engines []Engine, limit int) (best, bestAny int) {
+	best, bestAny, fallback := -1, -1, -1
+	var bestScore, anyScore, fallbackScore uint64
+	for i := range engines {
+		e := &engines[i]
+		s := score(k, e.Hash)
+		if !c.competes(now, e, s) {
+			if hasRoom(e, limit) && (fallback < 0 || s > fallbackScore) {
+				fallback, fallbackScore = i, s
+			}
+			continue
+		}
+		if bestAny < 0 || s > anyScore {
+			bestAny, anyScore = i, s
+		}
+		if hasRoom(e, limit) && (best < 0 || s > bestScore) {
+			best, bestScore = i, s
+		}
+	}
+	if best < 0 {
+		best = fallback
+	}
+	return best, bestAny
+}
+
+// competes tells whether an engine takes part for the chat with this score.
+// The share of chats grows in proportion to the time since the engine joined.
+func (c *Chooser) competes(now time.Time, e *Engine, s uint64) bool {
+	if c.Takeover <= 0 || e.Joined.IsZero() {
+		return true
+	}
+	age := now.Sub(e.Joined)
+	if age >= c.Takeover {
+		return true
+	}
+	share := float64(age) / float64(c.Takeover)
+	return float64(mix(s)>>11)/(1<<53) < share
+}
--- /dev/null
+++ b/internal/pool/lane.go
@@ -0,0 +1,171 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/admission"
+)
+
+const (
+	// rateWindow is the time over which a lane's rate of releases is taken.
+	rateWindow = 5 * time.Second
+	// minRateSamples is the number of releases below which the rate is
+	// unknown.
+	minRateSamples = 10
+)
+
+// lane holds the targets that can serve one model or service, and the queue
+// of the requests that wait for them.
+type lane struct {
+	name     string
+	service  bool
+	targets  []*target
+	capacity int
+	queue    *admission.Queue
+	shares   map[string]*share
+	// weights is the sum over shares.
+	weights float64
+
+	// releases counts the places freed since windowStart; rate is that of
+	// the window before, per second.
+	releases    int
+	windowStart time.Time
+	rate        float64
+}
+
+// share is what one customer uses of a lane.
+type share struct {
+	weight   float64
+	inFlight int
+	seen     time.Time
+}
+
+func newLane(name string, queueLength int) *lane {
+	return &lane{
+		name:   name,
+		queue:  admission.NewQueue(queueLength),
+		shares: make(map[string]*share),
+	}
+}
+
+func modelLane(model string) string { return "model/" + model }
+
+func serviceLane(service string) string { return "service/" + service }
+
+func laneName(r *Request) string {
+	if r.Service != "" {
+		return serviceLane(r.Service)
+	}
+	return modelLane(r.Model)
+}
+
+// see notes a customer's request and returns its share.
+func (l *lane) see(now time.Time, r *Request) *share {
+	s, ok := l.shares[r.Customer]
+	if !ok {
+		s = &share{}
+		l.shares[r.Customer] = s
+	}
+	weight := float64(max(r.Weight, 1))
+	l.weights += weight - s.weight
+	s.weight = weight
+	s.seen = now
+	return s
+}
+
+// aboveShare tells whether one more request takes the customer past its
+// weighted share of the lane's capacity.
+func (l *lane) aboveShare(customer string) bool {
+	s, ok := l.shares[customer]
+	if !ok || l.weights <= 0 {
+		return false
+	}
+	return float64(s.inFlight+1) > float64(l.capacity)*s.weight/l.weights
+}
+
+// forgetIdle drops customers that have been idle for long.
+func (l *lane) forgetIdle(now time.Time) {
+	for name, s := range l.shares {
+		if s.inFlight == 0 && l.queue.Waiting(name) == 0 && now.Sub(s.seen) > activeFor {
+			l.weights -= s.weight
+			delete(l.shares, name)
+		}
+	}
+}
+
+func (l *lane) countRelease(now time.Time) {
+	l.rollRate(now)
+	l.releases++
+}
+
+func (l *lane) rollRate(now time.Time) {
+	if l.windowStart.IsZero() {
+		l.windowStart = now
+	}
+	elapsed := now.Sub(l.windowStart)
+	if elapsed < rateWindow {
+		return
+	}
+	l.rate = 0
+	if l.releases >= minRateSamples {
+		l.rate = float64(l.releases) / elapsed.Seconds()
+	}
+	l.releases = 0
+	l.windowStart = now
+}
+
+// expectedWait estimates how long a customer's next request would wait: its
+// own queue served at its share of the lane's rate; ok is false while the
+// rate is unknown.
+func (l *lane) expectedWait(customer string) (wait time.Duration, ok bool) {
+	s, known := l.shares[customer]
+	if !known || l.rate == 0 {
+		return 0, false
+	}
+	competing := 0.0
+	for name, other := range l.shares {
+		if name == customer || l.queue.Waiting(name) > 0 {
+			competing += other.weight
+		}
+	}
+	rate := l.rate * s.weight / competing
+	seconds := float64(l.queue.Waiting(customer)+1) / rate
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()*10) * float64(time.Second)), true
+}
+
+// retryAfter is when a refused customer should come back.
+func (l *lane) retryAfter(customer string) time.Duration {
+	wait, ok := l.expectedWait(customer)
+	if !ok {
+		return minRetryAfter
+	}
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// idle tells whether nothing refers to the lane.
+func (l *lane) idle() bool {
+	if len(l.targets) > 0 || l.queue.Len() > 0 {
+		return false
+	}
+	for _, s := range l.shares {
+		if s.inFlight > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *lane) setTargets(targets []*target) {
+	slices.SortFunc(targets, func(a, b *target) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	l.targets = targets
+	l.capacity = 0
+	for _, t := range targets {
+		l.capacity += t.Capacity
+	}
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,245 @@
+package pool
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/admission"
+	"github.com/wigeonwood/wigeonwood/internal/placement"
+)
+
+// Pool admits requests to targets. It is not safe for concurrent use.
+type Pool struct {
+	cfg       Config
+	directory *placement.Directory
+	feeds     *placement.Feeds
+	chooser   placement.Chooser
+	targets   map[string]*target
+	lanes     map[string]*lane
+	grants    map[ID]*grant
+	waiting   map[uint64]*waiter
+	waiterOf  map[ID]*waiter
+	lastItem  uint64
+	scratch   []placement.Engine
+}
+
+// grant is a place that a request holds.
+type grant struct {
+	target   *target
+	lane     string
+	customer string
+}
+
+// waiter is a request in a queue.
+type waiter struct {
+	req  Request
+	item *admission.Item
+	lane *lane
+}
+
+// New makes a pool without targets.
+func New(cfg Config) *Pool {
+	directory := placement.NewDirectory(cfg.DirectorySize)
+	return &Pool{
+		cfg:       cfg,
+		directory: directory,
+		feeds:     placement.NewFeeds(directory),
+		chooser: placement.Chooser{
+			Factor:    cfg.Factor,
+			Takeover:  cfg.Takeover,
+			Directory: directory,
+		},
+		targets:  make(map[string]*target),
+		lanes:    make(map[string]*lane),
+		grants:   make(map[ID]*grant),
+		waiting:  make(map[uint64]*waiter),
+		waiterOf: make(map[ID]*waiter),
+	}
+}
+
+// Submit decides on a request. The first result is that of the request; if it
+// is Queued, a later call returns the final one. Others follow for requests
+// that were shed in its favour.
+func (p *Pool) Submit(now time.Time, r Request) []Result {
+	if g, ok := p.grants[r.ID]; ok {
+		// A resend after a lost answer.
+		return []Result{{ID: r.ID, Kind: Granted, Target: g.target.ID, Incarnation: g.target.Incarnation}}
+	}
+	l, ok := p.lanes[laneName(&r)]
+	if !ok || !l.serves(r.Exclude) {
+		return []Result{{ID: r.ID, Kind: Refused, Code: CodeNoTarget, RetryAfter: minRetryAfter}}
+	}
+	if r.Hint.Engine != "" {
+		p.directory.Hint(r.Chat, r.Hint)
+	}
+	l.see(now, &r)
+	if l.queue.Len() == 0 || p.mayOvertake(l, &r) {
+		if result, ok := p.place(now, l, &r); ok {
+			l.queue.Charge(r.Customer, r.Weight, r.Cost)
+			return []Result{result}
+		}
+	}
+	return p.enqueue(now, l, r)
+}
+
+// mayOvertake tells whether a request may be placed though others wait: all
+// that wait are held back only because their customers are above their share.
+func (p *Pool) mayOvertake(l *lane, r *Request) bool {
+	return l.queue.Waiting(r.Customer) == 0 && !l.aboveShare(r.Customer)
+}
+
+// serves tells whether any target of the lane is not excluded.
+func (l *lane) serves(exclude []string) bool {
+	return slices.ContainsFunc(l.targets, func(t *target) bool {
+		return !slices.Contains(exclude, t.ID)
+	})
+}
+
+// place grants a place if a target has room for the request.
+func (p *Pool) place(now time.Time, l *lane, r *Request) (Result, bool) {
+	reserve := 0
+	if l.aboveShare(r.Customer) {
+		reserve = p.cfg.Reserve
+	}
+	engines := p.engines(l, r.Exclude, reserve)
+	var choice placement.Choice
+	if l.service {
+		choice = p.chooser.LeastLoaded(placement.Key(p.lastItem), engines)
+	} else {
+		choice = p.chooser.Choose(now, r.Chat, engines)
+	}
+	if choice.Index < 0 {
+		return Result{}, false
+	}
+	t := l.targets[choice.Index]
+	t.granted++
+	l.shares[r.Customer].inFlight++
+	p.grants[r.ID] = &grant{target: t, lane: l.name, customer: r.Customer}
+	p.directory.Record(r.Chat, placement.Holder{Engine: t.ID, Incarnation: t.Incarnation, Used: now})
+	return Result{ID: r.ID, Kind: Granted, Target: t.ID, Incarnation: t.Incarnation, Why: choice.Why}, true
+}
+
+// enqueue lets a request wait, unless it would wait too long.
+func (p *Pool) enqueue(now time.Time, l *lane, r Request) []Result {
+	if wait, ok := l.expectedWait(r.Customer); ok && wait > r.MaxWait {
+		return []Result{p.refuse(l, &r, CodeWaitTooLong)}
+	}
+	p.lastItem++
+	it := &admission.Item{
+		ID:       p.lastItem,
+		Customer: r.Customer,
+		Weight:   r.Weight,
+		Class:    r.Class,
+		Lane:     strings.Join(r.Exclude, ","),
+		Cost:     r.Cost,
+		Enqueued: now,
+		GiveUp:   now.Add(r.MaxWait),
+	}
+	w := &waiter{req: r, item: it, lane: l}
+	p.waiting[it.ID] = w
+	p.waiterOf[r.ID] = w
+	shed := l.queue.Push(it)
+	if shed == nil {
+		return []Result{{ID: r.ID, Kind: Queued}}
+	}
+	victim := p.forget(shed)
+	refused := p.refuse(l, &victim.req, CodeQueueFull)
+	if shed == it {
+		return []Result{refused}
+	}
+	return []Result{{ID: r.ID, Kind: Queued}, refused}
+}
+
+func (p *Pool) refuse(l *lane, r *Request, code string) Result {
+	return Result{ID: r.ID, Kind: Refused, Code: code, RetryAfter: l.retryAfter(r.Customer)}
+}
+
+// forget drops the waiter of an item that left its queue.
+func (p *Pool) forget(it *admission.Item) *waiter {
+	w := p.waiting[it.ID]
+	delete(p.waiting, it.ID)
+	delete(p.waiterOf, w.req.ID)
+	return w
+}
+
+// Release gives back what a request holds, its place in the queue included,
+// and returns the results of requests that take it over. Releasing twice has
+// no effect.
+func (p *Pool) Release(now time.Time, id ID) []Result {
+	if w, ok := p.waiterOf[id]; ok {
+		w.lane.queue.Remove(w.item.Customer, w.item.ID)
+		p.forget(w.item)
+		return nil
+	}
+	g, ok := p.grants[id]
+	if !ok {
+		return nil
+	}
+	delete(p.grants, id)
+	g.target.granted--
+	if l, ok := p.lanes[g.lane]; ok {
+		l.countRelease(now)
+		if s, ok := l.shares[g.customer]; ok {
+			s.inFlight--
+		}
+	}
+	return p.Wake(now)
+}
+
+// Wake places waiting requests for which there is room now.
+func (p *Pool) Wake(now time.Time) []Result {
+	var results []Result
+	for _, l := range p.sortedLanes() {
+		results = p.wakeLane(now, l, results)
+	}
+	return results
+}
+
+func (p *Pool) wakeLane(now time.Time, l *lane, results []Result) []Result {
+	for l.queue.Len() > 0 {
+		var placed Result
+		it := l.queue.Take(now, func(it *admission.Item) bool {
+			var ok bool
+			placed, ok = p.place(now, l, &p.waiting[it.ID].req)
+			return ok
+		})
+		if it == nil {
+			return results
+		}
+		p.forget(it)
+		placed.Waited = now.Sub(it.Enqueued)
+		results = append(results, placed)
+	}
+	return results
+}
+
+// Tick refuses requests that have waited too long, and places those that can
+// be placed since the targets changed. It is to be called about each second.
+func (p *Pool) Tick(now time.Time) []Result {
+	var results []Result
+	for _, l := range p.sortedLanes() {
+		for _, it := range l.queue.Expired(now) {
+			w := p.forget(it)
+			results = append(results, p.refuse(l, &w.req, CodeWaitTooLong))
+		}
+		l.rollRate(now)
+		l.forgetIdle(now)
+	}
+	return append(results, p.Wake(now)...)
+}
+
+func (p *Pool) sortedLanes() []*lane {
+	lanes := make([]*lane, 0, len(p.lanes))
+	for _, l := range p.lanes {
+		lanes = append(lanes, l)
+	}
+	slices.SortFunc(lanes, func(a, b *lane) int { return strings.Compare(a.name, b.name) })
+	return lanes
+}
+
+// CacheEvents takes events of an engine's cache; it returns resync if some
+// before them are missing.
+func (p *Pool) CacheEvents(now time.Time, engine string, incarnation, from uint64, events []placement.CacheEvent) (resync bool) {
+	return p.feeds.Apply(now, engine, incarnation, from, events)
+}
--- /dev/null
+++ b/internal/pool/types.go
@@ -0,0 +1,114 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/placement"
+)
+
+const (
+	// DefaultCapacity is assumed of targets that announce none.
+	DefaultCapacity = 32
+	// DefaultReserve is the share of each target's capacity, in thousandths,
+	// that customers above their share leave to the others.
+	DefaultReserve = 100
+	// activeFor is how long after its last request a customer counts when
+	// shares are computed.
+	activeFor = 1 * time.Minute
+	// minRetryAfter and maxRetryAfter bound what refused callers are told.
+	minRetryAfter = 1 * time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+// Config holds the settings of a pool.
+type Config struct {
+	// Factor is the c of the load bound.
+	Factor float64
+	// Takeover is the time over which a joining engine takes over chats.
+	Takeover time.Duration
+	// Reserve is in thousandths of a target's capacity.
+	Reserve int
+	// QueueLength bounds the waiting requests of one lane.
+	QueueLength int
+	// DirectorySize bounds the chats remembered.
+	DirectorySize int
+	// FlapHold is how long the state of a target that vanished is kept.
+	FlapHold time.Duration
+}
+
+// Target is one target as the router knows it.
+type Target struct {
+	ID          string
+	Incarnation uint64
+	Models      []string
+	Service     string
+	Capacity    int
+	// External counts requests in flight that other routers admitted.
+	External int
+	// Closed targets take no new work.
+	Closed bool
+}
+
+// ID names a request: the router that brought it and its number there.
+type ID struct {
+	Router string
+	Number uint64
+}
+
+// Request asks for a place at a target.
+type Request struct {
+	ID       ID
+	Customer string
+	// Weight is the customer's share by contract.
+	Weight uint32
+	// Class is the priority class, zero the most urgent.
+	Class int
+	// Cost is the expected service in tokens.
+	Cost float64
+	// Chat is zero for requests without one.
+	Chat placement.Key
+	// Model or Service is set.
+	Model   string
+	Service string
+	// Exclude names targets that failed this request before.
+	Exclude []string
+	// MaxWait bounds the wait in the queue.
+	MaxWait time.Duration
+	// Hint is where the asking router last placed the chat; it may be empty.
+	Hint placement.Holder
+}
+
+// Kind is what became of a request.
+type Kind int
+
+// Kinds of results.
+const (
+	// Queued: the request waits; a later result follows.
+	Queued Kind = iota + 1
+	// Granted: the request holds a place until it is released.
+	Granted
+	// Refused: the request holds nothing.
+	Refused
+)
+
+// Codes of refusals.
+const (
+	CodeNoTarget    = "no-target"
+	CodeQueueFull   = "queue-full"
+	CodeWaitTooLong = "wait-too-long"
+)
+
+// Result is the decision on one request.
+type Result struct {
+	ID   ID
+	Kind Kind
+	// Target, Incarnation and Why are set for grants.
+	Target      string
+	Incarnation uint64
+	Why         placement.Why
+	// Waited is the time in the queue.
+	Waited time.Duration
+	// Code and RetryAfter are set for refusals.
+	Code       string
+	RetryAfter time.Duration
+}
--- /dev/null
+++ b/internal/scheduler/config.go
@@ -0,0 +1,82 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wigeonwood/wigeonwood/internal/admission"
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
+	"github.com/wigeonwood/wigeonwood/internal/placement"
+	"github.com/wigeonwood/wigeonwood/internal/pool"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+const (
+	// refreshInterval is how often the targets are taken from the view.
+	refreshInterval = 200 * time.Millisecond
+	// defaultFlapHold is how long a vanished target keeps its chats.
+	defaultFlapHold = 2 * time.Minute
+)
+
+// The longest waits in a queue by class; a request's own deadline shortens
+// them.
+var maxWaits = map[filter.Class]time.Duration{
+	filter.ClassCheck: 5 * time.Second,
+	filter.ClassNote:  20 * time.Second,
+	filter.ClassDraft: 60 * time.Second,
+}
+
+// Config holds what a scheduler needs. View, Config, Pool and Server are
+// required; zero values of the others mean their defaults.
+type Config struct {
+	// Self is this router's id.
+	Self   string
+	View   fleet.View
+	Config filter.ConfigView
+	// Pool calls other routers; Server takes their calls. The scheduler
+	// registers its methods in New, before the server serves.
+	Pool   *transport.Pool
+	Server *transport.Server
+	Logger *log.Logger
+	Scope  tally.Scope
+	// BoundFactor is the c of the load bound.
+	BoundFactor float64
+	// Takeover is the time over which a joining engine takes over chats.
+	Takeover time.Duration
+	// QueueLength bounds the requests that wait for one model or service.
+	QueueLength int
+	// DirectorySize bounds the chats remembered.
+	DirectorySize int
+}
+
+func (c *Config) setDefaults() {
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	if c.BoundFactor == 0 {
+		c.BoundFactor = placement.DefaultBoundFactor
+	}
+	if c.Takeover == 0 {
+		c.Takeover = placement.DefaultTakeover
+	}
+	if c.QueueLength == 0 {
+		c.QueueLength = admission.DefaultQueueLength
+	}
+	if c.DirectorySize == 0 {
+		c.DirectorySize = placement.DefaultDirectorySize
+	}
+}
+
+func (c *Config) poolConfig() pool.Config {
+	return pool.Config{
+		Factor:        c.BoundFactor,
+		Takeover:      c.Takeover,
+		Reserve:       pool.DefaultReserve,
+		QueueLength:   c.QueueLength,
+		DirectorySize: c.DirectorySize,
+		FlapHold:      defaultFlapHold,
+	}
+}
--- /dev/null
+++ b/internal/scheduler/metrics.go
@@ -0,0 +1,71 @@
+package scheduler
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/placement"
+	"github.com/wigeonwood/wigeonwood/internal/pool"
+)
+
+// metrics reports cache reuse, skew, queue lengths and refusals.
+type metrics struct {
+	scope  tally.Scope
+	held   tally.Counter
+	other  tally.Counter
+	hits   tally.Counter
+	misses tally.Counter
+	failed tally.Counter
+	wait   tally.Timer
+	chats  tally.Gauge
+	grants tally.Gauge
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	s := scope.SubScope("scheduler")
+	return &metrics{
+		scope:  s,
+		held:   s.Tagged(map[string]string{"placed": "held"}).Counter("placements"),
+		other:  s.Tagged(map[string]string{"placed": "other"}).Counter("placements"),
+		hits:   s.Tagged(map[string]string{"prefix": "hit"}).Counter("cache_lookups"),
+		misses: s.Tagged(map[string]string{"prefix": "miss"}).Counter("cache_lookups"),
+		failed: s.Counter("failed_requests"),
+		wait:   s.Timer("queue_wait"),
+		chats:  s.Gauge("directory_chats"),
+		grants: s.Gauge("grants"),
+	}
+}
+
+func (m *metrics) granted(r pool.Result) {
+	if r.Why == placement.WhyHeld {
+		m.held.Inc(1)
+	} else {
+		m.other.Inc(1)
+	}
+	m.wait.Record(r.Waited)
+}
+
+func (m *metrics) released(u filter.Usage) {
+	switch {
+	case u.Failed:
+		m.failed.Inc(1)
+	case u.CacheHit:
+		m.hits.Inc(1)
+	default:
+		m.misses.Inc(1)
+	}
+}
+
+func (m *metrics) refused(code string) {
+	m.scope.Tagged(map[string]string{"code": code}).Counter("refusals").Inc(1)
+}
+
+func (m *metrics) report(s pool.Stats) {
+	m.chats.Update(float64(s.Chats))
+	m.grants.Update(float64(s.Grants))
+	for lane, loads := range s.Loads {
+		scope := m.scope.Tagged(map[string]string{"lane": lane})
+		scope.Gauge("skew").Update(pool.Skew(loads))
+		scope.Gauge("waiting").Update(float64(s.Waiting[lane]))
+	}
+}
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,223 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.uber.org/goleak"
+
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeFleet is a view and a configuration that tests change.
+type fakeFleet struct {
+	self string
+
+	mu      sync.Mutex
+	routers []*pb.RouterStatus
+	targets map[string]*pb.TargetStatus
+	intents map[string]*pb.TargetIntent
+}
+
+func newFakeFleet(self string, targets ...*pb.TargetStatus) *fakeFleet {
+	f := &fakeFleet{
+		self:    self,
+		routers: []*pb.RouterStatus{{Id: self, Incarnation: 1, State: pb.RouterState_ROUTER_STATE_SERVING}},
+		targets: make(map[string]*pb.TargetStatus),
+		intents: make(map[string]*pb.TargetIntent),
+	}
+	for _, t := range targets {
+		f.targets[t.Id] = t
+	}
+	return f
+}
+
+func (f *fakeFleet) set(t *pb.TargetStatus) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets[t.Id] = t
+}
+
+func (f *fakeFleet) intend(target string, desired pb.DesiredState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.intents[target] = &pb.TargetIntent{Target: target, Desired: desired}
+}
+
+func (f *fakeFleet) Self() *pb.RouterStatus {
+	for _, r := range f.Routers() {
+		if r.Id == f.self {
+			return r
+		}
+	}
+	return nil
+}
+
+func (f *fakeFleet) Routers() []*pb.RouterStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.routers
+}
+
+func (f *fakeFleet) Targets() []*pb.TargetStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*pb.TargetStatus
+	for _, t := range f.targets {
+		all = append(all, t)
+	}
+	return all
+}
+
+func (f *fakeFleet) Target(id string) *pb.TargetStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets[id]
+}
+
+func (f *fakeFleet) Lease() (uint64, time.Time, bool) { return 1, time.Now().Add(time.Hour), true }
+
+func (f *fakeFleet) ContractByKey([32]byte) (*pb.Contract, bool) { return nil, false }
+
+func (f *fakeFleet) Intent(target string) *pb.TargetIntent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.intents[target]
+}
+
+func engine(id string, capacity uint32) *pb.TargetStatus {
+	return &pb.TargetStatus{
+		Id: id, Kind: pb.TargetKind_TARGET_KIND_ENGINE, Incarnation: 1,
+		Models: []string{"m"}, Capacity: capacity,
+	}
+}
+
+func engines(n int, capacity uint32) []*pb.TargetStatus {
+	var all []*pb.TargetStatus
+	for i := range n {
+		all = append(all, engine(fmt.Sprintf("engine-%d", i), capacity))
+	}
+	return all
+}
+
+func discard() *log.Logger { return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}} }
+
+func start(t *testing.T, f *fakeFleet) *Scheduler {
+	calls := transport.NewPool("secret", nil, nil)
+	server := transport.NewServer("secret", discard())
+	s := New(Config{Self: f.self, View: f, Config: f, Pool: calls, Server: server, Logger: discard()})
+	running := make(chan struct{})
+	go func() {
+		defer close(running)
+		s.Run(t.Context())
+	}()
+	t.Cleanup(func() {
+		s.Close()
+		<-running
+		server.Close()
+		calls.Close()
+	})
+	return s
+}
+
+func demand(customer, chat string) filter.Demand {
+	return filter.Demand{
+		Contract: &pb.Contract{Customer: customer, Weight: 1},
+		Model:    "m", Chat: chat, PromptTokens: 100, MaxTokens: 100,
+	}
+}
+
+func mustAdmit(t *testing.T, s *Scheduler, d filter.Demand) *filter.Grant {
+	t.Helper()
+	g, err := s.Admit(t.Context(), d, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+func TestChatReturnsToItsEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t, newFakeFleet("r1", engines(8, 4)...))
+		synctest.Wait()
+		for i := range 50 {
+			d := demand("c", fmt.Sprint("chat-", i))
+			first := mustAdmit(t, s, d)
+			first.Release(filter.Usage{})
+			time.Sleep(time.Minute)
+			second := mustAdmit(t, s, d)
+			second.Release(filter.Usage{})
+			if first.Target.Id != second.Target.Id {
+				t.Fatalf("chat %d went to %s, then to %s", i, first.Target.Id, second.Target.Id)
+			}
+		}
+	})
+}
+
+func TestLeavingAndDrainedTargetsGetNoWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet("r1", engines(3, 100)...)
+		s := start(t, f)
+		synctest.Wait()
+		leaving := engine("engine-0", 100)
+		leaving.Leaving = true
+		f.set(leaving)
+		f.intend("engine-1", pb.DesiredState_DESIRED_STATE_DRAIN)
+		// Not even in the time until the next refresh.
+		for i := range 60 {
+			g := mustAdmit(t, s, demand("c", fmt.Sprint("chat-", i)))
+			defer g.Release(filter.Usage{})
+			if g.Target.Id != "engine-2" {
+				t.Fatalf("request %d went to %s", i, g.Target.Id)
+			}
+		}
+		f.intend("engine-2", pb.DesiredState_DESIRED_STATE_STOP)
+		_, err := s.Admit(t.Context(), demand("c", "x"), nil)
+		var refusal *filter.Refusal
+		if !errors.As(err, &refusal) || refusal.RetryAfter <= 0 {
+			t.Fatalf("without targets: %v", err)
+		}
+	})
+}
+
+func TestWaitsForAPlaceAndGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := start(t, newFakeFleet("r1", engines(1, 1)...))
+		synctest.Wait()
+		held := mustAdmit(t, s, demand("c", "a"))
+		go func() {
+			time.Sleep(time.Second)
+			held.Release(filter.Usage{})
+			held.Release(filter.Usage{})
+		}()
+		began := time.Now()
+		next := mustAdmit(t, s, demand("c", "b"))
+		if waited := time.Since(began); waited != time.Second {
+			t.Fatalf("waited %v for a place that was free after 1s", waited)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		began = time.Now()
+		_, err := s.Admit(ctx, demand("c", "c"), nil)
+		var refusal *filter.Refusal
+		if !errors.As(err, &refusal) {
+			t.Fatalf("got %v", err)
+		}
+		if waited := time.Since(began); waited > 3*time.Second {
+			t.Fatalf("held for %v of the caller's 4s", waited)
+		}
+		next.Release(filter.Usage{})
+		mustAdmit(t, s, demand("c", "d")).Release(filter.Usage{})
+	})
+}
