Limits: a share that follows a time without one starts with its burst

Cause: settling the bucket at rate zero, before the first share arrived, set its level to one request; the share then began almost empty, so that the second request within 1/rate seconds was refused although the contract allowed 50/s. Ruled out: too small a share (the home lent 12/s), a lost answer of the home. Before: TestNewShareStartsWithItsBurst fails at request 2; the process test got 429 for the third request of a customer. After: both pass, and shares that expire and return at once still add no burst (TestShortGapsAddNoBurst). Conclusion: a bucket is filled at the rate of the share it serves, never at the absent one.

--- a/internal/limits/meter.go
+++ b/internal/limits/meter.go
@@ -35,8 +35,11 @@
 	at    time.Time
 }
 
+// refill adds what came in since the last refill. A time without a share
+// leaves the bucket alone: the next share's rate counts for it, so that a
+// share after a long pause starts with its burst.
 func (b *bucket) refill(now time.Time, rate float64) {
-	if math.IsInf(rate, 1) {
+	if math.IsInf(rate, 1) || rate <= 0 {
 		return
 	}
 	depth := max(rate*burst.Seconds(), 1)
