Instance, command line, dev fleet and the process test of the whole path

Cause: the parts have to act together as processes of one binary. Ruled out: a separate binary for stand-ins (one binary is the users' rule; the stand-ins are commands of it). Before: nothing ran as a process. Cache events of one batch must be numbered without gaps, since the directory numbers them from the first. Conclusion: the thin path stands; the parts can now be proved and measured.

--- /dev/null
+++ b/cmd/wigeonwood/main_test.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/wigeonwood/wigeonwood/internal/admin"
+	"github.com/wigeonwood/wigeonwood/internal/cli"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"wigeonwood": func() { os.Exit(cli.Main()) },
+	})
+}
+
+// TestScripts runs the process tests: each script starts real processes of the
+// one binary and talks to them over loopback.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ports":  setPorts,
+			"http":   callHTTP,
+			"until":  runUntil,
+			"entry":  setEntry,
+			"leader": setLeader,
+		},
+	})
+}
+
+// setPorts sets each named variable to a loopback address with a port that is
+// free for TCP and UDP.
+func setPorts(ts *testscript.TestScript, neg bool, args []string) {
+	for _, name := range args {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		defer l.Close()
+		u, err := net.ListenPacket("udp", l.Addr().String())
+		ts.Check(err)
+		defer u.Close()
+		ts.Setenv(name, l.Addr().String())
+	}
+}
+
+const httpTimeout = 20 * time.Second
+
+// callHTTP is "http STATUS METHOD URL [HEADER:VALUE]... [BODY]". The answer's
+// headers and body become the script's stdout. A status of "cut" wants the
+// answer to break off.
+func callHTTP(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 3 {
+		ts.Fatalf("usage: http status method url [header:value]... [body]")
+	}
+	out, status, err := request(args[1], args[2], args[3:])
+	fmt.Fprint(ts.Stdout(), out)
+	ts.Check(err)
+	if got := strconv.Itoa(status); got != args[0] {
+		ts.Fatalf("status %s, want %s\n%s", got, args[0], out)
+	}
+}
+
+func request(method, url string, rest []string) (out string, status int, err error) {
+	body := ""
+	header := http.Header{}
+	for _, arg := range rest {
+		name, value, isHeader := strings.Cut(arg, ":")
+		if isHeader && !strings.ContainsAny(name, " {\"=") {
+			header.Set(name, value)
+			continue
+		}
+		body = arg
+	}
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return "", 0, err
+	}
+	req.Header = header
+	client := &http.Client{Timeout: httpTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return "", 0, err
+	}
+	defer resp.Body.Close()
+	var buf bytes.Buffer
+	_ = resp.Header.Write(&buf)
+	_, err = io.Copy(&buf, resp.Body)
+	return buf.String(), resp.StatusCode, err
+}
+
+const (
+	untilTimeout = 30 * time.Second
+	untilPause   = 100 * time.Millisecond
+)
+
+// runUntil is "until STATUS METHOD URL [HEADER:VALUE]... [BODY] -- TEXT": it
+// repeats an http call until the status and, if given, the text are there.
+func runUntil(ts *testscript.TestScript, neg bool, args []string) {
+	text := ""
+	if n := len(args); n > 2 && args[n-2] == "--" {
+		text = args[n-1]
+		args = args[:n-2]
+	}
+	deadline := time.Now().Add(untilTimeout)
+	for {
+		out, status, err := request(args[1], args[2], args[3:])
+		if err == nil && strconv.Itoa(status) == args[0] && strings.Contains(out, text) {
+			fmt.Fprint(ts.Stdout(), out)
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("not within %v: status %d, error %v\n%s", untilTimeout, status, err, out)
+		}
+		time.Sleep(untilPause)
+	}
+}
+
+// setEntry is "entry VARIABLE ADDRESS": it asks the instance at ADDRESS for
+// entries and sets VARIABLE to the first one.
+func setEntry(ts *testscript.TestScript, neg bool, args []string) {
+	out, status, err := request(http.MethodGet, "http://"+args[1]+"/v1/entries", nil)
+	ts.Check(err)
+	if status != http.StatusOK {
+		ts.Fatalf("status %d\n%s", status, out)
+	}
+	body := out[strings.Index(out, "{"):]
+	var answer struct {
+		Entries []struct {
+			Addr string `json:"addr"`
+		} `json:"entries"`
+	}
+	ts.Check(json.Unmarshal([]byte(body), &answer))
+	ts.Setenv(args[0], answer.Entries[0].Addr)
+}
+
+// setLeader is "leader VARIABLE ADMIN-ADDRESS PEER-ADDRESS=NAME...": it sets
+// VARIABLE to the name of the leading replica.
+func setLeader(ts *testscript.TestScript, neg bool, args []string) {
+	client := &admin.Client{Addr: args[1], Token: ts.Getenv("WIGEONWOOD_ADMIN_TOKEN"), HTTP: &http.Client{Timeout: httpTimeout}}
+	reply := &pb.QueryReply{}
+	ts.Check(client.Get(context.Background(), "/admin/v1/replicas", nil, reply))
+	for _, r := range reply.Replicas {
+		for _, pair := range args[2:] {
+			addr, name, _ := strings.Cut(pair, "=")
+			if r.Leader && r.Addr == addr {
+				ts.Setenv(args[0], name)
+				return
+			}
+		}
+	}
+	ts.Fatalf("no leader among %v", reply.Replicas)
+}
--- a/internal/announce/messages.go
+++ b/internal/announce/messages.go
@@ -52,17 +52,25 @@
 	Events       []CacheEvent `json:"events"`
 }
 
+// Kinds of cache events.
+const (
+	EventStored  = "stored"
+	EventEvicted = "evicted"
+	// EventCleared says that nothing is held; it opens the answer to a resync.
+	EventCleared = "cleared"
+)
+
 // CacheEvent is one change of an engine's prefix cache.
 type CacheEvent struct {
 	Sequence uint64 `json:"sequence"`
-	// Kind is "stored" or "evicted".
+	// Kind is one of the Event kinds.
 	Kind string `json:"kind"`
 	Chat string `json:"chat"`
 }
 
 // CacheReply answers cache events.
 type CacheReply struct {
-	// Resync asks the engine to send all that it holds, from sequence 1 on.
+	// Resync asks the engine to send a cleared event and all that it holds.
 	Resync bool `json:"resync"`
 }
 
@@ -224,18 +232,27 @@
 	if len(e.Events) > MaxCacheEvents {
 		return fmt.Errorf("at most %d events may be sent at once", MaxCacheEvents)
 	}
-	last := uint64(0)
 	for i, event := range e.Events {
-		if event.Kind != "stored" && event.Kind != "evicted" {
-			return fmt.Errorf(`kind of event %d must be "stored" or "evicted"`, i+1)
+		if err := checkCacheEvent(event); err != nil {
+			return fmt.Errorf("event %d: %w", i+1, err)
 		}
-		if event.Chat == "" {
-			return fmt.Errorf("chat of event %d must not be empty", i+1)
-		}
-		if event.Sequence <= last || event.Sequence < e.FromSequence {
-			return fmt.Errorf("sequence of event %d must grow and not be below from_sequence", i+1)
+		if event.Sequence != e.FromSequence+uint64(i) {
+			return fmt.Errorf("event %d: sequence must grow by one, beginning at from_sequence", i+1)
 		}
-		last = event.Sequence
 	}
 	return nil
 }
+
+func checkCacheEvent(event CacheEvent) error {
+	switch event.Kind {
+	case EventStored, EventEvicted:
+		if event.Chat == "" {
+			return errors.New("chat must not be empty")
+		}
+		return nil
+	case EventCleared:
+		return nil
+	default:
+		return fmt.Errorf("kind must be %q, %q or %q", EventStored, EventEvicted, EventCleared)
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,26 +1,104 @@
-// Package cli is the command line of wigeonwood.
+// Package cli is the command line of wigeonwood: it starts instances and
+// operates a running fleet through the admin interface.
 package cli
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
+
+	"github.com/wigeonwood/wigeonwood/internal/settings"
 )
 
 // Exit codes of the command line.
 const (
-	ExitOK = iota
-	ExitFailed
-	ExitUsage
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitConflict    = 3
+	ExitUnreachable = 4
+	// ExitNotInForce means that a change was accepted, but not yet in force
+	// everywhere when the wait ended.
+	ExitNotInForce = 5
+	ExitNotFound   = 6
 )
 
+// Version is the program's version; builds may set it by -ldflags -X.
+var Version = "0.1.0-dev"
+
+// exitError carries the exit code of a failure.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+func withCode(code int, err error) error {
+	return &exitError{code: code, err: err}
+}
+
+func usageError(format string, args ...any) error {
+	return withCode(ExitUsage, fmt.Errorf(format, args...))
+}
+
 // Main runs the command line and returns the exit code.
 func Main() int {
-	root := &cobra.Command{Use: "wigeonwood", SilenceUsage: true, SilenceErrors: true}
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "wigeonwood:", err)
-		return ExitFailed
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	err := newRoot().ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(os.Stderr, "wigeonwood:", err)
+	var coded *exitError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	return ExitUsage
+}
+
+// newRoot builds the whole command tree. Errors without a code of their own
+// come from cobra's parsing and count as wrong usage.
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "wigeonwood",
+		Short:         "A fleet of routers for returning chats",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
+			if err := settings.ApplyEnv(cmd.Flags()); err != nil {
+				return withCode(ExitUsage, err)
+			}
+			return nil
+		},
+	}
+	root.AddCommand(
+		newServe(),
+		newDev(),
+		newStandin(),
+		newContract(),
+		newTarget(),
+		newReplica(),
+		newStatus(),
+		newExplain(),
+		newReport(),
+		newVersion(),
+	)
+	return root
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), Version) },
 	}
-	return ExitOK
 }
--- /dev/null
+++ b/internal/cli/dev.go
@@ -0,0 +1,215 @@
+package cli
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/spf13/cobra"
+
+	"github.com/wigeonwood/wigeonwood/internal/admin"
+	"github.com/wigeonwood/wigeonwood/internal/instance"
+	"github.com/wigeonwood/wigeonwood/internal/settings"
+	"github.com/wigeonwood/wigeonwood/internal/standin"
+)
+
+// Fixed names and secrets of the fleet that dev runs.
+const (
+	devCustomer   = "dev"
+	devKey        = "dev-key"
+	devModel      = "standin"
+	devService    = "returns"
+	devAdminToken = "dev-admin-token"
+	devToken      = "dev-fleet-token"
+	devDataCentre = "dc1"
+	// devRouters is the number of instances, the one with the control replica
+	// included.
+	devRouters      = 3
+	devReadyTimeout = 20 * time.Second
+	anyPort         = "127.0.0.1:0"
+)
+
+type devFlags struct {
+	listen      string
+	adminListen string
+	peerListen  string
+	dataDir     string
+	logLevel    string
+}
+
+func newDev() *cobra.Command {
+	f := &devFlags{}
+	cmd := &cobra.Command{
+		Use:   "dev",
+		Short: "Run a whole fleet in one process, with a stand-in engine and service",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
+	}
+	fs := cmd.Flags()
+	fs.StringVar(&f.listen, "listen", "127.0.0.1:8080", "IP:port for callers")
+	fs.StringVar(&f.adminListen, "admin-listen", "127.0.0.1:8081", "IP:port for operators")
+	fs.StringVar(&f.peerListen, "peer-listen", "127.0.0.1:8082", "IP:port of the control replica")
+	fs.StringVar(&f.dataDir, "data-dir", "", "folder for contracts and ledger; without it they end with the process")
+	fs.StringVar(&f.logLevel, "log-level", "warn", "lowest level logged: debug, info, warn or error")
+	return cmd
+}
+
+func (f *devFlags) run(cmd *cobra.Command) error {
+	dir := f.dataDir
+	if dir == "" {
+		made, err := os.MkdirTemp("", "wigeonwood-dev-")
+		if err != nil {
+			return withCode(ExitFailed, err)
+		}
+		defer os.RemoveAll(made)
+		dir = made
+	}
+	fleet := &devFleet{out: cmd.OutOrStdout()}
+	defer fleet.stop()
+	if err := fleet.startInstances(f, dir); err != nil {
+		return err
+	}
+	if err := fleet.startTargets(cmd.Context()); err != nil {
+		return err
+	}
+	if err := fleet.ready(cmd.Context()); err != nil {
+		if cmd.Context().Err() != nil {
+			return nil
+		}
+		return err
+	}
+	fleet.greet()
+	select {
+	case <-cmd.Context().Done():
+		return nil
+	case err := <-fleet.instances[0].Failed():
+		return withCode(ExitFailed, err)
+	}
+}
+
+// devFleet is a fleet within one process.
+type devFleet struct {
+	out       io.Writer
+	logger    *log.Logger
+	settings  []*settings.Serve
+	instances []*instance.Instance
+	targets   sync.WaitGroup
+}
+
+func (d *devFleet) startInstances(f *devFlags, dir string) error {
+	for i := range devRouters {
+		s := f.settingsOf(i, dir)
+		if i > 0 {
+			s.Founders = []string{d.settings[0].PeerListen}
+		}
+		listeners, err := instance.Listen(s)
+		if err != nil {
+			return withCode(ExitFailed, err)
+		}
+		if i == 0 {
+			s.Founders = []string{s.PeerListen}
+		}
+		if err := s.Check(); err != nil {
+			listeners.Close()
+			return withCode(ExitUsage, err)
+		}
+		d.logger = s.Logger()
+		in, err := instance.Start(s, listeners, Version, d.logger)
+		if err != nil {
+			return withCode(ExitFailed, err)
+		}
+		d.settings = append(d.settings, s)
+		d.instances = append(d.instances, in)
+	}
+	return nil
+}
+
+// settingsOf returns the settings of instance i; the first one has the flags'
+// addresses and the control replica.
+func (f *devFlags) settingsOf(i int, dir string) *settings.Serve {
+	s := settings.DefaultServe()
+	s.ID = fmt.Sprintf("dev%d", i+1)
+	s.DataCentre = devDataCentre
+	s.PeerToken, s.TargetToken, s.AdminToken = devToken, devToken, devAdminToken
+	s.LogLevel = f.logLevel
+	s.EntryKeep = time.Second
+	s.Listen, s.AdminListen, s.PeerListen, s.TargetListen = anyPort, anyPort, anyPort, anyPort
+	if i == 0 {
+		s.Listen, s.AdminListen, s.PeerListen = f.listen, f.adminListen, f.peerListen
+		s.DataDir = dir
+	}
+	return s
+}
+
+// startTargets runs an engine and a service until ctx ends.
+func (d *devFleet) startTargets(ctx context.Context) error {
+	engine := standin.NewEngine(standin.EngineConfig{
+		ID: "engine1", Models: []string{devModel}, Capacity: 8, CacheChats: 1000,
+		PrefillDelay: 50 * time.Millisecond, TokenDelay: 5 * time.Millisecond, ChecksFencing: true,
+	})
+	service := standin.NewService(standin.ServiceConfig{ID: "service1"})
+	targets := []*standin.Target{
+		{ID: "engine1", Handler: engine.Handler(), Status: engine.Announce},
+		{ID: "service1", Handler: service.Handler(), Status: service.Announce(devService)},
+	}
+	for _, t := range targets {
+		listener, err := net.Listen("tcp", anyPort)
+		if err != nil {
+			return withCode(ExitFailed, err)
+		}
+		t.Listener = listener
+		t.DataCentre = devDataCentre
+		t.Token = devToken
+		t.Logger = d.logger
+		for _, s := range d.settings {
+			t.Routers = append(t.Routers, s.TargetListen)
+		}
+		d.targets.Go(func() {
+			if err := t.Run(ctx); err != nil {
+				d.logger.Warn().Err(err).Str("step", "stand-in").Str("target", t.ID).Msg("the stand-in target failed")
+			}
+		})
+	}
+	return nil
+}
+
+// stop ends the instances; the stand-ins end with the command's context.
+func (d *devFleet) stop() {
+	var stops sync.WaitGroup
+	for _, in := range d.instances {
+		stops.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), devReadyTimeout)
+			defer cancel()
+			_ = in.Shutdown(ctx)
+		})
+	}
+	stops.Wait()
+	d.targets.Wait()
+}
+
+// ready waits until the contract is in force, the targets are known and a chat
+// was answered.
+func (d *devFleet) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, devReadyTimeout)
+	defer cancel()
+	client := &admin.Client{Addr: d.settings[0].AdminListen, Token: devAdminToken, HTTP: newDevHTTP()}
+	sum := sha256.Sum256([]byte(devKey))
+	var err error
+	for ctx.Err() == nil {
+		if err = d.tryReady(ctx, client, sum[:]); err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(devRetryDelay):
+		}
+	}
+	return withCode(ExitFailed, fmt.Errorf("the fleet is not ready: %w", errors.Join(err, ctx.Err())))
+}
--- /dev/null
+++ b/internal/cli/operator.go
@@ -0,0 +1,139 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/admin"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/settings"
+)
+
+// Output formats.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// operator holds the flags that all operators' commands share.
+type operator struct {
+	server  string
+	token   string
+	output  string
+	timeout time.Duration
+}
+
+const defaultOperatorTimeout = 15 * time.Second
+
+func (o *operator) addFlags(cmd *cobra.Command) {
+	fs := cmd.PersistentFlags()
+	fs.StringVar(&o.server, "server", "127.0.0.1:8081", "admin address of any instance, IP:port")
+	fs.StringVar(&o.token, "admin-token", "", "operators' token")
+	fs.StringVarP(&o.output, "output", "o", outputTable, "output format: table or json")
+	fs.DurationVar(&o.timeout, "timeout", defaultOperatorTimeout, "longest wait for an answer")
+}
+
+// client checks the shared flags and returns a client and a bounded context.
+func (o *operator) client(cmd *cobra.Command) (context.Context, context.CancelFunc, *admin.Client, error) {
+	if _, err := netip.ParseAddrPort(o.server); err != nil {
+		return nil, nil, nil, withCode(ExitUsage, settings.Named("server", "%q is not IP:port", o.server))
+	}
+	if o.output != outputTable && o.output != outputJSON {
+		return nil, nil, nil, withCode(ExitUsage, settings.Named("output", "%q is not table or json", o.output))
+	}
+	if o.token == "" {
+		return nil, nil, nil, withCode(ExitUsage, settings.Named("admin-token", "the operators' token is needed"))
+	}
+	ctx, cancel := context.WithTimeout(cmd.Context(), o.timeout)
+	return ctx, cancel, &admin.Client{Addr: o.server, Token: o.token, HTTP: &http.Client{}}, nil
+}
+
+// get reads path into out and prints it as JSON or by table.
+func (o *operator) get(cmd *cobra.Command, path string, query url.Values, out any, table func(io.Writer)) error {
+	ctx, cancel, client, err := o.client(cmd)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	if err := client.Get(ctx, path, query, out); err != nil {
+		return answerFailure(err)
+	}
+	return o.print(cmd.OutOrStdout(), out, table)
+}
+
+func (o *operator) print(w io.Writer, out any, table func(io.Writer)) error {
+	if o.output == outputJSON {
+		return printJSON(w, out)
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	table(tw)
+	return tw.Flush()
+}
+
+func printJSON(w io.Writer, out any) error {
+	var data []byte
+	var err error
+	if m, ok := out.(proto.Message); ok {
+		opts := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}
+		data, err = opts.Marshal(m)
+	} else {
+		data, err = json.Marshal(out)
+	}
+	if err != nil {
+		return withCode(ExitFailed, err)
+	}
+	_, err = fmt.Fprintln(w, string(data))
+	return err
+}
+
+// answerFailure gives a failed admin call its exit code.
+func answerFailure(err error) error {
+	var answer *admin.AnswerError
+	switch {
+	case errors.As(err, &answer) && answer.Status == http.StatusNotFound:
+		return withCode(ExitNotFound, err)
+	case errors.Is(err, admin.ErrUnreachable):
+		return withCode(ExitUnreachable, err)
+	default:
+		return withCode(ExitFailed, err)
+	}
+}
+
+// operatorName is who the history says made a change.
+func operatorName() string {
+	if name := os.Getenv("USER"); name != "" {
+		return name
+	}
+	return "operator"
+}
+
+func replicaRows(w io.Writer, replicas []*pb.ReplicaInfo) {
+	fmt.Fprintln(w, "REPLICA\tADDRESS\tDATA CENTRE\tROLE\tTERM\tMATCH\tCOMMIT")
+	for _, r := range replicas {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\n", r.Id, r.Addr, r.DataCentre, replicaRole(r), r.Term, r.MatchIndex, r.CommitIndex)
+	}
+}
+
+func replicaRole(r *pb.ReplicaInfo) string {
+	switch {
+	case r.Leader:
+		return "leader"
+	case r.Learner:
+		return "learner"
+	default:
+		return "voter"
+	}
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,244 @@
+// Package instance wires the parts of one process together: membership, the
+// control replica if there is a data folder, the router, and the listeners.
+package instance
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wigeonwood/wigeonwood/internal/budget"
+	"github.com/wigeonwood/wigeonwood/internal/burn"
+	"github.com/wigeonwood/wigeonwood/internal/configlease"
+	"github.com/wigeonwood/wigeonwood/internal/control"
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/explain"
+	"github.com/wigeonwood/wigeonwood/internal/limits"
+	"github.com/wigeonwood/wigeonwood/internal/lookup"
+	"github.com/wigeonwood/wigeonwood/internal/member"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/router"
+	"github.com/wigeonwood/wigeonwood/internal/scheduler"
+	"github.com/wigeonwood/wigeonwood/internal/settings"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+// controlGroup is the log group of configuration and ledger.
+const controlGroup = 1
+
+// Instance is one running process of the fleet.
+type Instance struct {
+	cfg     *settings.Serve
+	version string
+	logger  *log.Logger
+	scope   tally.Scope
+	metrics http.Handler
+	closer  io.Closer
+
+	listeners *Listeners
+	budget    *budget.Budget
+	server    *transport.Server
+	pool      *transport.Pool
+	members   *member.Members
+	replica   *replicaPart
+	relay     *control.Relay
+	client    *control.Client
+	lease     *configlease.Holder
+	scheduler *scheduler.Scheduler
+	limiter   *limits.Limiter
+	entries   *lookup.Handler
+	recorder  *burn.Recorder
+	collector *burn.Collector
+	explains  *explain.Store
+	router    *router.Router
+	admin     *http.Server
+	targets   *http.Server
+
+	// ctx ends the background work at the end of a shutdown.
+	ctx    context.Context
+	stop   context.CancelFunc
+	work   sync.WaitGroup
+	failed chan error
+}
+
+// Start opens the parts of an instance on l and serves. The settings must have
+// been checked.
+func Start(s *settings.Serve, l *Listeners, version string, logger *log.Logger) (*Instance, error) {
+	in := &Instance{cfg: s, version: version, logger: logger, listeners: l, failed: make(chan error, 1)}
+	in.ctx, in.stop = context.WithCancel(context.Background())
+	in.scope, in.metrics, in.closer = newMetrics(s.ID)
+	steps := []struct {
+		name string
+		run  func() error
+	}{
+		{"membership", in.startMembers},
+		{"control replica", in.startReplica},
+		{"configuration lease", in.startLease},
+		{"scheduling", in.startScheduling},
+		{"reports", in.startReports},
+		{"router", in.startRouter},
+		{"interfaces", in.startInterfaces},
+	}
+	for _, step := range steps {
+		if err := step.run(); err != nil {
+			in.close()
+			return nil, errs.Wrap(err, "start "+step.name, "")
+		}
+	}
+	in.serve()
+	logger.Info().Str("step", "start").Str("listen", s.Listen).Str("admin", s.AdminListen).
+		Str("peer", s.PeerListen).Str("target", s.TargetListen).Bool("replica", s.DataDir != "").Msg("the instance serves")
+	return in, nil
+}
+
+// Failed delivers an error that must end the process, such as a failed sync.
+func (in *Instance) Failed() <-chan error { return in.failed }
+
+func (in *Instance) fail(err error) {
+	select {
+	case in.failed <- err:
+	default:
+	}
+}
+
+func (in *Instance) startMembers() error {
+	in.budget = budget.New(budget.Config{Scope: in.scope})
+	in.server = transport.NewServer(in.cfg.PeerToken, in.logger)
+	in.pool = transport.NewPool(in.cfg.PeerToken, nil, in.budget)
+	self := &pb.RouterStatus{
+		Id:          in.cfg.ID,
+		Incarnation: uint64(time.Now().UnixNano()),
+		DataCentre:  in.cfg.DataCentre,
+		CallerAddr:  in.cfg.Listen,
+		PeerAddr:    in.cfg.PeerListen,
+		AdminAddr:   in.cfg.AdminListen,
+		TargetAddr:  in.cfg.TargetListen,
+		State:       pb.RouterState_ROUTER_STATE_UNLEASED,
+		Replica:     in.cfg.DataDir != "",
+	}
+	members, err := member.Start(member.Config{
+		Self:   self,
+		Seeds:  append(append([]string{}, in.cfg.Seeds...), in.cfg.Founders...),
+		Conn:   in.listeners.Gossip,
+		Token:  in.cfg.PeerToken,
+		Budget: in.budget,
+		Logger: in.logger,
+		Scope:  in.scope,
+	})
+	in.members = members
+	return err
+}
+
+// replicaAddrs returns the peer addresses of control replicas: the live ones
+// that membership knows, then the founders.
+func (in *Instance) replicaAddrs() []string {
+	var addrs []string
+	seen := make(map[string]bool)
+	add := func(addr string) {
+		if !seen[addr] {
+			seen[addr] = true
+			addrs = append(addrs, addr)
+		}
+	}
+	for _, r := range in.members.Routers() {
+		if r.Replica {
+			add(r.PeerAddr)
+		}
+	}
+	for _, addr := range in.cfg.Founders {
+		add(addr)
+	}
+	return addrs
+}
+
+// relayAddrs returns peers that may reach a replica which this instance can't.
+func (in *Instance) relayAddrs() []string {
+	var addrs []string
+	for _, r := range in.members.Routers() {
+		if !r.Replica && r.Id != in.cfg.ID {
+			addrs = append(addrs, r.PeerAddr)
+		}
+	}
+	return addrs
+}
+
+func (in *Instance) startLease() error {
+	in.client = control.NewClient(control.ClientConfig{
+		Pool:     in.pool,
+		Replicas: in.replicaAddrs,
+		Relays:   in.relayAddrs,
+		Logger:   in.logger,
+		Scope:    in.scope,
+		Group:    controlGroup,
+	})
+	in.lease = configlease.NewHolder(configlease.Config{
+		Router:      in.cfg.ID,
+		Incarnation: in.members.Self().Incarnation,
+		Client:      in.client,
+		Logger:      in.logger,
+		Scope:       in.scope,
+		OnLease:     in.leaseChanged,
+	})
+	return nil
+}
+
+// leaseChanged lists this router with the others only while it holds the
+// configuration lease.
+func (in *Instance) leaseChanged(held bool) {
+	if in.members.Self().State == pb.RouterState_ROUTER_STATE_DRAINING {
+		return
+	}
+	if held {
+		in.members.SetState(pb.RouterState_ROUTER_STATE_SERVING)
+		return
+	}
+	in.members.SetState(pb.RouterState_ROUTER_STATE_UNLEASED)
+}
+
+func (in *Instance) startScheduling() error {
+	in.scheduler = scheduler.New(scheduler.Config{
+		Self:        in.cfg.ID,
+		View:        in.members,
+		Config:      in.lease,
+		Pool:        in.pool,
+		Server:      in.server,
+		Logger:      in.logger,
+		Scope:       in.scope,
+		BoundFactor: in.cfg.LoadBound,
+	})
+	in.limiter = limits.New(limits.Config{
+		Self:   in.cfg.ID,
+		View:   in.members,
+		Pool:   in.pool,
+		Server: in.server,
+		Logger: in.logger,
+		Scope:  in.scope,
+	})
+	return nil
+}
+
+// serve starts all background work and listeners, the peers' one first.
+func (in *Instance) serve() {
+	in.listen("peer", func() error { return in.server.Serve(in.listeners.Peer) })
+	for _, run := range []func(context.Context){in.lease.Run, in.scheduler.Run, in.limiter.Run, in.collector.Run} {
+		in.work.Go(func() { run(in.ctx) })
+	}
+	in.serveReplica()
+	in.listen("admin", func() error { return in.admin.Serve(in.listeners.Admin) })
+	in.listen("target", func() error { return in.targets.Serve(in.listeners.Target) })
+	in.listen("caller", func() error { return in.router.Serve(in.listeners.Caller) })
+}
+
+func (in *Instance) listen(name string, serve func() error) {
+	in.work.Go(func() {
+		if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			in.fail(errs.Wrap(err, "listen "+name, ""))
+		}
+	})
+}
--- /dev/null
+++ b/internal/instance/interfaces.go
@@ -0,0 +1,129 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/admin"
+	"github.com/wigeonwood/wigeonwood/internal/announce"
+	"github.com/wigeonwood/wigeonwood/internal/burn"
+	"github.com/wigeonwood/wigeonwood/internal/explain"
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/lookup"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/router"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 30 * time.Second
+	// bodyTimeout bounds the reading of a request of operators and targets.
+	bodyTimeout = 10 * time.Second
+)
+
+// observers passes each finished request on to several observers.
+type observers []filter.Observer
+
+// Observe implements filter.Observer.
+func (o observers) Observe(rec *filter.Record) {
+	for _, each := range o {
+		each.Observe(rec)
+	}
+}
+
+func (in *Instance) startReports() error {
+	in.recorder = burn.NewRecorder(in.cfg.ID, in.objectives)
+	in.collector = burn.NewCollector(in.members, in.pool, in.objectives)
+	in.explains = explain.NewStore()
+	transport.Handle(in.server, burn.Method, in.recorder.Answer)
+	transport.Handle(in.server, explain.Method, func(_ context.Context, req *pb.ExplainRequest) (*pb.ExplainReply, error) {
+		return in.explains.Answer(in.cfg.ID, req), nil
+	})
+	return nil
+}
+
+// objectives returns the objectives of a customer's contract, nil without one.
+func (in *Instance) objectives(customer string) *pb.Objectives {
+	for _, c := range in.lease.Contracts() {
+		if c.Customer == customer {
+			return c.Objectives
+		}
+	}
+	return nil
+}
+
+func (in *Instance) startRouter() error {
+	in.entries = lookup.NewHandler(lookup.Config{View: in.members, TTL: in.cfg.EntryKeep})
+	r, err := router.New(router.Config{
+		View:         in.members,
+		Config:       in.lease,
+		Ledger:       in.client,
+		Scheduler:    in.scheduler,
+		Limiter:      in.limiter,
+		Observer:     observers{in.recorder, in.explains},
+		Entries:      in.entries,
+		OtherEntries: in.otherEntries,
+		SetDraining:  in.setDraining,
+		KeepEntries:  in.cfg.EntryKeep,
+		Bounds: router.Bounds{
+			MaxBodyBytes: in.cfg.MaxBodyBytes,
+			MaxConns:     in.cfg.MaxConnections,
+		},
+		Logger: in.logger,
+		Scope:  in.scope,
+	})
+	in.router = r
+	return err
+}
+
+// otherEntries names addresses of other routers to a refused caller.
+func (in *Instance) otherEntries(string) []string {
+	var addrs []string
+	for _, r := range in.members.Routers() {
+		if r.Id != in.cfg.ID && r.State == pb.RouterState_ROUTER_STATE_SERVING {
+			addrs = append(addrs, r.CallerAddr)
+		}
+	}
+	return addrs
+}
+
+func (in *Instance) setDraining() {
+	in.entries.StartDrain()
+	in.members.SetState(pb.RouterState_ROUTER_STATE_DRAINING)
+}
+
+func (in *Instance) startInterfaces() error {
+	in.admin = newServer(admin.NewHandler(admin.Config{
+		Token:   in.cfg.AdminToken,
+		Version: in.version,
+		View:    in.members,
+		Lease:   in.lease,
+		Control: in.client,
+		Explain: func(ctx context.Context, id string) (*pb.ExplainReply, []string) {
+			return explain.Find(ctx, in.members, in.pool, id)
+		},
+		Burn:    in.collector.Collect,
+		Metrics: in.metrics,
+		Logger:  in.logger,
+	}))
+	in.targets = newServer(announce.NewHandler(announce.Config{
+		Token:       in.cfg.TargetToken,
+		Registry:    in.members,
+		View:        in.members,
+		CacheEvents: in.cacheEvents,
+		Logger:      in.logger,
+		Scope:       in.scope,
+	}))
+	return nil
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
--- /dev/null
+++ b/internal/instance/listen.go
@@ -0,0 +1,87 @@
+package instance
+
+import (
+	"errors"
+	"net"
+
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/settings"
+)
+
+// Listeners are the open sockets of an instance.
+type Listeners struct {
+	Caller net.Listener
+	Admin  net.Listener
+	Target net.Listener
+	Peer   net.Listener
+	// Gossip is the datagram socket at the same address as Peer.
+	Gossip net.PacketConn
+}
+
+// Listen opens all sockets of s and writes the addresses in use back to s,
+// which matters where port 0 asked for any free port. On an error nothing
+// stays open.
+func Listen(s *settings.Serve) (*Listeners, error) {
+	l := &Listeners{}
+	var faults []error
+	open := func(dst *net.Listener, flag string, addr *string) {
+		opened, err := net.Listen("tcp", *addr)
+		if err != nil {
+			faults = append(faults, settings.Named(flag, "%v", err))
+			return
+		}
+		*dst = opened
+		*addr = opened.Addr().String()
+	}
+	open(&l.Caller, "listen", &s.Listen)
+	open(&l.Admin, "admin-listen", &s.AdminListen)
+	open(&l.Target, "target-listen", &s.TargetListen)
+	if err := l.openPeer(s); err != nil {
+		faults = append(faults, err)
+	}
+	if len(faults) > 0 {
+		l.Close()
+		return nil, errs.Wrap(errors.Join(faults...), "listen", "")
+	}
+	return l, nil
+}
+
+// peerTries bounds the search for a port that is free for TCP and UDP.
+const peerTries = 10
+
+func (l *Listeners) openPeer(s *settings.Serve) error {
+	var err error
+	for range peerTries {
+		if err = l.openPeerOnce(s.PeerListen); err == nil {
+			s.PeerListen = l.Peer.Addr().String()
+			return nil
+		}
+	}
+	return settings.Named("peer-listen", "%v", err)
+}
+
+func (l *Listeners) openPeerOnce(addr string) error {
+	peer, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	gossip, err := net.ListenPacket("udp", peer.Addr().String())
+	if err != nil {
+		peer.Close()
+		return err
+	}
+	l.Peer, l.Gossip = peer, gossip
+	return nil
+}
+
+// Close closes all sockets that are open.
+func (l *Listeners) Close() {
+	for _, listener := range []net.Listener{l.Caller, l.Admin, l.Target, l.Peer} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+	if l.Gossip != nil {
+		l.Gossip.Close()
+	}
+}
--- /dev/null
+++ b/internal/instance/replica.go
@@ -0,0 +1,79 @@
+package instance
+
+import (
+	"github.com/wigeonwood/wigeonwood/internal/control"
+	"github.com/wigeonwood/wigeonwood/internal/replica"
+	"github.com/wigeonwood/wigeonwood/internal/state"
+)
+
+// replicaPart is what an instance with a data folder runs besides.
+type replicaPart struct {
+	node    *replica.Node
+	state   *state.Machine
+	service *control.Service
+}
+
+// startReplica starts the control replica, or the relay to the replicas at an
+// instance without a data folder.
+func (in *Instance) startReplica() error {
+	if in.cfg.DataDir == "" {
+		in.relay = control.NewRelay(control.RelayConfig{
+			Server:   in.server,
+			Pool:     in.pool,
+			Replicas: in.replicaAddrs,
+			Logger:   in.logger,
+			Scope:    in.scope,
+		})
+		return nil
+	}
+	machine := state.New()
+	node, err := replica.Start(in.ctx, replica.Config{
+		Dir:        in.cfg.DataDir,
+		Addr:       in.cfg.PeerListen,
+		DataCentre: in.cfg.DataCentre,
+		Founders:   in.cfg.Founders,
+		Group:      controlGroup,
+		Machine:    machine,
+		Server:     in.server,
+		Pool:       in.pool,
+		Logger:     in.logger,
+		Scope:      in.scope,
+	})
+	if err != nil {
+		return err
+	}
+	part := &replicaPart{node: node, state: machine}
+	part.service = control.NewService(control.Config{
+		Log:    node,
+		State:  machine,
+		Group:  controlGroup,
+		Server: in.server,
+		Pool:   in.pool,
+		Logger: in.logger,
+		Scope:  in.scope,
+	})
+	in.replica = part
+	return nil
+}
+
+// serveReplica ends the process if the replica must stop.
+func (in *Instance) serveReplica() {
+	if in.replica == nil {
+		return
+	}
+	in.work.Go(func() {
+		select {
+		case <-in.ctx.Done():
+		case <-in.replica.node.Done():
+			in.fail(in.replica.node.Err())
+		}
+	})
+}
+
+func (p *replicaPart) close() {
+	if p == nil {
+		return
+	}
+	p.service.Close()
+	p.node.Close()
+}
--- /dev/null
+++ b/internal/instance/shutdown.go
@@ -0,0 +1,66 @@
+package instance
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// leaveTimeout bounds telling other instances of the departure.
+	leaveTimeout = 2 * time.Second
+	// interfaceTimeout bounds the last answers to operators and targets.
+	interfaceTimeout = 2 * time.Second
+)
+
+// Shutdown drains the router, so that no request in flight is cut off, and
+// then ends all parts. It returns the drain's error if ctx ended first.
+func (in *Instance) Shutdown(ctx context.Context) error {
+	in.logger.Info().Str("step", "drain").Msg("the instance drains")
+	err := in.router.Drain(ctx)
+	leaveCtx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if leaveErr := in.members.Leave(leaveCtx); leaveErr != nil {
+		in.logger.Warn().Err(leaveErr).Str("step", "leave").Msg("other instances were not told of the departure")
+	}
+	in.close()
+	in.logger.Info().Str("step", "stop").Msg("the instance stopped")
+	return err
+}
+
+// Abort ends all parts at once, requests in flight included.
+func (in *Instance) Abort() {
+	in.router.Abort()
+	in.close()
+}
+
+// close ends the parts that were started, in the reverse order of their use.
+func (in *Instance) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), interfaceTimeout)
+	defer cancel()
+	if in.admin != nil {
+		_ = in.admin.Shutdown(ctx)
+		_ = in.targets.Shutdown(ctx)
+	}
+	in.stop()
+	if in.scheduler != nil {
+		in.scheduler.Close()
+		in.limiter.Close()
+	}
+	if in.client != nil {
+		in.client.Close()
+	}
+	if in.relay != nil {
+		in.relay.Close()
+	}
+	in.replica.close()
+	if in.server != nil {
+		in.server.Close()
+		in.pool.Close()
+	}
+	if in.members != nil {
+		in.members.Close()
+	}
+	in.listeners.Close()
+	in.work.Wait()
+	_ = in.closer.Close()
+}
