--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -2,7 +2,7 @@
 
 import (
 	"io"
-	"time"
+	"sync"
 
 	"google.golang.org/protobuf/proto"
 
@@ -12,18 +12,23 @@
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
-// applyQueue bounds jobs and results between the loop and the applier. The
-// core gives out one batch at a time, so that neither side ever blocks on it.
-const applyQueue = 8
+// applyResults bounds the results between the applier and the loop: one batch
+// is out at a time, and leaves an index and a snapshot at most.
+const applyResults = 4
 
 // applier is the only user of the machine. It runs beside the loop, so that a
 // long apply or snapshot holds up no heartbeat.
 type applier struct {
 	node    *Node
-	jobs    chan applyJob
+	wake    chan struct{}
 	results chan applyResult
-	stopped chan struct{}
 
+	// slot guards pending, the one batch that the core has given out.
+	slot    sync.Mutex
+	pending []*pb.LogEntry
+
+	// machine is held while the machine is in use; it guards what follows.
+	machine sync.Mutex
 	// last describes the state after the last applied entry.
 	last *pb.SnapshotMeta
 	// entries and bytes were applied since the last snapshot.
@@ -31,13 +36,6 @@
 	bytes   uint64
 }
 
-// applyJob is a batch of entries, or a snapshot to load.
-type applyJob struct {
-	entries  []*pb.LogEntry
-	snapshot uint64
-	loaded   chan error
-}
-
 // applyResult reports an applied index, a snapshot taken, or a failure.
 type applyResult struct {
 	index    uint64
@@ -48,9 +46,8 @@
 func newApplier(n *Node, base *pb.SnapshotMeta) *applier {
 	a := &applier{
 		node:    n,
-		jobs:    make(chan applyJob, applyQueue),
-		results: make(chan applyResult, applyQueue),
-		stopped: make(chan struct{}),
+		wake:    make(chan struct{}, 1),
+		results: make(chan applyResult, applyResults),
 		last:    &pb.SnapshotMeta{},
 	}
 	if base != nil {
@@ -59,48 +56,53 @@
 	return a
 }
 
-// apply queues a batch.
+// apply hands over a batch.
 func (a *applier) apply(entries []*pb.LogEntry) {
-	if len(entries) > 0 {
-		a.jobs <- applyJob{entries: entries}
+	if len(entries) == 0 {
+		return
 	}
-}
-
-// loadSnapshot replaces the machine's state and waits for it.
-func (a *applier) loadSnapshot(index uint64) error {
-	loaded := make(chan error, 1)
-	a.jobs <- applyJob{snapshot: index, loaded: loaded}
+	a.slot.Lock()
+	invariant.Check(a.pending == nil, "apply", "index", entries[0].Index)
+	a.pending = entries
+	a.slot.Unlock()
 	select {
-	case err := <-loaded:
-		return err
-	case <-a.stopped:
-		return a.node.ctx.Err()
+	case a.wake <- struct{}{}:
+	default:
 	}
 }
 
 func (a *applier) run() {
-	defer close(a.stopped)
 	for {
 		select {
 		case <-a.node.ctx.Done():
 			return
-		case job := <-a.jobs:
-			if job.loaded != nil {
-				job.loaded <- a.load(job.snapshot)
-				continue
-			}
-			a.applyBatch(job.entries)
+		case <-a.wake:
+			a.machine.Lock()
+			a.applyPending()
+			a.machine.Unlock()
 		}
 	}
 }
 
-// wait returns once the applier has ended, or at once if it never ran.
-func (a *applier) wait() {
-	if a.node.core != nil {
-		<-a.stopped
+// applyPending applies the batch that waits, if any; machine is held.
+func (a *applier) applyPending() {
+	a.slot.Lock()
+	entries := a.pending
+	a.pending = nil
+	a.slot.Unlock()
+	if len(entries) > 0 {
+		a.applyBatch(entries)
 	}
 }
 
+// loadSnapshot replaces the machine's state, after the batch that is out.
+func (a *applier) loadSnapshot(index uint64) error {
+	a.machine.Lock()
+	defer a.machine.Unlock()
+	a.applyPending()
+	return a.load(index)
+}
+
 func (a *applier) applyBatch(entries []*pb.LogEntry) {
 	for _, e := range entries {
 		a.applyEntry(e)
@@ -135,11 +137,11 @@
 }
 
 func (a *applier) takeSnapshot() {
-	start := time.Now()
+	start := a.node.now()
 	meta := proto.CloneOf(a.last)
 	err := a.node.journal.WriteSnapshot(meta, func(w io.Writer) error { return a.node.cfg.Machine.Snapshot(w) })
 	a.entries, a.bytes = 0, 0
-	a.node.metrics.snapshot.Record(time.Since(start))
+	a.node.metrics.snapshot.Record(a.node.now().Sub(start))
 	a.results <- applyResult{snapshot: meta, err: err}
 }
 
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -63,6 +63,6 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := &n.status
-	ok = s.Role == consensus.Leader && s.leaseReady && time.Now().Before(s.leaseUntil)
+	ok = s.Role == consensus.Leader && s.leaseReady && n.now().Before(s.leaseUntil)
 	return s.leaseUntil, s.Term, ok
 }
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -27,32 +27,33 @@
 // waitInput takes one input and all that wait behind it, so that they share
 // the next sync. It returns false once the node ends.
 func (n *Node) waitInput(ticks <-chan time.Time) bool {
+	ok := true
 	select {
 	case <-n.ctx.Done():
 		return false
 	case <-ticks:
-		n.lease.woke = time.Now()
+		n.lease.woke = n.now()
 		n.tick()
 	case b := <-n.incoming:
-		n.lease.woke = time.Now()
+		n.lease.woke = n.now()
 		n.step(b)
 	case p := <-n.proposals:
-		n.lease.woke = time.Now()
+		n.lease.woke = n.now()
 		n.takeProposals(p)
 	case r := <-n.readCalls:
-		n.lease.woke = time.Now()
+		n.lease.woke = n.now()
 		n.takeReads(r)
 	case c := <-n.changes:
-		n.lease.woke = time.Now()
+		n.lease.woke = n.now()
 		n.takeChange(c)
 	case r := <-n.applier.results:
-		n.lease.woke = time.Now()
-		return n.takeResult(r)
+		n.lease.woke = n.now()
+		ok = n.takeResult(r)
 	case id := <-n.unreachable:
-		n.lease.woke = time.Now()
+		n.lease.woke = n.now()
 		n.core.Unreachable(id)
 	}
-	return n.drainInputs()
+	return ok && n.drainInputs()
 }
 
 func (n *Node) drainInputs() bool {
@@ -117,12 +118,12 @@
 	if rd.HardState == nil && len(rd.Entries) == 0 {
 		return nil
 	}
-	start := time.Now()
+	start := n.now()
 	if err := n.journal.Save(rd.HardState, rd.Entries, rd.Sync); err != nil {
 		return err
 	}
 	if rd.Sync {
-		n.metrics.sync.Record(time.Since(start))
+		n.metrics.sync.Record(n.now().Sub(start))
 		n.metrics.syncs.Inc(1)
 	}
 	return nil
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -53,7 +53,7 @@
 		c.done <- err
 		return
 	}
-	index, term, err := n.core.ProposeMembership(next, time.Now().UnixMilli())
+	index, term, err := n.core.ProposeMembership(next, n.now().UnixMilli())
 	if err != nil {
 		c.done <- err
 		return
@@ -145,7 +145,7 @@
 		}
 		next := proto.CloneOf(current)
 		next.Members[i].Learner = false
-		if _, _, err := n.core.ProposeMembership(next, time.Now().UnixMilli()); err == nil {
+		if _, _, err := n.core.ProposeMembership(next, n.now().UnixMilli()); err == nil {
 			n.event(log.InfoLevel, "promote replica").Str("replica", m.Id).Msg("a learner becomes a voter")
 		}
 		return
@@ -208,7 +208,7 @@
 			continue
 		}
 		voters++
-		if member.Id == n.id || time.Since(n.peers.lastHeard[member.Id]) < limit {
+		if member.Id == n.id || n.now().Sub(n.peers.lastHeard[member.Id]) < limit {
 			alive++
 		}
 	}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -109,6 +109,8 @@
 	id      string
 	journal *journal.Journal
 	metrics metrics
+	// now is the monotonic clock.
+	now func() time.Time
 
 	// The loop goroutine alone uses these.
 	core      *consensus.Core
@@ -166,7 +168,12 @@
 		n.event(log.WarnLevel, "open journal").Int64("bytes", state.TornBytes).Msg("a torn tail was cut off")
 	}
 	n.register()
-	n.tasks.Go(func() { n.run(state) })
+	n.tasks.Go(func() {
+		// Not deferred: a violated invariant must end the process as it is.
+		n.run(state)
+		n.release()
+		close(n.done)
+	})
 	return n, nil
 }
 
@@ -176,6 +183,7 @@
 		id:          state.ID,
 		journal:     j,
 		metrics:     newMetrics(cfg.Scope),
+		now:         time.Now,
 		transfers:   make(map[string]*journal.Snapshot),
 		proposals:   make(chan *proposal, queuedProposals),
 		readCalls:   make(chan *readCall, queuedProposals),
@@ -202,8 +210,6 @@
 
 // run forms or joins a system if the replica has no log, then drives the core.
 func (n *Node) run(state *journal.State) {
-	defer close(n.done)
-	defer n.release()
 	if state.Empty() {
 		var err error
 		if state, err = n.form(state); err != nil {
@@ -213,6 +219,16 @@
 	} else {
 		n.setFormationState(pb.FormationState_FORMATION_STATE_RUNNING)
 	}
+	n.startCore(state)
+	var applying sync.WaitGroup
+	applying.Go(n.applier.run)
+	n.tasks.Go(n.joinWhileOutside)
+	n.loop()
+	n.cancel()
+	applying.Wait()
+}
+
+func (n *Node) startCore(state *journal.State) {
 	n.core = consensus.New(consensus.Config{
 		ID:             n.id,
 		Group:          n.cfg.Group,
@@ -220,11 +236,8 @@
 		HeartbeatTicks: heartbeatTicks,
 		Seed:           n.seed(),
 	}, consensus.State{HardState: state.HardState, Snapshot: state.Snapshot, Entries: state.Entries})
-	n.tasks.Go(n.applier.run)
-	n.tasks.Go(n.joinWhileOutside)
 	n.publish()
 	close(n.started)
-	n.loop()
 }
 
 // running tells whether the loop takes inputs.
@@ -253,7 +266,6 @@
 	for _, s := range n.transfers {
 		s.Close()
 	}
-	n.applier.wait()
 	if err := n.journal.Close(); err != nil {
 		n.event(log.ErrorLevel, "close journal").Err(err).Msg("closing the journal failed")
 	}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/consensus"
 	"github.com/wigeonwood/wigeonwood/internal/errs"
@@ -58,7 +57,7 @@
 
 // takeProposals appends p and the proposals that wait behind it.
 func (n *Node) takeProposals(p *proposal) {
-	now := time.Now().UnixMilli()
+	now := n.now().UnixMilli()
 	n.propose(p, now)
 	for range n.cfg.MaxBatch - 1 {
 		select {
--- a/internal/replica/send.go
+++ b/internal/replica/send.go
@@ -24,11 +24,18 @@
 	maxLearnedAddrs = 64
 )
 
+// outlet passes messages to one peer. It may drop them.
+type outlet interface {
+	enqueue(m *pb.RaftMessage)
+	close()
+}
+
 // peerSet holds one sender for each other replica. The loop goroutine alone
 // uses it.
 type peerSet struct {
 	node    *Node
-	senders map[string]*sender
+	open    func(id, addr string) outlet
+	senders map[string]outlet
 	// learned holds the addresses of replicas that sent something.
 	learned    map[string]string
 	lastHeard  map[string]time.Time
@@ -38,7 +45,8 @@
 func newPeerSet(n *Node) *peerSet {
 	return &peerSet{
 		node:      n,
-		senders:   make(map[string]*sender),
+		open:      func(id, addr string) outlet { return newSender(n, id, addr) },
+		senders:   make(map[string]outlet),
 		learned:   make(map[string]string),
 		lastHeard: make(map[string]time.Time),
 	}
@@ -51,7 +59,7 @@
 		clear(ps.lastHeard)
 	}
 	ps.learned[id] = addr
-	ps.lastHeard[id] = time.Now()
+	ps.lastHeard[id] = ps.node.now()
 }
 
 // update ends the senders of replicas that are no members any more.
@@ -60,9 +68,11 @@
 	if membership == ps.membership {
 		return
 	}
+	old := ps.membership
 	ps.membership = membership
 	for id, s := range ps.senders {
-		if m := consensus.FindMember(membership, id); m == nil || m.Addr != s.addr {
+		m := consensus.FindMember(membership, id)
+		if m == nil || m.Addr != consensus.FindMember(old, id).GetAddr() {
 			s.close()
 			delete(ps.senders, id)
 		}
@@ -88,7 +98,7 @@
 	}
 }
 
-func (ps *peerSet) sender(id string) *sender {
+func (ps *peerSet) sender(id string) outlet {
 	if s := ps.senders[id]; s != nil {
 		return s
 	}
@@ -96,7 +106,7 @@
 	if addr == "" {
 		return nil
 	}
-	s := newSender(ps.node, id, addr)
+	s := ps.open(id, addr)
 	ps.senders[id] = s
 	return s
 }
