--- a/internal/journal/identity.go
+++ b/internal/journal/identity.go
@@ -1,10 +1,10 @@
 package journal
 
 import (
-	"crypto/rand"
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"strconv"
 	"strings"
@@ -60,7 +60,7 @@
 		return "", err
 	}
 	var raw [identityBytes]byte
-	if _, err := rand.Read(raw[:]); err != nil {
+	if _, err := io.ReadFull(j.random, raw[:]); err != nil {
 		return "", err
 	}
 	id := hex.EncodeToString(raw[:])
@@ -81,24 +81,35 @@
 	return err
 }
 
-// writeRecordFile replaces a small file whole: written aside, synced, renamed,
-// directory synced.
-func (j *Journal) writeRecordFile(name string, payload []byte) error {
+// writeAside replaces a file whole: written aside, synced, renamed, directory
+// synced. It returns the new file, open.
+func (j *Journal) writeAside(name string, data []byte) (File, error) {
 	f, err := j.fs.Create(name + tempSuffix)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	_, err = f.Write(appendRecord(nil, record{kind: recordSegment, payload: payload}))
+	_, err = f.Write(data)
 	if err == nil {
 		err = f.Sync()
 	}
-	if err := errors.Join(err, f.Close()); err != nil {
-		return err
+	if err == nil {
+		err = j.fs.Rename(name+tempSuffix, name)
+	}
+	if err == nil {
+		err = j.fs.SyncDir()
 	}
-	if err := j.fs.Rename(name+tempSuffix, name); err != nil {
+	if err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return f, nil
+}
+
+func (j *Journal) writeRecordFile(name string, payload []byte) error {
+	f, err := j.writeAside(name, appendRecord(nil, record{kind: recordSegment, payload: payload}))
+	if err != nil {
 		return err
 	}
-	return j.fs.SyncDir()
+	return f.Close()
 }
 
 func (j *Journal) readRecordFile(name string) (record, error) {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"io"
@@ -52,8 +53,9 @@
 // Journal is an open folder. Save and the snapshot calls come from one
 // goroutine; reading snapshots may happen beside them.
 type Journal struct {
-	fs   FS
-	lock io.Closer
+	fs     FS
+	lock   io.Closer
+	random io.Reader
 
 	tail     File
 	size     int64
@@ -71,12 +73,16 @@
 }
 
 // Open locks the folder, makes an identity if it has none, and reads the log.
-func Open(fs FS) (*Journal, *State, error) {
+// Identities are drawn from random; nil means the system's own source.
+func Open(fs FS, random io.Reader) (*Journal, *State, error) {
 	lock, err := fs.Lock(lockName)
 	if err != nil {
 		return nil, nil, errs.Wrap(err, "lock folder", "")
 	}
-	j := &Journal{fs: fs, lock: lock, SegmentBytes: segmentBytes}
+	if random == nil {
+		random = rand.Reader
+	}
+	j := &Journal{fs: fs, lock: lock, SegmentBytes: segmentBytes, random: random}
 	state, err := j.load()
 	if err != nil {
 		lock.Close()
@@ -196,25 +202,36 @@
 	return scan, nil
 }
 
-// openTail cuts a torn tail and makes the last segment ready for writing. A
+// openTail makes the last segment ready for writing, without a torn tail. A
 // segment without its first record was never written to.
 func (j *Journal) openTail() error {
-	if j.size == 0 {
-		last := j.segments[len(j.segments)-1]
-		j.segments = j.segments[:len(j.segments)-1]
-		if err := errors.Join(j.tail.Close(), j.fs.Remove(last.name)); err != nil {
-			return err
-		}
-		j.tail = nil
-		return j.roll()
+	last := j.segments[len(j.segments)-1]
+	old := j.tail
+	if j.size > 0 {
+		return errors.Join(j.rewriteTail(last.name), old.Close())
+	}
+	j.tail = nil
+	j.segments = j.segments[:len(j.segments)-1]
+	if err := errors.Join(old.Close(), j.fs.Remove(last.name)); err != nil {
+		return err
 	}
-	if err := j.tail.Truncate(j.size); err != nil {
+	return j.roll()
+}
+
+// rewriteTail copies the whole records of the last segment to a new file in
+// its place. Syncing the old file would not do: if an earlier process ended
+// after a failed sync, the system may show bytes that it takes for written and
+// that never reached the disk.
+func (j *Journal) rewriteTail(name string) error {
+	data := make([]byte, j.size)
+	if _, err := j.tail.ReadAt(data, 0); err != nil && err != io.EOF {
 		return err
 	}
-	// What was read may not be synced; it must be before it counts.
-	if err := j.tail.Sync(); err != nil {
+	f, err := j.writeAside(name, data)
+	if err != nil {
 		return err
 	}
+	j.tail = f
 	j.synced = j.size
 	return nil
 }
@@ -334,12 +351,16 @@
 func (j *Journal) Syncs() uint64 { return j.syncs }
 
 // dropSegments removes the oldest segments whose entries are all covered by a
-// snapshot at index.
+// snapshot at index. Each removal lasts before the next begins, so that a crash
+// leaves no gap between segments.
 func (j *Journal) dropSegments(index uint64) error {
 	for len(j.segments) > 1 && j.segments[0].maxIndex <= index {
 		if err := j.fs.Remove(j.segments[0].name); err != nil {
 			return err
 		}
+		if err := j.fs.SyncDir(); err != nil {
+			return err
+		}
 		j.segments = j.segments[1:]
 	}
 	return nil
--- /dev/null
+++ b/internal/journal/journaltest/fs.go
@@ -0,0 +1,294 @@
+// Package journaltest provides a folder in memory that loses what was not
+// synced, for tests of what a journal keeps through a crash.
+package journaltest
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+
+	"github.com/wigeonwood/wigeonwood/internal/journal"
+)
+
+// Op names one kind of file operation.
+type Op string
+
+// The operations that a hook sees.
+const (
+	OpCreate   Op = "create"
+	OpWrite    Op = "write"
+	OpSync     Op = "sync"
+	OpRename   Op = "rename"
+	OpRemove   Op = "remove"
+	OpTruncate Op = "truncate"
+	OpSyncDir  Op = "sync directory"
+)
+
+// Crash says what a crash leaves of unsynced operations.
+type Crash int
+
+const (
+	// KeepAll is the end of the process alone.
+	KeepAll Crash = iota
+	// LoseUnsynced drops every unsynced byte and directory change.
+	LoseUnsynced
+	// Reorder keeps a random choice of unsynced writes and directory changes;
+	// a lost write before a kept one leaves zeros.
+	Reorder
+	// TearTail keeps a random part of the unsynced bytes, the last garbled.
+	TearTail
+)
+
+// ErrSync is what a failed sync returns.
+var ErrSync = errors.New("input/output error")
+
+// FS is a folder in memory. It must not be used concurrently.
+type FS struct {
+	// Hook is called before each operation. Its error is returned in place of
+	// the operation; it may panic to end the process there.
+	Hook func(op Op, name string) error
+
+	files   map[string]*inode
+	durable map[string]*inode
+	locked  bool
+	// FreeBytes bounds what may still be written, if it is not negative.
+	FreeBytes int
+}
+
+type inode struct {
+	// data only ever grows or is cut; synced shares its bytes.
+	data   []byte
+	synced []byte
+	// writes holds the ends of the unsynced writes.
+	writes []int
+	// dropped tells that a sync failed: the system keeps the bytes readable but
+	// takes them for written, so that no later sync makes them last.
+	dropped bool
+}
+
+// New returns an empty folder.
+func New() *FS {
+	return &FS{files: make(map[string]*inode), durable: make(map[string]*inode), FreeBytes: -1}
+}
+
+func (f *FS) before(op Op, name string) error {
+	if f.Hook == nil {
+		return nil
+	}
+	return f.Hook(op, name)
+}
+
+// Create implements journal.FS.
+func (f *FS) Create(name string) (journal.File, error) {
+	if err := f.before(OpCreate, name); err != nil {
+		return nil, err
+	}
+	node := &inode{}
+	f.files[name] = node
+	return &file{fs: f, name: name, node: node}, nil
+}
+
+// Open implements journal.FS.
+func (f *FS) Open(name string) (journal.File, error) {
+	node, ok := f.files[name]
+	if !ok {
+		return nil, syscall.ENOENT
+	}
+	return &file{fs: f, name: name, node: node}, nil
+}
+
+// Rename implements journal.FS.
+func (f *FS) Rename(from, to string) error {
+	if err := f.before(OpRename, to); err != nil {
+		return err
+	}
+	node, ok := f.files[from]
+	if !ok {
+		return syscall.ENOENT
+	}
+	f.files[to] = node
+	delete(f.files, from)
+	return nil
+}
+
+// Remove implements journal.FS.
+func (f *FS) Remove(name string) error {
+	if err := f.before(OpRemove, name); err != nil {
+		return err
+	}
+	delete(f.files, name)
+	return nil
+}
+
+// List implements journal.FS.
+func (f *FS) List() ([]string, error) {
+	return slices.Sorted(maps.Keys(f.files)), nil
+}
+
+// SyncDir implements journal.FS.
+func (f *FS) SyncDir() error {
+	if err := f.before(OpSyncDir, ""); err != nil {
+		return err
+	}
+	f.durable = maps.Clone(f.files)
+	return nil
+}
+
+// Lock implements journal.FS.
+func (f *FS) Lock(string) (io.Closer, error) {
+	if f.locked {
+		return nil, journal.ErrLocked
+	}
+	f.locked = true
+	return closer(func() { f.locked = false }), nil
+}
+
+type closer func()
+
+func (c closer) Close() error {
+	c()
+	return nil
+}
+
+// Crash ends the process that used the folder. The hook and open files end too.
+func (f *FS) Crash(mode Crash, r *rand.Rand) {
+	f.Hook = nil
+	f.locked = false
+	if mode != KeepAll {
+		f.files = f.survivingNames(mode, r)
+	}
+	seen := make(map[*inode]bool)
+	for _, name := range slices.Sorted(maps.Keys(f.files)) {
+		node := f.files[name]
+		if mode == KeepAll || seen[node] {
+			continue
+		}
+		seen[node] = true
+		node.crash(mode, r)
+	}
+	f.durable = maps.Clone(f.files)
+}
+
+func (f *FS) survivingNames(mode Crash, r *rand.Rand) map[string]*inode {
+	if mode == LoseUnsynced {
+		return maps.Clone(f.durable)
+	}
+	all := maps.Clone(f.durable)
+	maps.Copy(all, f.files)
+	kept := make(map[string]*inode)
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		node, ok := f.durable[name]
+		if r.IntN(2) == 0 {
+			node, ok = f.files[name]
+		}
+		if ok {
+			kept[name] = node
+		}
+	}
+	return kept
+}
+
+func (n *inode) crash(mode Crash, r *rand.Rand) {
+	unsynced := n.data[min(len(n.synced), len(n.data)):]
+	kept := slices.Clone(n.synced)
+	switch {
+	case len(n.synced) > len(n.data):
+		// A cut that was not synced may be undone.
+	case mode == TearTail && len(unsynced) > 0:
+		kept = append(kept, unsynced[:r.IntN(len(unsynced))+1]...)
+		kept[len(kept)-1] ^= 0x5a
+	case mode == Reorder:
+		kept = n.reordered(kept, r)
+	}
+	n.data, n.synced, n.writes, n.dropped = kept, kept, nil, false
+	n.data = n.data[:len(kept):len(kept)]
+}
+
+// reordered adds a random choice of the unsynced writes.
+func (n *inode) reordered(kept []byte, r *rand.Rand) []byte {
+	start := len(kept)
+	for _, end := range n.writes {
+		if end <= start {
+			continue
+		}
+		if r.IntN(2) == 0 {
+			kept = append(kept, make([]byte, start-len(kept))...)
+			kept = append(kept, n.data[start:end]...)
+		}
+		start = end
+	}
+	return kept
+}
+
+// Damage flips a bit of a file at offset, as a failing disk does.
+func (f *FS) Damage(name string, offset int) {
+	node := f.files[name]
+	node.data = slices.Clone(node.data)
+	node.data[offset] ^= 1
+	node.synced = node.data
+}
+
+// Size returns a file's length.
+func (f *FS) Size(name string) int { return len(f.files[name].data) }
+
+type file struct {
+	fs   *FS
+	name string
+	node *inode
+}
+
+func (f *file) Write(p []byte) (int, error) {
+	if err := f.fs.before(OpWrite, f.name); err != nil {
+		return 0, err
+	}
+	var err error
+	if free := f.fs.FreeBytes; free >= 0 {
+		if len(p) > free {
+			p = p[:free]
+			err = syscall.ENOSPC
+		}
+		f.fs.FreeBytes -= len(p)
+	}
+	f.node.data = append(f.node.data, p...)
+	f.node.writes = append(f.node.writes, len(f.node.data))
+	return len(p), err
+}
+
+func (f *file) ReadAt(p []byte, off int64) (int, error) {
+	if off >= int64(len(f.node.data)) {
+		return 0, io.EOF
+	}
+	n := copy(p, f.node.data[off:])
+	if n < len(p) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+func (f *file) Size() (int64, error) { return int64(len(f.node.data)), nil }
+
+func (f *file) Truncate(size int64) error {
+	if err := f.fs.before(OpTruncate, f.name); err != nil {
+		return err
+	}
+	f.node.data = f.node.data[:size:size]
+	return nil
+}
+
+// Sync makes the file's bytes last. After a failed sync they never do.
+func (f *file) Sync() error {
+	if err := f.fs.before(OpSync, f.name); err != nil {
+		f.node.dropped = true
+		return err
+	}
+	if !f.node.dropped {
+		f.node.synced = f.node.data[:len(f.node.data):len(f.node.data)]
+		f.node.writes = nil
+	}
+	return nil
+}
+
+func (f *file) Close() error { return nil }
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -29,7 +29,8 @@
 	recordHardState
 	// recordReset drops all entries; the next one follows its index.
 	recordReset
-	// recordClose says that the process closed the journal in order.
+	// recordClose is the last record of a process that ended in order. It
+	// proves that what lies before it was synced.
 	recordClose
 )
 
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -27,11 +27,9 @@
 	entries   []*pb.LogEntry
 	// resetTo is the index that the last reset record named.
 	resetTo uint64
-	closed  bool
 }
 
 func (r *replay) apply(rec record) error {
-	r.closed = rec.kind == recordClose
 	switch rec.kind {
 	case recordEntry:
 		e := &pb.LogEntry{}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -32,10 +32,13 @@
 	joinTimeout = 5 * time.Second
 )
 
-// membershipChange is made on the loop, from the membership found there. A nil
-// result of edit means that nothing is left to change.
+// membershipEdit makes the next membership of the present one. Nil means that
+// nothing is left to change.
+type membershipEdit func(current *pb.Membership) (*pb.Membership, error)
+
+// membershipChange is made on the loop, from the membership found there.
 type membershipChange struct {
-	edit func(current *pb.Membership) (*pb.Membership, error)
+	edit membershipEdit
 	done chan error
 	wait chan outcome
 }
@@ -63,7 +66,7 @@
 }
 
 // change makes one membership change and waits until it is committed.
-func (n *Node) change(ctx context.Context, edit func(*pb.Membership) (*pb.Membership, error)) error {
+func (n *Node) change(ctx context.Context, edit membershipEdit) error {
 	for {
 		err := n.tryChange(ctx, edit)
 		if !errors.Is(err, consensus.ErrMembershipPending) {
@@ -79,7 +82,7 @@
 	}
 }
 
-func (n *Node) tryChange(ctx context.Context, edit func(*pb.Membership) (*pb.Membership, error)) error {
+func (n *Node) tryChange(ctx context.Context, edit membershipEdit) error {
 	if !n.running() {
 		return ErrNotLeader
 	}
@@ -109,13 +112,17 @@
 	}
 }
 
-// admit makes member a learner. A member of another identity at the same
-// address has lost its folder and is replaced in the same entry, so that no
-// leader change can leave the repair half done. Without operator, only such a
-// replacement is admitted.
+// admit makes member a learner and waits until that is committed.
 func (n *Node) admit(ctx context.Context, member *pb.Member, operator bool) error {
-	asked := n.snapshotStatus().Committed
-	return n.change(ctx, func(current *pb.Membership) (*pb.Membership, error) {
+	return n.change(ctx, admission(member, n.snapshotStatus().Committed, operator))
+}
+
+// admission adds member as a learner, which must sync all up to asked before
+// it counts. A member of another identity at the same address has lost its
+// folder and is replaced in the same entry, so that no leader change can leave
+// the repair half done. Without operator, only such a replacement is admitted.
+func admission(member *pb.Member, asked uint64, operator bool) membershipEdit {
+	return func(current *pb.Membership) (*pb.Membership, error) {
 		if consensus.FindMember(current, member.Id) != nil {
 			return nil, nil
 		}
@@ -125,7 +132,7 @@
 		}
 		learner := &pb.Member{Id: member.Id, Addr: member.Addr, DataCentre: member.DataCentre, Learner: true, JoinIndex: asked}
 		return consensus.NewMembership(append(rest, learner)...), nil
-	})
+	}
 }
 
 // reconcileMembers makes a learner a voter once it has synced all that was
@@ -185,7 +192,11 @@
 // RemoveReplica implements Log. It refuses to leave a membership without a
 // live quorum.
 func (n *Node) RemoveReplica(ctx context.Context, id string) error {
-	err := n.change(ctx, func(current *pb.Membership) (*pb.Membership, error) {
+	return errs.Wrap(n.change(ctx, n.removal(id)), "remove replica", id)
+}
+
+func (n *Node) removal(id string) membershipEdit {
+	return func(current *pb.Membership) (*pb.Membership, error) {
 		if consensus.FindMember(current, id) == nil {
 			return nil, ErrUnknownReplica
 		}
@@ -195,8 +206,7 @@
 			return nil, ErrQuorumAtRisk
 		}
 		return next, nil
-	})
-	return errs.Wrap(err, "remove replica", id)
+	}
 }
 
 // quorumAlive tells whether a majority of voters was heard of lately.
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -70,6 +70,8 @@
 	SnapshotBytes   uint64
 	// MaxBatch bounds the proposals that share one sync; optional.
 	MaxBatch int
+	// Trailing is how many entries stay in memory behind a snapshot; optional.
+	Trailing uint64
 }
 
 func (c *Config) setDefaults() error {
@@ -79,6 +81,11 @@
 	if c.Machine == nil || c.Server == nil || c.Pool == nil || c.Logger == nil {
 		return errors.New("machine, server, pool and logger are required")
 	}
+	c.setOptional()
+	return nil
+}
+
+func (c *Config) setOptional() {
 	if c.Scope == nil {
 		c.Scope = tally.NoopScope
 	}
@@ -94,7 +101,9 @@
 	if c.MaxBatch == 0 {
 		c.MaxBatch = defaultMaxBatch
 	}
-	return nil
+	if c.Trailing == 0 {
+		c.Trailing = trailingEntries
+	}
 }
 
 // leasePeriod is how long after its heartbeats left a confirmed leader may act.
@@ -155,7 +164,7 @@
 			return nil, errs.Wrap(err, "start replica", cfg.Addr)
 		}
 	}
-	j, state, err := journal.Open(fs)
+	j, state, err := journal.Open(fs, nil)
 	if err != nil {
 		return nil, errs.Wrap(err, "start replica", cfg.Addr)
 	}
