--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -27,6 +27,7 @@
 	round uint64
 
 	snapshotIndex  uint64
+	snapshotTerm   uint64
 	snapshotOffset uint64
 	// chunkMoved tells that a chunk was acknowledged since the last heartbeat.
 	chunkMoved bool
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -12,6 +12,7 @@
 	p.probe()
 	p.state = snapshotting
 	p.snapshotIndex = c.log.snapshot.Index
+	p.snapshotTerm = c.log.snapshot.Term
 	p.snapshotOffset = 0
 	c.sendChunk(to, p)
 }
@@ -19,10 +20,11 @@
 // sendChunk asks the caller to send the chunk at the member's offset.
 func (c *Core) sendChunk(to string, p *progress) {
 	c.sendPrompt(&pb.RaftMessage{
-		Kind:   pb.RaftKind_RAFT_KIND_SNAPSHOT,
-		To:     to,
-		Index:  p.snapshotIndex,
-		Offset: p.snapshotOffset,
+		Kind:    pb.RaftKind_RAFT_KIND_SNAPSHOT,
+		To:      to,
+		Index:   p.snapshotIndex,
+		LogTerm: p.snapshotTerm,
+		Offset:  p.snapshotOffset,
 	})
 }
 
@@ -55,11 +57,24 @@
 // handleSnapshot passes a chunk on to be stored, unless the log already holds
 // what the snapshot covers.
 func (c *Core) handleSnapshot(m *pb.RaftMessage) {
-	if m.Index <= c.log.committed {
-		c.acknowledge(m.From, c.log.committed)
-		return
+	if !c.SkipSnapshot(m.Index, m.LogTerm) {
+		c.out.Chunks = append(c.out.Chunks, m)
+	}
+}
+
+// SkipSnapshot tells whether the log holds all that a snapshot covers; it then
+// commits and acknowledges that. Installing the snapshot nevertheless would cut
+// off synced entries behind it, which a leader may count on.
+func (c *Core) SkipSnapshot(index, term uint64) bool {
+	held, ok := c.log.term(index)
+	if index > c.log.committed && (!ok || held != term) {
+		return false
+	}
+	c.log.commitTo(max(c.log.committed, index))
+	if c.leader != "" && c.role == Follower {
+		c.acknowledge(c.leader, c.log.committed)
 	}
-	c.out.Chunks = append(c.out.Chunks, m)
+	return true
 }
 
 // ChunkStored answers a chunk: the bytes before offset are held.
@@ -75,8 +90,9 @@
 // InstallSnapshot replaces the log by a snapshot that was received, synced and
 // restored. It must not be called between Ready and Advance.
 func (c *Core) InstallSnapshot(meta *pb.SnapshotMeta) {
-	invariant.Check(meta.Index > c.log.committed, "install snapshot",
-		"id", c.cfg.ID, "index", meta.Index, "committed", c.log.committed)
+	held, ok := c.log.term(meta.Index)
+	invariant.Check(meta.Index > c.log.committed && (!ok || held != meta.Term), "install snapshot",
+		"id", c.cfg.ID, "index", meta.Index, "committed", c.log.committed, "last", c.log.lastIndex())
 	c.log.reset(meta)
 	if c.leader != "" && c.role == Follower {
 		c.acknowledge(c.leader, meta.Index)
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -173,7 +173,7 @@
 		n.core.ChunkStored(m, next)
 		return nil
 	}
-	if meta.Index <= n.core.Status().Committed {
+	if n.core.SkipSnapshot(meta.Index, meta.Term) {
 		return nil
 	}
 	hs := &pb.HardState{Term: n.core.Term(), Vote: n.core.Vote(), Commit: meta.Index}
