--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -70,6 +70,8 @@
 	SnapshotBytes   uint64
 	// MaxBatch bounds the proposals that share one sync; optional.
 	MaxBatch int
+	// Trailing is how many entries stay in memory behind a snapshot; optional.
+	Trailing uint64
 }
 
 func (c *Config) setDefaults() error {
@@ -79,6 +81,11 @@
 	if c.Machine == nil || c.Server == nil || c.Pool == nil || c.Logger == nil {
 		return errors.New("machine, server, pool and logger are required")
 	}
+	c.setOptional()
+	return nil
+}
+
+func (c *Config) setOptional() {
 	if c.Scope == nil {
 		c.Scope = tally.NoopScope
 	}
@@ -94,7 +101,9 @@
 	if c.MaxBatch == 0 {
 		c.MaxBatch = defaultMaxBatch
 	}
-	return nil
+	if c.Trailing == 0 {
+		c.Trailing = trailingEntries
+	}
 }
 
 // leasePeriod is how long after its heartbeats left a confirmed leader may act.
@@ -109,6 +118,8 @@
 	id      string
 	journal *journal.Journal
 	metrics metrics
+	// now is the monotonic clock.
+	now func() time.Time
 
 	// The loop goroutine alone uses these.
 	core      *consensus.Core
@@ -153,7 +164,7 @@
 			return nil, errs.Wrap(err, "start replica", cfg.Addr)
 		}
 	}
-	j, state, err := journal.Open(fs)
+	j, state, err := journal.Open(fs, nil)
 	if err != nil {
 		return nil, errs.Wrap(err, "start replica", cfg.Addr)
 	}
@@ -166,7 +177,12 @@
 		n.event(log.WarnLevel, "open journal").Int64("bytes", state.TornBytes).Msg("a torn tail was cut off")
 	}
 	n.register()
-	n.tasks.Go(func() { n.run(state) })
+	n.tasks.Go(func() {
+		// Not deferred: a violated invariant must end the process as it is.
+		n.run(state)
+		n.release()
+		close(n.done)
+	})
 	return n, nil
 }
 
@@ -176,6 +192,7 @@
 		id:          state.ID,
 		journal:     j,
 		metrics:     newMetrics(cfg.Scope),
+		now:         time.Now,
 		transfers:   make(map[string]*journal.Snapshot),
 		proposals:   make(chan *proposal, queuedProposals),
 		readCalls:   make(chan *readCall, queuedProposals),
@@ -202,8 +219,6 @@
 
 // run forms or joins a system if the replica has no log, then drives the core.
 func (n *Node) run(state *journal.State) {
-	defer close(n.done)
-	defer n.release()
 	if state.Empty() {
 		var err error
 		if state, err = n.form(state); err != nil {
@@ -213,6 +228,16 @@
 	} else {
 		n.setFormationState(pb.FormationState_FORMATION_STATE_RUNNING)
 	}
+	n.startCore(state)
+	var applying sync.WaitGroup
+	applying.Go(n.applier.run)
+	n.tasks.Go(n.joinWhileOutside)
+	n.loop()
+	n.cancel()
+	applying.Wait()
+}
+
+func (n *Node) startCore(state *journal.State) {
 	n.core = consensus.New(consensus.Config{
 		ID:             n.id,
 		Group:          n.cfg.Group,
@@ -220,11 +245,8 @@
 		HeartbeatTicks: heartbeatTicks,
 		Seed:           n.seed(),
 	}, consensus.State{HardState: state.HardState, Snapshot: state.Snapshot, Entries: state.Entries})
-	n.tasks.Go(n.applier.run)
-	n.tasks.Go(n.joinWhileOutside)
 	n.publish()
 	close(n.started)
-	n.loop()
 }
 
 // running tells whether the loop takes inputs.
@@ -253,7 +275,6 @@
 	for _, s := range n.transfers {
 		s.Close()
 	}
-	n.applier.wait()
 	if err := n.journal.Close(); err != nil {
 		n.event(log.ErrorLevel, "close journal").Err(err).Msg("closing the journal failed")
 	}
