Scheduler: one home admits for each group of targets

The home of a group sees all its load and holds its queues and its chats' directory. A claim with a growing epoch makes the home single-valued without a quorum: the claimant tells all routers, these turn to it and name the places they hold, and only then it admits; a router that learns of a higher claim stops first. A home that can't be reached is asked through the next router, which passes the request on or takes over.

Ruled out: a home for each engine, whose mean of the others lags; moving the home back to the rendezvous router when it returns, which costs a handover for nothing.

Tests shown failing with the mechanism broken: without counting the answers to a claim, TestNewHomeCountsOldPlaces sees 5 places counted of 9 held and TestRoutersThatDisagreeUseOneHome 14 of 30 requests on one of 3 engines (bound 13); without closing the gate on a higher claim the latter sees two routers admit at once.

--- /dev/null
+++ b/internal/pool/adopt.go
@@ -0,0 +1,83 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Held is a place that a request of another router holds. Without a target
+// the request is known there and its answer is not.
+type Held struct {
+	ID       ID
+	Target   string
+	Customer string
+	Model    string
+	Service  string
+}
+
+// Adopt counts a place that another home granted. It tells whether the place
+// is counted now.
+func (p *Pool) Adopt(now time.Time, h Held) bool {
+	if _, ok := p.grants[h.ID]; ok {
+		return true
+	}
+	t, ok := p.targets[h.Target]
+	if !ok {
+		return false
+	}
+	g := &grant{target: t}
+	r := Request{ID: h.ID, Customer: h.Customer, Model: h.Model, Service: h.Service}
+	if l, ok := p.lanes[LaneName(r.Model, r.Service)]; ok {
+		if s, ok := l.shares[h.Customer]; ok {
+			r.Weight = uint32(s.weight)
+		}
+		g.lane = l
+		g.share = l.see(now, &r)
+	}
+	p.hold(h.ID, g)
+	return true
+}
+
+// Confirm brings the places of one router's incarnation in line with what it
+// holds: those up to the given number that it does not list are released,
+// listed ones that are missing are adopted.
+func (p *Pool) Confirm(now time.Time, router string, incarnation, upTo uint64, held []Held) []Result {
+	listed := make(map[ID]bool, len(held))
+	for _, h := range held {
+		listed[h.ID] = true
+		if h.Target != "" {
+			p.Adopt(now, h)
+		}
+	}
+	return p.releaseAll(now, func(id ID) bool {
+		return id.Router == router && id.Incarnation == incarnation && id.Number <= upTo && !listed[id]
+	})
+}
+
+// ReleaseRouters releases what is held by routers that are not alive.
+func (p *Pool) ReleaseRouters(now time.Time, alive func(ID) bool) []Result {
+	return p.releaseAll(now, func(id ID) bool { return !alive(id) })
+}
+
+func (p *Pool) releaseAll(now time.Time, which func(ID) bool) []Result {
+	var released []ID
+	for id := range p.grants {
+		if which(id) {
+			released = append(released, id)
+		}
+	}
+	for id := range p.waiterOf {
+		if which(id) {
+			released = append(released, id)
+		}
+	}
+	slices.SortFunc(released, func(a, b ID) int {
+		return cmp.Or(cmp.Compare(a.Router, b.Router), cmp.Compare(a.Number, b.Number))
+	})
+	var results []Result
+	for _, id := range released {
+		results = append(results, p.Release(now, id)...)
+	}
+	return results
+}
--- a/internal/pool/lane.go
+++ b/internal/pool/lane.go
@@ -19,7 +19,6 @@
 // of the requests that wait for them.
 type lane struct {
 	name     string
-	service  bool
 	targets  []*target
 	capacity int
 	queue    *admission.Queue
@@ -53,11 +52,24 @@
 
 func serviceLane(service string) string { return "service/" + service }
 
-func laneName(r *Request) string {
-	if r.Service != "" {
-		return serviceLane(r.Service)
+// LaneName names the lane of requests for a model or service.
+func LaneName(model, service string) string {
+	if service != "" {
+		return serviceLane(service)
 	}
-	return modelLane(r.Model)
+	return modelLane(model)
+}
+
+// Lanes names the lanes that a target with these models or service serves.
+func Lanes(models []string, service string) []string {
+	if service != "" {
+		return []string{serviceLane(service)}
+	}
+	lanes := make([]string, 0, len(models))
+	for _, m := range models {
+		lanes = append(lanes, modelLane(m))
+	}
+	return lanes
 }
 
 // see notes a customer's request and returns its share.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -26,9 +26,10 @@
 
 // grant is a place that a request holds.
 type grant struct {
-	target   *target
-	lane     string
-	customer string
+	target *target
+	// lane and share are nil for an adopted place whose lane is not known.
+	lane  *lane
+	share *share
 }
 
 // waiter is a request in a queue.
@@ -66,7 +67,7 @@
 		// A resend after a lost answer.
 		return []Result{{ID: r.ID, Kind: Granted, Target: g.target.ID, Incarnation: g.target.Incarnation}}
 	}
-	l, ok := p.lanes[laneName(&r)]
+	l, ok := p.lanes[LaneName(r.Model, r.Service)]
 	if !ok || !l.serves(r.Exclude) {
 		return []Result{{ID: r.ID, Kind: Refused, Code: CodeNoTarget, RetryAfter: minRetryAfter}}
 	}
@@ -104,7 +105,7 @@
 	}
 	engines := p.engines(l, r.Exclude, reserve)
 	var choice placement.Choice
-	if l.service {
+	if r.Service != "" {
 		choice = p.chooser.LeastLoaded(placement.Key(p.lastItem), engines)
 	} else {
 		choice = p.chooser.Choose(now, r.Chat, engines)
@@ -113,13 +114,19 @@
 		return Result{}, false
 	}
 	t := l.targets[choice.Index]
-	t.granted++
-	l.shares[r.Customer].inFlight++
-	p.grants[r.ID] = &grant{target: t, lane: l.name, customer: r.Customer}
+	p.hold(r.ID, &grant{target: t, lane: l, share: l.shares[r.Customer]})
 	p.directory.Record(r.Chat, placement.Holder{Engine: t.ID, Incarnation: t.Incarnation, Used: now})
 	return Result{ID: r.ID, Kind: Granted, Target: t.ID, Incarnation: t.Incarnation, Why: choice.Why}, true
 }
 
+func (p *Pool) hold(id ID, g *grant) {
+	g.target.granted++
+	if g.share != nil {
+		g.share.inFlight++
+	}
+	p.grants[id] = g
+}
+
 // enqueue lets a request wait, unless it would wait too long.
 func (p *Pool) enqueue(now time.Time, l *lane, r Request) []Result {
 	if wait, ok := l.expectedWait(r.Customer); ok && wait > r.MaxWait {
@@ -178,11 +185,9 @@
 	}
 	delete(p.grants, id)
 	g.target.granted--
-	if l, ok := p.lanes[g.lane]; ok {
-		l.countRelease(now)
-		if s, ok := l.shares[g.customer]; ok {
-			s.inFlight--
-		}
+	if g.share != nil {
+		g.share.inFlight--
+		g.lane.countRelease(now)
 	}
 	return p.Wake(now)
 }
--- a/internal/pool/targets.go
+++ b/internal/pool/targets.go
@@ -74,11 +74,8 @@
 		if !t.open() {
 			continue
 		}
-		for _, model := range t.Models {
-			byLane[modelLane(model)] = append(byLane[modelLane(model)], t)
-		}
-		if t.Service != "" {
-			byLane[serviceLane(t.Service)] = append(byLane[serviceLane(t.Service)], t)
+		for _, name := range Lanes(t.Models, t.Service) {
+			byLane[name] = append(byLane[name], t)
 		}
 	}
 	for name, targets := range byLane {
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -49,10 +49,12 @@
 	Closed bool
 }
 
-// ID names a request: the router that brought it and its number there.
+// ID names a request: the router that brought it, that router's incarnation,
+// and the request's number there.
 type ID struct {
-	Router string
-	Number uint64
+	Router      string
+	Incarnation uint64
+	Number      uint64
 }
 
 // Request asks for a place at a target.
--- /dev/null
+++ b/internal/scheduler/calls.go
@@ -0,0 +1,126 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+// Methods of calls between routers.
+const (
+	methodAdmit   = "schedule.admit"
+	methodClaim   = "schedule.claim"
+	methodRelease = "schedule.release"
+	methodCache   = "schedule.cache"
+)
+
+const (
+	// claimTimeout bounds the wait for one router's answer to a claim.
+	claimTimeout = 500 * time.Millisecond
+	// releaseTimeout bounds a call that gives places back.
+	releaseTimeout = 1 * time.Second
+	// cacheTimeout bounds a call that passes cache events on.
+	cacheTimeout = 500 * time.Millisecond
+	// admitSlack is how long a caller waits for a home beyond the longest
+	// wait in the queue: a claim and the calls themselves.
+	admitSlack = 4 * time.Second
+)
+
+func (s *Scheduler) register() {
+	transport.Handle(s.cfg.Server, methodAdmit, s.serve)
+	transport.Handle(s.cfg.Server, methodClaim, s.handleClaim)
+	transport.Handle(s.cfg.Server, methodRelease, s.handleRelease)
+	transport.Handle(s.cfg.Server, methodCache, s.handleCache)
+}
+
+// handleClaim learns another router's claim and names what is held here. Once
+// it has answered, this router admits nothing under a lower claim.
+func (s *Scheduler) handleClaim(_ context.Context, req *pb.ClaimHomeRequest) (*pb.ClaimHomeReply, error) {
+	g := s.group(req.Claim.GetGroup())
+	if g == nil {
+		return nil, errs.New(methodClaim, s.cfg.Self, "too many groups of targets")
+	}
+	g.learn(req.Claim)
+	_, known := g.present()
+	return &pb.ClaimHomeReply{Held: s.heldPlaces(g.name), Known: known}, nil
+}
+
+func (s *Scheduler) handleRelease(_ context.Context, req *pb.ReleaseRequest) (*pb.ReleaseReply, error) {
+	g := s.group(req.Group)
+	if g == nil {
+		return nil, errs.New(methodRelease, s.cfg.Self, "too many groups of targets")
+	}
+	opened, known := g.present()
+	if opened != nil {
+		opened.release(placeIDs(req.Router, req.Incarnation, req.Numbers)...)
+		if req.Held != nil {
+			s.count(opened, req.Held)
+		}
+	}
+	return &pb.ReleaseReply{Home: known}, nil
+}
+
+func (s *Scheduler) handleCache(_ context.Context, req *pb.CacheEventsRequest) (*pb.CacheEventsReply, error) {
+	g := s.group(req.Group)
+	if g == nil {
+		return nil, errs.New(methodCache, s.cfg.Self, "too many groups of targets")
+	}
+	opened, _ := g.present()
+	if opened == nil {
+		return &pb.CacheEventsReply{}, nil
+	}
+	resync := opened.cacheEvents(req.Target, req.Incarnation, req.From, fromCacheEvents(req.Events))
+	return &pb.CacheEventsReply{Resync: resync}, nil
+}
+
+// callAdmit asks a router, which may be this one, for a place.
+func (s *Scheduler) callAdmit(ctx context.Context, to router, req *pb.AdmitRequest) (*pb.AdmitReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.MaxWaitMs)*time.Millisecond+admitSlack)
+	defer cancel()
+	if to.id == s.cfg.Self {
+		s.metrics.localAdmissions.Inc(1)
+		return s.serve(ctx, req)
+	}
+	s.metrics.remoteAdmissions.Inc(1)
+	reply := &pb.AdmitReply{}
+	if err := s.cfg.Pool.Call(ctx, to.addr, methodAdmit, req, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// passOn asks the home on behalf of a router that can't reach it.
+func (s *Scheduler) passOn(ctx context.Context, req *pb.AdmitRequest, home *pb.HomeClaim) (*pb.AdmitReply, error) {
+	s.metrics.passedOn.Inc(1)
+	last := &pb.AdmitRequest{
+		Id: req.Id, Group: req.Group, Customer: req.Customer, Weight: req.Weight, Class: req.Class,
+		CostTokens: req.CostTokens, Chat: req.Chat, Model: req.Model, Service: req.Service,
+		Exclude: req.Exclude, MaxWaitMs: req.MaxWaitMs, Hint: req.Hint,
+	}
+	return s.callAdmit(ctx, router{id: home.Router, addr: home.Addr}, last)
+}
+
+func (s *Scheduler) callClaim(ctx context.Context, addr string, c *pb.HomeClaim) (*pb.ClaimHomeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	reply := &pb.ClaimHomeReply{}
+	err := s.cfg.Pool.Call(ctx, addr, methodClaim, &pb.ClaimHomeRequest{Claim: c}, reply)
+	return reply, err
+}
+
+func (s *Scheduler) sendCacheEvents(group string, req *pb.CacheEventsRequest) (resync bool) {
+	candidates := s.candidates(group)
+	if len(candidates) == 0 || candidates[0].id == s.cfg.Self {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cacheTimeout)
+	defer cancel()
+	reply := &pb.CacheEventsReply{}
+	if err := s.cfg.Pool.Call(ctx, candidates[0].addr, methodCache, req, reply); err != nil {
+		return false
+	}
+	return reply.Resync
+}
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -19,6 +19,9 @@
 	refreshInterval = 200 * time.Millisecond
 	// defaultFlapHold is how long a vanished target keeps its chats.
 	defaultFlapHold = 2 * time.Minute
+	// hintDirectorySize bounds the chats of which an entry router remembers
+	// where it placed them.
+	hintDirectorySize = 16384
 )
 
 // The longest waits in a queue by class; a request's own deadline shortens
@@ -26,7 +29,7 @@
 var maxWaits = map[filter.Class]time.Duration{
 	filter.ClassCheck: 5 * time.Second,
 	filter.ClassNote:  20 * time.Second,
-	filter.ClassDraft: 60 * time.Second,
+	filter.ClassDraft: 50 * time.Second,
 }
 
 // Config holds what a scheduler needs. View, Config, Pool and Server are
@@ -50,6 +53,9 @@
 	QueueLength int
 	// DirectorySize bounds the chats remembered.
 	DirectorySize int
+	// ConfirmInterval is how often a router confirms to each home what it
+	// holds there.
+	ConfirmInterval time.Duration
 }
 
 func (c *Config) setDefaults() {
@@ -68,6 +74,9 @@
 	if c.DirectorySize == 0 {
 		c.DirectorySize = placement.DefaultDirectorySize
 	}
+	if c.ConfirmInterval == 0 {
+		c.ConfirmInterval = defaultConfirmInterval
+	}
 }
 
 func (c *Config) poolConfig() pool.Config {
--- a/internal/scheduler/gate.go
+++ b/internal/scheduler/gate.go
@@ -9,17 +9,28 @@
 	"github.com/wigeonwood/wigeonwood/internal/pool"
 )
 
+// Codes of results that stay within the scheduler.
+const (
+	// codeMoved: another router has become the home.
+	codeMoved = "moved"
+	// codeReleased: the request was given back while it waited.
+	codeReleased = "released"
+)
+
 // gate lets goroutines wait for the decisions of a pool.
 type gate struct {
 	mu      sync.Mutex
 	pool    *pool.Pool
 	waiters map[pool.ID]chan pool.Result
+	excess  map[string]*excess
+	closed  bool
 }
 
 func newGate(cfg pool.Config) *gate {
 	return &gate{
 		pool:    pool.New(cfg),
 		waiters: make(map[pool.ID]chan pool.Result),
+		excess:  make(map[string]*excess),
 	}
 }
 
@@ -43,6 +54,9 @@
 func (g *gate) submit(r pool.Request) (<-chan pool.Result, pool.Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.closed {
+		return nil, pool.Result{ID: r.ID, Kind: pool.Refused, Code: codeMoved}
+	}
 	results := g.pool.Submit(time.Now(), r)
 	g.deliver(results[1:])
 	if results[0].Kind != pool.Queued {
@@ -54,20 +68,32 @@
 	return decided, results[0]
 }
 
-// release gives back what a request holds or waits for.
-func (g *gate) release(id pool.ID) {
+// release gives back what requests hold or wait for.
+func (g *gate) release(ids ...pool.ID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.waiters, id)
-	g.deliver(g.pool.Release(time.Now(), id))
+	for _, id := range ids {
+		g.deliver([]pool.Result{{ID: id, Kind: pool.Refused, Code: codeReleased}})
+		g.deliver(g.pool.Release(time.Now(), id))
+	}
 }
 
-// update replaces the targets and decides what can be decided since.
-func (g *gate) update(targets []pool.Target) {
+// confirm brings a router's places in line with what it says it holds.
+func (g *gate) confirm(router string, incarnation, upTo uint64, held []pool.Held) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.pool.Confirm(time.Now(), router, incarnation, upTo, held))
+}
+
+// update replaces the targets, drops what routers held that are not alive, and
+// decides what can be decided since.
+func (g *gate) update(targets []pool.Target, reports []loadReport, alive func(pool.ID) bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.addExternal(targets, reports)
 	g.pool.SetTargets(now, targets)
+	g.deliver(g.pool.ReleaseRouters(now, alive))
 	g.deliver(g.pool.Tick(now))
 }
 
@@ -77,16 +103,21 @@
 	return g.pool.CacheEvents(time.Now(), engine, incarnation, from, events)
 }
 
-func (g *gate) granted(target string) int {
+func (g *gate) stats() pool.Stats {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.pool.Granted(target)
+	return g.pool.Stats()
 }
 
-func (g *gate) stats() pool.Stats {
+// close refuses all that wait and all that comes.
+func (g *gate) close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.pool.Stats()
+	g.closed = true
+	for id, decided := range g.waiters {
+		delete(g.waiters, id)
+		decided <- pool.Result{ID: id, Kind: pool.Refused, Code: codeMoved}
+	}
 }
 
 func (g *gate) deliver(results []pool.Result) {
--- /dev/null
+++ b/internal/scheduler/group.go
@@ -0,0 +1,92 @@
+package scheduler
+
+import (
+	"sync"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// group is what this router knows of one group of targets.
+//
+// Of all claims to be a group's home the highest epoch holds. A router that
+// claims first tells all others, which then turn to it and name the places
+// they hold; only then does it admit. A router that learns of a higher claim
+// than its own stops admitting before it answers.
+type group struct {
+	name string
+	// claiming serialises this router's own claims; it is taken before mu.
+	claiming sync.Mutex
+
+	mu    sync.Mutex
+	known *pb.HomeClaim
+	// gate is nil unless this router is the home.
+	gate *gate
+	// releases are the numbers to be given back to the home; sending tells
+	// that a goroutine sends them, confirm that it is to list what is held.
+	releases []uint64
+	sending  bool
+	confirm  bool
+}
+
+// higher tells whether claim a holds against b.
+func higher(a, b *pb.HomeClaim) bool {
+	switch {
+	case a == nil:
+		return false
+	case b == nil:
+		return true
+	case a.Epoch != b.Epoch:
+		return a.Epoch > b.Epoch
+	case a.Router != b.Router:
+		return a.Router > b.Router
+	default:
+		return a.Incarnation > b.Incarnation
+	}
+}
+
+// learn takes note of a claim; it tells whether the claim holds now.
+func (g *group) learn(c *pb.HomeClaim) bool {
+	g.mu.Lock()
+	if higher(g.known, c) {
+		g.mu.Unlock()
+		return false
+	}
+	var ended *gate
+	if higher(c, g.known) {
+		g.known = c
+		ended, g.gate = g.gate, nil
+	}
+	g.mu.Unlock()
+	if ended != nil {
+		ended.close()
+	}
+	return true
+}
+
+// open begins admission under the own claim, unless a higher one is known.
+func (g *group) open(c *pb.HomeClaim, opened *gate) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if higher(g.known, c) {
+		return false
+	}
+	g.gate = opened
+	return true
+}
+
+func (g *group) present() (*gate, *pb.HomeClaim) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate, g.known
+}
+
+// end stops admission for good.
+func (g *group) end() {
+	g.mu.Lock()
+	ended := g.gate
+	g.gate = nil
+	g.mu.Unlock()
+	if ended != nil {
+		ended.close()
+	}
+}
--- /dev/null
+++ b/internal/scheduler/home.go
@@ -0,0 +1,153 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/pool"
+)
+
+// serve decides on a request as the group's home. If another router is the
+// home, it answers with that one's claim; with hops left it passes the request
+// on instead, since the asking router could not reach the home.
+func (s *Scheduler) serve(ctx context.Context, req *pb.AdmitRequest) (*pb.AdmitReply, error) {
+	if _, _, ok := s.cfg.Config.Lease(); !ok {
+		return nil, errs.New(methodAdmit, s.cfg.Self, "this router has no configuration lease")
+	}
+	g := s.group(req.Group)
+	if g == nil {
+		return nil, errs.New(methodAdmit, s.cfg.Self, "too many groups of targets")
+	}
+	opened, known := g.present()
+	if opened == nil && known != nil && known.Router != s.cfg.Self {
+		if reply := s.refer(ctx, req, known); reply != nil {
+			return reply, nil
+		}
+	}
+	if opened == nil {
+		opened = s.claim(ctx, g)
+	}
+	if opened == nil {
+		_, known = g.present()
+		return &pb.AdmitReply{Code: codeMoved, Home: known}, nil
+	}
+	result, err := opened.admit(ctx, fromAdmitRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	_, known = g.present()
+	return toAdmitReply(result, known), nil
+}
+
+// refer leaves a request to another home: the asking router is told of it, or
+// the request is passed on. It returns nil if that home is gone.
+func (s *Scheduler) refer(ctx context.Context, req *pb.AdmitRequest, home *pb.HomeClaim) *pb.AdmitReply {
+	serving, seen := s.servingHome(home)
+	if seen && !serving {
+		return nil
+	}
+	// A home out of view may be new, and the asking router not see it either.
+	if serving && req.Hops == 0 {
+		return &pb.AdmitReply{Code: codeMoved, Home: home}
+	}
+	reply, err := s.passOn(ctx, req, home)
+	if err != nil {
+		s.cfg.Logger.Warn().Err(err).Str("step", errs.Step(err)).Str("peer", home.Router).
+			Str("group", req.Group).Msg("the home of the group can't be reached")
+		return nil
+	}
+	return reply
+}
+
+// servingHome tells whether the router of a claim is in view, and serving in
+// the same incarnation.
+func (s *Scheduler) servingHome(c *pb.HomeClaim) (serving, seen bool) {
+	for _, r := range s.cfg.View.Routers() {
+		if r.Id == c.Router {
+			return r.Incarnation == c.Incarnation && r.State == pb.RouterState_ROUTER_STATE_SERVING, true
+		}
+	}
+	return false, false
+}
+
+// claim makes this router the home of a group. The others learn the claim and
+// name the places they hold before anything is admitted here. It returns nil
+// if another claim is higher.
+func (s *Scheduler) claim(ctx context.Context, g *group) *gate {
+	g.claiming.Lock()
+	defer g.claiming.Unlock()
+	opened, known := g.present()
+	if opened != nil {
+		return opened
+	}
+	self := s.cfg.View.Self()
+	next := &pb.HomeClaim{
+		Group:       g.name,
+		Epoch:       known.GetEpoch() + 1,
+		Router:      s.cfg.Self,
+		Incarnation: self.GetIncarnation(),
+		Addr:        self.GetPeerAddr(),
+	}
+	if !g.learn(next) {
+		return nil
+	}
+	s.refreshLayout()
+	opened = newGate(s.cfg.poolConfig())
+	targets, reports := s.targetsOf(g.name)
+	opened.update(targets, reports, func(pool.ID) bool { return true })
+	// The claim is not that of one request: it goes on when that one ends.
+	s.collect(context.WithoutCancel(ctx), g, next, known, opened)
+	if !g.open(next, opened) {
+		return nil
+	}
+	s.metrics.claims.Inc(1)
+	s.cfg.Logger.Info().Str("step", methodClaim).Str("group", g.name).Uint64("epoch", next.Epoch).
+		Int("places", opened.stats().Grants).Msg("this router is the home of the group")
+	return opened
+}
+
+// collect tells all routers of a claim and counts what they hold. Those that
+// don't answer in time are counted by their next confirmation.
+func (s *Scheduler) collect(ctx context.Context, g *group, c, before *pb.HomeClaim, opened *gate) {
+	s.count(opened, s.heldPlaces(g.name))
+	peers := make(map[string]string)
+	if before != nil {
+		// The home so far, also if it is out of view.
+		peers[before.Router] = before.Addr
+	}
+	for _, r := range s.cfg.View.Routers() {
+		peers[r.Id] = r.PeerAddr
+	}
+	delete(peers, s.cfg.Self)
+	var calls sync.WaitGroup
+	for _, addr := range peers {
+		calls.Go(func() {
+			reply, err := s.callClaim(ctx, addr, c)
+			if err != nil {
+				s.cfg.Logger.Warn().Err(err).Str("step", errs.Step(err)).Str("peer", errs.Peer(err)).
+					Str("group", g.name).Msg("a router did not answer the claim")
+				return
+			}
+			g.learn(reply.Known)
+			s.count(opened, reply.Held)
+		})
+	}
+	calls.Wait()
+}
+
+func (s *Scheduler) count(opened *gate, held *pb.HeldPlaces) {
+	opened.confirm(held.GetRouter(), held.GetIncarnation(), held.GetUpTo(), fromHeldPlaces(held))
+}
+
+// heldPlaces lists what this router's requests hold in a group.
+func (s *Scheduler) heldPlaces(group string) *pb.HeldPlaces {
+	upTo, held := s.held.list(group)
+	return &pb.HeldPlaces{
+		Router:      s.cfg.Self,
+		Incarnation: s.cfg.View.Self().GetIncarnation(),
+		UpTo:        upTo,
+		Places:      held,
+	}
+}
--- /dev/null
+++ b/internal/scheduler/homes_test.go
@@ -0,0 +1,262 @@
+package scheduler
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+// node is one router with real calls.
+type node struct {
+	*Scheduler
+	fleet  *fakeFleet
+	server *transport.Server
+	status *pb.RouterStatus
+}
+
+// startNodes starts n routers that see each other and the targets.
+func startNodes(t *testing.T, n int, targets ...*pb.TargetStatus) []*node {
+	var nodes []*node
+	for i := range n {
+		id := fmt.Sprint("r", i)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := newFakeFleet(id, targets...)
+		calls := transport.NewPool("secret", nil, nil)
+		server := transport.NewServer("secret", discard())
+		s := New(Config{
+			Self: id, View: f, Config: f, Pool: calls, Server: server, Logger: discard(),
+			ConfirmInterval: 200 * time.Millisecond,
+		})
+		go func() { _ = server.Serve(listener) }()
+		nodes = append(nodes, &node{
+			Scheduler: s, fleet: f, server: server,
+			status: &pb.RouterStatus{
+				Id: id, Incarnation: 1, PeerAddr: listener.Addr().String(),
+				State: pb.RouterState_ROUTER_STATE_SERVING,
+			},
+		})
+		running := make(chan struct{})
+		t.Cleanup(func() {
+			s.Close()
+			<-running
+			server.Close()
+			calls.Close()
+		})
+		defer func() {
+			go func() {
+				defer close(running)
+				s.Run(t.Context())
+			}()
+		}()
+	}
+	for _, nd := range nodes {
+		nd.sees(nodes...)
+	}
+	return nodes
+}
+
+func (nd *node) sees(nodes ...*node) {
+	var routers []*pb.RouterStatus
+	for _, other := range nodes {
+		routers = append(routers, other.status)
+	}
+	nd.fleet.setRouters(routers...)
+}
+
+func without(nodes []*node, gone *node) []*node {
+	var rest []*node
+	for _, nd := range nodes {
+		if nd != gone {
+			rest = append(rest, nd)
+		}
+	}
+	return rest
+}
+
+func homeOf(nodes []*node) *node {
+	for _, nd := range nodes {
+		if g, ok := nd.groups["engines/0"]; ok {
+			if opened, _ := g.present(); opened != nil {
+				return nd
+			}
+		}
+	}
+	return nil
+}
+
+// fill takes n places over all routers, each by another chat.
+func fill(t *testing.T, nodes []*node, n int) []*filter.Grant {
+	t.Helper()
+	var mu sync.Mutex
+	var grants []*filter.Grant
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			g, err := nodes[i%len(nodes)].Admit(t.Context(), demand("c", fmt.Sprint("chat-", i)), nil)
+			if err != nil {
+				t.Errorf("request %d: %v", i, err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			grants = append(grants, g)
+		})
+	}
+	wg.Wait()
+	return grants
+}
+
+func perTarget(grants []*filter.Grant) map[string]int {
+	counts := make(map[string]int)
+	for _, g := range grants {
+		counts[g.Target.Id]++
+	}
+	return counts
+}
+
+func releaseAll(grants []*filter.Grant) {
+	for _, g := range grants {
+		g.Release(filter.Usage{})
+	}
+}
+
+// The routers together stay within each engine's bound, though each sees only
+// a part of the requests.
+func TestRoutersShareEngines(t *testing.T) {
+	nodes := startNodes(t, 3, engines(4, 100)...)
+	grants := fill(t, nodes, 60)
+	for id, n := range perTarget(grants) {
+		if n > 19 {
+			t.Errorf("%s has %d of 60 requests on 4 engines, over 1.25 times the mean plus one", id, n)
+		}
+	}
+	releaseAll(grants)
+	waitEmpty(t, homeOf(nodes))
+}
+
+func waitEmpty(t *testing.T, home *node) {
+	t.Helper()
+	opened, _ := home.groups["engines/0"].present()
+	for range 100 {
+		if opened.stats().Grants == 0 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("%d places are still counted", opened.stats().Grants)
+}
+
+// A new home counts what the old one granted: no engine gets more than its
+// capacity while the old requests go on.
+func TestNewHomeCountsOldPlaces(t *testing.T) {
+	nodes := startNodes(t, 4, engines(2, 5)...)
+	entries := nodes
+	first := fill(t, nodes[:1], 1)
+	old := homeOf(nodes)
+	entries = without(nodes, old)
+	first = append(first, fill(t, entries, 7)...)
+	old.server.Close()
+	for _, nd := range entries {
+		nd.sees(entries...)
+	}
+	second := fill(t, entries, 1)
+	if home := homeOf(entries); home == nil {
+		t.Fatal("no router has become the home")
+	}
+	held := entriesHold(entries)
+	counts := perTarget(append(first, second...))
+	home := homeOf(entries)
+	opened, _ := home.groups["engines/0"].present()
+	if got := opened.stats().Grants; got != held {
+		t.Fatalf("the new home counts %d places, the routers hold %d (%v)", got, held, counts)
+	}
+	releaseAll(append(first, second...))
+	waitEmpty(t, home)
+}
+
+func entriesHold(nodes []*node) int {
+	n := 0
+	for _, nd := range nodes {
+		_, held := nd.held.list("engines/0")
+		n += len(held)
+	}
+	return n
+}
+
+// A home that has crashed but is still in everyone's view is replaced by the
+// requests that can't reach it.
+func TestCrashedHomeInViewIsReplaced(t *testing.T) {
+	nodes := startNodes(t, 3, engines(2, 50)...)
+	releaseAll(fill(t, nodes, 3))
+	old := homeOf(nodes)
+	old.server.Close()
+	entries := without(nodes, old)
+	grants := fill(t, entries, 20)
+	home := homeOf(entries)
+	if home == nil {
+		t.Fatal("no router has become the home")
+	}
+	releaseAll(grants)
+	waitEmpty(t, home)
+}
+
+// Routers that disagree on who exists still admit through one home.
+func TestRoutersThatDisagreeUseOneHome(t *testing.T) {
+	nodes := startNodes(t, 4, engines(3, 100)...)
+	for i, nd := range nodes {
+		// Each one misses another.
+		nd.sees(without(nodes, nodes[(i+1)%len(nodes)])...)
+	}
+	for range 5 {
+		grants := fill(t, nodes, 30)
+		for id, n := range perTarget(grants) {
+			if n > 13 {
+				t.Errorf("%s has %d of 30 requests on 3 engines, over 1.25 times the mean plus one", id, n)
+			}
+		}
+		open := 0
+		for _, nd := range nodes {
+			if opened, _ := nd.group("engines/0").present(); opened != nil {
+				open++
+			}
+		}
+		if open != 1 {
+			t.Fatalf("%d routers admit for one group", open)
+		}
+		releaseAll(grants)
+	}
+}
+
+// A release that never reached the home is made up for by a confirmation.
+func TestConfirmationRepairsLostRelease(t *testing.T) {
+	nodes := startNodes(t, 2, engines(2, 50)...)
+	releaseAll(fill(t, nodes, 2))
+	home := homeOf(nodes)
+	entry := without(nodes, home)[0]
+	grants := fill(t, []*node{entry}, 6)
+	// Forget five as if the calls were lost.
+	for _, place := range func() []*pb.HeldPlace { _, h := entry.held.list("engines/0"); return h }()[:5] {
+		entry.held.end("engines/0", place.Number)
+	}
+	opened, _ := home.groups["engines/0"].present()
+	for range 100 {
+		if opened.stats().Grants == 1 {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if got := opened.stats().Grants; got != 1 {
+		t.Fatalf("the home counts %d places, the router holds 1", got)
+	}
+	releaseAll(grants)
+	waitEmpty(t, home)
+}
--- /dev/null
+++ b/internal/scheduler/messages.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/placement"
+	"github.com/wigeonwood/wigeonwood/internal/pool"
+)
+
+func fromAdmitRequest(req *pb.AdmitRequest) pool.Request {
+	r := pool.Request{
+		ID: pool.ID{
+			Router:      req.Id.GetRouter(),
+			Incarnation: req.Id.GetIncarnation(),
+			Number:      req.Id.GetNumber(),
+		},
+		Customer: req.Customer,
+		Weight:   req.Weight,
+		Class:    int(req.Class),
+		Cost:     float64(req.CostTokens),
+		Chat:     placement.Key(req.Chat),
+		Model:    req.Model,
+		Service:  req.Service,
+		Exclude:  req.Exclude,
+		MaxWait:  time.Duration(req.MaxWaitMs) * time.Millisecond,
+	}
+	if h := req.Hint; h != nil {
+		r.Hint = placement.Holder{Engine: h.Target, Incarnation: h.Incarnation, Used: time.Now()}
+	}
+	return r
+}
+
+func toAdmitReply(r pool.Result, home *pb.HomeClaim) *pb.AdmitReply {
+	reply := &pb.AdmitReply{WaitedMs: uint32(r.Waited.Milliseconds()), Home: home}
+	if r.Kind == pool.Granted {
+		reply.Target = r.Target
+		reply.Incarnation = r.Incarnation
+		reply.Why = uint32(r.Why)
+		return reply
+	}
+	reply.Code = r.Code
+	reply.RetryAfterMs = uint32(r.RetryAfter.Milliseconds())
+	return reply
+}
+
+func placeIDs(router string, incarnation uint64, numbers []uint64) []pool.ID {
+	ids := make([]pool.ID, 0, len(numbers))
+	for _, n := range numbers {
+		ids = append(ids, pool.ID{Router: router, Incarnation: incarnation, Number: n})
+	}
+	return ids
+}
+
+func fromHeldPlaces(h *pb.HeldPlaces) []pool.Held {
+	held := make([]pool.Held, 0, len(h.GetPlaces()))
+	for _, p := range h.GetPlaces() {
+		held = append(held, pool.Held{
+			ID:       pool.ID{Router: h.Router, Incarnation: h.Incarnation, Number: p.Number},
+			Target:   p.Target,
+			Customer: p.Customer,
+			Model:    p.Model,
+			Service:  p.Service,
+		})
+	}
+	return held
+}
+
+func toCacheEvents(events []placement.CacheEvent) []*pb.CacheEvent {
+	out := make([]*pb.CacheEvent, 0, len(events))
+	for _, e := range events {
+		out = append(out, &pb.CacheEvent{Kind: uint32(e.Kind), Chat: uint64(e.Chat)})
+	}
+	return out
+}
+
+func fromCacheEvents(events []*pb.CacheEvent) []placement.CacheEvent {
+	out := make([]placement.CacheEvent, 0, len(events))
+	for _, e := range events {
+		out = append(out, placement.CacheEvent{Kind: placement.EventKind(e.Kind), Chat: placement.Key(e.Chat)})
+	}
+	return out
+}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wigeonwood/wigeonwood/internal/filter"
@@ -19,6 +21,11 @@
 	wait   tally.Timer
 	chats  tally.Gauge
 	grants tally.Gauge
+	claims tally.Counter
+	// Admissions by the hops they took.
+	localAdmissions  tally.Counter
+	remoteAdmissions tally.Counter
+	passedOn         tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -33,16 +40,21 @@
 		wait:   s.Timer("queue_wait"),
 		chats:  s.Gauge("directory_chats"),
 		grants: s.Gauge("grants"),
+		claims: s.Counter("home_claims"),
+
+		localAdmissions:  s.Tagged(map[string]string{"by": "self"}).Counter("admissions"),
+		remoteAdmissions: s.Tagged(map[string]string{"by": "home"}).Counter("admissions"),
+		passedOn:         s.Tagged(map[string]string{"by": "relay"}).Counter("admissions"),
 	}
 }
 
-func (m *metrics) granted(r pool.Result) {
-	if r.Why == placement.WhyHeld {
+func (m *metrics) granted(why placement.Why, waited time.Duration) {
+	if why == placement.WhyHeld {
 		m.held.Inc(1)
 	} else {
 		m.other.Inc(1)
 	}
-	m.wait.Record(r.Waited)
+	m.wait.Record(waited)
 }
 
 func (m *metrics) released(u filter.Usage) {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -55,6 +55,12 @@
 	f.intents[target] = &pb.TargetIntent{Target: target, Desired: desired}
 }
 
+func (f *fakeFleet) setRouters(routers ...*pb.RouterStatus) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.routers = routers
+}
+
 func (f *fakeFleet) Self() *pb.RouterStatus {
 	for _, r := range f.Routers() {
 		if r.Id == f.self {
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -1,10 +1,25 @@
 package scheduler
 
 import (
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/pool"
 )
 
+// routerKey names one run of a router.
+type routerKey struct {
+	id          string
+	incarnation uint64
+}
+
+// router is a router that may be a home.
+type router struct {
+	id   string
+	addr string
+}
+
 // closed tells whether a target takes no new work: it leaves, or operators
 // want it drained or stopped.
 func (s *Scheduler) closed(t *pb.TargetStatus) bool {
@@ -19,54 +34,83 @@
 		intent.Desired == pb.DesiredState_DESIRED_STATE_STOP
 }
 
-// report is an engine's load report as it was when it came in.
-type report struct {
-	incarnation uint64
-	sequence    uint64
-	// external is what the engine had in flight beyond this router's own.
-	external int
-}
-
-// external estimates the requests that other routers have in flight at a
-// target: its own report less what this router had there when it came in.
-func (s *Scheduler) external(t *pb.TargetStatus) int {
-	last, ok := s.reports[t.Id]
-	if ok && last.incarnation == t.Incarnation && last.sequence == t.Sequence {
-		return last.external
-	}
-	reported := int(t.Load.GetRunning() + t.Load.GetWaiting())
-	next := report{
-		incarnation: t.Incarnation,
-		sequence:    t.Sequence,
-		external:    max(0, reported-s.local.granted(t.Id)),
-	}
-	s.reports[t.Id] = next
-	return next.external
-}
-
-// refresh takes the targets of the view into the pool.
-func (s *Scheduler) refresh() {
-	s.refreshMu.Lock()
-	defer s.refreshMu.Unlock()
-	statuses := s.cfg.View.Targets()
+// targetsOf returns the targets of a group and their load reports.
+func (s *Scheduler) targetsOf(name string) ([]pool.Target, []loadReport) {
+	statuses := s.currentLayout().targets[name]
 	targets := make([]pool.Target, 0, len(statuses))
-	present := make(map[string]bool, len(statuses))
+	reports := make([]loadReport, 0, len(statuses))
 	for _, t := range statuses {
-		present[t.Id] = true
 		targets = append(targets, pool.Target{
 			ID:          t.Id,
 			Incarnation: t.Incarnation,
 			Models:      t.Models,
 			Service:     t.Service,
 			Capacity:    int(t.Capacity),
-			External:    s.external(t),
 			Closed:      s.closed(t),
 		})
+		reports = append(reports, loadReport{
+			incarnation: t.Incarnation,
+			sequence:    t.Sequence,
+			inFlight:    int(t.Load.GetRunning() + t.Load.GetWaiting()),
+		})
 	}
-	for id := range s.reports {
-		if !present[id] {
-			delete(s.reports, id)
+	return targets, reports
+}
+
+// candidates returns the routers that may be the group's home, the most likely
+// first: the one that claimed last, then by rendezvous.
+func (s *Scheduler) candidates(name string) []router {
+	byID := make(map[string]*pb.RouterStatus)
+	var ids []string
+	for _, r := range s.cfg.View.Routers() {
+		if r.State == pb.RouterState_ROUTER_STATE_SERVING {
+			byID[r.Id] = r
+			ids = append(ids, r.Id)
+		}
+	}
+	var ranked []router
+	if _, known := s.group(name).present(); known != nil {
+		// A home out of view may be one that this router has yet to see.
+		if serving, seen := s.servingHome(known); serving || !seen {
+			ranked = append(ranked, router{id: known.Router, addr: known.Addr})
+		}
+	}
+	for _, id := range fleet.Rank("group/"+name, ids) {
+		if len(ranked) > 0 && ranked[0].id == id {
+			continue
+		}
+		ranked = append(ranked, router{id: id, addr: byID[id].PeerAddr})
+	}
+	return ranked
+}
+
+// aliveRouters tells of which routers the places are kept. A router that has
+// left the view keeps them for absentHold.
+func (s *Scheduler) aliveRouters() func(pool.ID) bool {
+	now := time.Now()
+	inView := make(map[routerKey]bool)
+	for _, r := range s.cfg.View.Routers() {
+		inView[routerKey{id: r.Id, incarnation: r.Incarnation}] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, since := range s.absent {
+		if inView[key] || now.Sub(since) > 2*absentHold {
+			delete(s.absent, key)
+		}
+	}
+	return func(id pool.ID) bool {
+		key := routerKey{id: id.Router, incarnation: id.Incarnation}
+		if inView[key] {
+			return true
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		since, ok := s.absent[key]
+		if !ok {
+			s.absent[key] = now
+			return true
 		}
+		return now.Sub(since) < absentHold
 	}
-	s.local.update(targets)
 }
