--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -60,10 +60,16 @@
 type Chooser struct {
 	// Factor is the c of the load bound.
 	Factor float64
+	// Spread is among how many of a chat's best engines by score the least
+	// loaded one is taken if nobody with room is known to hold its prefix.
+	Spread int
 	// Takeover is the time over which a joining engine takes over chats.
 	Takeover time.Duration
 	// Directory may be nil; then placement is by rendezvous alone.
 	Directory *Directory
+
+	// best is reused between decisions.
+	best []scored
 }
 
 // Choose places a chat on one of the engines, all of which are eligible. An
@@ -74,15 +80,7 @@
 	if i := c.held(k, engines, limit); i >= 0 {
 		return Choice{Index: i, Why: WhyHeld}
 	}
-	best, bestAny := c.byScore(now, k, engines, limit)
-	switch {
-	case best < 0:
-		return Choice{Index: -1}
-	case best == bestAny:
-		return Choice{Index: best, Why: WhyDefault}
-	default:
-		return Choice{Index: best, Why: WhySpill}
-	}
+	return c.byScore(now, k, engines, limit)
 }
 
 // LeastLoaded returns the engine with the fewest requests in flight relative
@@ -144,12 +142,14 @@
 	return -1
 }
 
-// byScore returns the best engine with room, and the best one regardless of
-// room. A joining engine competes for a growing share of the chats; outside
-// this share it is taken only if no other has room.
-func (c *Chooser) byScore(now time.Time, k Key, engines []Engine, limit int) (best, bestAny int) {
-	best, bestAny, fallback := -1, -1, -1
-	var bestScore, anyScore, fallbackScore uint64
+// byScore takes the least loaded of the Spread best engines with room. A
+// joining engine competes for a growing share of the chats; outside this share
+// it is taken only if no other has room.
+func (c *Chooser) byScore(now time.Time, k Key, engines []Engine, limit int) Choice {
+	c.best = c.best[:0]
+	spread := max(c.Spread, 1)
+	full := 0
+	fallback, fallbackScore := -1, uint64(0)
 	for i := range engines {
 		e := &engines[i]
 		s := score(k, e.Hash)
@@ -159,17 +159,47 @@
 			}
 			continue
 		}
-		if bestAny < 0 || s > anyScore {
-			bestAny, anyScore = i, s
+		if !hasRoom(e, limit) {
+			full++
+			continue
 		}
-		if hasRoom(e, limit) && (best < 0 || s > bestScore) {
-			best, bestScore = i, s
+		c.insert(scored{index: i, score: s}, spread)
+	}
+	if len(c.best) == 0 {
+		return Choice{Index: fallback, Why: WhySpill}
+	}
+	chosen := c.best[0]
+	for _, other := range c.best[1:] {
+		if engines[other.index].InFlight < engines[chosen.index].InFlight {
+			chosen = other
 		}
 	}
-	if best < 0 {
-		best = fallback
+	why := WhyDefault
+	if full > 0 {
+		why = WhySpill
+	}
+	return Choice{Index: chosen.index, Why: why}
+}
+
+// scored is an engine with its score for a chat.
+type scored struct {
+	index int
+	score uint64
+}
+
+// insert keeps the best engines by score, at most limit of them.
+func (c *Chooser) insert(s scored, limit int) {
+	if len(c.best) == limit && s.score <= c.best[limit-1].score {
+		return
+	}
+	if len(c.best) < limit {
+		c.best = append(c.best, s)
+	} else {
+		c.best[limit-1] = s
+	}
+	for i := len(c.best) - 1; i > 0 && c.best[i].score > c.best[i-1].score; i-- {
+		c.best[i], c.best[i-1] = c.best[i-1], c.best[i]
 	}
-	return best, bestAny
 }
 
 // competes tells whether an engine takes part for the chat with this score.
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -62,19 +62,23 @@
 }
 
 // Hint notes that an engine reported a chat's prefix as held. It never
-// displaces a holder that a placement recorded.
+// displaces a holder that a placement recorded, but confirms one that a
+// cleared cache had made cold.
 func (d *Directory) Hint(k Key, h Holder) {
 	if k == 0 || d.size <= 0 {
 		return
 	}
 	e := d.touch(k)
 	for i := range e.holders {
-		if e.holders[i].Engine == h.Engine && e.holders[i].Incarnation == h.Incarnation {
+		if e.holders[i].Engine == h.Engine {
+			if h.Used.After(e.holders[i].Used) {
+				e.holders[i] = h
+			}
 			return
 		}
 	}
 	for i := range e.holders {
-		if e.holders[i].Engine == "" || e.holders[i].Engine == h.Engine {
+		if e.holders[i].Engine == "" {
 			e.holders[i] = h
 			return
 		}
--- /dev/null
+++ b/internal/placement/measure/pools.go
@@ -0,0 +1,278 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/admission"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/placement"
+	"github.com/wigeonwood/wigeonwood/internal/pool"
+	"google.golang.org/protobuf/proto"
+)
+
+const model = "m"
+
+func poolConfig(directory, spread int) pool.Config {
+	return pool.Config{
+		Spread:        spread,
+		Factor:        placement.DefaultBoundFactor,
+		Takeover:      placement.DefaultTakeover,
+		Reserve:       pool.DefaultReserve,
+		QueueLength:   admission.DefaultQueueLength,
+		DirectorySize: directory,
+		FlapHold:      2 * time.Minute,
+	}
+}
+
+var classWaits = []time.Duration{5 * time.Second, 20 * time.Second, 50 * time.Second}
+
+// placeID names a request's try, so that a place of an earlier one is another.
+func placeID(q *request) pool.ID {
+	return pool.ID{Router: string(rune('a' + q.entry)), Incarnation: uint64(q.tries), Number: q.number}
+}
+
+func poolRequest(q *request) pool.Request {
+	return pool.Request{
+		ID: placeID(q), Customer: q.name, Weight: q.weight, Class: q.class,
+		Cost: q.tokens, Chat: q.chat, Model: model, MaxWait: classWaits[q.class],
+	}
+}
+
+// targets are the engines as routers see them, with what others have in flight.
+func (r *run) targets(external func(i int) int) []pool.Target {
+	var targets []pool.Target
+	for i, e := range r.engines {
+		if !e.announced {
+			continue
+		}
+		targets = append(targets, pool.Target{
+			ID: e.id, Incarnation: e.incarnation, Models: []string{model},
+			Capacity: engineCapacity, External: external(i), Closed: e.leaving,
+		})
+	}
+	return targets
+}
+
+// settle carries out the results of a pool.
+func (r *run) settle(results []pool.Result) {
+	for _, res := range results {
+		q := &r.trace[res.ID.Number-1]
+		switch res.Kind {
+		case pool.Granted:
+			r.start(q, r.index[res.Target])
+		case pool.Refused:
+			q.refused = true
+		}
+	}
+}
+
+// local is way (a): each entry router admits by itself, on lagged reports and
+// what it has in flight itself.
+type local struct {
+	baseline
+	pools    [routerCount]*pool.Pool
+	external [routerCount]map[int]int
+	split    bool
+}
+
+func newLocal(r *run, directory, spread int) *local {
+	s := &local{baseline: baseline{run: r}}
+	for i := range s.pools {
+		s.pools[i] = pool.New(poolConfig(directory, spread))
+		s.external[i] = make(map[int]int)
+	}
+	return s
+}
+
+func (s *local) submit(q *request) {
+	s.run.settle(s.pools[q.entry].Submit(at(s.run.now), poolRequest(q)))
+}
+
+func (s *local) finished(q *request) {
+	s.run.settle(s.pools[q.entry].Release(at(s.run.now), placeID(q)))
+}
+
+func (s *local) report(engine, inFlight int) {
+	for i, p := range s.pools {
+		s.external[i][engine] = max(0, inFlight-p.Granted(s.run.engines[engine].id))
+	}
+}
+
+func (s *local) tick() {
+	for i, p := range s.pools {
+		targets := s.run.targets(func(e int) int { return s.external[i][e] })
+		if s.split && i < 2 {
+			// The two do not see two of the engines.
+			targets = targets[2:]
+		}
+		p.SetTargets(at(s.run.now), targets)
+		s.run.settle(p.Tick(at(s.run.now)))
+	}
+}
+
+func (s *local) cacheEvents(engine int, incarnation, from uint64, events []placement.CacheEvent) bool {
+	// Events go to one router, which follows the engine.
+	p := s.pools[engine%routerCount]
+	return p.CacheEvents(at(s.run.now), s.run.engines[engine].id, incarnation, from, events)
+}
+
+func (s *local) disagree(begin bool) {
+	s.split = begin
+	s.tick()
+}
+
+func (s *local) loseRouter(dead int) []*request {
+	s.pools[dead] = pool.New(poolConfig(0, 1))
+	return s.run.waiting(func(q *request) bool { return q.entry == dead })
+}
+
+func (s *local) addTraffic(res *Result) {
+	res.ControlBytes = reportTraffic(len(s.run.engines))
+	res.BusiestBytes = res.ControlBytes
+}
+
+// home is way (b): one router admits for all engines; another takes over when
+// it dies or when two routers disagree on who it is.
+type home struct {
+	baseline
+	pool      *pool.Pool
+	directory int
+	spread    int
+	router    int
+	// hints are the entry routers' own memories of recent placements.
+	hints    [routerCount]*placement.Directory
+	remote   int
+	local    int
+	requests [routerCount]int
+	control  float64
+}
+
+func newHome(r *run, directory, spread int) *home {
+	s := &home{baseline: baseline{run: r}, directory: directory, spread: spread, pool: pool.New(poolConfig(directory, spread))}
+	for i := range s.hints {
+		s.hints[i] = placement.NewDirectory(min(directory, 16384))
+	}
+	return s
+}
+
+func (s *home) submit(q *request) {
+	if s.run.now >= warmUp {
+		s.requests[q.entry]++
+		if q.entry == s.router {
+			s.local++
+		} else {
+			s.remote++
+		}
+	}
+	r := poolRequest(q)
+	r.Hint = s.hints[q.entry].Holders(q.chat)[0]
+	results := s.pool.Submit(at(s.run.now), r)
+	for _, res := range results {
+		if res.Kind == pool.Granted {
+			s.hints[q.entry].Record(q.chat, placement.Holder{Engine: res.Target, Incarnation: res.Incarnation, Used: at(s.run.now)})
+		}
+	}
+	s.run.settle(results)
+}
+
+func (s *home) finished(q *request) {
+	s.run.settle(s.pool.Release(at(s.run.now), placeID(q)))
+}
+
+func (s *home) tick() {
+	s.pool.SetTargets(at(s.run.now), s.run.targets(func(int) int { return 0 }))
+	s.run.settle(s.pool.Tick(at(s.run.now)))
+}
+
+func (s *home) cacheEvents(engine int, incarnation, from uint64, events []placement.CacheEvent) bool {
+	if s.directory == 0 {
+		return false
+	}
+	if s.run.now >= warmUp {
+		s.control += float64(cacheEventBytes*len(events) + callOverhead)
+	}
+	return s.pool.CacheEvents(at(s.run.now), s.run.engines[engine].id, incarnation, from, events)
+}
+
+// disagree moves the home to another router and back, as a claim does.
+func (s *home) disagree(begin bool) {
+	if begin {
+		s.takeOver((s.router + 1) % routerCount)
+	} else {
+		s.takeOver((s.router + routerCount - 1) % routerCount)
+	}
+}
+
+func (s *home) routerToDie() int { return s.router }
+
+// loseRouter empties the queue: all that waited at the home is asked for again.
+func (s *home) loseRouter(int) []*request {
+	return s.run.waiting(func(*request) bool { return true })
+}
+
+func (s *home) replaceRouter(dead int) { s.moveTo((dead + 1) % routerCount) }
+
+// takeOver makes another router the home; what waited is asked for again.
+func (s *home) takeOver(router int) {
+	again := s.run.waiting(func(*request) bool { return true })
+	s.moveTo(router)
+	for _, q := range again {
+		s.submit(q)
+	}
+}
+
+// moveTo makes another router the home: its directory is empty, and the places
+// that routers hold are counted.
+func (s *home) moveTo(router int) {
+	s.router = router
+	s.pool = pool.New(poolConfig(s.directory, s.spread))
+	s.tick()
+	for i := range s.run.trace {
+		q := &s.run.trace[i]
+		if s.run.inFlight[q.number] == q {
+			s.pool.Adopt(at(s.run.now), pool.Held{ID: placeID(q), Target: s.run.engines[q.engine].id, Customer: q.name, Model: model})
+		}
+	}
+	s.control += routerCount * callOverhead * 2
+}
+
+func (s *home) addTraffic(res *Result) {
+	seconds := (traceLength - warmUp).Seconds()
+	total := float64(s.remote + s.local)
+	res.Hops = float64(s.remote) / total
+	res.ControlBytes = reportTraffic(len(s.run.engines)) + s.control/seconds/routerCount
+	// Each byte of a call is sent by one router and received by another.
+	calls := float64(s.remote) * float64(admissionBytes()) / seconds
+	res.RequestBytes = 2 * calls / routerCount
+	res.BusiestBytes = reportTraffic(len(s.run.engines)) + s.control/seconds + calls
+}
+
+const (
+	// callOverhead is the envelope, token and stream framing of a call and
+	// its answer.
+	callOverhead = 170
+	// cacheEventBytes is one cache event on the wire.
+	cacheEventBytes = 13
+	// reportBytes is one engine's load report as routers pass it on, sent
+	// and received once each.
+	reportBytes = 2 * 32
+)
+
+func reportTraffic(engines int) float64 { return float64(engines * reportBytes) }
+
+// admissionBytes is what one request costs that is admitted by another router:
+// the call, its answer, and the release, of which two go in one call.
+func admissionBytes() int {
+	claim := &pb.HomeClaim{Group: "engines/0", Epoch: 3, Router: "router-1", Incarnation: 1 << 40, Addr: "10.0.0.1:7000"}
+	id := &pb.PlaceId{Router: "router-2", Incarnation: 1 << 40, Number: 1 << 20}
+	admit := &pb.AdmitRequest{
+		Id: id, Group: "engines/0", Customer: "customer-3", Weight: 10, Class: 1, CostTokens: 1000,
+		Chat: 1 << 60, Model: "model-1", MaxWaitMs: 20000,
+		Hint: &pb.PlaceHint{Target: "engine-11", Incarnation: 1 << 40},
+	}
+	reply := &pb.AdmitReply{Target: "engine-11", Incarnation: 1 << 40, Why: 1, Home: claim}
+	release := &pb.ReleaseRequest{Router: "router-2", Incarnation: 1 << 40, Group: "engines/0", Numbers: []uint64{1 << 20}}
+	released := &pb.ReleaseReply{Home: claim}
+	once := proto.Size(admit) + proto.Size(reply) + callOverhead
+	return once + (proto.Size(release)+proto.Size(released)+callOverhead)/2
+}
--- /dev/null
+++ b/internal/placement/measure/result.go
@@ -0,0 +1,75 @@
+package measure
+
+import (
+	"slices"
+	"time"
+)
+
+// Result is what one run showed after its warm-up.
+type Result struct {
+	// Returning requests, and those that found their prefix held.
+	Returning int
+	Hits      int
+	// Admissions, and those over the load bound by the true loads.
+	Admissions int
+	OverBound  int
+	// MostOver is the most requests that an engine got over the bound.
+	MostOver int
+	// SkewMax and SkewP99 are the busiest engine over the mean, over time.
+	SkewMax, SkewP99 float64
+	// Hops between routers for a request, on average.
+	Hops float64
+	// Bytes between routers for each router and second: those that go on
+	// without requests, and those of calls for single requests.
+	ControlBytes, RequestBytes float64
+	// BusiestBytes are all bytes of the busiest router for each second.
+	BusiestBytes float64
+	// WaitP99 is that of customers that don't surge, in the surge's period.
+	WaitP99 time.Duration
+	// Refused counts requests that were turned away.
+	Refused int
+}
+
+// Reuse is the share of returning requests that found their prefix held.
+func (r Result) Reuse() float64 {
+	return float64(r.Hits) / float64(max(r.Returning, 1))
+}
+
+// count notes a request that begins to run.
+func (r *run) count(q *request) {
+	if q.at < warmUp {
+		return
+	}
+	if q.returns {
+		r.results.Returning++
+		if q.hit {
+			r.results.Hits++
+		}
+	}
+	if q.name != surgeCustomer && q.at >= surgeFrom && q.at < surgeUntil {
+		r.waits = append(r.waits, r.now-q.at)
+	}
+}
+
+func (r *run) sampleSkew() {
+	n, total, busiest := r.load()
+	if r.now < warmUp || total < n {
+		return
+	}
+	r.skews = append(r.skews, float64(busiest)*float64(n)/float64(total))
+}
+
+func (r *run) finish() Result {
+	for i := range r.trace {
+		if q := &r.trace[i]; q.refused && q.at >= warmUp {
+			r.results.Refused++
+		}
+	}
+	slices.Sort(r.skews)
+	slices.Sort(r.waits)
+	r.results.SkewMax = r.skews[len(r.skews)-1]
+	r.results.SkewP99 = r.skews[len(r.skews)*99/100]
+	r.results.WaitP99 = r.waits[len(r.waits)*99/100]
+	r.strategy.addTraffic(&r.results)
+	return r.results
+}
--- /dev/null
+++ b/internal/placement/measure/run.go
@@ -0,0 +1,287 @@
+package measure
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/placement"
+)
+
+// The fleet of today's size.
+const (
+	routerCount = 9
+	engineCount = 12
+	// meanRate is the requests per second of the trace without a surge; it
+	// keeps the engines' places about 60% busy.
+	meanRate = 16
+	maxTries = 4
+)
+
+// run is one pass of a trace through one strategy in one situation.
+type run struct {
+	situation Situation
+	strategy  strategy
+	rng       *rand.Rand
+	trace     []request
+	engines   []*engine
+	index     map[string]int
+	inFlight  map[uint64]*request
+	now       time.Duration
+	events    eventHeap
+	lastEvent uint64
+	results   Result
+	waits     []time.Duration
+	skews     []float64
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// after schedules do at a time of the run.
+func (r *run) after(when time.Duration, do func()) {
+	r.lastEvent++
+	heap.Push(&r.events, event{at: when, seq: r.lastEvent, do: do})
+}
+
+func (r *run) every(interval time.Duration, do func()) {
+	for when := interval; when < traceLength; when += interval {
+		r.after(when, do)
+	}
+}
+
+// Measure runs the trace of a seed through one way to place requests.
+func Measure(seed uint64, way Way, situation Situation) Result {
+	r := &run{
+		situation: situation,
+		rng:       rand.New(rand.NewPCG(seed, 3)),
+		trace:     newTrace(seed, meanRate, routerCount, situation.Surge),
+		index:     make(map[string]int),
+		inFlight:  make(map[uint64]*request),
+	}
+	for i := range engineCount {
+		id := fmt.Sprint("engine-", i)
+		r.engines = append(r.engines, newEngine(id))
+		r.index[id] = i
+	}
+	r.strategy = way.make(r)
+	r.strategy.tick()
+	for i := range r.trace {
+		q := &r.trace[i]
+		r.after(q.at, func() { r.submit(q) })
+	}
+	r.every(reportInterval, r.second)
+	r.every(refreshInterval, r.strategy.tick)
+	r.every(eventInterval, r.publish)
+	r.plan()
+	for r.events.Len() > 0 {
+		next := heap.Pop(&r.events).(event)
+		if next.at >= traceLength {
+			break
+		}
+		r.now = next.at
+		next.do()
+	}
+	return r.finish()
+}
+
+func (r *run) submit(q *request) {
+	if q.tries >= maxTries {
+		q.refused = true
+		return
+	}
+	q.tries++
+	r.strategy.submit(q)
+}
+
+// start sends an admitted request to an engine.
+func (r *run) start(q *request, i int) {
+	e := r.engines[i]
+	q.engine = i
+	r.inFlight[q.number] = q
+	r.checkBound(e)
+	q.hit = e.holds(q.chat)
+	e.store(q.chat)
+	if e.running < engineCapacity {
+		r.begin(e, q)
+		return
+	}
+	e.queue = append(e.queue, q)
+}
+
+func (r *run) begin(e *engine, q *request) {
+	e.running++
+	q.started = r.now
+	q.running = true
+	r.count(q)
+	length := q.service
+	if !q.hit {
+		length += q.prefill
+	}
+	cancels := q.cancels
+	r.after(r.now+length, func() {
+		if q.cancels == cancels {
+			r.end(e, q)
+		}
+	})
+}
+
+func (r *run) end(e *engine, q *request) {
+	q.done = true
+	q.running = false
+	delete(r.inFlight, q.number)
+	e.running--
+	r.fillUp(e)
+	r.strategy.finished(q)
+}
+
+// cancel takes requests in flight that match off their engines.
+func (r *run) cancel(which func(*request) bool) []*request {
+	var cancelled []*request
+	for i := range r.trace {
+		if q := &r.trace[i]; r.inFlight[q.number] == q && which(q) {
+			cancelled = append(cancelled, q)
+		}
+	}
+	for _, q := range cancelled {
+		q.cancels++
+		delete(r.inFlight, q.number)
+		e := r.engines[q.engine]
+		if q.running {
+			q.running = false
+			e.running--
+		}
+		e.queue = slices.DeleteFunc(e.queue, func(o *request) bool { return o == q })
+	}
+	for _, e := range r.engines {
+		r.fillUp(e)
+	}
+	return cancelled
+}
+
+// fillUp begins what waits at an engine while it has room.
+func (r *run) fillUp(e *engine) {
+	for len(e.queue) > 0 && e.running < engineCapacity {
+		next := e.queue[0]
+		e.queue = e.queue[1:]
+		r.begin(e, next)
+	}
+}
+
+// routerDies ends a router with its directory and its callers' requests, which
+// the callers send again to other routers.
+func (r *run) routerDies() {
+	dead := r.strategy.routerToDie()
+	lost := r.strategy.loseRouter(dead)
+	lost = append(lost, r.cancel(func(q *request) bool { return q.entry == dead })...)
+	for i := range r.trace {
+		if q := &r.trace[i]; q.entry == dead {
+			q.entry = (dead + 1 + i%(routerCount-1)) % routerCount
+		}
+	}
+	r.strategy.replaceRouter(dead)
+	for _, q := range lost {
+		r.submit(q)
+	}
+}
+
+// waiting returns the requests that wait for a place.
+func (r *run) waiting(which func(*request) bool) []*request {
+	var waiting []*request
+	for i := range r.trace {
+		q := &r.trace[i]
+		if q.tries > 0 && !q.done && !q.refused && r.inFlight[q.number] != q && which(q) {
+			waiting = append(waiting, q)
+		}
+	}
+	return waiting
+}
+
+// second takes the engines' load reports and samples the skew.
+func (r *run) second() {
+	for i, e := range r.engines {
+		if !e.present || !e.announced {
+			continue
+		}
+		lag := reportLag
+		if r.situation.Late {
+			lag = lateLag
+			if r.rng.IntN(3) == 0 {
+				continue
+			}
+		}
+		load := e.inFlight()
+		r.after(r.now+lag, func() { r.strategy.report(i, load) })
+	}
+	r.sampleSkew()
+}
+
+// publish sends cache events, late and now and then lost.
+func (r *run) publish() {
+	for i, e := range r.engines {
+		events, from := e.events, e.next
+		e.next += uint64(len(events))
+		e.events = nil
+		if len(events) == 0 || r.rng.Float64() < eventLoss {
+			continue
+		}
+		incarnation := e.incarnation
+		r.after(r.now+eventInterval, func() {
+			if e.incarnation != incarnation || !r.strategy.cacheEvents(i, incarnation, from, events) {
+				return
+			}
+			snapshot := e.snapshot()
+			first := e.next
+			e.next += uint64(len(snapshot))
+			e.events = nil
+			r.strategy.cacheEvents(i, incarnation, first, snapshot)
+		})
+	}
+}
+
+// load returns the eligible engines and what all of them have in flight.
+func (r *run) load() (eligible, total, busiest int) {
+	for _, e := range r.engines {
+		if !e.eligible() {
+			continue
+		}
+		eligible++
+		total += e.inFlight()
+		busiest = max(busiest, e.inFlight())
+	}
+	return eligible, total, busiest
+}
+
+// checkBound counts an admission that takes an engine over the load bound, by
+// the true loads at that moment.
+func (r *run) checkBound(e *engine) {
+	if r.now < warmUp {
+		return
+	}
+	n, total, _ := r.load()
+	r.results.Admissions++
+	if e.eligible() && !placement.Within(placement.DefaultBoundFactor, e.inFlight()+1, total+1, n) {
+		r.results.OverBound++
+		r.results.MostOver = max(r.results.MostOver, e.inFlight()+1-placement.Limit(placement.DefaultBoundFactor, total+1, n))
+	}
+}
--- /dev/null
+++ b/internal/placement/measure/trace.go
@@ -0,0 +1,158 @@
+package measure
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/placement"
+)
+
+// The trace's shape. Two customers are large; chats return after minutes,
+// hours or days, so that some return only after the trace has ended.
+const (
+	customers   = 10
+	traceLength = 90 * time.Minute
+	// chatsFrom is how long before the trace its oldest chats began.
+	chatsFrom     = 6 * time.Hour
+	warmUp        = 30 * time.Minute
+	meanTurns     = 6
+	oldChats      = 0.10
+	surgeFactor   = 10
+	surgeCustomer = "customer-3"
+	surgeFrom     = 50 * time.Minute
+	surgeUntil    = 65 * time.Minute
+)
+
+var customerShares = [customers]float64{0.25, 0.15, 0.12, 0.10, 0.08, 0.08, 0.07, 0.05, 0.05, 0.05}
+
+// request is one request of the trace and what became of it in a run.
+type request struct {
+	at       time.Duration
+	customer int
+	name     string
+	weight   uint32
+	class    int
+	chat     placement.Key
+	returns  bool
+	tokens   float64
+	service  time.Duration
+	prefill  time.Duration
+	entry    int
+
+	number  uint64
+	engine  int
+	started time.Duration
+	hit     bool
+	running bool
+	done    bool
+	refused bool
+	tries   int
+	// cancels counts how often the request was taken off an engine.
+	cancels int
+}
+
+// classShape describes one priority class.
+type classShape struct {
+	share             float64
+	shortest, longest time.Duration
+	tokens            float64
+}
+
+var classShapes = []classShape{
+	{share: 0.5, shortest: 500 * time.Millisecond, longest: 2 * time.Second, tokens: 400},
+	{share: 0.3, shortest: 2 * time.Second, longest: 6 * time.Second, tokens: 1200},
+	{share: 0.2, shortest: 10 * time.Second, longest: 40 * time.Second, tokens: 6000},
+}
+
+// newTrace makes requests at a mean rate per second, in order of arrival.
+func newTrace(seed uint64, rate float64, routers int, surge bool) []request {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var trace []request
+	for c := range customers {
+		chatRate := rate * customerShares[c] / meanTurns
+		trace = appendChats(trace, rng, c, chatRate, -chatsFrom, traceLength, routers)
+	}
+	if surge {
+		// A stream of its own, so that the others' requests stay the same.
+		own := rand.New(rand.NewPCG(seed, 2))
+		chatRate := rate * customerShares[3] / meanTurns * (surgeFactor - 1)
+		trace = appendChats(trace, own, 3, chatRate, surgeFrom, surgeUntil, routers)
+	}
+	slices.SortStableFunc(trace, func(a, b request) int { return cmp.Compare(a.at, b.at) })
+	for i := range trace {
+		trace[i].number = uint64(i + 1)
+	}
+	return trace
+}
+
+func appendChats(trace []request, rng *rand.Rand, c int, rate float64, from, until time.Duration, routers int) []request {
+	for at := from; ; {
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= until {
+			return trace
+		}
+		trace = appendTurns(trace, rng, c, at, until, routers)
+	}
+}
+
+func appendTurns(trace []request, rng *rand.Rand, c int, at, until time.Duration, routers int) []request {
+	name := fmt.Sprint("customer-", c)
+	chat := placement.ChatKey(fmt.Sprint(name, "/", rng.Uint64()))
+	// A chat of days ago, whose prefix nobody holds any more.
+	returns := rng.Float64() < oldChats
+	entry := rng.IntN(routers)
+	for at < until {
+		r := request{
+			at: at, customer: c, name: name, chat: chat, returns: returns, entry: entry,
+			weight: uint32(math.Round(customerShares[c] * 100)),
+		}
+		drawClass(rng, &r)
+		if at >= 0 {
+			trace = append(trace, r)
+		}
+		if rng.Float64() < 1.0/meanTurns {
+			return trace
+		}
+		gap, far := pause(rng)
+		at += r.service + gap
+		if far {
+			// Callers keep an address for a while only.
+			entry = rng.IntN(routers)
+		}
+		returns = true
+	}
+	return trace
+}
+
+func drawClass(rng *rand.Rand, r *request) {
+	x := rng.Float64()
+	for i, shape := range classShapes {
+		if x < shape.share || i == len(classShapes)-1 {
+			r.class = i
+			r.tokens = shape.tokens
+			r.service = shape.shortest + time.Duration(rng.Float64()*float64(shape.longest-shape.shortest))
+			r.prefill = time.Duration((0.3 + rng.Float64()) * float64(time.Second))
+			return
+		}
+		x -= shape.share
+	}
+}
+
+// pause draws the time until a chat returns; far tells that it is long.
+func pause(rng *rand.Rand) (gap time.Duration, far bool) {
+	x := rng.Float64()
+	lo, hi := time.Minute, 10*time.Minute
+	switch {
+	case x > 0.9:
+		lo, hi = 24*time.Hour, 5*24*time.Hour
+	case x > 0.65:
+		lo, hi = 10*time.Minute, 3*time.Hour
+	}
+	log := math.Log(float64(lo)) + rng.Float64()*(math.Log(float64(hi))-math.Log(float64(lo)))
+	gap = time.Duration(math.Exp(log))
+	return gap, gap > 10*time.Minute
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -48,6 +48,7 @@
 		feeds:     placement.NewFeeds(directory),
 		chooser: placement.Chooser{
 			Factor:    cfg.Factor,
+			Spread:    cfg.Spread,
 			Takeover:  cfg.Takeover,
 			Directory: directory,
 		},
@@ -71,7 +72,7 @@
 	if !ok || !l.serves(r.Exclude) {
 		return []Result{{ID: r.ID, Kind: Refused, Code: CodeNoTarget, RetryAfter: minRetryAfter}}
 	}
-	if r.Hint.Engine != "" {
+	if r.Hint.Engine != "" && p.directory.Holders(r.Chat)[0].Engine == "" {
 		p.directory.Hint(r.Chat, r.Hint)
 	}
 	l.see(now, &r)
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -24,6 +24,9 @@
 type Config struct {
 	// Factor is the c of the load bound.
 	Factor float64
+	// Spread is among how many of a chat's best engines by rendezvous the
+	// least loaded one is taken if nobody is known to hold its prefix.
+	Spread int
 	// Takeover is the time over which a joining engine takes over chats.
 	Takeover time.Duration
 	// Reserve is in thousandths of a target's capacity.
