Try: a load bound that holds when the busiest engine vanishes

The limit took the mean without the busiest engine, so that the mean's fall when an engine leaves between two refreshes (200 ms) would not break the bound.

--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -111,11 +111,15 @@
 }
 
 func (c *Chooser) limit(engines []Engine) int {
-	total := 1
+	total, busiest := 0, 0
 	for i := range engines {
 		total += engines[i].InFlight
+		busiest = max(busiest, engines[i].InFlight)
 	}
-	return Limit(c.Factor, total, len(engines))
+	if len(engines) < 2 {
+		return Limit(c.Factor, total+1, len(engines))
+	}
+	return Limit(c.Factor, total-busiest+1, len(engines)-1)
 }
 
 func hasRoom(e *Engine, limit int) bool {
