--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -111,15 +111,11 @@
 }
 
 func (c *Chooser) limit(engines []Engine) int {
-	total, busiest := 0, 0
+	total := 1
 	for i := range engines {
 		total += engines[i].InFlight
-		busiest = max(busiest, engines[i].InFlight)
 	}
-	if len(engines) < 2 {
-		return Limit(c.Factor, total+1, len(engines))
-	}
-	return Limit(c.Factor, total-busiest+1, len(engines)-1)
+	return Limit(c.Factor, total, len(engines))
 }
 
 func hasRoom(e *Engine, limit int) bool {
