--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -24,6 +24,9 @@
 type Config struct {
 	// Factor is the c of the load bound.
 	Factor float64
+	// Spread is among how many of a chat's best engines by rendezvous the
+	// least loaded one is taken if nobody is known to hold its prefix.
+	Spread int
 	// Takeover is the time over which a joining engine takes over chats.
 	Takeover time.Duration
 	// Reserve is in thousandths of a target's capacity.
@@ -49,10 +52,12 @@
 	Closed bool
 }
 
-// ID names a request: the router that brought it and its number there.
+// ID names a request: the router that brought it, that router's incarnation,
+// and the request's number there.
 type ID struct {
-	Router string
-	Number uint64
+	Router      string
+	Incarnation uint64
+	Number      uint64
 }
 
 // Request asks for a place at a target.
