Control budget counts served calls and answers to targets; loads carry sequences

The scheduler takes a load report as new by its sequence, and renewals no longer carry one, so reports do. transport.Server counts the bytes of served calls by a meter set with SetMeter.

--- a/internal/announce/announcer.go
+++ b/internal/announce/announcer.go
@@ -132,7 +132,9 @@
 		return retryDelay, err
 	}
 	a.stamps[router] = reply.Stamp
-	a.learn(router, reply.Routers)
+	if reply.Routers != nil {
+		a.learn(router, reply.Routers)
+	}
 	if !reply.Listed {
 		return retryDelay / 10, nil
 	}
--- a/internal/announce/handler.go
+++ b/internal/announce/handler.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wigeonwood/wigeonwood/internal/budget"
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
@@ -25,6 +27,16 @@
 	DefaultEvery = 500 * time.Millisecond
 )
 
+const (
+	// headerBytes is about what the headers of one request or answer take.
+	headerBytes = 160
+	// listEvery is the number of announcements of which one is answered with
+	// the other routers' addresses, besides those that begin a listing.
+	listEvery = 16
+	// maxListed bounds the addresses in an answer.
+	maxListed = 8
+)
+
 // Paths of the targets' interface.
 const (
 	PathAnnounce    = "/v1/targets/announce"
@@ -50,6 +62,8 @@
 	// CacheEvents takes cache events and tells whether a resync is wanted; nil
 	// drops them.
 	CacheEvents func(ctx context.Context, e *CacheEvents) (resync bool)
+	// Budget counts what targets send and are answered; nil counts nothing.
+	Budget *budget.Budget
 	// Lease and Every are what targets are told; zero means the defaults.
 	Lease  time.Duration
 	Every  time.Duration
@@ -124,13 +138,16 @@
 		return
 	}
 	h.accepted.Inc(1)
-	h.reply(w, &Reply{
+	reply := &Reply{
 		LeaseMS:         h.Lease.Milliseconds(),
 		AnnounceEveryMS: h.Every.Milliseconds(),
-		Routers:         h.routersFor(st.DataCentre),
 		Stamp:           h.stamps.issue(now),
 		Listed:          proven && now.Sub(provenAt) < h.Lease,
-	})
+	}
+	if !reply.Listed || st.Sequence%listEvery == 0 {
+		reply.Routers = h.routersFor(st.DataCentre)
+	}
+	h.reply(w, budget.Liveness, reply)
 }
 
 // routersFor returns where else the target may announce, its own data centre
@@ -147,7 +164,15 @@
 			far = append(far, r.TargetAddr)
 		}
 	}
-	return append(near, far...)
+	shuffle(near)
+	shuffle(far)
+	all := append(near, far...)
+	return all[:min(len(all), maxListed)]
+}
+
+// shuffle spreads the targets over the routers.
+func shuffle(addrs []string) {
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 }
 
 func (h *handler) cacheEvents(w http.ResponseWriter, r *http.Request) {
@@ -159,7 +184,7 @@
 		h.fail(w, r, http.StatusBadRequest, "invalid", oneLine(err))
 		return
 	}
-	h.reply(w, &CacheReply{Resync: h.CacheEvents(r.Context(), events)})
+	h.reply(w, budget.Hint, &CacheReply{Resync: h.CacheEvents(r.Context(), events)})
 }
 
 func (h *handler) leave(w http.ResponseWriter, r *http.Request) {
@@ -173,7 +198,7 @@
 	}
 	h.Registry.TargetLeaves(req.ID, req.Incarnation)
 	h.Logger.Info().Str("step", "leave").Str("peer", req.ID).Uint64("incarnation", req.Incarnation).Msg("a target leaves")
-	h.reply(w, struct{}{})
+	h.reply(w, budget.Drain, struct{}{})
 }
 
 func (h *handler) notFound(w http.ResponseWriter, r *http.Request) {
@@ -193,6 +218,9 @@
 	case err != nil:
 		h.fail(w, r, http.StatusBadRequest, "invalid", "the body was not received whole")
 	}
+	if h.Budget != nil {
+		h.Budget.CountReceived(budget.Liveness, len(body)+headerBytes)
+	}
 	return body, err == nil
 }
 
@@ -210,9 +238,18 @@
 	return true
 }
 
-func (h *handler) reply(w http.ResponseWriter, body any) {
+func (h *handler) reply(w http.ResponseWriter, class budget.Class, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		h.Logger.Error().Err(err).Str("step", "announce").Msg("an answer was not encoded")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if h.Budget != nil {
+		h.Budget.Charge(class, len(encoded)+headerBytes)
+	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(body); err != nil {
+	if _, err := w.Write(append(encoded, '\n')); err != nil {
 		h.Logger.Debug().Err(err).Str("step", "announce").Msg("an answer to a target was not sent")
 	}
 }
--- a/internal/announce/messages.go
+++ b/internal/announce/messages.go
@@ -34,8 +34,9 @@
 	LeaseMS int64 `json:"lease_ms"`
 	// AnnounceEveryMS is when to announce next.
 	AnnounceEveryMS int64 `json:"announce_every_ms"`
-	// Routers are addresses (IP number and port) that take announcements.
-	Routers []string `json:"routers"`
+	// Routers are addresses (IP number and port) of other routers that take
+	// announcements, the nearest first. Absent means unchanged.
+	Routers []string `json:"routers,omitempty"`
 	// Stamp must be returned to the same router in the next announcement.
 	Stamp string `json:"stamp"`
 	// Listed is false if the announcement bore no valid stamp: announce again
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -30,12 +30,14 @@
 	Replica
 	// Request is traffic on behalf of callers' requests, outside the budget.
 	Request
+	// Report is operators' questions to all routers, outside the budget.
+	Report
 
 	numClasses
 	numBudgeted = Replica
 )
 
-var classNames = [numClasses]string{"lease", "drain", "liveness", "load", "hint", "replica", "request"}
+var classNames = [numClasses]string{"lease", "drain", "liveness", "load", "hint", "replica", "request", "report"}
 
 // String returns the class's name in metrics.
 func (c Class) String() string { return classNames[c] }
@@ -209,6 +211,8 @@
 		return Replica
 	case "schedule", "limits", "ledger", "forward":
 		return Request
+	case "report":
+		return Report
 	case "hint":
 		return Hint
 	default:
--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -1,10 +1,9 @@
 package budget
 
 import (
-	"fmt"
 	"time"
 
-	"github.com/wigeonwood/wigeonwood/internal/assert"
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
 )
 
 // windowSeconds is the longest window that the invariant covers.
@@ -55,8 +54,6 @@
 		length := now.Sub(w.origin).Seconds() - float64(start)
 		// The limiter rounds to whole nanoseconds and bytes.
 		bound := float64(rate)*length + float64(burst) + 1
-		assert.That(float64(spent) <= bound, "budget", func() string {
-			return fmt.Sprintf("%d bytes spent in %.3f s, over the bound of %.0f", spent, length, bound)
-		})
+		invariant.Check(float64(spent) <= bound, "control budget", "spent", spent, "seconds", length, "bound", bound)
 	}
 }
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -22,7 +23,7 @@
 	DefaultSpread = 4 * time.Second
 	// MaxEntries bounds the addresses in one answer.
 	MaxEntries = 16
-	// maxKeyBytes bounds the chat that a caller names.
+	// maxKeyBytes bounds the customer and chat that a caller names.
 	maxKeyBytes = 512
 )
 
@@ -45,13 +46,20 @@
 	// TTL and Spread default to DefaultTTL and DefaultSpread.
 	TTL    time.Duration
 	Spread time.Duration
+	// ChatKey names a customer's chat as placement does, so that both agree
+	// on its home; nil means ChatKey.
+	ChatKey func(customer, chat string) string
 }
 
+// ChatKey names a chat as the filter chain does for one with a chat id header.
+func ChatKey(customer, chat string) string { return customer + "/id:" + chat }
+
 // Handler serves GET /v1/entries.
 type Handler struct {
 	view   fleet.View
 	ttl    time.Duration
 	spread time.Duration
+	key    func(customer, chat string) string
 
 	mu sync.Mutex
 	// listedUntil is the end of the last answer that listed this router.
@@ -61,25 +69,28 @@
 
 // NewHandler makes a handler.
 func NewHandler(cfg Config) *Handler {
-	h := &Handler{view: cfg.View, ttl: cfg.TTL, spread: cfg.Spread}
+	h := &Handler{view: cfg.View, ttl: cfg.TTL, spread: cfg.Spread, key: cfg.ChatKey}
 	if h.ttl == 0 {
 		h.ttl = DefaultTTL
 	}
 	if h.spread == 0 {
 		h.spread = DefaultSpread
 	}
+	if h.key == nil {
+		h.key = ChatKey
+	}
 	return h
 }
 
 // ServeHTTP answers with the entries for the chat in the query, if there is
 // one. The answer is never empty-handed without saying when to come back.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	chat := r.URL.Query().Get("chat")
-	if len(chat) > maxKeyBytes {
-		http.Error(w, "chat is longer than 512 bytes", http.StatusBadRequest)
+	customer, chat := r.URL.Query().Get("customer"), r.URL.Query().Get("chat")
+	if len(customer)+len(chat) > maxKeyBytes {
+		http.Error(w, fmt.Sprintf("customer and chat are longer than %d bytes", maxKeyBytes), http.StatusBadRequest)
 		return
 	}
-	answer := h.Lookup(chat)
+	answer := h.Lookup(customer, chat)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Cache-Control", "no-store")
 	if len(answer.Entries) == 0 {
@@ -91,13 +102,17 @@
 
 // Lookup returns the entries, the chat's home first. Without a chat they come
 // in random order, those of this data centre first.
-func (h *Handler) Lookup(chat string) *Answer {
+func (h *Handler) Lookup(customer, chat string) *Answer {
+	key := ""
+	if chat != "" {
+		key = h.key(customer, chat)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	serving := h.servingLocked()
 	answer := &Answer{Entries: []Entry{}, TTLMS: h.ttl.Milliseconds()}
 	self := h.view.Self().Id
-	for _, r := range rank(chat, serving, h.view.Self().DataCentre) {
+	for _, r := range rank(key, serving, h.view.Self().DataCentre) {
 		if len(answer.Entries) == MaxEntries {
 			break
 		}
@@ -126,8 +141,8 @@
 	return serving
 }
 
-func rank(chat string, routers []*pb.RouterStatus, dataCentre string) []*pb.RouterStatus {
-	if chat == "" {
+func rank(key string, routers []*pb.RouterStatus, dataCentre string) []*pb.RouterStatus {
+	if key == "" {
 		return nearFirst(routers, dataCentre)
 	}
 	byID := make(map[string]*pb.RouterStatus, len(routers))
@@ -137,7 +152,7 @@
 		ids = append(ids, r.Id)
 	}
 	ranked := make([]*pb.RouterStatus, 0, len(routers))
-	for _, id := range fleet.Rank(chat, ids) {
+	for _, id := range fleet.Rank(key, ids) {
 		ranked = append(ranked, byID[id])
 	}
 	return ranked
--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -33,11 +33,11 @@
 	}}
 	h := NewHandler(Config{View: view})
 	for _, chat := range []string{"1", "2", "3", "4", "5"} {
-		answer := h.Lookup(chat)
+		answer := h.Lookup("team", chat)
 		if len(answer.Entries) != 3 {
 			t.Fatalf("entries %v", answer.Entries)
 		}
-		if home := fleet.Home(chat, []string{"a", "c", "e"}); answer.Entries[0].Addr != home+":80" {
+		if home := fleet.Home("team/id:"+chat, []string{"a", "c", "e"}); answer.Entries[0].Addr != home+":80" {
 			t.Fatalf("chat %s: %v first, home %s", chat, answer.Entries[0], home)
 		}
 	}
@@ -51,7 +51,7 @@
 		if !h.KeptUntil().IsZero() {
 			t.Fatal("kept before any answer")
 		}
-		h.Lookup("")
+		h.Lookup("", "")
 		if want := time.Now().Add(DefaultTTL); !h.KeptUntil().Equal(want) {
 			t.Fatalf("kept until %v, want %v", h.KeptUntil(), want)
 		}
@@ -59,7 +59,7 @@
 		h.StartDrain()
 		want := time.Now().Add(DefaultSpread + DefaultTTL)
 		time.Sleep(time.Second)
-		if answer := h.Lookup("x"); len(answer.Entries) != 1 || answer.Entries[0].Addr != "b:80" {
+		if answer := h.Lookup("team", "x"); len(answer.Entries) != 1 || answer.Entries[0].Addr != "b:80" {
 			t.Fatalf("a draining router lists itself: %v", answer.Entries)
 		}
 		if !h.KeptUntil().Equal(want) {
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -1,14 +1,13 @@
 package member
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/wigeonwood/wigeonwood/internal/assert"
 	"github.com/wigeonwood/wigeonwood/internal/budget"
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
@@ -198,9 +197,7 @@
 // send queues m if the budget allows it in this class.
 func (c *core) send(now time.Time, to string, class budget.Class, m *pb.Gossip) bool {
 	size := proto.Size(m)
-	assert.That(size <= maxMessageBytes, "send datagram", func() string {
-		return fmt.Sprintf("a %s of %d bytes is over the bound of %d", m.Kind, size, maxMessageBytes)
-	})
+	invariant.Check(size <= maxMessageBytes, "send datagram", "kind", m.Kind, "bytes", size)
 	if !c.allow(now, class, size+headerBytes+packetOverheadBytes) {
 		c.counts.refused++
 		return false
--- a/internal/member/loads.go
+++ b/internal/member/loads.go
@@ -26,6 +26,7 @@
 		l.Waiting = append(l.Waiting, e.status.Load.Waiting)
 		l.CachePermille = append(l.CachePermille, e.status.Load.CachePermille)
 		l.AgesMs = append(l.AgesMs, ageMs(now, e.loadAt))
+		l.Sequences = append(l.Sequences, e.status.Sequence)
 	}
 	return l
 }
@@ -38,15 +39,16 @@
 			continue
 		}
 		load := &pb.Load{Running: l.Running[i], Waiting: l.Waiting[i], CachePermille: l.CachePermille[i]}
-		c.setLoad(now, e, load, askedAt.Add(-milliseconds(l.AgesMs[i])))
+		if l.Sequences[i] > e.status.Sequence {
+			c.setLoad(now, e, load, askedAt.Add(-milliseconds(l.AgesMs[i])))
+			e.status.Sequence = l.Sequences[i]
+		}
 	}
 }
 
-// setLoad takes a load report if it is newer than the one known.
+// setLoad takes a load report that the engine made at a time. The new status
+// is this call's own until the core returns.
 func (c *core) setLoad(now time.Time, e *targetEntry, load *pb.Load, at time.Time) {
-	if e.status.Load != nil && !at.After(e.loadAt) {
-		return
-	}
 	next := shallow(e.status)
 	next.Load = &pb.Load{
 		Running:       load.Running,
--- a/internal/member/routers.go
+++ b/internal/member/routers.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/wigeonwood/wigeonwood/internal/assert"
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
@@ -117,9 +117,8 @@
 
 // replaceRouter takes d as all that is known of its router.
 func (c *core) replaceRouter(now time.Time, old *routerEntry, d *pb.RouterDelta) {
-	assert.That(old.state != dead || d.Generation > old.generation, "router table", func() string {
-		return "dead generation of router " + d.Status.Id + " returned"
-	})
+	invariant.Check(old.state != dead || d.Generation > old.generation, "dead router returns",
+		"router", d.Status.Id, "generation", d.Generation, "dead", old.generation)
 	e := &routerEntry{status: d.Status, generation: d.Generation}
 	if d.Dead && old.status != nil {
 		// Its address is where it is asked for later.
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -6,8 +6,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/wigeonwood/wigeonwood/internal/assert"
 	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
@@ -133,7 +133,7 @@
 	if st.Sequence > e.described && !sameDescription(e.status, st) {
 		next := withoutLoad(st)
 		next.Load = e.status.Load
-		next.Sequence = max(st.Sequence, e.status.Sequence)
+		next.Sequence = e.status.Sequence
 		e.status = next
 		e.described = st.Sequence
 		e.rehash()
@@ -187,9 +187,7 @@
 
 // renew takes the proof that the target announced itself at provenAt or later.
 func (c *core) renew(now time.Time, e *targetEntry, provenAt time.Time) {
-	assert.That(!provenAt.After(now), "target lease", func() string {
-		return "target " + e.status.Id + " is proven alive in the future"
-	})
+	invariant.Check(!provenAt.After(now), "target proven in the future", "target", e.status.Id)
 	if provenAt.After(e.fresh) {
 		if !c.leased(now, e) {
 			c.changes++
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/wigeonwood/wigeonwood/internal/assert"
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
@@ -58,9 +58,7 @@
 		return
 	}
 	returned := e.status.Incarnation < past.incarnation || past.left && !e.status.Leaving
-	assert.That(!returned, "target table", func() string {
-		return "an incarnation of target " + e.status.Id + " returned after it ended"
-	})
+	invariant.Check(!returned, "ended target returns", "target", e.status.Id, "incarnation", e.status.Incarnation, "known", past.incarnation)
 }
 
 // valid tells whether readers may still use the snapshot.
--- a/internal/member/wire.go
+++ b/internal/member/wire.go
@@ -127,5 +127,12 @@
 // loadsFit tells that all columns are equally long.
 func loadsFit(l *pb.Loads) bool {
 	n := len(l.GetKeys())
-	return len(l.GetRunning()) == n && len(l.GetWaiting()) == n && len(l.GetCachePermille()) == n && len(l.GetAgesMs()) == n
+	for _, column := range []int{
+		len(l.GetRunning()), len(l.GetWaiting()), len(l.GetCachePermille()), len(l.GetAgesMs()), len(l.GetSequences()),
+	} {
+		if column != n {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -30,6 +30,7 @@
 type Server struct {
 	token    string
 	log      *log.Logger
+	meter    Meter
 	handlers map[string]handler
 	slots    chan struct{}
 
@@ -45,12 +46,17 @@
 	return &Server{
 		token:    token,
 		log:      logger,
+		meter:    nullMeter{},
 		handlers: make(map[string]handler),
 		slots:    make(chan struct{}, maxStreamsServed),
 		sessions: make(map[*yamux.Session]struct{}),
 	}
 }
 
+// SetMeter has the bytes of served calls counted. It must be called before
+// Serve.
+func (s *Server) SetMeter(m Meter) { s.meter = m }
+
 // message is a pointer to T that is a protobuf message.
 type message[T any] interface {
 	*T
@@ -138,14 +144,21 @@
 	defer stream.Close()
 	_ = stream.SetDeadline(time.Now().Add(headerTimeout))
 	header := &pb.CallHeader{}
-	if _, err := readFrame(stream, header); err != nil {
+	n, err := readFrame(stream, header)
+	if err != nil {
 		return
 	}
 	timeout := min(time.Duration(header.TimeoutMs)*time.Millisecond, maxCallTimeout)
 	_ = stream.SetDeadline(time.Now().Add(timeout + headerTimeout))
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if _, err := writeFrame(stream, s.dispatch(ctx, header)); err != nil {
+	reply := s.dispatch(ctx, header)
+	sent, err := writeFrame(stream, reply)
+	if reply.Status != pb.CallStatus_CALL_STATUS_UNAUTHORIZED {
+		s.meter.Received(header.Method, n)
+		s.meter.Sent(header.Method, sent)
+	}
+	if err != nil {
 		s.log.Debug().Err(err).Str("step", "reply").Str("peer", stream.RemoteAddr().String()).Msg("the reply was not sent")
 	}
 }
