--- /dev/null
+++ b/internal/member/faults_test.go
@@ -0,0 +1,272 @@
+package member
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+)
+
+const (
+	// newWorkBound is the time after which a target that leaves or ended gets
+	// no new work from any router.
+	newWorkBound = 3 * time.Second
+	// agreementBound is the time after the last fault by which views agree.
+	agreementBound = 12 * time.Second
+	checkEvery     = 50 * time.Millisecond
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		_ = flag.Set("rapid.seed", "20261203")
+	}
+	code := m.Run()
+	if err := goleak.Find(); err != nil && code == 0 {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+// watcher checks after each step of a node that nothing dead returns to it.
+type watcher struct {
+	deadGeneration map[string]uint64
+	endedTarget    map[string]uint64
+}
+
+func (s *watcher) observe(t *rapid.T, n *node) {
+	for id, e := range n.core.routers {
+		if e.state == dead {
+			s.deadGeneration[id] = max(s.deadGeneration[id], e.generation)
+		} else if e.generation <= s.deadGeneration[id] {
+			t.Fatalf("%s: dead generation %d of %s returned", n.status.Id, e.generation, id)
+		}
+	}
+	for id, e := range n.core.targets {
+		if e.status.Leaving {
+			s.endedTarget[id] = max(s.endedTarget[id], e.status.Incarnation)
+		} else if e.status.Incarnation <= s.endedTarget[id] {
+			t.Fatalf("%s: ended incarnation %d of %s returned", n.status.Id, e.status.Incarnation, id)
+		}
+	}
+}
+
+// runChecked runs the world and checks that no router, whether cut off or
+// just thawed, offers a target for new work past the bound.
+func runChecked(t *rapid.T, w *world, d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.run(min(checkEvery, end.Sub(w.now)))
+		for _, n := range w.nodes {
+			if !n.running {
+				continue
+			}
+			for _, st := range n.core.snapshot(w.now).targets {
+				checkNewWork(t, w, n, st.Id, st.Incarnation, st.Leaving)
+			}
+		}
+	}
+}
+
+func checkNewWork(t *rapid.T, w *world, n *node, id string, incarnation uint64, leaving bool) {
+	for _, target := range w.targets {
+		endedAt, ended := target.ended[incarnation]
+		if target.status.Id != id || leaving || !ended {
+			continue
+		}
+		if late := w.now.Sub(endedAt); late > newWorkBound {
+			t.Fatalf("%s offers %s for new work %v after its end", n.status.Id, id, late)
+		}
+	}
+}
+
+// disagreement returns the first difference between a node's view and what
+// runs, or "".
+func (w *world) disagreement() string {
+	var routers, targets []string
+	for _, n := range w.nodes {
+		if n.running {
+			routers = append(routers, fmt.Sprint(n.status.Id, " ", n.status.Incarnation))
+		}
+	}
+	for _, target := range w.targets {
+		if target.running && target.leftAt.IsZero() {
+			targets = append(targets, fmt.Sprint(target.status.Id, " ", target.status.Incarnation))
+		}
+	}
+	slices.Sort(routers)
+	slices.Sort(targets)
+	for _, n := range w.nodes {
+		if !n.running {
+			continue
+		}
+		var haveRouters, haveTargets []string
+		view := n.core.snapshot(w.now)
+		for _, r := range view.routers {
+			haveRouters = append(haveRouters, fmt.Sprint(r.Id, " ", r.Incarnation))
+		}
+		for _, st := range view.targets {
+			if !st.Leaving {
+				haveTargets = append(haveTargets, fmt.Sprint(st.Id, " ", st.Incarnation))
+			}
+		}
+		slices.Sort(haveRouters)
+		slices.Sort(haveTargets)
+		if !slices.Equal(haveRouters, routers) {
+			return fmt.Sprintf("%s knows routers %v, there are %v", n.status.Id, haveRouters, routers)
+		}
+		if !slices.Equal(haveTargets, targets) {
+			return fmt.Sprintf("%s knows targets %v, there are %v", n.status.Id, haveTargets, targets)
+		}
+	}
+	return ""
+}
+
+// fault brings about one random fault, or ends one.
+func (w *world) fault(t *rapid.T) {
+	n := rapid.SampledFrom(w.nodes).Draw(t, "router")
+	other := rapid.SampledFrom(w.nodes).Draw(t, "other")
+	target := rapid.SampledFrom(w.targets).Draw(t, "target")
+	switch rapid.SampledFrom([]string{
+		"crash", "restart", "leave", "freeze", "thaw", "cut off", "reconnect", "one-way cut", "cut", "heal",
+		"target ends", "target leaves", "target restarts", "target flaps",
+	}).Draw(t, "fault") {
+	case "crash":
+		n.running = false
+	case "restart":
+		w.start(n)
+	case "leave":
+		w.deliver(n, n.core, func() { n.core.leave(w.now) })
+		n.running = false
+	case "freeze":
+		n.frozen = n.running
+	case "thaw":
+		w.thaw(n)
+	case "cut off":
+		n.cutOff = true
+	case "reconnect":
+		n.cutOff = false
+	case "one-way cut":
+		w.cut[[2]int{n.index, other.index}] = true
+	case "cut":
+		w.cut[[2]int{n.index, other.index}] = true
+		w.cut[[2]int{other.index, n.index}] = true
+	case "heal":
+		clear(w.cut)
+	case "target ends":
+		w.end(target)
+	case "target leaves":
+		w.leave(target)
+	case "target restarts":
+		w.end(target)
+		w.restart(target)
+	case "target flaps":
+		// It is silent for longer than its lease and returns unchanged.
+		target.silentUntil = w.now.Add(3 * time.Second)
+	}
+}
+
+func (w *world) healAll() {
+	clear(w.cut)
+	w.lossRate = 0
+	for _, n := range w.nodes {
+		n.cutOff = false
+		if !n.running {
+			w.start(n)
+		}
+		if n.frozen {
+			w.thaw(n)
+		}
+	}
+	for _, target := range w.targets {
+		target.silentUntil = time.Time{}
+	}
+}
+
+func newRapidWorld(t *rapid.T) *world {
+	seed := rapid.Uint64().Draw(t, "seed")
+	w := newWorld(0, seed, rapid.IntRange(2, 9).Draw(t, "routers"), rapid.IntRange(1, 15).Draw(t, "targets"), 3)
+	watchers := make(map[*core]*watcher)
+	w.onStep = func(n *node) {
+		if watchers[n.core] == nil {
+			watchers[n.core] = &watcher{deadGeneration: map[string]uint64{}, endedTarget: map[string]uint64{}}
+		}
+		watchers[n.core].observe(t, n)
+	}
+	return w
+}
+
+// Random faults, alone and together: nothing dead returns, a target that
+// leaves or ended gets no new work after the bound, the budget holds, and
+// views agree again within the bound after the last fault.
+func TestFaults(t *testing.T) {
+	worst := time.Duration(0)
+	rapid.Check(t, func(t *rapid.T) {
+		w := newRapidWorld(t)
+		w.lossRate = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "loss")
+		runChecked(t, w, 3*time.Second)
+		for range rapid.IntRange(1, 12).Draw(t, "faults") {
+			w.fault(t)
+			if rapid.Bool().Draw(t, "together") {
+				w.fault(t)
+			}
+			runChecked(t, w, time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause ms"))*time.Millisecond)
+		}
+		w.healAll()
+		healed := w.now
+		agreed := time.Duration(-1)
+		for w.now.Sub(healed) < agreementBound {
+			runChecked(t, w, 250*time.Millisecond)
+			if w.disagreement() != "" {
+				agreed = -1
+			} else if agreed < 0 {
+				agreed = w.now.Sub(healed)
+			}
+		}
+		if agreed < 0 {
+			t.Fatalf("%v after the last fault: %s", agreementBound, w.disagreement())
+		}
+		worst = max(worst, agreed)
+	})
+	t.Logf("views agreed at the latest %v after the last fault", worst)
+}
+
+// A router that is cut off together with some others stops offering a target
+// that leaves, and in the end offers none.
+func TestCutOffRoutersStopUsingTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newRapidWorld(t)
+		runChecked(t, w, 5*time.Second)
+		// The cut-off ones hear each other, but no target.
+		side := rapid.IntRange(1, len(w.nodes)-1).Draw(t, "cut off")
+		for _, a := range w.nodes[:side] {
+			for _, b := range w.nodes[side:] {
+				w.cut[[2]int{a.index, b.index}] = true
+				w.cut[[2]int{b.index, a.index}] = true
+			}
+		}
+		for _, target := range w.targets {
+			if target.router < side {
+				target.router, target.stampAt = side, time.Time{}
+			}
+			target.within = [2]int{side, len(w.nodes)}
+		}
+		runChecked(t, w, time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms until leave"))*time.Millisecond)
+		for _, target := range w.targets {
+			w.leave(target)
+		}
+		runChecked(t, w, newWorkBound+time.Second)
+		for _, n := range w.nodes[:side] {
+			if left := n.core.snapshot(w.now).targets; len(left) > 0 {
+				t.Fatalf("%s still knows %v", n.status.Id, left)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/member/sim_test.go
@@ -0,0 +1,319 @@
+package member
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/budget"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const announceEvery = 500 * time.Millisecond
+
+// world runs cores in memory under virtual time, with a network that delays,
+// loses and cuts, and targets that announce themselves.
+type world struct {
+	now     time.Time
+	rng     *rand.Rand
+	codec   *codec
+	nodes   []*node
+	byAddr  map[string]*node
+	targets []*simTarget
+	events  events
+	seq     int
+	// cut tells that datagrams and calls from one node to another are lost.
+	cut      map[[2]int]bool
+	lossRate float64
+	messages int
+	// unlimitedUntil is when the budgets begin to bind; a view is built up
+	// quickly before.
+	unlimitedUntil time.Time
+	// onStep is called after each event that changed a node.
+	onStep func(n *node)
+}
+
+type node struct {
+	index   int
+	status  *pb.RouterStatus
+	core    *core
+	budget  *budget.Budget
+	running bool
+	frozen  bool
+	// cutOff tells that the node reaches no other node and no target.
+	cutOff bool
+	inbox  []func()
+}
+
+type simTarget struct {
+	status  *pb.TargetStatus
+	running bool
+	// router is the index of the node it announces to.
+	router int
+	// stampAt is when that node last answered; zero without an answer yet.
+	stampAt time.Time
+	stampOf uint64
+	// silentUntil ends a time without announcements; within bounds the
+	// routers that it reaches.
+	silentUntil time.Time
+	within      [2]int
+	// leftAt is when it began to leave or ended; zero while it serves.
+	leftAt time.Time
+	// ended holds when each incarnation left or ended.
+	ended map[uint64]time.Time
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	fn  func()
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+func newWorld(warmUp time.Duration, seed uint64, routers, targets, dataCentres int) *world {
+	w := &world{
+		now:   time.Unix(1_000_000, 0),
+		rng:   rand.New(rand.NewPCG(seed, 1)),
+		codec: newCodec("secret"),
+		cut:   make(map[[2]int]bool),
+
+		byAddr: make(map[string]*node),
+	}
+	w.unlimitedUntil = w.now.Add(warmUp)
+	for i := range routers {
+		n := &node{index: i, status: &pb.RouterStatus{
+			Id:          fmt.Sprintf("router-%d", i),
+			Incarnation: 1_700_000_000_000,
+			DataCentre:  fmt.Sprintf("dc-%d", i%dataCentres),
+			PeerAddr:    fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+			CallerAddr:  fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
+			AdminAddr:   fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250),
+			TargetAddr:  fmt.Sprintf("10.0.%d.%d:8100", i/250, i%250),
+			State:       pb.RouterState_ROUTER_STATE_SERVING,
+		}}
+		w.nodes = append(w.nodes, n)
+		w.byAddr[n.status.PeerAddr] = n
+		w.start(n)
+	}
+	for i := range targets {
+		w.addTarget(i, dataCentres)
+	}
+	return w
+}
+
+func (w *world) addTarget(i, dataCentres int) *simTarget {
+	t := &simTarget{running: true, ended: make(map[uint64]time.Time), within: [2]int{0, len(w.nodes)}, router: w.rng.IntN(len(w.nodes)), status: &pb.TargetStatus{
+		Id:          fmt.Sprintf("engine-%d", i),
+		Kind:        pb.TargetKind_TARGET_KIND_ENGINE,
+		Addr:        fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250),
+		Incarnation: 1_700_000_000_000,
+		DataCentre:  fmt.Sprintf("dc-%d", i%dataCentres),
+		Models:      []string{"small-model", "large-model"},
+		Capacity:    32,
+	}}
+	w.targets = append(w.targets, t)
+	w.after(time.Duration(w.rng.Int64N(int64(announceEvery))), func() { w.announceLoop(t) })
+	return t
+}
+
+func (w *world) after(d time.Duration, fn func()) {
+	w.seq++
+	heap.Push(&w.events, &event{at: w.now.Add(d), seq: w.seq, fn: fn})
+}
+
+// start begins a new life of a node, with the first three as seeds.
+func (w *world) start(n *node) {
+	n.status.Incarnation++
+	n.running, n.frozen, n.inbox = true, false, nil
+	n.budget = budget.New(budget.Config{})
+	var seeds []string
+	for _, s := range w.nodes[:min(3, len(w.nodes))] {
+		seeds = append(seeds, s.status.PeerAddr)
+	}
+	n.core = newCore(coreConfig{
+		self:  n.status,
+		seeds: seeds,
+		rng:   rand.New(rand.NewPCG(w.rng.Uint64(), w.rng.Uint64())),
+		allow: func(now time.Time, class budget.Class, bytes int) bool {
+			return w.now.Before(w.unlimitedUntil) || n.budget.AllowAt(now, class, bytes)
+		},
+	}, w.now)
+	life := n.core
+	w.after(time.Duration(w.rng.Int64N(int64(DefaultProbeInterval))), func() { w.tickLoop(n, life) })
+}
+
+func (w *world) tickLoop(n *node, life *core) {
+	if !n.running || n.core != life {
+		return
+	}
+	if !n.frozen {
+		life.tick(w.now)
+		w.flush(n)
+	}
+	w.after(max(time.Millisecond, life.next().Sub(w.now)), func() { w.tickLoop(n, life) })
+}
+
+// deliver runs fn at the node, or when it thaws.
+func (w *world) deliver(n *node, life *core, fn func()) {
+	if !n.running || n.core != life {
+		return
+	}
+	if n.frozen {
+		n.inbox = append(n.inbox, fn)
+		return
+	}
+	fn()
+	w.flush(n)
+}
+
+func (w *world) thaw(n *node) {
+	n.frozen = false
+	waiting := n.inbox
+	n.inbox = nil
+	for _, fn := range waiting {
+		w.deliver(n, n.core, fn)
+	}
+}
+
+func (w *world) flush(n *node) {
+	for _, p := range n.core.packets() {
+		w.transmit(n, p)
+	}
+	if w.onStep != nil {
+		w.onStep(n)
+	}
+}
+
+func (w *world) transmit(from *node, p packet) {
+	datagram, err := w.codec.encode(p.msg)
+	if err != nil {
+		panic(err)
+	}
+	w.messages++
+	to := w.byAddr[p.to]
+	if to == nil || w.lost(from.index, to.index) || w.rng.Float64() < w.lossRate {
+		return
+	}
+	life := to.core
+	delay := 200*time.Microsecond + time.Duration(w.rng.Int64N(int64(3*time.Millisecond)))
+	w.after(delay, func() {
+		w.deliver(to, life, func() { w.receive(to, from, datagram) })
+	})
+}
+
+func (w *world) receive(to, from *node, datagram []byte) {
+	msg, err := w.codec.decode(datagram)
+	if err != nil {
+		panic(err)
+	}
+	to.budget.CountReceived(budget.Liveness, len(datagram)+packetOverheadBytes)
+	to.core.receive(w.now, from.status.PeerAddr, msg)
+}
+
+func (w *world) lost(from, to int) bool {
+	return w.cut[[2]int{from, to}] || w.nodes[from].cutOff || w.nodes[to].cutOff
+}
+
+// announceLoop is a target's announcing side: one router, another on failure.
+func (w *world) announceLoop(t *simTarget) {
+	w.announceLife(t, t.status.Incarnation)
+}
+
+func (w *world) announceLife(t *simTarget, life uint64) {
+	if !t.running || t.status.Incarnation != life {
+		return
+	}
+	wait := announceEvery
+	if w.now.Before(t.silentUntil) {
+		w.after(wait, func() { w.announceLife(t, life) })
+		return
+	}
+	unknown := t.stampAt.IsZero()
+	if !w.announceOnce(t) {
+		wait = 100 * time.Millisecond
+	} else if unknown {
+		wait = 10 * time.Millisecond
+	}
+	w.after(wait, func() { w.announceLife(t, life) })
+}
+
+// announceOnce tells whether the router answered. What a frozen one can't take
+// waits in its buffers until it thaws.
+func (w *world) announceOnce(t *simTarget) bool {
+	n := w.nodes[t.router]
+	t.status.Sequence++
+	st := shallow(t.status)
+	st.Load = &pb.Load{Running: uint32(w.rng.IntN(32)), Waiting: uint32(w.rng.IntN(8)), CachePermille: uint32(w.rng.IntN(1000)), AgeMs: 20}
+	if t.stampOf != n.status.Incarnation {
+		t.stampAt, t.stampOf = time.Time{}, n.status.Incarnation
+	}
+	var err error
+	provenAt := t.stampAt
+	if n.running && !n.cutOff {
+		w.deliver(n, n.core, func() { err = n.core.announce(w.now, st, provenAt) })
+	}
+	if !n.running || n.frozen || n.cutOff || err != nil {
+		t.router, t.stampAt = t.within[0]+w.rng.IntN(t.within[1]-t.within[0]), time.Time{}
+		return false
+	}
+	t.stampAt = w.now
+	return true
+}
+
+// leave ends the target for new work; it goes on announcing itself.
+func (w *world) leave(t *simTarget) {
+	if !t.running || !t.leftAt.IsZero() {
+		return
+	}
+	t.status = shallow(t.status)
+	t.status.Leaving = true
+	t.markEnded(w.now)
+	w.announceOnce(t)
+}
+
+func (t *simTarget) markEnded(now time.Time) {
+	if t.leftAt.IsZero() {
+		t.leftAt = now
+		t.ended[t.status.Incarnation] = now
+	}
+}
+
+// end stops the target without a word.
+func (w *world) end(t *simTarget) {
+	t.running = false
+	t.markEnded(w.now)
+}
+
+// restart begins a new incarnation of a target that has ended.
+func (w *world) restart(t *simTarget) {
+	t.status = shallow(t.status)
+	t.status.Incarnation++
+	t.status.Sequence, t.status.Leaving = 0, false
+	t.running, t.stampAt, t.leftAt = true, time.Time{}, time.Time{}
+	w.announceLoop(t)
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(*event)
+		w.now = e.at
+		e.fn()
+	}
+	w.now = end
+}
