--- /dev/null
+++ b/cmd/wigeonwood/chaos_test.go
@@ -0,0 +1,318 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+var (
+	chaosSeed = flag.Uint64("chaos.seed", 1, "seed of the faults in TestChaos")
+	chaosTime = flag.Duration("chaos.time", 20*time.Second, "length of the faulty part of TestChaos")
+)
+
+// outcomes counts what callers were told.
+type outcomes struct {
+	chats, chatFailures   atomic.Int64
+	filings, unknown, not atomic.Int64
+	changes, faults       atomic.Int64
+
+	mu sync.Mutex
+	// refusals counts the failed chats by what the caller saw.
+	refusals map[string]int
+}
+
+// note counts one failed chat by the kind of its error.
+func (o *outcomes) note(err error) {
+	o.chatFailures.Add(1)
+	text := err.Error()
+	if _, after, ok := strings.Cut(text, `"code":"`); ok {
+		text, _, _ = strings.Cut(after, `"`)
+	} else if i := strings.LastIndex(text, ": "); i >= 0 {
+		text = text[i+2:]
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refusals[text]++
+}
+
+// filing is what a caller was last told of one key.
+type filing struct {
+	key string
+	// done tells that a 201 arrived; notRun that every answer said not-run.
+	done   bool
+	notRun bool
+	tries  int
+}
+
+// TestChaos runs processes under random kills, freezes and lost disks while
+// callers chat and file and an operator changes contracts. No filing may run
+// twice, no refusal may lie, no answer may be cut or another's without the
+// caller seeing it, and no accepted change may be lost.
+func TestChaos(t *testing.T) {
+	f := startFleet(t, 3, 3)
+	f.startTargets(t, 3)
+	f.ready(t)
+	ctx, cancel := context.WithTimeout(t.Context(), *chaosTime)
+	defer cancel()
+	counts := outcomes{refusals: make(map[string]int)}
+	var work sync.WaitGroup
+	filings := make([][]*filing, 4)
+	for i := range filings {
+		work.Go(func() { filings[i] = f.fileUntil(t, ctx, i, &counts) })
+		work.Go(func() { f.chatUntil(t, ctx, i, &counts) })
+	}
+	var last uint64
+	work.Go(func() { last = f.changeUntil(t, ctx, &counts) })
+	f.breakUntil(t, ctx, &counts)
+	work.Wait()
+	f.checkFilings(t, filings)
+	f.checkContract(t, last)
+	for _, p := range f.instances {
+		f.eventually(t, p.id+" serves after the faults", func() error { return f.chat(t.Context(), p.caller(), "after") })
+	}
+	t.Logf("seed %d: %d faults; %d chats answered, %d seen to fail; %d filings done, %d unknown, %d not run; %d changes",
+		*chaosSeed, counts.faults.Load(), counts.chats.Load(), counts.chatFailures.Load(),
+		counts.filings.Load(), counts.unknown.Load(), counts.not.Load(), counts.changes.Load())
+	t.Logf("failed chats: %v", counts.refusals)
+	if counts.filings.Load() == 0 || counts.chats.Load() == 0 || counts.changes.Load() == 0 {
+		t.Fatal("nothing got through")
+	}
+}
+
+// breakUntil brings about one fault at a time until ctx ends, then repairs.
+func (f *processFleet) breakUntil(t *testing.T, ctx context.Context, counts *outcomes) {
+	random := rand.New(rand.NewPCG(*chaosSeed, 0))
+	for ctx.Err() == nil {
+		p := f.instances[random.IntN(len(f.instances))]
+		switch random.IntN(4) {
+		case 0:
+			t.Logf("kill and restart %s", p.id)
+			p.kill()
+			pause(ctx, time.Duration(random.IntN(1500))*time.Millisecond)
+			p.start(t)
+		case 1, 2:
+			length := time.Duration(200+random.IntN(5000)) * time.Millisecond
+			t.Logf("freeze %s for %v", p.id, length)
+			p.signal(syscall.SIGSTOP)
+			pause(ctx, length)
+			p.signal(syscall.SIGCONT)
+		case 3:
+			if p.dataDir == "" {
+				continue
+			}
+			t.Logf("lose the disk of %s", p.id)
+			f.loseDisk(t, p)
+		}
+		counts.faults.Add(1)
+		pause(ctx, time.Duration(500+random.IntN(1500))*time.Millisecond)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// loseDisk empties a replica's folder and waits until it votes again, since a
+// second loss before that may rightly cost the quorum.
+func (f *processFleet) loseDisk(t *testing.T, p *process) {
+	p.kill()
+	if err := os.RemoveAll(p.dataDir); err != nil {
+		t.Error(err)
+	}
+	p.start(t)
+	f.eventually(t, p.id+" votes again", func() error {
+		reply := &pb.QueryReply{}
+		if err := f.adminOf(p).Get(t.Context(), "/admin/v1/replicas", nil, reply); err != nil {
+			return err
+		}
+		voters, found := 0, false
+		for _, r := range reply.Replicas {
+			if !r.Learner {
+				voters++
+				found = found || r.Addr == p.peer()
+			}
+		}
+		if !found || voters != len(f.replicas) {
+			return fmt.Errorf("replicas %v", reply.Replicas)
+		}
+		return nil
+	})
+}
+
+func (f *processFleet) chatUntil(t *testing.T, ctx context.Context, caller int, counts *outcomes) {
+	random := rand.New(rand.NewPCG(*chaosSeed, uint64(100+caller)))
+	for i := 0; ctx.Err() == nil; i++ {
+		p := f.instances[random.IntN(len(f.instances))]
+		callCtx, cancel := context.WithTimeout(ctx, 4*time.Second)
+		err := f.chat(callCtx, p.caller(), fmt.Sprintf("chat-%d-%d", caller, i))
+		cancel()
+		var wrong *wrongAnswer
+		switch {
+		case errors.As(err, &wrong):
+			t.Errorf("at %s: %v", p.id, err)
+		case err != nil:
+			counts.note(err)
+			pause(ctx, 50*time.Millisecond)
+		default:
+			counts.chats.Add(1)
+		}
+	}
+}
+
+// fileUntil files returns, each with a key, and sends each again to other
+// routers until it is told an end: done, or unknown.
+func (f *processFleet) fileUntil(t *testing.T, ctx context.Context, caller int, counts *outcomes) []*filing {
+	random := rand.New(rand.NewPCG(*chaosSeed, uint64(200+caller)))
+	var all []*filing
+	for i := 0; ctx.Err() == nil; i++ {
+		one := &filing{key: fmt.Sprintf("filing-%d-%d", caller, i), notRun: true}
+		all = append(all, one)
+		for ctx.Err() == nil && one.tries < 20 {
+			p := f.instances[random.IntN(len(f.instances))]
+			if f.fileOnce(t, p.caller(), one, counts) {
+				break
+			}
+			pause(ctx, 100*time.Millisecond)
+		}
+	}
+	return all
+}
+
+// fileOnce sends one filing and tells whether the answer is final.
+func (f *processFleet) fileOnce(t *testing.T, addr string, one *filing, counts *outcomes) bool {
+	one.tries++
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/services/"+testService+"/filings", strings.NewReader(one.key))
+	if err != nil {
+		t.Error(err)
+		return true
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set("Idempotency-Key", one.key)
+	// The test's own client must not send the request twice by itself.
+	req.GetBody = nil
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		one.notRun = false
+		return false
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		one.notRun = false
+		return false
+	}
+	outcome := resp.Header.Get("X-Wigeonwood-Outcome")
+	if outcome != "not-run" {
+		one.notRun = false
+	}
+	switch {
+	case resp.StatusCode == http.StatusCreated:
+		one.done = true
+		counts.filings.Add(1)
+		checkFilingAnswer(t, one, body)
+		return true
+	case outcome == "not-run":
+		counts.not.Add(1)
+	case outcome == "unknown":
+		counts.unknown.Add(1)
+	}
+	return false
+}
+
+func checkFilingAnswer(t *testing.T, one *filing, body []byte) {
+	var answer struct {
+		Key  string `json:"key"`
+		Body string `json:"body"`
+	}
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Key != one.key || answer.Body != one.key {
+		t.Errorf("the answer to %s is %s", one.key, body)
+	}
+}
+
+// checkFilings compares what callers were told with what the service ran.
+func (f *processFleet) checkFilings(t *testing.T, all [][]*filing) {
+	runs := make(map[string]int)
+	for _, run := range f.service.Filings() {
+		runs[run.Key]++
+	}
+	for _, list := range all {
+		for _, one := range list {
+			n := runs[one.key]
+			switch {
+			case n > 1:
+				t.Errorf("%s ran %d times", one.key, n)
+			case one.done && n == 0:
+				t.Errorf("%s was answered, but never ran", one.key)
+			case one.notRun && n > 0:
+				t.Errorf("%s was only ever refused as not run, but ran", one.key)
+			}
+		}
+	}
+}
+
+// changeUntil changes the contract's weight again and again, and returns the
+// last accepted revision. A change whose answer is lost is sent again.
+func (f *processFleet) changeUntil(t *testing.T, ctx context.Context, counts *outcomes) (last uint64) {
+	random := rand.New(rand.NewPCG(*chaosSeed, 300))
+	contract := f.currentContract(t)
+	last = contract.Revision
+	for i := 0; ctx.Err() == nil; i++ {
+		contract.Weight = uint32(i%10 + 1)
+		change := &pb.ConfigChange{
+			OperationId: fmt.Sprintf("change-%d", i),
+			Operator:    "chaos",
+			Replaces:    last,
+			Object:      &pb.ConfigChange_Contract{Contract: contract},
+		}
+		for ctx.Err() == nil {
+			answer, err := f.apply(ctx, f.instances[random.IntN(len(f.instances))], change)
+			if err != nil {
+				pause(ctx, 50*time.Millisecond)
+				continue
+			}
+			if answer.Result.Revision <= last {
+				t.Errorf("revision %d was accepted after %d", answer.Result.Revision, last)
+			}
+			last = answer.Result.Revision
+			counts.changes.Add(1)
+			break
+		}
+	}
+	return last
+}
+
+func (f *processFleet) currentContract(t *testing.T) *pb.Contract {
+	reply := &pb.QueryReply{}
+	f.eventually(t, "the contract is read", func() error {
+		return f.adminOf(f.instances[len(f.instances)-1]).Get(t.Context(), "/admin/v1/contracts", nil, reply)
+	})
+	return reply.Contracts[0]
+}
+
+// checkContract checks that no accepted change was lost.
+func (f *processFleet) checkContract(t *testing.T, last uint64) {
+	if got := f.currentContract(t).Revision; got < last {
+		t.Errorf("the contract is at revision %d, but %d was accepted", got, last)
+	}
+}
--- /dev/null
+++ b/cmd/wigeonwood/fleet_test.go
@@ -0,0 +1,335 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/wigeonwood/wigeonwood/internal/admin"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/standin"
+)
+
+// Secrets and names of the fleets that tests run.
+const (
+	testToken    = "test-fleet-token"
+	testKey      = "test-key"
+	testCustomer = "kilang"
+	testModel    = "draft"
+	testService  = "returns"
+	// childEnv marks a run of the test binary as the program itself.
+	childEnv = "WIGEONWOOD_TEST_CHILD"
+)
+
+// process is one instance as an operating system process.
+type process struct {
+	id      string
+	dataDir string
+	addrs   [4]string // caller, admin, peer, target
+	args    []string
+	logPath string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+func (p *process) caller() string { return p.addrs[0] }
+func (p *process) admin() string  { return p.addrs[1] }
+func (p *process) peer() string   { return p.addrs[2] }
+func (p *process) target() string { return p.addrs[3] }
+
+func (p *process) start(t *testing.T) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	logFile, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer logFile.Close()
+	p.cmd = exec.Command(os.Args[0], p.args...)
+	p.cmd.Env = append(os.Environ(), childEnv+"=1")
+	p.cmd.Stderr = logFile
+	if err := p.cmd.Start(); err != nil {
+		t.Error(err)
+	}
+}
+
+func (p *process) signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(sig)
+	}
+}
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	_ = p.wait()
+}
+
+func (p *process) wait() error {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.cmd = nil
+	p.mu.Unlock()
+	if cmd == nil {
+		return nil
+	}
+	return cmd.Wait()
+}
+
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// processFleet is a fleet of processes with stand-ins in the test's process.
+type processFleet struct {
+	dir       string
+	instances []*process
+	replicas  []*process
+	engines   []*standin.Engine
+	service   *standin.Service
+	http      *http.Client
+	contract  *pb.Contract
+}
+
+// startFleet starts control replicas and routers, and ends them with the test.
+func startFleet(t *testing.T, replicas, routers int) *processFleet {
+	f := &processFleet{
+		dir:  t.TempDir(),
+		http: &http.Client{Timeout: httpTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	for i := range replicas + routers {
+		p := &process{id: fmt.Sprintf("i%d", i+1)}
+		for j := range p.addrs {
+			p.addrs[j] = freeAddr(t)
+		}
+		p.logPath = filepath.Join(f.dir, p.id+".log")
+		if i < replicas {
+			p.dataDir = filepath.Join(f.dir, p.id)
+			f.replicas = append(f.replicas, p)
+		}
+		f.instances = append(f.instances, p)
+	}
+	for i, p := range f.instances {
+		p.args = f.args(p, fmt.Sprintf("dc%d", i%3+1))
+		p.start(t)
+	}
+	t.Cleanup(func() { f.stop(t) })
+	return f
+}
+
+func (f *processFleet) args(p *process, dataCentre string) []string {
+	var founders []string
+	for _, r := range f.replicas {
+		founders = append(founders, r.peer())
+	}
+	args := []string{
+		"serve", "--id=" + p.id, "--data-centre=" + dataCentre, "--log-level=warn", "--entry-keep=1s",
+		"--listen=" + p.caller(), "--admin-listen=" + p.admin(), "--peer-listen=" + p.peer(), "--target-listen=" + p.target(),
+		"--peer-token=" + testToken, "--target-token=" + testToken, "--admin-token=" + testToken,
+		"--founders=" + strings.Join(founders, ","),
+	}
+	if p.dataDir != "" {
+		args = append(args, "--data-dir="+p.dataDir)
+	}
+	return args
+}
+
+// stop kills what still runs, and shows the logs of a failed test.
+func (f *processFleet) stop(t *testing.T) {
+	for _, p := range f.instances {
+		p.kill()
+		if t.Failed() {
+			data, _ := os.ReadFile(p.logPath)
+			t.Logf("log of %s:\n%s", p.id, data[max(0, len(data)-maxLogShown):])
+		}
+	}
+	f.http.CloseIdleConnections()
+}
+
+const maxLogShown = 3000
+
+// Ports for tests lie below the range from which the system takes the ports of
+// outgoing connections, so that none of those can take one meanwhile.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(lastPort - firstPort)) }
+
+// freeLoopback returns a loopback address whose port is free for TCP and UDP.
+func freeLoopback() (string, error) {
+	var err error
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if err = tryListen(addr); err == nil {
+			return addr, nil
+		}
+	}
+	return "", err
+}
+
+func tryListen(addr string) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	u, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return err
+	}
+	return u.Close()
+}
+
+func freeAddr(t *testing.T) string {
+	addr, err := freeLoopback()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return addr
+}
+
+// startTargets runs stand-in engines and one service in the test's process.
+func (f *processFleet) startTargets(t *testing.T, engines int) {
+	logger := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+	run := func(id string, handler http.Handler, status func(*pb.TargetStatus)) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		target := &standin.Target{ID: id, Status: status, Handler: handler, DataCentre: "dc1", Listener: l, Token: testToken, Logger: logger}
+		for _, p := range f.instances {
+			target.Routers = append(target.Routers, p.target())
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = target.Run(ctx)
+		}()
+		t.Cleanup(func() {
+			cancel()
+			<-done
+		})
+	}
+	for i := range engines {
+		e := standin.NewEngine(standin.EngineConfig{ID: fmt.Sprintf("e%d", i+1), Models: []string{testModel}, Capacity: 8, CacheChats: 100, PrefillDelay: 5 * time.Millisecond, TokenDelay: time.Millisecond})
+		f.engines = append(f.engines, e)
+		run(fmt.Sprintf("e%d", i+1), e.Handler(), e.Announce)
+	}
+	f.service = standin.NewService(standin.ServiceConfig{ID: "s1"})
+	run("s1", f.service.Handler(), f.service.Announce(testService))
+}
+
+func (f *processFleet) adminOf(p *process) *admin.Client {
+	return &admin.Client{Addr: p.admin(), Token: testToken, HTTP: f.http}
+}
+
+// apply makes one change through p and waits until it is in force.
+func (f *processFleet) apply(ctx context.Context, p *process, change *pb.ConfigChange) (*pb.ChangeAnswer, error) {
+	answer := &pb.ChangeAnswer{}
+	err := f.adminOf(p).Post(ctx, "/admin/v1/changes", url.Values{"wait_ms": {"8000"}}, change, answer)
+	return answer, err
+}
+
+// ready applies the test's contract and waits until every instance serves
+// chats and the service.
+func (f *processFleet) ready(t *testing.T) {
+	sum := sha256.Sum256([]byte(testKey))
+	f.contract = &pb.Contract{Customer: testCustomer, KeyHashes: [][]byte{sum[:]}, Weight: 1, Limits: &pb.Limits{}, Objectives: &pb.Objectives{FirstTokenMs: 460, FirstTokenShare: 0.95, AnsweredShare: 0.99, NotRefusedShare: 0.99}}
+	change := &pb.ConfigChange{OperationId: "first", Operator: "test", Object: &pb.ConfigChange_Contract{Contract: f.contract}}
+	f.eventually(t, "the contract is accepted", func() error {
+		_, err := f.apply(t.Context(), f.instances[0], change)
+		return err
+	})
+	for _, p := range f.instances {
+		f.eventually(t, p.id+" serves", func() error { return f.chat(t.Context(), p.caller(), "hello") })
+		f.eventually(t, p.id+" knows the service", func() error {
+			_, status, err := request(http.MethodGet, "http://"+p.caller()+"/v1/services/"+testService+"/filings", []string{"Authorization:Bearer " + testKey})
+			if err == nil && status != http.StatusOK {
+				err = fmt.Errorf("status %d", status)
+			}
+			return err
+		})
+	}
+}
+
+// eventually repeats check until it passes, at most for untilTimeout.
+func (f *processFleet) eventually(t *testing.T, what string, check func() error) {
+	t.Helper()
+	deadline := time.Now().Add(untilTimeout)
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s: %v", untilTimeout, what, err)
+		}
+		time.Sleep(untilPause)
+	}
+}
+
+// chat has one chat answered at addr and checks that the answer is its own.
+func (f *processFleet) chat(ctx context.Context, addr, content string) error {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":5,"messages":[{"role":"user","content":%q}]}`, testModel, content)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, raw)
+	}
+	if !bytes.HasSuffix(bytes.TrimSpace(raw), []byte("data: [DONE]")) {
+		return &wrongAnswer{text: fmt.Sprintf("a clean end of an answer that is not whole: %s", raw)}
+	}
+	if !bytes.Contains(raw, []byte(`answers \"`+content+`\"`)) {
+		return &wrongAnswer{text: fmt.Sprintf("the answer to %q is another's: %s", content, raw)}
+	}
+	return nil
+}
+
+// wrongAnswer is an answer that breaks a promise; it must never happen.
+type wrongAnswer struct{ text string }
+
+func (w *wrongAnswer) Error() string { return w.text }
--- a/cmd/wigeonwood/main_test.go
+++ b/cmd/wigeonwood/main_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -22,6 +21,9 @@
 )
 
 func TestMain(m *testing.M) {
+	if os.Getenv(childEnv) != "" {
+		os.Exit(cli.Main())
+	}
 	testscript.Main(m, map[string]func(){
 		"wigeonwood": func() { os.Exit(cli.Main()) },
 	})
@@ -47,13 +49,9 @@
 // free for TCP and UDP.
 func setPorts(ts *testscript.TestScript, neg bool, args []string) {
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		defer l.Close()
-		u, err := net.ListenPacket("udp", l.Addr().String())
+		addr, err := freeLoopback()
 		ts.Check(err)
-		defer u.Close()
-		ts.Setenv(name, l.Addr().String())
+		ts.Setenv(name, addr)
 	}
 }
 
