--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -97,6 +97,7 @@
 
 func (c *Core) becomeLeader() {
 	invariant.Check(c.role == Candidate, "become leader", "id", c.cfg.ID, "role", c.role, "term", c.term)
+	c.checkQuorum("become leader", c.log.lastIndex(), func(id string) bool { return c.votes[id] })
 	c.role = Leader
 	c.leader = c.cfg.ID
 	c.votes = nil
--- a/internal/consensus/follower.go
+++ b/internal/consensus/follower.go
@@ -27,6 +27,7 @@
 }
 
 func (c *Core) handleAppend(m *pb.RaftMessage) {
+	c.log.checkCommitted(m.Entries)
 	if m.Index < c.log.committed {
 		c.acknowledge(m.From, c.log.committed)
 		return
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
@@ -145,6 +146,7 @@
 	if index <= c.log.committed || !ok || term != c.term {
 		return
 	}
+	c.checkQuorum("commit", index, func(id string) bool { return c.peers[id].match >= index })
 	hadCommitted := c.CommittedInTerm()
 	for _, e := range c.log.slice(c.log.committed, index) {
 		c.uncommittedBytes = max(0, c.uncommittedBytes-len(e.Data))
@@ -156,6 +158,23 @@
 	c.stepDownIfRemoved()
 }
 
+// checkQuorum counts anew, voter by voter, the members that agree.
+func (c *Core) checkQuorum(step string, index uint64, agrees func(id string) bool) {
+	membership := c.log.members.current()
+	voters, agreeing := 0, 0
+	for _, m := range membership.Members {
+		if m.Learner {
+			continue
+		}
+		voters++
+		if agrees(m.Id) {
+			agreeing++
+		}
+	}
+	invariant.Check(2*agreeing > voters, step, "id", c.cfg.ID, "term", c.term, "index", index,
+		"voters", voters, "agreeing", agreeing, "membership", membership)
+}
+
 // stepDownIfRemoved ends the leadership of a replica that is no voter any more,
 // once the membership without it is committed.
 func (c *Core) stepDownIfRemoved() {
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -112,6 +112,17 @@
 	}
 }
 
+// checkCommitted compares a leader's entries to the committed ones held here.
+func (l *raftLog) checkCommitted(entries []*pb.LogEntry) {
+	for _, e := range entries {
+		if e.Index > l.committed {
+			return
+		}
+		term, ok := l.term(e.Index)
+		invariant.Check(!ok || term == e.Term, "committed entry", "index", e.Index, "term", term, "leader's term", e.Term)
+	}
+}
+
 // truncate drops the entries from index on.
 func (l *raftLog) truncate(index uint64) {
 	if index > l.lastIndex() {
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -116,7 +116,10 @@
 		return formationDecision{step: formationWait}
 	}
 	if accepted != nil {
-		return decideStart(self.Id, accepted, founders, replies)
+		if m := majorityChoice(self.Id, accepted, replies); m != nil {
+			return formationDecision{formationAccept, m}
+		}
+		return decideStart(self.Id, accepted, replies)
 	}
 	for _, addr := range founders {
 		if m := replies[addr].GetMembership(); consensus.FindMember(m, self.Id) != nil {
@@ -142,9 +145,30 @@
 	return nil
 }
 
+// majorityChoice returns another membership with this replica that a majority
+// holds, nil if there is none. The accepted one can't win then: it never had a
+// majority, since a founder changes its mind only here.
+func majorityChoice(id string, accepted *pb.Membership, replies map[string]*pb.HelloReply) *pb.Membership {
+	for _, r := range replies {
+		if proto.Equal(r.Membership, accepted) || consensus.FindMember(r.Membership, id) == nil {
+			continue
+		}
+		holding := 0
+		for _, other := range replies {
+			if proto.Equal(other.Membership, r.Membership) {
+				holding++
+			}
+		}
+		if 2*holding > len(r.Membership.Members) {
+			return r.Membership
+		}
+	}
+	return nil
+}
+
 // decideStart starts once every founder answered and a majority holds the
 // accepted membership, the others' folders having been emptied since.
-func decideStart(id string, accepted *pb.Membership, founders []string, replies map[string]*pb.HelloReply) formationDecision {
+func decideStart(id string, accepted *pb.Membership, replies map[string]*pb.HelloReply) formationDecision {
 	holding := 1
 	for _, m := range accepted.Members {
 		if m.Id == id {
--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -31,6 +31,8 @@
 	cut map[[2]string]bool
 	// Chances, in per cent, that a message is dropped, late or doubled.
 	dropPct, latePct, doublePct int
+	// lateBy bounds how late a late message is.
+	lateBy time.Duration
 
 	// entries holds what was applied first at each index.
 	entries map[uint64]appliedEntry
@@ -73,6 +75,8 @@
 	epoch time.Time
 	// afterPass is called after each pass of the node.
 	afterPass func()
+	// onKill replaces what happens when a hook kills the node.
+	onKill func()
 }
 
 type event struct {
@@ -141,6 +145,7 @@
 		entries: make(map[uint64]appliedEntry),
 		leaders: make(map[uint64]string),
 		faults:  make(map[string]int),
+		lateBy:  2 * time.Second,
 	}
 	for i := range simFounders + 1 {
 		w.sites = append(w.sites, &site{
@@ -280,7 +285,7 @@
 	}
 	defer func() {
 		if p := recover(); p == errKilled {
-			s.crash(journaltest.KeepAll)
+			s.onKill()
 		} else if p != nil {
 			panic(p)
 		}
@@ -312,7 +317,9 @@
 		s.crash(journaltest.KeepAll)
 		return
 	}
-	s.w.observe(s)
+	if s.w.now >= s.thaw {
+		s.w.observe(s)
+	}
 	if s.afterPass != nil {
 		s.afterPass()
 	}
@@ -355,8 +362,10 @@
 	}
 	delay := time.Duration(w.r.Int64N(int64(3 * time.Millisecond)))
 	if w.r.IntN(100) < w.latePct {
-		delay += time.Duration(w.r.Int64N(int64(2 * time.Second)))
+		delay += time.Duration(w.r.Int64N(int64(w.lateBy)))
 	}
+	// What a process sends while it freezes leaves once it thaws.
+	delay += max(0, o.from.thaw-w.now)
 	w.deliver(o.from.addr, o.to, m, delay)
 	if w.r.IntN(100) < w.doublePct {
 		w.deliver(o.from.addr, o.to, m, delay+time.Duration(w.r.Int64N(int64(time.Second))))
