Named cases: repair then second loss at every step, formation, isolated and thawed leader

The first version of the second-loss case expected the system to stand still until the promotion was committed, and failed: the promotion counts in its own new quorum, so survivor and repaired replica go on as soon as the admission is committed. The test now asserts that, and a standstill without loss before.

--- /dev/null
+++ b/internal/replica/formation_test.go
@@ -0,0 +1,128 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// founder is one founder's side of the formation, as a model: its folder and
+// the poll under way.
+type founder struct {
+	addr     string
+	id       string
+	life     int
+	accepted *pb.Membership
+	running  *pb.Membership
+	joined   bool
+	replies  map[string]*pb.HelloReply
+}
+
+func (f *founder) hello() *pb.HelloReply {
+	r := &pb.HelloReply{Id: f.id, Addr: f.addr, Membership: f.accepted}
+	switch {
+	case f.running != nil:
+		r.State = pb.FormationState_FORMATION_STATE_RUNNING
+	case f.accepted != nil:
+		r.State = pb.FormationState_FORMATION_STATE_PREPARED
+	}
+	return r
+}
+
+func (f *founder) empty() {
+	f.life++
+	*f = founder{addr: f.addr, id: fmt.Sprintf("%s/%d", f.addr, f.life), life: f.life}
+}
+
+// act decides on the replies gathered so far and begins a new poll.
+func (f *founder) act(founders []string) {
+	replies := f.replies
+	f.replies = nil
+	if f.running != nil || f.joined {
+		return
+	}
+	d := decideFormation(&pb.Member{Id: f.id, Addr: f.addr}, founders, f.accepted, replies)
+	switch d.step {
+	case formationAccept:
+		f.accepted = d.membership
+	case formationStart:
+		f.accepted, f.running = d.membership, d.membership
+	case formationJoin:
+		f.accepted, f.joined = nil, true
+	}
+}
+
+// TestFormationMakesOneSystem lets founders poll each other one answer at a
+// time, while one of them is emptied at any moment. However often that happens
+// at most one system is formed; emptied once, the formation also ends.
+func TestFormationMakesOneSystem(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		n := rapid.SampledFrom([]int{3, 5}).Draw(rt, "founders")
+		emptied := rapid.IntRange(0, n-1).Draw(rt, "emptied")
+		times := rapid.IntRange(0, 3).Draw(rt, "times")
+		mustEnd := times <= 1
+		var all []*founder
+		var addrs []string
+		for i := range n {
+			f := &founder{addr: fmt.Sprint("founder", i)}
+			f.empty()
+			all = append(all, f)
+			addrs = append(addrs, f.addr)
+		}
+		var started []*pb.Membership
+		step := func() {
+			f := all[r.IntN(n)]
+			if r.IntN(n) == 0 {
+				f.act(addrs)
+			} else if other := all[r.IntN(n)]; other != f {
+				if f.replies == nil {
+					f.replies = make(map[string]*pb.HelloReply)
+				}
+				f.replies[other.addr] = other.hello()
+			}
+			if f.running != nil {
+				started = append(started, f.running)
+			}
+		}
+		for i := range 400 {
+			if times > 0 && i%20 == r.IntN(20) {
+				times--
+				all[emptied].empty()
+			}
+			step()
+		}
+		for range 2000 {
+			step()
+		}
+		for _, m := range started {
+			if !proto.Equal(m, started[0]) {
+				rt.Fatalf("two systems were formed: %v and %v", started[0], m)
+			}
+		}
+		for _, f := range all {
+			if mustEnd && f.running == nil && !f.joined {
+				rt.Fatalf("%s neither runs nor joins; it accepted %v", f.id, f.accepted)
+			}
+		}
+	})
+}
+
+func TestEmptiedFounderWaitsForAll(t *testing.T) {
+	founders := []string{"a", "b", "c"}
+	empty := func(addr string) *pb.HelloReply { return &pb.HelloReply{Id: addr + "1", Addr: addr} }
+	replies := map[string]*pb.HelloReply{"b": empty("b")}
+	self := &pb.Member{Id: "a1", Addr: "a"}
+	if d := decideFormation(self, founders, nil, replies); d.step != formationWait {
+		t.Fatalf("two of three empty founders decided %v", d)
+	}
+	replies["c"] = empty("c")
+	if d := decideFormation(self, founders, nil, replies); d.step != formationAccept {
+		t.Fatalf("three empty founders decided %v", d)
+	}
+}
--- /dev/null
+++ b/internal/replica/named_test.go
@@ -0,0 +1,174 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/consensus"
+	"github.com/wigeonwood/wigeonwood/internal/journal/journaltest"
+)
+
+// repairSteps is how many passes of the repaired node, from its admission on,
+// are tried as the moment of the second loss; they reach past its promotion.
+const repairSteps = 60
+
+// startRepair empties the folder of a follower A under load and starts it
+// again. It returns A and the other follower B.
+func startRepair(seed uint64) (w *world, a, b *site) {
+	w = newWorld(seed)
+	w.load(30 * time.Second)
+	w.runUntil(10*time.Second, func() bool { return w.leader() != nil && len(w.acked) > 150 })
+	a = w.follower()
+	for _, s := range w.sites[:simFounders] {
+		if s != a && s != w.leader() {
+			b = s
+		}
+	}
+	a.loseDisk()
+	w.runFor(200 * time.Millisecond)
+	a.start()
+	return w, a, b
+}
+
+// afterPasses runs fn after n passes of the site, counted from its admission.
+func afterPasses(s *site, n int, fn func()) {
+	s.afterPass = func() {
+		if !s.w.admitted(s) {
+			return
+		}
+		if n--; n < 0 {
+			s.afterPass = nil
+			fn()
+		}
+	}
+}
+
+// admitted tells whether the leader's membership names the site's identity.
+func (w *world) admitted(s *site) bool {
+	leader := w.leader()
+	if leader == nil {
+		return false
+	}
+	membership, _ := leader.node.core.Membership()
+	return consensus.FindMember(membership, s.node.id) != nil
+}
+
+func TestSecondReplicaStopsAtEveryStepOfARepair(t *testing.T) {
+	for step := range repairSteps {
+		w, a, b := startRepair(7)
+		hit := false
+		afterPasses(a, step, func() {
+			hit = true
+			w.after(0, func() { b.crash(journaltest.LoseUnsynced) })
+			w.after(5*time.Second, b.start)
+		})
+		w.runFor(10 * time.Second)
+		if !hit {
+			t.Fatalf("step %d of the repair was not reached", step)
+		}
+		w.settle()
+	}
+}
+
+// TestSecondReplicaLosesItsDiskAtEveryStepOfARepair also covers moments before
+// the repaired replica is admitted; they are the negative steps.
+func TestSecondReplicaLosesItsDiskAtEveryStepOfARepair(t *testing.T) {
+	const early = 8
+	alive, stuck := 0, 0
+	for step := -early; step < repairSteps; step++ {
+		w, a, b := startRepair(7)
+		survivor := w.leader()
+		admitted := false
+		lose := func() {
+			_, committed := survivor.node.core.Membership()
+			admitted = committed && w.admitted(a)
+			w.after(0, b.loseDisk)
+			w.after(5*time.Second, b.start)
+		}
+		if step < 0 {
+			w.after(time.Duration(early+step)*joinInterval/early, lose)
+		} else {
+			afterPasses(a, step, lose)
+		}
+		w.runFor(15 * time.Second)
+		if admitted && w.leader() == nil {
+			t.Fatalf("step %d: the system stands still after the repair", step)
+		}
+		if w.leader() != nil {
+			alive++
+			w.settle()
+			continue
+		}
+		// Two of three disks were lost before the repair began in the log. The
+		// third still holds all that was accepted, and the others alone commit
+		// nothing.
+		stuck++
+		accepted := len(w.acked)
+		w.runFor(10 * time.Second)
+		if len(w.acked) != accepted {
+			t.Fatalf("step %d: a minority went on: %s", step, w.describe())
+		}
+		w.checkAcked(survivor)
+	}
+	t.Logf("the system went on after a loss at %d steps, and lost nothing but stood still at %d", alive, stuck)
+	if alive == 0 || stuck == 0 {
+		t.Fatal("the steps don't lie on both sides of the admission")
+	}
+}
+
+func TestLeaderIsolatedForLong(t *testing.T) {
+	for _, cut := range []struct{ in, out bool }{{true, true}, {true, false}, {false, true}} {
+		t.Run(fmt.Sprintf("in=%v out=%v", cut.in, cut.out), func(t *testing.T) {
+			w := newWorld(3)
+			w.runUntil(10*time.Second, func() bool { return w.leader() != nil })
+			old := w.leader()
+			cutFor(w, old, cut.in, cut.out, time.Minute)
+			w.runFor(electionTicks * defaultTickInterval)
+			w.load(w.now + 50*time.Second)
+			before := len(w.acked)
+			w.runUntil(50*time.Second, func() bool {
+				if _, _, ok := old.node.ActUntil(); ok {
+					t.Fatal("the isolated leader may still act")
+				}
+				return false
+			})
+			if n := len(w.acked) - before; n < 500 {
+				t.Fatalf("%d commands were acknowledged meanwhile", n)
+			}
+			c := &pendingCall{data: "isolated", done: make(chan outcome, 1)}
+			old.pass(func(n *Node) { n.takeProposals(&proposal{data: []byte(c.data), done: c.done}) })
+			if o := <-c.done; !errors.Is(o.err, ErrNotLeader) {
+				t.Fatalf("the isolated leader answered %v", o.err)
+			}
+			w.runFor(10 * time.Second)
+			w.settle()
+		})
+	}
+}
+
+func TestThawedLeaderFindsItsPeriodOver(t *testing.T) {
+	w := newWorld(5)
+	w.runUntil(10*time.Second, func() bool { return w.leader() != nil })
+	old := w.leader()
+	old.thaw = w.now + 2*time.Second
+	w.now = old.thaw
+	if until, _, ok := old.node.ActUntil(); ok {
+		t.Fatalf("a leader frozen for 2s may act until %v, now is %v", until, old.clock())
+	}
+}
+
+func TestLeaderActsOnlyAfterItsFirstOwnEntryIsApplied(t *testing.T) {
+	w := newWorld(6)
+	w.runUntil(10*time.Second, func() bool {
+		for _, s := range w.sites[:simFounders] {
+			st := s.node.snapshotStatus()
+			_, _, ok := s.node.ActUntil()
+			if ok && (st.Role != consensus.Leader || st.Applied < s.node.core.FirstOfTerm()) {
+				t.Fatalf("%s acts at applied index %d", s.addr, st.Applied)
+			}
+		}
+		return w.leader() != nil
+	})
+}
--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -250,7 +250,8 @@
 	})
 }
 
-// join asks a random site to admit this one while it is outside.
+// join asks a random site to admit this one while it is outside; that site
+// names the leader.
 func (s *site) join(life int) {
 	if s.life != life || s.node == nil {
 		return
@@ -264,7 +265,18 @@
 	if to == s || s.w.cut[[2]string{s.addr, to.addr}] {
 		return
 	}
-	s.w.after(time.Millisecond, func() { to.change(admissionAt(self)) })
+	s.w.after(time.Millisecond, func() { to.leaderOr().change(admissionAt(self)) })
+}
+
+// leaderOr returns the site of the leader that this site knows, else itself.
+func (s *site) leaderOr() *site {
+	if s.node == nil {
+		return s
+	}
+	if _, addr := s.node.Leader(); s.w.site(addr) != nil && !s.w.cut[[2]string{s.addr, addr}] {
+		return s.w.site(addr)
+	}
+	return s
 }
 
 func admissionAt(self *pb.Member) func(*Node) membershipEdit {
