--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -125,6 +125,7 @@
 	if rd.Sync {
 		n.metrics.sync.Record(n.now().Sub(start))
 		n.metrics.syncs.Inc(1)
+		n.syncs.Add(1)
 	}
 	return nil
 }
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -118,6 +119,7 @@
 	id      string
 	journal *journal.Journal
 	metrics metrics
+	syncs   atomic.Uint64
 	// now is the monotonic clock.
 	now func() time.Time
 
@@ -305,6 +307,9 @@
 	return n.err
 }
 
+// Syncs returns how often the log was synced since the start.
+func (n *Node) Syncs() uint64 { return n.syncs.Load() }
+
 // ID returns the replica's identity.
 func (n *Node) ID() string { return n.id }
 
