Fair shares on average, a reserve of the whole pool, smaller admissions

A customer counts as above its share by its average use over 30 s, or at twice its share at once: by its use at the moment a small customer was above it for moments, and waited behind the surge.

--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// DefaultSpread is the default of Chooser.Spread.
+const DefaultSpread = 4
+
 // DefaultTakeover is the time over which a joining engine takes over the
 // chats for which it scores highest and which nobody is known to hold.
 const DefaultTakeover = 10 * time.Minute
--- a/internal/placement/measure/baseline.go
+++ b/internal/placement/measure/baseline.go
@@ -1,8 +1,6 @@
 package measure
 
 import (
-	"slices"
-
 	"github.com/wigeonwood/wigeonwood/internal/placement"
 )
 
@@ -34,7 +32,7 @@
 
 // Ways are those of the table, the baselines first.
 var Ways = []Way{
-	{Name: "knows everything", make: func(r *run) strategy { return &omniscient{baseline: baseline{run: r}} }},
+	{Name: "knows everything", make: func(r *run) strategy { return newOmniscient(r) }},
 	{Name: "round robin", make: func(r *run) strategy { return &roundRobin{baseline: baseline{run: r}} }},
 	{Name: "least in flight", make: func(r *run) strategy { return newLeast(r) }},
 	{Name: "plain rendezvous", make: func(r *run) strategy { return &rendezvous{baseline: baseline{run: r}} }},
@@ -44,7 +42,9 @@
 	{Name: "(b) home, rendezvous", make: func(r *run) strategy { return newHome(r, 0, 1) }},
 	{Name: "(b) home, directory", make: func(r *run) strategy { return newHome(r, placement.DefaultDirectorySize, 1) }},
 	{Name: "(b) home, directory, spread 2", make: func(r *run) strategy { return newHome(r, placement.DefaultDirectorySize, 2) }},
-	{Name: "(b) home, directory, spread 4", make: func(r *run) strategy { return newHome(r, placement.DefaultDirectorySize, 4) }},
+	{Name: "(b) home, directory, spread 4", make: func(r *run) strategy {
+		return newHome(r, placement.DefaultDirectorySize, placement.DefaultSpread)
+	}},
 	{Name: "(b) home, directory, spread all", make: func(r *run) strategy { return newHome(r, placement.DefaultDirectorySize, 1000) }},
 }
 
@@ -140,53 +140,3 @@
 	res.ControlBytes = reportTraffic(len(s.run.engines))
 	res.BusiestBytes = res.ControlBytes
 }
-
-// omniscient knows what each engine holds and has in flight at this moment,
-// and keeps the load bound. Requests wait in one queue in order of arrival.
-type omniscient struct {
-	baseline
-	waiting []*request
-}
-
-func (s *omniscient) submit(q *request) {
-	s.waiting = append(s.waiting, q)
-	s.drain()
-}
-
-func (s *omniscient) finished(*request) { s.drain() }
-
-func (s *omniscient) drain() {
-	for len(s.waiting) > 0 {
-		i := s.choose(s.waiting[0])
-		if i < 0 {
-			return
-		}
-		q := s.waiting[0]
-		s.waiting = s.waiting[1:]
-		s.run.start(q, i)
-	}
-}
-
-func (s *omniscient) choose(q *request) int {
-	n, total, _ := s.run.load()
-	limit := min(placement.Limit(placement.DefaultBoundFactor, total+1, n), engineCapacity)
-	candidates := s.eligible()
-	candidates = slices.DeleteFunc(candidates, func(i int) bool { return s.run.engines[i].inFlight() >= limit })
-	if len(candidates) == 0 {
-		return -1
-	}
-	best := candidates[0]
-	for _, i := range candidates[1:] {
-		a, b := s.run.engines[i], s.run.engines[best]
-		if a.holds(q.chat) != b.holds(q.chat) {
-			if a.holds(q.chat) {
-				best = i
-			}
-			continue
-		}
-		if a.inFlight() < b.inFlight() {
-			best = i
-		}
-	}
-	return best
-}
--- a/internal/placement/measure/pools.go
+++ b/internal/placement/measure/pools.go
@@ -4,13 +4,15 @@
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/admission"
-	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/placement"
 	"github.com/wigeonwood/wigeonwood/internal/pool"
-	"google.golang.org/protobuf/proto"
 )
 
-const model = "m"
+const (
+	model = "m"
+	// hintDirectorySize bounds an entry router's memory of placements.
+	hintDirectorySize = 16384
+)
 
 func poolConfig(directory, spread int) pool.Config {
 	return pool.Config{
@@ -135,10 +137,9 @@
 // it dies or when two routers disagree on who it is.
 type home struct {
 	baseline
-	pool      *pool.Pool
-	directory int
-	spread    int
-	router    int
+	cfg    pool.Config
+	pool   *pool.Pool
+	router int
 	// hints are the entry routers' own memories of recent placements.
 	hints    [routerCount]*placement.Directory
 	remote   int
@@ -148,9 +149,13 @@
 }
 
 func newHome(r *run, directory, spread int) *home {
-	s := &home{baseline: baseline{run: r}, directory: directory, spread: spread, pool: pool.New(poolConfig(directory, spread))}
+	return newHomeWith(r, poolConfig(directory, spread))
+}
+
+func newHomeWith(r *run, cfg pool.Config) *home {
+	s := &home{baseline: baseline{run: r}, cfg: cfg, pool: pool.New(cfg)}
 	for i := range s.hints {
-		s.hints[i] = placement.NewDirectory(min(directory, 16384))
+		s.hints[i] = placement.NewDirectory(min(cfg.DirectorySize, hintDirectorySize))
 	}
 	return s
 }
@@ -185,7 +190,7 @@
 }
 
 func (s *home) cacheEvents(engine int, incarnation, from uint64, events []placement.CacheEvent) bool {
-	if s.directory == 0 {
+	if s.cfg.DirectorySize == 0 {
 		return false
 	}
 	if s.run.now >= warmUp {
@@ -225,7 +230,7 @@
 // that routers hold are counted.
 func (s *home) moveTo(router int) {
 	s.router = router
-	s.pool = pool.New(poolConfig(s.directory, s.spread))
+	s.pool = pool.New(s.cfg)
 	s.tick()
 	for i := range s.run.trace {
 		q := &s.run.trace[i]
@@ -242,15 +247,18 @@
 	res.Hops = float64(s.remote) / total
 	res.ControlBytes = reportTraffic(len(s.run.engines)) + s.control/seconds/routerCount
 	// Each byte of a call is sent by one router and received by another.
-	calls := float64(s.remote) * float64(admissionBytes()) / seconds
+	calls := float64(s.remote) * admissionBytes / seconds
 	res.RequestBytes = 2 * calls / routerCount
 	res.BusiestBytes = reportTraffic(len(s.run.engines)) + s.control/seconds + calls
 }
 
 const (
+	// admissionBytes is what one request costs that another router admits:
+	// call, answer and release. scheduler.TestAdmissionBytes shows it.
+	admissionBytes = 360
 	// callOverhead is the envelope, token and stream framing of a call and
 	// its answer.
-	callOverhead = 170
+	callOverhead = 120
 	// cacheEventBytes is one cache event on the wire.
 	cacheEventBytes = 13
 	// reportBytes is one engine's load report as routers pass it on, sent
@@ -259,20 +267,3 @@
 )
 
 func reportTraffic(engines int) float64 { return float64(engines * reportBytes) }
-
-// admissionBytes is what one request costs that is admitted by another router:
-// the call, its answer, and the release, of which two go in one call.
-func admissionBytes() int {
-	claim := &pb.HomeClaim{Group: "engines/0", Epoch: 3, Router: "router-1", Incarnation: 1 << 40, Addr: "10.0.0.1:7000"}
-	id := &pb.PlaceId{Router: "router-2", Incarnation: 1 << 40, Number: 1 << 20}
-	admit := &pb.AdmitRequest{
-		Id: id, Group: "engines/0", Customer: "customer-3", Weight: 10, Class: 1, CostTokens: 1000,
-		Chat: 1 << 60, Model: "model-1", MaxWaitMs: 20000,
-		Hint: &pb.PlaceHint{Target: "engine-11", Incarnation: 1 << 40},
-	}
-	reply := &pb.AdmitReply{Target: "engine-11", Incarnation: 1 << 40, Why: 1, Home: claim}
-	release := &pb.ReleaseRequest{Router: "router-2", Incarnation: 1 << 40, Group: "engines/0", Numbers: []uint64{1 << 20}}
-	released := &pb.ReleaseReply{Home: claim}
-	once := proto.Size(admit) + proto.Size(reply) + callOverhead
-	return once + (proto.Size(release)+proto.Size(released)+callOverhead)/2
-}
--- a/internal/placement/measure/run.go
+++ b/internal/placement/measure/run.go
@@ -16,7 +16,7 @@
 	engineCount = 12
 	// meanRate is the requests per second of the trace without a surge; it
 	// keeps the engines' places about 60% busy.
-	meanRate = 16
+	meanRate = 26
 	maxTries = 4
 )
 
--- a/internal/placement/measure/trace.go
+++ b/internal/placement/measure/trace.go
@@ -79,8 +79,8 @@
 	if surge {
 		// A stream of its own, so that the others' requests stay the same.
 		own := rand.New(rand.NewPCG(seed, 2))
-		chatRate := rate * customerShares[3] / meanTurns * (surgeFactor - 1)
-		trace = appendChats(trace, own, 3, chatRate, surgeFrom, surgeUntil, routers)
+		extra := rate * customerShares[3] * (surgeFactor - 1)
+		trace = appendFilings(trace, own, 3, extra, routers)
 	}
 	slices.SortStableFunc(trace, func(a, b request) int { return cmp.Compare(a.at, b.at) })
 	for i := range trace {
@@ -99,18 +99,41 @@
 	}
 }
 
+// appendFilings adds the surge's requests, each of a chat of its own.
+func appendFilings(trace []request, rng *rand.Rand, c int, rate float64, routers int) []request {
+	for at := surgeFrom; ; {
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= surgeUntil {
+			return trace
+		}
+		r := newRequest(rng, c, at)
+		r.chat = newChat(rng, r.name)
+		r.entry = rng.IntN(routers)
+		trace = append(trace, r)
+	}
+}
+
+func newChat(rng *rand.Rand, customer string) placement.Key {
+	return placement.ChatKey(fmt.Sprint(customer, "/", rng.Uint64()))
+}
+
+func newRequest(rng *rand.Rand, c int, at time.Duration) request {
+	r := request{
+		at: at, customer: c, name: fmt.Sprint("customer-", c),
+		weight: uint32(math.Round(customerShares[c] * 100)),
+	}
+	drawClass(rng, &r)
+	return r
+}
+
 func appendTurns(trace []request, rng *rand.Rand, c int, at, until time.Duration, routers int) []request {
-	name := fmt.Sprint("customer-", c)
-	chat := placement.ChatKey(fmt.Sprint(name, "/", rng.Uint64()))
+	chat := newChat(rng, fmt.Sprint("customer-", c))
 	// A chat of days ago, whose prefix nobody holds any more.
 	returns := rng.Float64() < oldChats
 	entry := rng.IntN(routers)
 	for at < until {
-		r := request{
-			at: at, customer: c, name: name, chat: chat, returns: returns, entry: entry,
-			weight: uint32(math.Round(customerShares[c] * 100)),
-		}
-		drawClass(rng, &r)
+		r := newRequest(rng, c, at)
+		r.chat, r.returns, r.entry = chat, returns, entry
 		if at >= 0 {
 			trace = append(trace, r)
 		}
--- a/internal/pool/adopt.go
+++ b/internal/pool/adopt.go
@@ -35,7 +35,7 @@
 		g.lane = l
 		g.share = l.see(now, &r)
 	}
-	p.hold(h.ID, g)
+	p.hold(now, h.ID, g)
 	return true
 }
 
--- a/internal/pool/lane.go
+++ b/internal/pool/lane.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,11 @@
 	// minRateSamples is the number of releases below which the rate is
 	// unknown.
 	minRateSamples = 10
+	// useWindow is the time over which a customer's use is averaged.
+	useWindow = 30 * time.Second
+	// burstFactor is how far above its share a customer may be for a short
+	// time.
+	burstFactor = 2
 )
 
 // lane holds the targets that can serve one model or service, and the queue
@@ -38,6 +44,24 @@
 	weight   float64
 	inFlight int
 	seen     time.Time
+	// average is that of inFlight over about useWindow, as of averaged.
+	average  float64
+	averaged time.Time
+}
+
+// add changes the requests in flight.
+func (s *share) add(now time.Time, n int) {
+	s.settle(now)
+	s.inFlight += n
+}
+
+// settle brings the average up to now.
+func (s *share) settle(now time.Time) {
+	if !s.averaged.IsZero() {
+		kept := math.Exp(-now.Sub(s.averaged).Seconds() / useWindow.Seconds())
+		s.average = s.average*kept + float64(s.inFlight)*(1-kept)
+	}
+	s.averaged = now
 }
 
 func newLane(name string, queueLength int) *lane {
@@ -86,14 +110,26 @@
 	return s
 }
 
-// aboveShare tells whether one more request takes the customer past its
-// weighted share of the lane's capacity.
-func (l *lane) aboveShare(customer string) bool {
+// aboveShare tells whether a customer uses more than its weighted share of the
+// lane's capacity: on average, or by far with one more request now. Chance
+// alone takes a small customer past its share for moments.
+func (l *lane) aboveShare(now time.Time, customer string) bool {
 	s, ok := l.shares[customer]
 	if !ok || l.weights <= 0 {
 		return false
 	}
-	return float64(s.inFlight+1) > float64(l.capacity)*s.weight/l.weights
+	s.settle(now)
+	fair := float64(l.capacity) * s.weight / l.weights
+	return s.average > fair || float64(s.inFlight+1) > burstFactor*fair
+}
+
+// free counts the places that the lane's targets have left.
+func (l *lane) free() int {
+	free := 0
+	for _, t := range l.targets {
+		free += max(0, t.Capacity-t.inFlight())
+	}
+	return free
 }
 
 // forgetIdle drops customers that have been idle for long.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -14,7 +14,8 @@
 	cfg       Config
 	directory *placement.Directory
 	feeds     *placement.Feeds
-	chooser   placement.Chooser
+	chooser   *placement.Chooser
+	placer    Placer
 	targets   map[string]*target
 	lanes     map[string]*lane
 	grants    map[ID]*grant
@@ -42,16 +43,22 @@
 // New makes a pool without targets.
 func New(cfg Config) *Pool {
 	directory := placement.NewDirectory(cfg.DirectorySize)
+	chooser := &placement.Chooser{
+		Factor:    cfg.Factor,
+		Spread:    cfg.Spread,
+		Takeover:  cfg.Takeover,
+		Directory: directory,
+	}
+	placer := cfg.Placer
+	if placer == nil {
+		placer = chooser
+	}
 	return &Pool{
 		cfg:       cfg,
 		directory: directory,
 		feeds:     placement.NewFeeds(directory),
-		chooser: placement.Chooser{
-			Factor:    cfg.Factor,
-			Spread:    cfg.Spread,
-			Takeover:  cfg.Takeover,
-			Directory: directory,
-		},
+		chooser:   chooser,
+		placer:    placer,
 		targets:  make(map[string]*target),
 		lanes:    make(map[string]*lane),
 		grants:   make(map[ID]*grant),
@@ -76,7 +83,7 @@
 		p.directory.Hint(r.Chat, r.Hint)
 	}
 	l.see(now, &r)
-	if l.queue.Len() == 0 || p.mayOvertake(l, &r) {
+	if l.queue.Len() == 0 || p.mayOvertake(now, l, &r) {
 		if result, ok := p.place(now, l, &r); ok {
 			l.queue.Charge(r.Customer, r.Weight, r.Cost)
 			return []Result{result}
@@ -87,8 +94,8 @@
 
 // mayOvertake tells whether a request may be placed though others wait: all
 // that wait are held back only because their customers are above their share.
-func (p *Pool) mayOvertake(l *lane, r *Request) bool {
-	return l.queue.Waiting(r.Customer) == 0 && !l.aboveShare(r.Customer)
+func (p *Pool) mayOvertake(now time.Time, l *lane, r *Request) bool {
+	return l.queue.Waiting(r.Customer) == 0 && !l.aboveShare(now, r.Customer)
 }
 
 // serves tells whether any target of the lane is not excluded.
@@ -101,29 +108,32 @@
 // place grants a place if a target has room for the request.
 func (p *Pool) place(now time.Time, l *lane, r *Request) (Result, bool) {
 	reserve := 0
-	if l.aboveShare(r.Customer) {
+	if l.aboveShare(now, r.Customer) {
 		reserve = p.cfg.Reserve
+		if l.free()*1000 <= l.capacity*reserve {
+			return Result{}, false
+		}
 	}
 	engines := p.engines(l, r.Exclude, reserve)
 	var choice placement.Choice
 	if r.Service != "" {
 		choice = p.chooser.LeastLoaded(placement.Key(p.lastItem), engines)
 	} else {
-		choice = p.chooser.Choose(now, r.Chat, engines)
+		choice = p.placer.Choose(now, r.Chat, engines)
 	}
 	if choice.Index < 0 {
 		return Result{}, false
 	}
 	t := l.targets[choice.Index]
-	p.hold(r.ID, &grant{target: t, lane: l, share: l.shares[r.Customer]})
+	p.hold(now, r.ID, &grant{target: t, lane: l, share: l.shares[r.Customer]})
 	p.directory.Record(r.Chat, placement.Holder{Engine: t.ID, Incarnation: t.Incarnation, Used: now})
 	return Result{ID: r.ID, Kind: Granted, Target: t.ID, Incarnation: t.Incarnation, Why: choice.Why}, true
 }
 
-func (p *Pool) hold(id ID, g *grant) {
+func (p *Pool) hold(now time.Time, id ID, g *grant) {
 	g.target.granted++
 	if g.share != nil {
-		g.share.inFlight++
+		g.share.add(now, 1)
 	}
 	p.grants[id] = g
 }
@@ -187,7 +197,7 @@
 	delete(p.grants, id)
 	g.target.granted--
 	if g.share != nil {
-		g.share.inFlight--
+		g.share.add(now, -1)
 		g.lane.countRelease(now)
 	}
 	return p.Wake(now)
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -11,7 +11,7 @@
 	DefaultCapacity = 32
 	// DefaultReserve is the share of each target's capacity, in thousandths,
 	// that customers above their share leave to the others.
-	DefaultReserve = 100
+	DefaultReserve = 150
 	// activeFor is how long after its last request a customer counts when
 	// shares are computed.
 	activeFor = 1 * time.Minute
@@ -20,8 +20,17 @@
 	maxRetryAfter = 30 * time.Second
 )
 
+// Placer chooses among the engines of a lane; Choice.Index is -1 if none has
+// room.
+type Placer interface {
+	Choose(now time.Time, k placement.Key, engines []placement.Engine) placement.Choice
+}
+
 // Config holds the settings of a pool.
 type Config struct {
+	// Placer replaces the pool's own placement; it is nil outside of
+	// measurements.
+	Placer Placer
 	// Factor is the c of the load bound.
 	Factor float64
 	// Spread is among how many of a chat's best engines by rendezvous the
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -84,6 +84,10 @@
 // askFor asks one router for a place. Unless the answer is a grant under the
 // claim in force, nothing is held when it returns.
 func (s *Scheduler) askFor(ctx context.Context, to router, group string, req *pb.AdmitRequest) (*pb.AdmitReply, error) {
+	_, asked := s.group(group).present()
+	if asked.GetRouter() == to.id {
+		req.KnownEpoch = asked.GetEpoch()
+	}
 	reply, err := s.callAdmit(ctx, to, req)
 	if err != nil {
 		s.cfg.Logger.Debug().Err(err).Str("step", errs.Step(err)).Str("peer", to.id).Str("group", group).
@@ -95,6 +99,9 @@
 		}
 		return nil, err
 	}
+	if reply.Home == nil {
+		reply.Home = asked
+	}
 	current := s.group(group).learn(reply.Home)
 	switch {
 	case reply.Code != "":
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -60,7 +60,7 @@
 			s.count(opened, req.Held)
 		}
 	}
-	return &pb.ReleaseReply{Home: known}, nil
+	return &pb.ReleaseReply{Home: news(known, req.KnownEpoch)}, nil
 }
 
 func (s *Scheduler) handleCache(_ context.Context, req *pb.CacheEventsRequest) (*pb.CacheEventsReply, error) {
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -82,6 +82,7 @@
 func (c *Config) poolConfig() pool.Config {
 	return pool.Config{
 		Factor:        c.BoundFactor,
+		Spread:        placement.DefaultSpread,
 		Takeover:      c.Takeover,
 		Reserve:       pool.DefaultReserve,
 		QueueLength:   c.QueueLength,
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -38,7 +38,7 @@
 		return nil, err
 	}
 	_, known = g.present()
-	return toAdmitReply(result, known), nil
+	return toAdmitReply(result, news(known, req.KnownEpoch)), nil
 }
 
 // refer leaves a request to another home: the asking router is told of it, or
@@ -61,6 +61,15 @@
 	return reply
 }
 
+// news returns a claim unless the asking router knows it. A router names the
+// epoch that it knows only to the router that made the claim.
+func news(c *pb.HomeClaim, knownEpoch uint64) *pb.HomeClaim {
+	if c.GetEpoch() == knownEpoch {
+		return nil
+	}
+	return c
+}
+
 // servingHome tells whether the router of a claim is in view, and serving in
 // the same incarnation.
 func (s *Scheduler) servingHome(c *pb.HomeClaim) (serving, seen bool) {
--- a/internal/scheduler/homes_test.go
+++ b/internal/scheduler/homes_test.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +20,39 @@
 	fleet  *fakeFleet
 	server *transport.Server
 	status *pb.RouterStatus
+	wire   *countingDialer
+}
+
+const peerToken = "0123456789abcdef0123456789abcdef"
+
+// countingDialer counts the bytes of the connections that it opens.
+type countingDialer struct {
+	net.Dialer
+	bytes atomic.Int64
+}
+
+func (d *countingDialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := d.Dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, bytes: &d.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
 }
 
 // startNodes starts n routers that see each other and the targets.
@@ -30,15 +65,16 @@
 			t.Fatal(err)
 		}
 		f := newFakeFleet(id, targets...)
-		calls := transport.NewPool("secret", nil, nil)
-		server := transport.NewServer("secret", discard())
+		wire := &countingDialer{}
+		calls := transport.NewPool(peerToken, wire, nil)
+		server := transport.NewServer(peerToken, discard())
 		s := New(Config{
 			Self: id, View: f, Config: f, Pool: calls, Server: server, Logger: discard(),
 			ConfirmInterval: 200 * time.Millisecond,
 		})
 		go func() { _ = server.Serve(listener) }()
 		nodes = append(nodes, &node{
-			Scheduler: s, fleet: f, server: server,
+			Scheduler: s, fleet: f, server: server, wire: wire,
 			status: &pb.RouterStatus{
 				Id: id, Incarnation: 1, PeerAddr: listener.Addr().String(),
 				State: pb.RouterState_ROUTER_STATE_SERVING,
@@ -260,3 +296,23 @@
 	releaseAll(grants)
 	waitEmpty(t, home)
 }
+
+// maxAdmissionBytes bounds what one request that another router admits costs
+// on the wire, its release included.
+const maxAdmissionBytes = 700
+
+func TestAdmissionBytes(t *testing.T) {
+	nodes := startNodes(t, 2, engines(4, 50)...)
+	releaseAll(fill(t, nodes, 2))
+	entry := without(nodes, homeOf(nodes))[0]
+	const requests = 200
+	before := entry.wire.bytes.Load()
+	for i := range requests {
+		mustAdmit(t, entry.Scheduler, demand("customer-3", fmt.Sprint("chat-", i))).Release(filter.Usage{})
+	}
+	each := (entry.wire.bytes.Load() - before) / requests
+	t.Logf("%d bytes for each request", each)
+	if each > maxAdmissionBytes {
+		t.Fatalf("%d bytes for each request, over %d", each, maxAdmissionBytes)
+	}
+}
--- a/internal/scheduler/release.go
+++ b/internal/scheduler/release.go
@@ -95,6 +95,9 @@
 		Group:       g.name,
 		Numbers:     numbers,
 	}
+	if _, known := g.present(); known.GetRouter() == candidates[0].id {
+		req.KnownEpoch = known.GetEpoch()
+	}
 	if confirm {
 		req.Held = s.heldPlaces(g.name)
 	}
