--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,78 @@
+package budget
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		_ = flag.Set("rapid.seed", "20261203")
+	}
+	os.Exit(m.Run())
+}
+
+// Over any period, what was allowed stays under the rate plus one burst, also
+// with bytes charged late. The package asserts the same by itself.
+func TestNeverOverBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(Config{})
+		start := time.Unix(1000, 0)
+		now := start
+		spent := 0
+		for range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
+			n := rapid.IntRange(1, 3000).Draw(t, "bytes")
+			c := Class(rapid.IntRange(0, int(numBudgeted)-1).Draw(t, "class"))
+			if rapid.IntRange(0, 9).Draw(t, "charge") == 0 {
+				b.ChargeAt(now, c, n)
+				spent += n
+				continue
+			}
+			if !b.AllowAt(now, c, n) {
+				continue
+			}
+			spent += n
+			if bound := DefaultBurstBytes + now.Sub(start).Seconds()*DefaultBytesPerSecond + 1; float64(spent) > bound {
+				t.Fatalf("%d bytes after %v, over %.0f", spent, now.Sub(start), bound)
+			}
+		}
+		if got := b.Stats().Control(); got != int64(spent) {
+			t.Fatalf("counted %d bytes of %d", got, spent)
+		}
+	})
+}
+
+// A lower class can't use up what the higher ones are left.
+func TestHigherClassesBorrow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{})
+	for c := Hint; c >= Lease; c-- {
+		for b.AllowAt(now, c, 64) {
+		}
+		if c > Drain && !b.AllowAt(now, c-1, 64) {
+			t.Fatalf("class %v used up what %v is left", c, c-1)
+		}
+	}
+	if b.AllowAt(now, Lease, 64) {
+		t.Fatal("an empty bucket allowed a lease")
+	}
+}
+
+func TestClassOf(t *testing.T) {
+	for method, want := range map[string]Class{
+		"control.lease": Lease, "raft.0.step": Replica, "schedule.admit": Request,
+		"limits.lend": Request, "report.burn": Report, "hint.cache": Hint, "else": Liveness,
+	} {
+		if got := ClassOf(method); got != want {
+			t.Errorf("%s: %v, want %v", method, got, want)
+		}
+	}
+}
--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -135,7 +135,7 @@
 	other := rapid.SampledFrom(w.nodes).Draw(t, "other")
 	target := rapid.SampledFrom(w.targets).Draw(t, "target")
 	switch rapid.SampledFrom([]string{
-		"crash", "restart", "leave", "freeze", "thaw", "cut off", "reconnect", "one-way cut", "cut", "heal",
+		"crash", "restart", "leave", "freeze", "thaw", "cut off", "reconnect", "one-way cut", "cut", "heal", "slow network",
 		"target ends", "target leaves", "target restarts", "target flaps",
 	}).Draw(t, "fault") {
 	case "crash":
@@ -160,6 +160,8 @@
 		w.cut[[2]int{other.index, n.index}] = true
 	case "heal":
 		clear(w.cut)
+	case "slow network":
+		w.maxDelay = time.Duration(rapid.IntRange(3, 1500).Draw(t, "delay ms")) * time.Millisecond
 	case "target ends":
 		w.end(target)
 	case "target leaves":
@@ -175,7 +177,7 @@
 
 func (w *world) healAll() {
 	clear(w.cut)
-	w.lossRate = 0
+	w.lossRate, w.maxDelay = 0, usualDelay
 	for _, n := range w.nodes {
 		n.cutOff = false
 		if !n.running {
@@ -270,3 +272,53 @@
 		}
 	})
 }
+
+// A router that was paused offers no target that ended meanwhile, though its
+// buffers hold announcements and answers from before, and takes nobody for
+// dead because of answers that it could not take.
+func TestPausedRouter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newRapidWorld(t)
+		w.maxDelay = 100 * time.Millisecond
+		runChecked(t, w, 5*time.Second)
+		paused := w.nodes[0]
+		for _, target := range w.targets {
+			target.router, target.stampAt = 0, time.Time{}
+		}
+		runChecked(t, w, time.Second)
+		before := paused.core.counts.deaths
+		paused.frozen = true
+		runChecked(t, w, 600*time.Millisecond)
+		for _, target := range w.targets {
+			w.leave(target)
+			w.end(target)
+		}
+		runChecked(t, w, time.Duration(rapid.IntRange(0, 10000).Draw(t, "pause ms"))*time.Millisecond)
+		w.thaw(paused)
+		runChecked(t, w, 5*time.Second)
+		if deaths := paused.core.counts.deaths - before; deaths > 0 {
+			t.Fatalf("the paused router declared %d others dead", deaths)
+		}
+	})
+}
+
+// Two routers that can't reach each other, while others reach both, suspect
+// nobody.
+func TestCutBetweenTwoRouters(t *testing.T) {
+	for _, directions := range [][][2]int{{{0, 1}}, {{0, 1}, {1, 0}}} {
+		w := newWorld(10*time.Second, 1, 9, 15, 3)
+		w.run(10 * time.Second)
+		for _, d := range directions {
+			w.cut[d] = true
+		}
+		w.run(30 * time.Second)
+		for _, n := range w.nodes {
+			if n.core.counts.suspicions > 0 {
+				t.Fatalf("%s suspected others %d times", n.status.Id, n.core.counts.suspicions)
+			}
+		}
+		if diff := w.disagreement(); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+}
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -10,7 +10,10 @@
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
-const announceEvery = 500 * time.Millisecond
+const (
+	announceEvery = 500 * time.Millisecond
+	usualDelay    = 3 * time.Millisecond
+)
 
 // world runs cores in memory under virtual time, with a network that delays,
 // loses and cuts, and targets that announce themselves.
@@ -26,6 +29,8 @@
 	// cut tells that datagrams and calls from one node to another are lost.
 	cut      map[[2]int]bool
 	lossRate float64
+	// maxDelay bounds a datagram's time on its way.
+	maxDelay time.Duration
 	messages int
 	// unlimitedUntil is when the budgets begin to bind; a view is built up
 	// quickly before.
@@ -94,6 +99,7 @@
 
 		byAddr: make(map[string]*node),
 	}
+	w.maxDelay = usualDelay
 	w.unlimitedUntil = w.now.Add(warmUp)
 	for i := range routers {
 		n := &node{index: i, status: &pb.RouterStatus{
@@ -210,7 +216,7 @@
 		return
 	}
 	life := to.core
-	delay := 200*time.Microsecond + time.Duration(w.rng.Int64N(int64(3*time.Millisecond)))
+	delay := 200*time.Microsecond + time.Duration(w.rng.Int64N(int64(w.maxDelay)))
 	w.after(delay, func() {
 		w.deliver(to, life, func() { w.receive(to, from, datagram) })
 	})
