--- a/internal/configlease/holder.go
+++ b/internal/configlease/holder.go
@@ -200,10 +200,6 @@
 	if reply.Nonce != req.Nonce {
 		return false, errs.New("configuration lease", reply.LeaderAddr, "the evidence answers another request")
 	}
-	if reply.Revision < held {
-		// Accepted revisions never fall, so this is no evidence of ours.
-		return false, errs.New("configuration lease", reply.LeaderAddr, "the evidence is for a lower revision than the one held")
-	}
 	if err := h.config.apply(reply); err != nil {
 		return false, errs.Wrap(err, "configuration lease", reply.LeaderAddr)
 	}
--- /dev/null
+++ b/internal/configlease/holder_test.go
@@ -0,0 +1,284 @@
+package configlease
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const testLease = 3 * time.Second
+
+// fakeAsker answers by a function that the test replaces.
+type fakeAsker struct {
+	mu     sync.Mutex
+	answer func(ctx context.Context, req *pb.LeaseRequest) (*pb.LeaseReply, error)
+	asked  []*pb.LeaseRequest
+}
+
+func (f *fakeAsker) Lease(ctx context.Context, req *pb.LeaseRequest) (*pb.LeaseReply, error) {
+	f.mu.Lock()
+	answer := f.answer
+	f.asked = append(f.asked, req)
+	f.mu.Unlock()
+	return answer(ctx, req)
+}
+
+func (f *fakeAsker) set(answer func(ctx context.Context, req *pb.LeaseRequest) (*pb.LeaseReply, error)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answer = answer
+}
+
+func (f *fakeAsker) requests() []*pb.LeaseRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.asked)
+}
+
+func evidence(revision uint64, contracts ...*pb.Contract) func(context.Context, *pb.LeaseRequest) (*pb.LeaseReply, error) {
+	return func(_ context.Context, req *pb.LeaseRequest) (*pb.LeaseReply, error) {
+		return &pb.LeaseReply{Nonce: req.Nonce, Revision: revision, UpTo: revision, LeaseMs: uint32(testLease.Milliseconds()), Contracts: contracts}, nil
+	}
+}
+
+func silence(ctx context.Context, _ *pb.LeaseRequest) (*pb.LeaseReply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func newHolder(a Asker, onLease func(bool)) *Holder {
+	return NewHolder(Config{
+		Router:  "r1",
+		Client:  a,
+		Logger:  &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+		Scope:   tally.NoopScope,
+		OnLease: onLease,
+	})
+}
+
+// run runs the holder in a bubble and stops it at the end.
+func run(t *testing.T, a *fakeAsker, onLease func(bool), test func(t *testing.T, h *Holder)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		h := newHolder(a, onLease)
+		ended := make(chan struct{})
+		go func() {
+			h.Run(ctx)
+			close(ended)
+		}()
+		defer func() {
+			cancel()
+			<-ended
+		}()
+		test(t, h)
+	})
+}
+
+func contract(customer string, revision uint64, key byte) *pb.Contract {
+	sum := [32]byte{key}
+	return &pb.Contract{Customer: customer, Revision: revision, KeyHashes: [][]byte{sum[:]}}
+}
+
+// An answer that was long under way shortens the lease by as much.
+func TestLeaseCountsFromTheRequest(t *testing.T) {
+	const delay = 900 * time.Millisecond
+	a := &fakeAsker{}
+	a.set(func(ctx context.Context, req *pb.LeaseRequest) (*pb.LeaseReply, error) {
+		time.Sleep(delay)
+		a.set(silence)
+		return evidence(1)(ctx, req)
+	})
+	run(t, a, nil, func(t *testing.T, h *Holder) {
+		time.Sleep(delay + time.Millisecond)
+		if _, _, ok := h.Lease(); !ok {
+			t.Fatal("no lease after the answer")
+		}
+		time.Sleep(testLease - delay)
+		if _, _, ok := h.Lease(); ok {
+			t.Fatal("the lease outlives one length from its request")
+		}
+	})
+}
+
+func TestForeignAndOldEvidenceIsRefused(t *testing.T) {
+	a := &fakeAsker{}
+	a.set(evidence(5, contract("harga", 5, 1)))
+	run(t, a, nil, func(t *testing.T, h *Holder) {
+		time.Sleep(time.Second)
+		a.set(evidence(4, contract("harga", 4, 2)))
+		time.Sleep(testLease)
+		if revision, _, ok := h.Lease(); ok || revision != 5 {
+			t.Fatalf("lower evidence: lease %v at revision %d", ok, revision)
+		}
+		if _, ok := h.ContractByKey([32]byte{2}); ok {
+			t.Fatal("a lower revision was applied")
+		}
+		a.set(func(ctx context.Context, req *pb.LeaseRequest) (*pb.LeaseReply, error) {
+			reply, err := evidence(6)(ctx, req)
+			reply.Nonce--
+			return reply, err
+		})
+		time.Sleep(time.Second)
+		if revision, _, ok := h.Lease(); ok || revision != 5 {
+			t.Fatalf("evidence for another request: lease %v at revision %d", ok, revision)
+		}
+	})
+}
+
+func TestPartsAreFetchedAtOnceAndAcknowledged(t *testing.T) {
+	a := &fakeAsker{}
+	a.set(func(_ context.Context, req *pb.LeaseRequest) (*pb.LeaseReply, error) {
+		next := req.HeldRevision + 1
+		reply := &pb.LeaseReply{Nonce: req.Nonce, Revision: 3, LeaseMs: uint32(testLease.Milliseconds()), UpTo: min(next, 3), Partial: next < 3}
+		if next <= 3 {
+			reply.Contracts = []*pb.Contract{contract("harga", next, byte(next))}
+		}
+		return reply, nil
+	})
+	run(t, a, nil, func(t *testing.T, h *Holder) {
+		if err := h.WaitFirst(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		var held []uint64
+		for _, req := range a.requests() {
+			held = append(held, req.HeldRevision)
+		}
+		if !slices.Equal(held, []uint64{0, 1, 2, 3}) {
+			t.Fatalf("asked at once with held revisions %v", held)
+		}
+		if _, ok := h.ContractByKey([32]byte{3}); !ok || len(h.Contracts()) != 1 {
+			t.Fatalf("contracts %v", h.Contracts())
+		}
+	})
+}
+
+func TestPartGivesNoLease(t *testing.T) {
+	a := &fakeAsker{}
+	a.set(func(ctx context.Context, req *pb.LeaseRequest) (*pb.LeaseReply, error) {
+		a.set(silence)
+		return &pb.LeaseReply{Nonce: req.Nonce, Revision: 3, UpTo: 1, Partial: true, LeaseMs: 3000}, nil
+	})
+	run(t, a, nil, func(t *testing.T, h *Holder) {
+		time.Sleep(500 * time.Millisecond)
+		if _, _, ok := h.Lease(); ok {
+			t.Fatal("a part of the configuration gave a lease")
+		}
+	})
+}
+
+// The loss is told when the lease ends, also while a request is under way.
+func TestHookTellsWonAndLost(t *testing.T) {
+	a := &fakeAsker{}
+	a.set(evidence(1))
+	events := &leaseEvents{}
+	run(t, a, events.note, func(t *testing.T, h *Holder) {
+		synctest.Wait()
+		a.set(silence)
+		time.Sleep(testLease + DefaultPoll)
+		synctest.Wait()
+		_, until, ok := h.Lease()
+		held, at := events.all()
+		if ok || !slices.Equal(held, []bool{true, false}) || at[1].Before(until) || at[1].Sub(until) > time.Millisecond {
+			t.Fatalf("the lease ended at %v; told %v at %v", until, held, at)
+		}
+		a.set(evidence(1))
+		time.Sleep(2 * time.Second)
+		if held, _ := events.all(); !slices.Equal(held, []bool{true, false, true}) {
+			t.Fatalf("told %v", held)
+		}
+	})
+}
+
+// leaseEvents records what the hook is told, and when.
+type leaseEvents struct {
+	mu   sync.Mutex
+	held []bool
+	at   []time.Time
+}
+
+func (e *leaseEvents) note(held bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held = append(e.held, held)
+	e.at = append(e.at, time.Now())
+}
+
+func (e *leaseEvents) all() ([]bool, []time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.held), slices.Clone(e.at)
+}
+
+func TestFailureIsRetriedSoon(t *testing.T) {
+	a := &fakeAsker{}
+	a.set(func(context.Context, *pb.LeaseRequest) (*pb.LeaseReply, error) { return nil, errors.New("no leader") })
+	run(t, a, nil, func(t *testing.T, h *Holder) {
+		time.Sleep(time.Second)
+		if n := len(a.requests()); n < 8 || n > 15 {
+			t.Fatalf("%d requests in a second", n)
+		}
+	})
+}
+
+func TestKeyMovesBetweenCustomersAndDeletion(t *testing.T) {
+	tab := newTable()
+	apply := func(revision uint64, contracts ...*pb.Contract) {
+		if err := tab.apply(&pb.LeaseReply{Revision: revision, Contracts: contracts}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	apply(2, contract("harga", 1, 1), contract("batangas", 2, 2))
+	// harga gives key 1 up and batangas takes it, in one reply.
+	apply(4, contract("batangas", 4, 1), contract("harga", 3, 3))
+	if k, ok := tab.contractByKey([32]byte{1}); !ok || k.Customer != "batangas" {
+		t.Fatalf("key 1 belongs to %v", k)
+	}
+	deleted := contract("batangas", 5, 1)
+	deleted.Deleted = true
+	apply(5, deleted)
+	if _, ok := tab.contractByKey([32]byte{1}); ok || len(tab.contracts()) != 1 {
+		t.Fatal("a deleted contract is still found")
+	}
+	apply(5, contract("harga", 2, 9))
+	if _, ok := tab.contractByKey([32]byte{9}); ok {
+		t.Fatal("an older version replaced a newer one")
+	}
+}
+
+func BenchmarkRequestPath(b *testing.B) {
+	a := &fakeAsker{}
+	a.set(evidence(1, contract("harga", 1, 1)))
+	h := newHolder(a, nil)
+	if _, err := h.ask(b.Context()); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			if _, _, ok := h.Lease(); !ok {
+				if _, err := h.ask(context.Background()); err != nil {
+					b.Error(err)
+				}
+			}
+			if _, ok := h.ContractByKey([32]byte{1}); !ok {
+				b.Error("no contract")
+			}
+		}
+	})
+}
--- a/internal/configlease/table.go
+++ b/internal/configlease/table.go
@@ -55,7 +55,8 @@
 	})
 }
 
-// apply takes the objects of a reply and moves to its revision, never back.
+// apply takes the objects of a reply and moves to its revision, never back:
+// accepted revisions don't fall, so a lower one is no evidence of this log.
 func (t *table) apply(reply *pb.LeaseReply) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -63,8 +64,8 @@
 	if reply.Partial {
 		to = reply.UpTo
 	}
-	if to < t.held || (reply.Partial && to == t.held) {
-		return errors.New("the reply makes no progress from the held revision")
+	if to < t.held {
+		return errors.New("the evidence is for a lower revision than the one held")
 	}
 	// Old keys leave before new ones enter, since a key may move from one
 	// customer to another within one reply.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
 
@@ -152,7 +153,7 @@
 		}
 		f.elect("b")
 		f.setCut("b", true)
-		none := newClient(ClientConfig{Replicas: func() []string { return nil }, Logger: quietLogger(), Scope: f.scope()}, link{f.net, "r2"})
+		none := newClient(ClientConfig{Replicas: func() []string { return nil }, Logger: quietLogger(), Scope: tally.NoopScope}, link{f.net, "r2"})
 		if _, err := none.Claim(within(t, time.Second), claim); err == nil || IsUnknown(err) {
 			t.Fatalf("a claim without any replica: %v", err)
 		}
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -25,6 +25,8 @@
 const (
 	fakePeriod = 500 * time.Millisecond
 	fakeCommit = 2 * time.Millisecond
+	// memNetDelay is what a message takes without faults.
+	memNetDelay = time.Millisecond
 )
 
 // fakeCluster is a log in memory with a leader that the test sets. Quorum and
@@ -50,6 +52,8 @@
 	periodEnd time.Time
 	// loseAnswer makes the next proposal commit without an answer.
 	loseAnswer bool
+	// afterRead runs at the end of each confirmed read-index round.
+	afterRead func()
 }
 
 func newFakeCluster(ids ...string) *fakeCluster {
@@ -123,12 +127,18 @@
 func (n *fakeLog) ReadIndex(ctx context.Context) (replica.Position, error) {
 	time.Sleep(fakeCommit)
 	n.cluster.mu.Lock()
-	if n.leads() {
-		defer n.cluster.mu.Unlock()
+	leads := n.leads()
+	if leads {
 		n.catchUp()
-		return replica.Position{Term: n.cluster.term, Index: uint64(n.applied)}, nil
 	}
+	at := replica.Position{Term: n.cluster.term, Index: uint64(n.applied)}
 	n.cluster.mu.Unlock()
+	if leads {
+		if n.afterRead != nil {
+			n.afterRead()
+		}
+		return at, nil
+	}
 	<-ctx.Done()
 	return replica.Position{}, ctx.Err()
 }
@@ -169,14 +179,14 @@
 	mu       sync.Mutex
 	handlers map[string]handlers
 	cut      map[[2]string]bool
-	calls    map[string]int
+	delay    map[[2]string]time.Duration
 }
 
 func newMemNet() *memNet {
 	return &memNet{
 		handlers: map[string]handlers{},
 		cut:      map[[2]string]bool{},
-		calls:    map[string]int{},
+		delay:    map[[2]string]time.Duration{},
 	}
 }
 
@@ -187,10 +197,24 @@
 	n.cut[[2]string{from, to}] = cut
 }
 
-func (n *memNet) isCut(from, to string) bool {
+// setDelay slows one direction.
+func (n *memNet) setDelay(from, to string, d time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut[[2]string{from, to}]
+	n.delay[[2]string{from, to}] = d
+}
+
+// carry returns false if ctx ends before the message arrives.
+func (n *memNet) carry(ctx context.Context, from, to string) bool {
+	n.mu.Lock()
+	d := memNetDelay + n.delay[[2]string{from, to}]
+	cut := n.cut[[2]string{from, to}]
+	n.mu.Unlock()
+	if !cut && sleep(ctx, d) {
+		return true
+	}
+	<-ctx.Done()
+	return false
 }
 
 // link is one process's way into the net.
@@ -200,21 +224,17 @@
 }
 
 func (l link) Call(ctx context.Context, addr, method string, req, resp proto.Message) error {
-	if l.net.isCut(l.from, addr) {
-		<-ctx.Done()
+	if !l.net.carry(ctx, l.from, addr) {
 		return ctx.Err()
 	}
-	time.Sleep(time.Millisecond)
 	l.net.mu.Lock()
 	h := l.net.handlers[addr]
-	l.net.calls[addr+" "+method]++
 	l.net.mu.Unlock()
 	if h == nil {
 		return fmt.Errorf("dial %s: %w", addr, transport.ErrNotSent)
 	}
 	out, err := handle(ctx, h, proto.Clone(req))
-	if l.net.isCut(addr, l.from) {
-		<-ctx.Done()
+	if !l.net.carry(ctx, addr, l.from) {
 		return ctx.Err()
 	}
 	if err != nil {
@@ -269,14 +289,30 @@
 func (f *fleetInMemory) replicas() []string { return []string{"a", "b", "c"} }
 
 func (f *fleetInMemory) client(t *testing.T, from string) *Client {
-	c := newClient(ClientConfig{
+	c := f.newClient(from)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// newClient makes a client that the caller closes.
+func (f *fleetInMemory) newClient(from string) *Client {
+	return newClient(ClientConfig{
 		Replicas: f.replicas,
 		Relays:   func() []string { return []string{"relay"} },
 		Logger:   quietLogger(),
 		Scope:    tally.NoopScope,
 	}, link{f.net, from})
-	t.Cleanup(c.Close)
-	return c
 }
 
-func (f *fleetInMemory) scope() tally.Scope { return tally.NoopScope }
+func (c *fakeCluster) currentLeader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
+func (n *memNet) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cut)
+	clear(n.delay)
+}
