--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// known returns the leader last seen, unless it failed lately.
+func (r *route) known() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Now().Before(r.avoided[r.leader]) {
+		return ""
+	}
+	return r.leader
+}
+
 func (r *route) addresses() []string {
 	replicas, relays := slices.Clone(r.replicas()), slices.Clone(r.relays())
 	shuffle(replicas)
@@ -128,16 +138,25 @@
 }
 
 // once tries a command at one address after another, as long as the tries are
-// known to have had no effect. Any other failure ends the pass.
+// known to have had no effect. Any other failure ends the pass. While the
+// leader is known, no other address is looked up.
 func (r *route) once(ctx context.Context, method string, req, resp proto.Message) error {
 	err := errNoAddress(method)
+	leader := r.known()
+	if leader != "" {
+		err = r.try(ctx, leader, method, req, resp)
+		if err == nil || !nothingHappened(err) {
+			return err
+		}
+	}
 	for _, addr := range r.addresses() {
 		if ctx.Err() != nil {
 			return err
 		}
-		tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
-		err = r.call(tryCtx, addr, method, req, resp)
-		cancel()
+		if addr == leader {
+			continue
+		}
+		err = r.try(ctx, addr, method, req, resp)
 		if err == nil || !nothingHappened(err) {
 			return err
 		}
@@ -145,6 +164,13 @@
 	return err
 }
 
+// try makes one call of a bounded time.
+func (r *route) try(ctx context.Context, addr, method string, req, resp proto.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	return r.call(ctx, addr, method, req, resp)
+}
+
 func errNoAddress(step string) error {
 	return errs.Wrap(transport.ErrNotSent, step, "")
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -19,8 +19,11 @@
 // logError gives a replica.Log error the status that callers act on. Whatever
 // isn't known to have had no effect counts as unknown.
 func logError(err error) error {
-	if errors.Is(err, replica.ErrNotLeader) {
+	switch {
+	case errors.Is(err, replica.ErrNotLeader):
 		return notLeader(err.Error())
+	case errors.Is(err, replica.ErrOverloaded):
+		return overloaded(err.Error())
 	}
 	return outcomeUnknown(err.Error())
 }
--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -39,7 +39,7 @@
 	m.revision++
 	c = proto.CloneOf(c)
 	setRevision(c, m.revision)
-	m.objects.put(key, newObject(c, m.nowMs))
+	m.objects.put(key, newObject(c, m.nowMs, e.Position))
 	m.history.add(&pb.ChangeRecord{
 		Revision:    m.revision,
 		Operator:    c.Operator,
--- a/internal/state/objects.go
+++ b/internal/state/objects.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/replica"
 )
 
 type objectKind uint8
@@ -30,14 +31,16 @@
 type object struct {
 	operator string
 	timeMs   int64
+	at       replica.Position
 	contract *pb.Contract
 	intent   *pb.TargetIntent
 }
 
-func newObject(c *pb.ConfigChange, timeMs int64) *object {
+func newObject(c *pb.ConfigChange, timeMs int64, at replica.Position) *object {
 	return &object{
 		operator: c.Operator,
 		timeMs:   timeMs,
+		at:       at,
 		contract: c.GetContract(),
 		intent:   c.GetIntent(),
 	}
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/replica"
 )
 
 // Delta is the part of the configuration that changed after a revision.
@@ -59,15 +60,16 @@
 	return out
 }
 
-// Intent returns the intent for a target, nil if there is none.
-func (m *Machine) Intent(target string) *pb.TargetIntent {
+// Intent returns the intent for a target, nil if there is none, and the log
+// position of the change that made it.
+func (m *Machine) Intent(target string) (*pb.TargetIntent, replica.Position) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	o := m.objects.get(objectKey{kindIntent, target})
 	if o == nil {
-		return nil
+		return nil, replica.Position{}
 	}
-	return o.intent
+	return o.intent, o.at
 }
 
 // History returns up to limit accepted changes, newest first. The messages
--- a/internal/state/restore.go
+++ b/internal/state/restore.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/replica"
 )
 
 // maxRecordBytes bounds one snapshot record: a full block of the largest
@@ -79,6 +80,7 @@
 	o := &object{
 		operator: r.Operator,
 		timeMs:   r.TimeUnixMs,
+		at:       replica.Position{Term: r.Term, Index: r.Index},
 		contract: r.GetContract(),
 		intent:   r.GetIntent(),
 	}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -73,7 +73,12 @@
 			continue
 		}
 		o := m.objects.get(item.key)
-		r := &pb.ObjectRecord{Operator: o.operator, TimeUnixMs: o.timeMs}
+		r := &pb.ObjectRecord{
+			Operator:   o.operator,
+			TimeUnixMs: o.timeMs,
+			Term:       o.at.Term,
+			Index:      o.at.Index,
+		}
 		if o.contract != nil {
 			r.Object = &pb.ObjectRecord_Contract{Contract: o.contract}
 		} else {
