--- /dev/null
+++ b/internal/controller/orders_test.go
@@ -0,0 +1,344 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/replica"
+	"github.com/wigeonwood/wigeonwood/internal/target"
+)
+
+func init() {
+	// A fixed seed gives every run the same verdict; -rapid.seed overrides it.
+	if err := flag.Set("rapid.seed", "20261203"); err != nil {
+		panic(err)
+	}
+}
+
+// fakeLeader is a process that believes to lead a term until its period ends.
+type fakeLeader struct {
+	mu    sync.Mutex
+	term  uint64
+	until time.Time
+	// renews makes the period slide on.
+	renews bool
+}
+
+const fakePeriod = 600 * time.Millisecond
+
+func (l *fakeLeader) ActUntil() (time.Time, uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.renews {
+		l.until = time.Now().Add(fakePeriod)
+	}
+	return l.until, l.term, l.term != 0 && time.Now().Before(l.until)
+}
+
+func (l *fakeLeader) lead(term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.term, l.renews = term, true
+}
+
+// cutOff lets the period run out.
+func (l *fakeLeader) cutOff() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.renews = false
+}
+
+// fakeIntents is one replica's committed intent for the one target.
+type fakeIntents struct {
+	mu     sync.Mutex
+	intent *pb.TargetIntent
+	at     replica.Position
+}
+
+func (f *fakeIntents) set(revision uint64, desired pb.DesiredState, at replica.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.intent = &pb.TargetIntent{Target: "e1", Revision: revision, Desired: desired}
+	f.at = at
+}
+
+func (f *fakeIntents) Intents(string) []*pb.TargetIntent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.intent == nil {
+		return nil
+	}
+	return []*pb.TargetIntent{f.intent}
+}
+
+func (f *fakeIntents) Intent(string) (*pb.TargetIntent, replica.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.intent, f.at
+}
+
+type fakeView struct {
+	fleet.View
+	status *pb.TargetStatus
+}
+
+func (v fakeView) Target(string) *pb.TargetStatus { return v.status }
+
+// fakeTarget takes orders; late ones arrive after the sender gave them up, as
+// those of a process do that was frozen between its check and its send.
+type fakeTarget struct {
+	checks bool
+
+	mu     sync.Mutex
+	state  target.State
+	taken  []target.Order
+	reads  int
+	late   time.Duration
+	refuse bool
+	wg     sync.WaitGroup
+}
+
+func (f *fakeTarget) State(context.Context, string) (*target.State, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	s := f.state
+	return &s, nil
+}
+
+func (f *fakeTarget) Order(ctx context.Context, _ string, order target.Order) error {
+	f.mu.Lock()
+	late, refuse := f.late, f.refuse
+	f.late = 0
+	f.mu.Unlock()
+	if refuse {
+		return errors.New("refused")
+	}
+	if late > 0 {
+		f.wg.Go(func() {
+			time.Sleep(late)
+			_ = f.take(order)
+		})
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return f.take(order)
+}
+
+func (f *fakeTarget) take(order target.Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.checks && order.Fencing.Less(f.state.Fencing) {
+		return &target.FencedError{Newer: f.state.Fencing}
+	}
+	f.state.Desired, f.state.Fencing = order.Desired, order.Fencing
+	f.taken = append(f.taken, order)
+	return nil
+}
+
+func (f *fakeTarget) desired() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Desired
+}
+
+func (f *fakeTarget) orders() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.taken)
+}
+
+func (f *fakeTarget) makeLate(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.late = d
+}
+
+// process is one replica with its reconciler.
+type process struct {
+	leader  fakeLeader
+	intents fakeIntents
+}
+
+// world is two replicas before one target.
+type world struct {
+	old, next process
+	target    *fakeTarget
+}
+
+func runWorld(t *testing.T, checks bool, test func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{target: &fakeTarget{checks: checks, state: target.State{Desired: "serve"}}}
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		for _, p := range []*process{&w.old, &w.next} {
+			o := NewOrders(OrdersConfig{
+				Leader:  &p.leader,
+				Intents: &p.intents,
+				View:    fakeView{status: &pb.TargetStatus{Id: "e1", Addr: "e1", Incarnation: 1, ChecksFencing: checks}},
+				Targets: w.target,
+				Logger:  quietLogger(),
+				Scope:   tally.NoopScope,
+			})
+			wg.Go(func() { o.Run(ctx) })
+		}
+		test(w)
+		cancel()
+		wg.Wait()
+		w.target.wg.Wait()
+	})
+}
+
+const (
+	serving  = pb.DesiredState_DESIRED_STATE_SERVE
+	draining = pb.DesiredState_DESIRED_STATE_DRAIN
+	stopping = pb.DesiredState_DESIRED_STATE_STOP
+)
+
+func TestOrderIsSentOnceAndReadBack(t *testing.T) {
+	runWorld(t, false, func(w *world) {
+		w.old.leader.lead(1)
+		w.old.intents.set(1, draining, replica.Position{Term: 1, Index: 5})
+		time.Sleep(DefaultOrderWait)
+		if n := w.target.orders(); n != 0 {
+			t.Fatal("a new leader sent an order before its wait was over")
+		}
+		time.Sleep(5 * time.Second)
+		if w.target.desired() != "drain" || w.target.orders() != 1 {
+			t.Fatalf("%q after %d orders", w.target.desired(), w.target.orders())
+		}
+		w.target.mu.Lock()
+		w.target.state.Desired = "serve"
+		w.target.mu.Unlock()
+		time.Sleep(resyncEvery + 5*time.Second)
+		if w.target.desired() != "drain" {
+			t.Fatal("a target that strayed was not brought back")
+		}
+	})
+}
+
+// A cut-off leader sends nothing once its period is over, though its own state
+// still asks for orders; the next leader's orders stand.
+func TestCutOffLeaderSendsNothing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("target checks %v", checks), func(t *testing.T) {
+			runWorld(t, checks, func(w *world) {
+				w.old.leader.lead(1)
+				time.Sleep(2 * DefaultOrderWait)
+				w.old.leader.cutOff()
+				time.Sleep(fakePeriod)
+				w.old.intents.set(1, draining, replica.Position{Term: 1, Index: 5})
+				time.Sleep(time.Minute)
+				if n := w.target.orders(); n != 0 {
+					t.Fatalf("%d orders outside the period", n)
+				}
+				w.next.leader.lead(2)
+				for i, desired := range []pb.DesiredState{draining, serving, stopping} {
+					w.next.intents.set(uint64(i+1), desired, replica.Position{Term: 2, Index: uint64(6 + i)})
+					time.Sleep(2 * DefaultOrderWait)
+					if got := w.target.desired(); got != desiredNames[desired] {
+						t.Fatalf("the target is at %q, the intent is %v", got, desired)
+					}
+				}
+			})
+		})
+	}
+}
+
+// An order of the old leader that arrives after a newer one is refused by a
+// target that checks. One that doesn't check takes it, and is brought back at
+// the next reading.
+func TestOrderFrozenBetweenCheckAndSend(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("target checks %v", checks), func(t *testing.T) {
+			runWorld(t, checks, func(w *world) {
+				w.old.leader.lead(1)
+				time.Sleep(2 * DefaultOrderWait)
+				w.target.makeLate(20 * time.Second)
+				w.old.intents.set(1, stopping, replica.Position{Term: 1, Index: 5})
+				time.Sleep(scanEvery + 50*time.Millisecond)
+				w.old.leader.cutOff()
+				w.next.leader.lead(2)
+				w.next.intents.set(2, draining, replica.Position{Term: 2, Index: 6})
+				time.Sleep(19 * time.Second)
+				if got := w.target.desired(); got != "drain" {
+					t.Fatalf("before the late order: %q", got)
+				}
+				time.Sleep(time.Second)
+				synctest.Wait()
+				if got, want := w.target.desired(), map[bool]string{true: "drain", false: "stop"}[checks]; got != want {
+					t.Fatalf("after the late order: %q, want %q", got, want)
+				}
+				time.Sleep(resyncEvery)
+				if got := w.target.desired(); got != "drain" {
+					t.Fatalf("one reading later: %q", got)
+				}
+			})
+		})
+	}
+}
+
+// Leaders change, intents change and orders arrive late at random; one resync
+// after the last fault the target is as the last committed intent says, and a
+// target that checks never went back to an older order.
+func TestOrdersConverge(t *testing.T) {
+	type step struct {
+		lead, late bool
+		desired    pb.DesiredState
+		pause      time.Duration
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		checks := rapid.Bool().Draw(rt, "checks")
+		plan := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			return step{
+				lead:    rapid.Bool().Draw(t, "change of leader"),
+				late:    rapid.Bool().Draw(t, "late order"),
+				desired: rapid.SampledFrom([]pb.DesiredState{serving, draining, stopping}).Draw(t, "desired"),
+				pause:   time.Duration(rapid.IntRange(0, 9000).Draw(t, "pause")) * time.Millisecond,
+			}
+		}), 1, 12).Draw(rt, "plan")
+		problem := ""
+		runWorld(t, checks, func(w *world) {
+			leads, other := &w.old, &w.next
+			leads.leader.lead(1)
+			term := uint64(1)
+			for i, s := range plan {
+				if s.lead {
+					leads.leader.cutOff()
+					time.Sleep(fakePeriod)
+					leads, other = other, leads
+					term++
+					leads.leader.lead(term)
+				}
+				if s.late {
+					w.target.makeLate(10 * time.Second)
+				}
+				leads.intents.set(uint64(i+1), s.desired, replica.Position{Term: term, Index: uint64(i + 1)})
+				time.Sleep(s.pause)
+			}
+			time.Sleep(10*time.Second + resyncEvery + DefaultOrderWait + backoffMax)
+			if want := desiredNames[plan[len(plan)-1].desired]; w.target.desired() != want {
+				problem = fmt.Sprintf("the target is at %q, the intent is %q", w.target.desired(), want)
+			}
+			for i, order := range w.target.taken {
+				if checks && i > 0 && order.Fencing.Less(w.target.taken[i-1].Fencing) {
+					problem = fmt.Sprintf("order %+v taken after %+v", order, w.target.taken[i-1])
+				}
+			}
+		})
+		if problem != "" {
+			rt.Fatal(problem)
+		}
+	})
+}
--- /dev/null
+++ b/internal/controller/queue_test.go
@@ -0,0 +1,130 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func quietLogger() *log.Logger {
+	return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+}
+
+// recorder notes when each key was passed over.
+type recorder struct {
+	mu      sync.Mutex
+	running map[string]bool
+	overlap bool
+	at      map[string][]time.Duration
+	start   time.Time
+	pass    func(key string, n int) (Result, error)
+}
+
+func (r *recorder) Reconcile(_ context.Context, key string) (Result, error) {
+	r.mu.Lock()
+	r.overlap = r.overlap || r.running[key]
+	r.running[key] = true
+	r.at[key] = append(r.at[key], time.Since(r.start))
+	n := len(r.at[key])
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.running[key] = false
+	}()
+	return r.pass(key, n)
+}
+
+func (r *recorder) times(key string) []time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.at[key]
+}
+
+func runQueue(t *testing.T, pass func(key string, n int) (Result, error), test func(q *Queue, r *recorder)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &recorder{running: map[string]bool{}, at: map[string][]time.Duration{}, start: time.Now(), pass: pass}
+		q := NewQueue(QueueConfig{Name: "test", Reconciler: r, Workers: 4, PerSecond: 10, Burst: 2, Logger: quietLogger(), Scope: tally.NoopScope})
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			q.Run(ctx)
+			close(ended)
+		}()
+		defer func() {
+			cancel()
+			<-ended
+		}()
+		test(q, r)
+	})
+}
+
+func TestFailuresBackOff(t *testing.T) {
+	runQueue(t, func(_ string, n int) (Result, error) {
+		if n < 5 {
+			return Result{}, errors.New("not yet")
+		}
+		return Result{}, nil
+	}, func(q *Queue, r *recorder) {
+		q.Add("k")
+		time.Sleep(10 * time.Millisecond)
+		q.Add("k")
+		time.Sleep(time.Minute)
+		want := []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond, 3 * time.Second}
+		got := r.times("k")
+		if len(got) != len(want) {
+			t.Fatalf("passes at %v", got)
+		}
+		for i := range want {
+			if got[i] != want[i] {
+				t.Fatalf("passes at %v, want %v", got, want)
+			}
+		}
+		if len(q.items) != 0 {
+			t.Fatal("a key that is done is still held")
+		}
+	})
+}
+
+func TestOnePassAtATimeForEachKey(t *testing.T) {
+	runQueue(t, func(string, int) (Result, error) {
+		time.Sleep(time.Second)
+		return Result{}, nil
+	}, func(q *Queue, r *recorder) {
+		for range 5 {
+			q.Add("k")
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Minute)
+		if r.overlap || len(r.times("k")) != 2 {
+			t.Fatalf("overlap %v, passes at %v", r.overlap, r.times("k"))
+		}
+	})
+}
+
+func TestRateIsBounded(t *testing.T) {
+	runQueue(t, func(string, int) (Result, error) { return Result{}, nil }, func(q *Queue, r *recorder) {
+		for i := range 50 {
+			q.Add(string(rune('a' + i)))
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if n := len(r.at); n < 10 || n > 12 {
+			t.Fatalf("%d passes in the first second", n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/target/client_test.go
@@ -0,0 +1,108 @@
+package target
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func serve(t *testing.T, h http.HandlerFunc) (addr string) {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func TestOrderAndState(t *testing.T) {
+	var state State
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.Method + " " + r.URL.Path {
+		case "PUT /control/v1/order":
+			order := Order{}
+			if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+				t.Error(err)
+			}
+			if order.Fencing.Less(state.Fencing) {
+				w.WriteHeader(http.StatusConflict)
+				break
+			}
+			state = State{Desired: order.Desired, Models: order.Models, Role: order.Role, Fencing: order.Fencing, Incarnation: 7}
+		case "GET /control/v1/state":
+		default:
+			http.NotFound(w, r)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(state)
+	})
+	c := NewClient()
+	newer := Order{Operation: "2", Desired: "drain", Models: []string{"m"}, Fencing: Fencing{Term: 2, Index: 1}}
+	if err := c.Order(t.Context(), addr, newer); err != nil {
+		t.Fatal(err)
+	}
+	err := c.Order(t.Context(), addr, Order{Operation: "1", Desired: "serve", Fencing: Fencing{Term: 1, Index: 9}})
+	fenced := &FencedError{}
+	if !errors.As(err, &fenced) || fenced.Newer != newer.Fencing {
+		t.Fatalf("an older order: %v", err)
+	}
+	got, err := c.State(t.Context(), addr)
+	if err != nil || got.Desired != "drain" || got.Fencing != newer.Fencing || got.Incarnation != 7 {
+		t.Fatalf("state %+v, %v", got, err)
+	}
+}
+
+func TestErrorsNameStepAndPeer(t *testing.T) {
+	addr := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			_, _ = io.WriteString(w, "not JSON")
+			return
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	c := NewClient()
+	if _, err := c.State(t.Context(), addr); errs.Step(err) != StepState || errs.Peer(err) != addr {
+		t.Fatalf("state: %v", err)
+	}
+	if err := c.Order(t.Context(), addr, Order{}); errs.Step(err) != StepOrder || errs.Peer(err) != addr {
+		t.Fatalf("order: %v", err)
+	}
+}
+
+// A target that takes the order and closes is not sent it a second time.
+func TestOrderIsSentOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var orders atomic.Int32
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Method == http.MethodPut && orders.Add(1) > 0 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "{}")
+	})}
+	go func() { _ = s.Serve(l) }()
+	defer s.Close()
+	c := NewClient()
+	if _, err := c.State(t.Context(), l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Order(t.Context(), l.Addr().String(), Order{}); err == nil {
+		t.Fatal("a closed connection counted as an answer")
+	}
+	if n := orders.Load(); n != 1 {
+		t.Fatalf("the order was sent %d times", n)
+	}
+}
