--- a/internal/controller/orders_test.go
+++ b/internal/controller/orders_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"sync"
@@ -100,12 +99,13 @@
 type fakeTarget struct {
 	checks bool
 
-	mu     sync.Mutex
-	state  target.State
-	taken  []target.Order
-	reads  int
-	late   time.Duration
-	refuse bool
+	mu    sync.Mutex
+	state target.State
+	taken []target.Order
+	reads int
+	late  time.Duration
+	// gaveUp is how long the sender waited for the last late order.
+	gaveUp time.Duration
 	wg     sync.WaitGroup
 }
 
@@ -119,18 +119,19 @@
 
 func (f *fakeTarget) Order(ctx context.Context, _ string, order target.Order) error {
 	f.mu.Lock()
-	late, refuse := f.late, f.refuse
+	late := f.late
 	f.late = 0
 	f.mu.Unlock()
-	if refuse {
-		return errors.New("refused")
-	}
 	if late > 0 {
 		f.wg.Go(func() {
 			time.Sleep(late)
 			_ = f.take(order)
 		})
+		start := time.Now()
 		<-ctx.Done()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.gaveUp = time.Since(start)
 		return ctx.Err()
 	}
 	return f.take(order)
@@ -177,7 +178,7 @@
 	target    *fakeTarget
 }
 
-func runWorld(t *testing.T, checks bool, test func(w *world)) {
+func runWorld(t *testing.T, checks bool, test func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{target: &fakeTarget{checks: checks, state: target.State{Desired: "serve"}}}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -193,10 +194,12 @@
 			})
 			wg.Go(func() { o.Run(ctx) })
 		}
-		test(w)
-		cancel()
-		wg.Wait()
-		w.target.wg.Wait()
+		defer func() {
+			cancel()
+			wg.Wait()
+			w.target.wg.Wait()
+		}()
+		test(t, w)
 	})
 }
 
@@ -207,7 +210,7 @@
 )
 
 func TestOrderIsSentOnceAndReadBack(t *testing.T) {
-	runWorld(t, false, func(w *world) {
+	runWorld(t, false, func(t *testing.T, w *world) {
 		w.old.leader.lead(1)
 		w.old.intents.set(1, draining, replica.Position{Term: 1, Index: 5})
 		time.Sleep(DefaultOrderWait)
@@ -233,7 +236,7 @@
 func TestCutOffLeaderSendsNothing(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("target checks %v", checks), func(t *testing.T) {
-			runWorld(t, checks, func(w *world) {
+			runWorld(t, checks, func(t *testing.T, w *world) {
 				w.old.leader.lead(1)
 				time.Sleep(2 * DefaultOrderWait)
 				w.old.leader.cutOff()
@@ -262,7 +265,7 @@
 func TestOrderFrozenBetweenCheckAndSend(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("target checks %v", checks), func(t *testing.T) {
-			runWorld(t, checks, func(w *world) {
+			runWorld(t, checks, func(t *testing.T, w *world) {
 				w.old.leader.lead(1)
 				time.Sleep(2 * DefaultOrderWait)
 				w.target.makeLate(20 * time.Second)
@@ -272,6 +275,9 @@
 				w.next.leader.lead(2)
 				w.next.intents.set(2, draining, replica.Position{Term: 2, Index: 6})
 				time.Sleep(19 * time.Second)
+				if w.target.gaveUp > fakePeriod {
+					t.Fatalf("the order was given up after %v, the period ends after %v", w.target.gaveUp, fakePeriod)
+				}
 				if got := w.target.desired(); got != "drain" {
 					t.Fatalf("before the late order: %q", got)
 				}
@@ -289,6 +295,37 @@
 	}
 }
 
+// A target that checks gets the order's number though it is as desired.
+func TestNumberIsRaised(t *testing.T) {
+	runWorld(t, true, func(t *testing.T, w *world) {
+		w.old.leader.lead(1)
+		w.old.intents.set(1, serving, replica.Position{Term: 1, Index: 5})
+		time.Sleep(2 * DefaultOrderWait)
+		w.target.mu.Lock()
+		defer w.target.mu.Unlock()
+		if got := w.target.state.Fencing; got.Index != 5 {
+			t.Fatalf("the target's number is %v", got)
+		}
+	})
+}
+
+// A leader that comes back reads targets that it saw as desired before.
+func TestReturningLeaderReadsBack(t *testing.T) {
+	runWorld(t, false, func(t *testing.T, w *world) {
+		w.old.leader.lead(1)
+		w.old.intents.set(1, draining, replica.Position{Term: 1, Index: 5})
+		time.Sleep(3 * DefaultOrderWait)
+		w.target.mu.Lock()
+		w.target.state.Desired = "stop"
+		w.target.mu.Unlock()
+		w.old.leader.lead(3)
+		time.Sleep(DefaultOrderWait + time.Second)
+		if got := w.target.desired(); got != "drain" {
+			t.Fatalf("after the wait of the new term: %q", got)
+		}
+	})
+}
+
 // Leaders change, intents change and orders arrive late at random; one resync
 // after the last fault the target is as the last committed intent says, and a
 // target that checks never went back to an older order.
@@ -309,7 +346,7 @@
 			}
 		}), 1, 12).Draw(rt, "plan")
 		problem := ""
-		runWorld(t, checks, func(w *world) {
+		runWorld(t, checks, func(_ *testing.T, w *world) {
 			leads, other := &w.old, &w.next
 			leads.leader.lead(1)
 			term := uint64(1)
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -75,8 +75,8 @@
 	return fmt.Sprintf("the target holds an order of term %d, index %d", e.Newer.Term, e.Newer.Index)
 }
 
-// Client calls targets. Each call uses a connection of its own: a kept one
-// could be silent, and net/http would send a PUT again on a second one.
+// Client calls targets. Each call uses a connection of its own, since a kept
+// one could have gone silent.
 type Client struct {
 	http *http.Client
 }
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -79,30 +79,26 @@
 	}
 }
 
-// A target that takes the order and closes is not sent it a second time.
-func TestOrderIsSentOnce(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var orders atomic.Int32
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		if r.Method == http.MethodPut && orders.Add(1) > 0 {
-			panic(http.ErrAbortHandler)
-		}
+// A call never waits on a kept connection, which could have gone silent.
+func TestEachCallUsesItsOwnConnection(t *testing.T) {
+	var conns atomic.Int32
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "{}")
-	})}
-	go func() { _ = s.Serve(l) }()
+	}))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	s.Start()
 	defer s.Close()
 	c := NewClient()
-	if _, err := c.State(t.Context(), l.Addr().String()); err != nil {
-		t.Fatal(err)
-	}
-	if err := c.Order(t.Context(), l.Addr().String(), Order{}); err == nil {
-		t.Fatal("a closed connection counted as an answer")
+	for range 3 {
+		if err := c.Order(t.Context(), s.Listener.Addr().String(), Order{}); err != nil {
+			t.Fatal(err)
+		}
 	}
-	if n := orders.Load(); n != 1 {
-		t.Fatalf("the order was sent %d times", n)
+	if n := conns.Load(); n != 3 {
+		t.Fatalf("%d connections for 3 calls", n)
 	}
 }
