--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,166 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/placement"
+)
+
+// Scheduler places requests on targets and admits them.
+type Scheduler struct {
+	cfg     Config
+	metrics *metrics
+	held    *places
+
+	mu     sync.Mutex
+	layout *layout
+	groups map[string]*group
+	// recent remembers where this router's chats were placed, as hints for a
+	// home that has lost its directory.
+	recent *placement.Directory
+	// absent is since when routers that hold places have been out of view.
+	absent map[routerKey]time.Time
+
+	stop     chan struct{}
+	stopOnce sync.Once
+	done     sync.WaitGroup
+}
+
+var _ filter.Scheduler = (*Scheduler)(nil)
+
+// New makes a scheduler and registers its methods.
+func New(cfg Config) *Scheduler {
+	cfg.setDefaults()
+	s := &Scheduler{
+		cfg:     cfg,
+		metrics: newMetrics(cfg.Scope),
+		held:    newPlaces(),
+		layout:  newLayout(nil, 1),
+		groups:  make(map[string]*group),
+		recent:  placement.NewDirectory(hintDirectorySize),
+		absent:  make(map[routerKey]time.Time),
+		stop:    make(chan struct{}),
+	}
+	s.register()
+	return s
+}
+
+// Run follows the view until Close or the end of ctx.
+func (s *Scheduler) Run(ctx context.Context) {
+	refresh := time.NewTicker(refreshInterval)
+	defer refresh.Stop()
+	confirm := time.NewTicker(s.cfg.ConfirmInterval)
+	defer confirm.Stop()
+	for {
+		s.refresh()
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.stop:
+			return
+		case <-refresh.C:
+		case <-confirm.C:
+			s.confirmAll()
+		}
+	}
+}
+
+// Close ends Run and refuses all that waits here for a place. Close it before
+// the transport server, which waits for running calls.
+func (s *Scheduler) Close() {
+	s.stopOnce.Do(func() {
+		close(s.stop)
+		for _, g := range s.allGroups() {
+			g.end()
+		}
+	})
+	s.done.Wait()
+}
+
+// HomeOf returns the router that admits for a chat's engines, so that callers
+// can be sent straight to it; "" if no target serves the model.
+func (s *Scheduler) HomeOf(model, chat string) string {
+	group := s.currentLayout().group(filter.Demand{Model: model, Chat: chat})
+	if group == "" {
+		return ""
+	}
+	candidates := s.candidates(group)
+	if len(candidates) == 0 {
+		return ""
+	}
+	return candidates[0].id
+}
+
+// refresh takes the targets of the view into the groups.
+func (s *Scheduler) refresh() {
+	s.refreshLayout()
+	alive := s.aliveRouters()
+	for _, g := range s.allGroups() {
+		if opened, _ := g.present(); opened != nil {
+			targets, reports := s.targetsOf(g.name)
+			opened.update(targets, reports, alive)
+			s.metrics.report(opened.stats())
+		}
+	}
+}
+
+func (s *Scheduler) refreshLayout() {
+	targets := s.cfg.View.Targets()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.layout = newLayout(targets, s.layout.engines)
+}
+
+func (s *Scheduler) currentLayout() *layout {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.layout
+}
+
+// group returns the record of a group, nil if there are too many.
+func (s *Scheduler) group(name string) *group {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g, ok := s.groups[name]
+	if !ok && len(s.groups) < maxGroups {
+		g = &group{name: name}
+		s.groups[name] = g
+	}
+	return g
+}
+
+func (s *Scheduler) allGroups() []*group {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*group, 0, len(s.groups))
+	for _, g := range s.groups {
+		all = append(all, g)
+	}
+	return all
+}
+
+// CacheEvents takes the events numbered from, from+1 and so on of an engine's
+// cache and passes them on to the home. It returns resync if earlier ones are
+// missing: the engine should then send placement.EventCleared and all that it
+// holds. Events that the home can't be given are lost; a gap shows it later.
+func (s *Scheduler) CacheEvents(target string, incarnation, from uint64, events []placement.CacheEvent) (resync bool) {
+	name := s.currentLayout().groupOf[target]
+	if name == "" {
+		return false
+	}
+	opened, _ := s.group(name).present()
+	if opened != nil {
+		return opened.cacheEvents(target, incarnation, from, events)
+	}
+	return s.sendCacheEvents(name, &pb.CacheEventsRequest{
+		Target:      target,
+		Incarnation: incarnation,
+		From:        from,
+		Group:       name,
+		Events:      toCacheEvents(events),
+	})
+}
