Claims no longer use up the control budget; absent targets are no unknown models

Cause: every control call counted as a lease. Four callers that file spent 45 KB of claims in 30 s on class lease, the liveness class was refused (23.7 KB), and news of targets no longer spread: whole data sets of targets fell out of the views. Routers then answered 404 unknown_model, a final answer that was wrong. Ruled out: the recovery of a single instance (TestRecovery), announcers stuck at a frozen router, wrong deaths (3 in 30 s, all real). Conclusion: only control.lease is the router's own control traffic; claims are part of the request, and operators' calls are theirs.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -201,12 +201,19 @@
 // Received counts the bytes of a call's answer.
 func (b *Budget) Received(method string, n int) { b.CountReceived(ClassOf(method), n) }
 
+// methodLease is the one control call that a router makes for itself. The
+// others act for callers, as claims do, or for operators.
+const methodLease = "control.lease"
+
 // ClassOf returns the class of a call's method, by its prefix.
 func ClassOf(method string) Class {
+	if method == methodLease {
+		return Lease
+	}
 	prefix, _, _ := strings.Cut(method, ".")
 	switch prefix {
 	case "control":
-		return Lease
+		return Request
 	case "raft":
 		return Replica
 	case "schedule", "limits", "ledger", "forward":
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -68,7 +68,7 @@
 
 func TestClassOf(t *testing.T) {
 	for method, want := range map[string]Class{
-		"control.lease": Lease, "raft.0.step": Replica, "schedule.admit": Request,
+		"control.lease": Lease, "control.submit": Request, "control.query": Request, "raft.0.step": Replica, "schedule.admit": Request,
 		"limits.lend": Request, "report.burn": Report, "hint.cache": Hint, "else": Liveness,
 	} {
 		if got := ClassOf(method); got != want {
--- a/internal/filter/catalog.go
+++ b/internal/filter/catalog.go
@@ -4,24 +4,45 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
+	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
 )
 
-// Catalog refuses models and services that nobody offers.
+// Catalog refuses models and services that nobody offers. A router that has
+// just started doesn't know all targets yet, and a target may be away for a
+// while: what was offered before, or may be, is passed on, so that the caller
+// is told to come back instead.
 type Catalog struct {
-	View fleet.View
+	view    fleet.View
+	started time.Time
+
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+const (
+	// catalogWarmUp is how long after its start a router refuses no name.
+	catalogWarmUp = 10 * time.Second
+	// maxSeenNames bounds the names remembered.
+	maxSeenNames = 4096
+)
+
+// NewCatalog makes the filter of a router that starts now.
+func NewCatalog(view fleet.View) *Catalog {
+	return &Catalog{view: view, started: time.Now(), seen: make(map[string]bool)}
 }
 
 // Name returns the filter's name in specs.
 func (*Catalog) Name() string { return StepCatalog }
 
-// Handle passes requests for what a target offers or the contract names: such
-// a target may only be away for a while.
+// Handle passes requests for what a target offers, offered before, or the
+// contract names.
 func (c *Catalog) Handle(ctx context.Context, x *Exchange, next Next) error {
 	d := x.Demand
 	named := slices.Contains(d.Contract.GetModels(), d.Model) || slices.Contains(d.Contract.GetServices(), d.Service)
-	if named || c.offered(d) {
+	if named || c.known(d) || time.Since(c.started) < catalogWarmUp {
 		return next(ctx, x)
 	}
 	code, message := "unknown_model", "no target here offers the model "+d.Model
@@ -36,9 +57,29 @@
 	})
 }
 
+// known tells whether the model or service is or was offered.
+func (c *Catalog) known(d Demand) bool {
+	name := "model " + d.Model
+	if d.Service != "" {
+		name = "service " + d.Service
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.seen[name] {
+		return true
+	}
+	if !c.offered(d) {
+		return false
+	}
+	if len(c.seen) < maxSeenNames {
+		c.seen[name] = true
+	}
+	return true
+}
+
 // offered tells whether a target in view offers the model or service.
 func (c *Catalog) offered(d Demand) bool {
-	for _, t := range c.View.Targets() {
+	for _, t := range c.view.Targets() {
 		if d.Service != "" && t.GetService() == d.Service {
 			return true
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -59,11 +59,11 @@
 		feeds:     placement.NewFeeds(directory),
 		chooser:   chooser,
 		placer:    placer,
-		targets:  make(map[string]*target),
-		lanes:    make(map[string]*lane),
-		grants:   make(map[ID]*grant),
-		waiting:  make(map[uint64]*waiter),
-		waiterOf: make(map[ID]*waiter),
+		targets:   make(map[string]*target),
+		lanes:     make(map[string]*lane),
+		grants:    make(map[ID]*grant),
+		waiting:   make(map[uint64]*waiter),
+		waiterOf:  make(map[ID]*waiter),
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,7 +70,7 @@
 	return filter.Build(r.cfg.Spec,
 		r.lease,
 		r.identify,
-		&filter.Catalog{View: r.cfg.View},
+		filter.NewCatalog(r.cfg.View),
 		&filter.Limits{Limiter: r.cfg.Limiter},
 		r.claim,
 		&filter.Schedule{
