--- a/cmd/wigeonwood/chaos_test.go
+++ b/cmd/wigeonwood/chaos_test.go
@@ -64,6 +64,7 @@
 // twice, no refusal may lie, no answer may be cut or another's without the
 // caller seeing it, and no accepted change may be lost.
 func TestChaos(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3, 3)
 	f.startTargets(t, 3)
 	f.ready(t)
--- a/cmd/wigeonwood/recovery_test.go
+++ b/cmd/wigeonwood/recovery_test.go
@@ -16,6 +16,7 @@
 // TestRecovery measures the time until an instance serves chats again after a
 // restart and after a freeze, and until others do when a peer froze.
 func TestRecovery(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3, 3)
 	f.startTargets(t, 3)
 	f.ready(t)
--- a/cmd/wigeonwood/slopes_test.go
+++ b/cmd/wigeonwood/slopes_test.go
@@ -38,6 +38,7 @@
 // TestSlopes measures what an instance spends when idle, under changes of
 // configuration and under chats, against the number of routers.
 func TestSlopes(t *testing.T) {
+	t.Parallel()
 	for text := range strings.SplitSeq(*slopeRouters, ",") {
 		routers, err := strconv.Atoi(text)
 		if err != nil {
