--- a/internal/configlease/holder.go
+++ b/internal/configlease/holder.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
@@ -204,6 +205,8 @@
 		return false, errs.Wrap(err, "configuration lease", reply.LeaderAddr)
 	}
 	if !reply.Partial {
+		before := h.grant.Load().revision
+		invariant.Check(reply.Revision >= before, "configuration lease", "revision", reply.Revision, "before", before)
 		h.grant.Store(&grant{
 			revision: reply.Revision,
 			until:    asked.Add(time.Duration(reply.LeaseMs) * time.Millisecond),
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -7,6 +7,10 @@
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
+// gatherAcks is how long acknowledgements are gathered before the routers that
+// are waited for are counted again.
+const gatherAcks = 5 * time.Millisecond
+
 // lease gives a router evidence of the committed revision. The order of the
 // steps matters: the grant is noted before the round, since from then on the
 // router may come to hold a lease with the revision of this moment; and the
@@ -68,14 +72,22 @@
 		if len(waiting) == 0 {
 			return &pb.InForceReply{InForce: true}, nil
 		}
-		timer := time.NewTimer(until.Sub(now))
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !awaitChange(ctx, changed, until.Sub(now)) {
 			return &pb.InForceReply{Waiting: firstN(waiting, maxQueryItems)}, nil
 		}
-		timer.Stop()
 	}
 }
+
+// awaitChange returns after a change or after d, and false once ctx ends. All
+// routers acknowledge a change within one poll, so it gathers them a while.
+func awaitChange(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return sleep(ctx, gatherAcks)
+}
--- a/internal/control/real_test.go
+++ b/internal/control/real_test.go
@@ -227,6 +227,168 @@
 	}
 }
 
+func bookingOf(key, router string, incarnation, attempt uint64) *pb.Claim {
+	return &pb.Claim{
+		Customer:          "batangas",
+		Key:               key,
+		Digest:            make([]byte, state.DigestBytes),
+		Router:            router,
+		RouterIncarnation: incarnation,
+		Attempt:           attempt,
+		RequestId:         fmt.Sprint(router, "-", attempt),
+	}
+}
+
+// Routers race for the same keys while the leader is lost: each key is granted
+// to one of them at most, and every claim ends within its bound.
+func TestOneGrantForEachKeyWhileTheLeaderIsLost(t *testing.T) {
+	const keys, routers = 150, 4
+	f := startReal(t)
+	f.leader(t)
+	var granted [keys]atomic.Int32
+	var claimed atomic.Int32
+	var wg sync.WaitGroup
+	for r := range routers {
+		c := f.client(t)
+		wg.Go(func() {
+			for i := range keys {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				result, err := c.Claim(ctx, bookingOf(fmt.Sprint("booking-", i), fmt.Sprint("r", r), 1, uint64(i)))
+				cancel()
+				if err != nil {
+					t.Errorf("claim %d of router %d: %v", i, r, err)
+				}
+				if result.GetStatus() == pb.ClaimStatus_CLAIM_STATUS_GRANTED {
+					granted[i].Add(1)
+				}
+				claimed.Add(1)
+			}
+		})
+	}
+	for claimed.Load() < keys*routers/3 {
+		time.Sleep(time.Millisecond)
+	}
+	f.leader(t).stop()
+	wg.Wait()
+	for i := range granted {
+		if n := granted[i].Load(); n != 1 {
+			t.Errorf("key %d was granted %d times", i, n)
+		}
+	}
+}
+
+// BenchmarkDoubledRuns sends bookings whose callers resend to another router
+// after a lost answer, with and without a claim before each dispatch. Every
+// third dispatch loses its answer, with its router's memory of it; the leader
+// is lost midway.
+func BenchmarkDoubledRuns(b *testing.B) {
+	for _, claims := range []bool{false, true} {
+		b.Run(fmt.Sprintf("claims=%v", claims), func(b *testing.B) {
+			f := startReal(b)
+			run := &bookingRun{claims: claims, latency: hdrhistogram.New(1, 60_000_000, 3)}
+			for range 3 {
+				run.clients = append(run.clients, f.client(b))
+			}
+			f.leader(b)
+			b.ResetTimer()
+			for i := range b.N {
+				if i == b.N/2 {
+					f.leader(b).stop()
+				}
+				run.book(b, fmt.Sprint("booking-", i))
+			}
+			b.ReportMetric(float64(run.doubled), "doubled")
+			b.ReportMetric(float64(run.unknown), "told-unknown")
+			b.ReportMetric(float64(run.latency.ValueAtQuantile(50))/1000, "claim-p50-ms")
+			b.ReportMetric(float64(run.latency.ValueAtQuantile(99))/1000, "claim-p99-ms")
+		})
+	}
+}
+
+type bookingRun struct {
+	clients                               []*Client
+	claims                                bool
+	latency                               *hdrhistogram.Histogram
+	dispatched, attempt, doubled, unknown int
+}
+
+// book sends one booking until its caller has an answer or the truth that
+// there can be none.
+func (r *bookingRun) book(b *testing.B, key string) {
+	runs := 0
+	defer func() {
+		if runs > 1 {
+			r.doubled++
+		}
+	}()
+	for router := 0; ; router++ {
+		c := r.clients[router%len(r.clients)]
+		r.attempt++
+		claim := bookingOf(key, fmt.Sprint("r", router%len(r.clients)), 1, uint64(r.attempt))
+		if r.claims && !r.claim(b, c, claim) {
+			r.unknown++
+			return
+		}
+		runs++
+		r.dispatched++
+		if r.dispatched%3 == 0 {
+			continue
+		}
+		if r.claims {
+			r.resolve(b, c, claim)
+		}
+		return
+	}
+}
+
+func (r *bookingRun) claim(b *testing.B, c *Client, claim *pb.Claim) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	start := time.Now()
+	result, err := c.Claim(ctx, claim)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_ = r.latency.RecordValue(time.Since(start).Microseconds())
+	return result.Status == pb.ClaimStatus_CLAIM_STATUS_GRANTED
+}
+
+func (r *bookingRun) resolve(b *testing.B, c *Client, claim *pb.Claim) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, err := c.Resolve(ctx, &pb.Resolve{
+		Customer:          claim.Customer,
+		Key:               claim.Key,
+		Router:            claim.Router,
+		RouterIncarnation: claim.RouterIncarnation,
+		Attempt:           claim.Attempt,
+		Outcome:           pb.ClaimOutcome_CLAIM_OUTCOME_DONE,
+		Answer:            &pb.StoredAnswer{Status: 201},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkLeaseRequests is one lease request at the leader, many at once.
+func BenchmarkLeaseRequests(b *testing.B) {
+	f := startReal(b)
+	f.leader(b)
+	c := f.client(b)
+	mustAccept(b, c, change("op-0", "aina", 0))
+	var routers atomic.Int64
+	b.SetParallelism(32)
+	b.ResetTimer()
+	b.RunParallel(func(p *testing.PB) {
+		id := fmt.Sprint("r", routers.Add(1))
+		for nonce := uint64(1); p.Next(); nonce++ {
+			if _, err := c.Lease(context.Background(), &pb.LeaseRequest{Router: id, Nonce: nonce, HeldRevision: 1}); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
+
 // bytesMeter counts what calls send and receive, without the transport's and
 // TCP's own headers.
 type bytesMeter struct{ n atomic.Int64 }
--- a/internal/state/ledger_table.go
+++ b/internal/state/ledger_table.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
@@ -155,8 +156,11 @@
 
 // add appends an entry; its time must not be before those of earlier ones.
 func (t *ledgerTable) add(key entryKey, state entryState, timeMs int64) *entry {
-	slot := t.allocate()
 	list := t.list(state)
+	_, held := t.index[key]
+	invariant.Check(!held, "ledger", "state", state, "entries", len(t.index))
+	invariant.Check(list.tail == noSlot || t.at(list.tail).timeMs <= timeMs, "ledger", "time", timeMs)
+	slot := t.allocate()
 	e := t.at(slot)
 	*e = entry{key: key, state: state, timeMs: timeMs, prev: list.tail, next: noSlot}
 	if list.tail == noSlot {
--- a/internal/state/restore.go
+++ b/internal/state/restore.go
@@ -132,6 +132,9 @@
 		return err
 	}
 	key := entryKey(b.Keys[i*hashBytes : (i+1)*hashBytes])
+	if _, held := l.table.find(key); held {
+		return errors.New("a ledger key is there twice")
+	}
 	e := l.table.add(key, state, b.TimesUnixMs[i])
 	e.digest = [hashBytes]byte(b.Digests[i*hashBytes : (i+1)*hashBytes])
 	e.router = b.Routers[i]
