--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,228 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// BenchmarkDoubledRuns sends bookings whose callers resend to another router
+// after a lost answer, with and without a claim before each dispatch. Every
+// third dispatch loses its answer, with its router's memory of it; the leader
+// is lost midway.
+func BenchmarkDoubledRuns(b *testing.B) {
+	for _, claims := range []bool{false, true} {
+		b.Run(fmt.Sprintf("claims=%v", claims), func(b *testing.B) {
+			f := startReal(b, realOptions{})
+			run := &bookingRun{claims: claims, latency: hdrhistogram.New(1, 60_000_000, 3)}
+			for range 3 {
+				run.clients = append(run.clients, f.client(b))
+			}
+			f.leader(b)
+			b.ResetTimer()
+			for i := range b.N {
+				if i == b.N/2 {
+					f.leader(b).stop()
+				}
+				run.book(b, fmt.Sprint("booking-", i))
+			}
+			b.ReportMetric(float64(run.doubled), "doubled")
+			b.ReportMetric(float64(run.unanswered), "not-answered")
+			b.ReportMetric(float64(run.latency.ValueAtQuantile(50))/1000, "claim-p50-ms")
+			b.ReportMetric(float64(run.latency.ValueAtQuantile(99))/1000, "claim-p99-ms")
+		})
+	}
+}
+
+type bookingRun struct {
+	clients                                  []*Client
+	claims                                   bool
+	latency                                  *hdrhistogram.Histogram
+	dispatched, attempt, doubled, unanswered int
+}
+
+// book sends one booking until its caller has an answer or the truth that
+// there can be none.
+func (r *bookingRun) book(b *testing.B, key string) {
+	runs := 0
+	defer func() {
+		if runs > 1 {
+			r.doubled++
+		}
+	}()
+	for router := 0; ; router++ {
+		c := r.clients[router%len(r.clients)]
+		r.attempt++
+		claim := bookingOf(key, fmt.Sprint("r", router%len(r.clients)), 1, uint64(r.attempt))
+		if r.claims && !r.claim(b, c, claim) {
+			r.unanswered++
+			return
+		}
+		runs++
+		r.dispatched++
+		if r.dispatched%3 == 0 {
+			continue
+		}
+		if r.claims {
+			r.resolve(b, c, claim)
+		}
+		return
+	}
+}
+
+func (r *bookingRun) claim(b *testing.B, c *Client, claim *pb.Claim) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	start := time.Now()
+	result, err := c.Claim(ctx, claim)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_ = r.latency.RecordValue(time.Since(start).Microseconds())
+	return result.Status == pb.ClaimStatus_CLAIM_STATUS_GRANTED
+}
+
+func (r *bookingRun) resolve(b *testing.B, c *Client, claim *pb.Claim) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, err := c.Resolve(ctx, &pb.Resolve{
+		Customer:          claim.Customer,
+		Key:               claim.Key,
+		Router:            claim.Router,
+		RouterIncarnation: claim.RouterIncarnation,
+		Attempt:           claim.Attempt,
+		Outcome:           pb.ClaimOutcome_CLAIM_OUTCOME_DONE,
+		Answer:            &pb.StoredAnswer{Status: 201},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkLeaderLoss stops the leader and measures how long 9 routers are
+// without lease, and when a change sent at that moment is in force.
+func BenchmarkLeaderLoss(b *testing.B) {
+	for _, lease := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second} {
+		b.Run(fmt.Sprint("lease=", lease), func(b *testing.B) {
+			var without, inForce time.Duration
+			for range b.N {
+				w, f := loseLeader(b, lease)
+				without += w
+				inForce += f
+			}
+			b.ReportMetric(float64(without.Milliseconds())/float64(b.N), "unleased-ms/router")
+			b.ReportMetric(float64(inForce.Milliseconds())/float64(b.N), "in-force-ms")
+		})
+	}
+}
+
+func loseLeader(b *testing.B, lease time.Duration) (without, inForce time.Duration) {
+	const routers, sample = 9, 10 * time.Millisecond
+	f := startReal(b, realOptions{lease: lease})
+	c := f.client(b)
+	f.leader(b)
+	holders := f.routers(b, routers, 0, nil)
+	revision := mustAccept(b, c, change("op-0", "aina", 0)).Revision
+	mustBeInForce(b, c, revision)
+	done := make(chan struct{})
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(sample):
+			}
+			for _, h := range holders {
+				if _, _, ok := h.Lease(); !ok {
+					without += sample
+				}
+			}
+		}
+	})
+	start := time.Now()
+	f.leader(b).stop()
+	revision = mustAccept(b, c, change("op-1", "aina", revision)).Revision
+	mustBeInForce(b, c, revision)
+	inForce = time.Since(start)
+	close(done)
+	watch.Wait()
+	for _, r := range f.replicas {
+		r.stop()
+	}
+	return without / routers, inForce
+}
+
+// BenchmarkLeaseRequests is one lease request at the leader, many at once.
+func BenchmarkLeaseRequests(b *testing.B) {
+	f := startReal(b, realOptions{})
+	f.leader(b)
+	c := f.client(b)
+	mustAccept(b, c, change("op-0", "aina", 0))
+	var routers atomic.Int64
+	b.SetParallelism(32)
+	b.ResetTimer()
+	b.RunParallel(func(p *testing.PB) {
+		id := fmt.Sprint("r", routers.Add(1))
+		for nonce := uint64(1); p.Next(); nonce++ {
+			if _, err := c.Lease(context.Background(), &pb.LeaseRequest{Router: id, Nonce: nonce, HeldRevision: 1}); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
+
+// bytesMeter counts what calls send and receive, without the transport's and
+// TCP's own headers.
+type bytesMeter struct{ n atomic.Int64 }
+
+func (m *bytesMeter) Sent(_ string, n int)     { m.n.Add(int64(n)) }
+func (m *bytesMeter) Received(_ string, n int) { m.n.Add(int64(n)) }
+
+// BenchmarkChangeInForce measures from sending a change to knowing that it is
+// in force at 9 routers, with three replicas on disk and none or one lost.
+func BenchmarkChangeInForce(b *testing.B) {
+	for _, lost := range []int{0, 1} {
+		for _, poll := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
+			b.Run(fmt.Sprintf("lost=%d/poll=%v", lost, poll), func(b *testing.B) { benchInForce(b, lost, poll) })
+		}
+	}
+}
+
+func benchInForce(b *testing.B, lost int, poll time.Duration) {
+	const routers = 9
+	f := startReal(b, realOptions{})
+	c := f.client(b)
+	f.leader(b)
+	meter := &bytesMeter{}
+	f.routers(b, routers, poll, meter)
+	for _, r := range f.replicas {
+		if lost == 1 && r != f.leader(b) {
+			r.stop()
+			break
+		}
+	}
+	revision := mustAccept(b, c, change("op-0", "aina", 0)).Revision
+	mustBeInForce(b, c, revision)
+	hist := hdrhistogram.New(1, 60_000_000, 3)
+	meter.n.Store(0)
+	begin := time.Now()
+	b.ResetTimer()
+	for i := range b.N {
+		start := time.Now()
+		revision = mustAccept(b, c, change(fmt.Sprint("op-", i+1), "aina", revision)).Revision
+		mustBeInForce(b, c, revision)
+		_ = hist.RecordValue(time.Since(start).Microseconds())
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(hist.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(hist.ValueAtQuantile(99))/1000, "p99-ms")
+	b.ReportMetric(float64(meter.n.Load())/routers/time.Since(begin).Seconds(), "B/s/router")
+}
--- a/internal/control/real_test.go
+++ b/internal/control/real_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
@@ -25,6 +24,7 @@
 // realReplica is a replica with a journal on disk, on loopback.
 type realReplica struct {
 	dir, addr string
+	opts      realOptions
 	node      *replica.Node
 	server    *transport.Server
 	pool      *transport.Pool
@@ -37,7 +37,13 @@
 	replicas []*realReplica
 }
 
-func startReal(t testing.TB) *realFleet {
+// realOptions changes a fleet's defaults where they are not zero.
+type realOptions struct {
+	lease           time.Duration
+	snapshotEntries uint64
+}
+
+func startReal(t testing.TB, opts realOptions) *realFleet {
 	f := &realFleet{}
 	listeners := make([]net.Listener, 3)
 	for i := range listeners {
@@ -45,7 +51,7 @@
 		f.founders = append(f.founders, listeners[i].Addr().String())
 	}
 	for i, l := range listeners {
-		r := &realReplica{dir: t.TempDir(), addr: f.founders[i]}
+		r := &realReplica{dir: t.TempDir(), addr: f.founders[i], opts: opts}
 		f.replicas = append(f.replicas, r)
 		r.start(t, f.founders, l)
 	}
@@ -79,6 +85,8 @@
 		Pool:       r.pool,
 		Logger:     quietLogger(),
 		Scope:      tally.NoopScope,
+
+		SnapshotEntries: r.opts.snapshotEntries,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -91,6 +99,7 @@
 		Pool:   r.pool,
 		Logger: quietLogger(),
 		Scope:  tally.NoopScope,
+		Lease:  r.opts.lease,
 	})
 	r.served.Go(func() { _ = r.server.Serve(l) })
 }
@@ -192,9 +201,9 @@
 }
 
 // The first answer outlives 500 changes, the loss of the leader and a restart
-// of all replicas from their journals; routers end at the last revision.
+// of all replicas from snapshots and journals; routers end at the last revision.
 func TestResendAcrossRestartOfAllReplicas(t *testing.T) {
-	f := startReal(t)
+	f := startReal(t, realOptions{snapshotEntries: 100})
 	c := f.client(t)
 	first := mustAccept(t, c, change("op-first", "aina", 0))
 	revision := first.Revision
@@ -243,7 +252,7 @@
 // to one of them at most, and every claim ends within its bound.
 func TestOneGrantForEachKeyWhileTheLeaderIsLost(t *testing.T) {
 	const keys, routers = 150, 4
-	f := startReal(t)
+	f := startReal(t, realOptions{})
 	f.leader(t)
 	var granted [keys]atomic.Int32
 	var claimed atomic.Int32
@@ -276,163 +285,3 @@
 		}
 	}
 }
-
-// BenchmarkDoubledRuns sends bookings whose callers resend to another router
-// after a lost answer, with and without a claim before each dispatch. Every
-// third dispatch loses its answer, with its router's memory of it; the leader
-// is lost midway.
-func BenchmarkDoubledRuns(b *testing.B) {
-	for _, claims := range []bool{false, true} {
-		b.Run(fmt.Sprintf("claims=%v", claims), func(b *testing.B) {
-			f := startReal(b)
-			run := &bookingRun{claims: claims, latency: hdrhistogram.New(1, 60_000_000, 3)}
-			for range 3 {
-				run.clients = append(run.clients, f.client(b))
-			}
-			f.leader(b)
-			b.ResetTimer()
-			for i := range b.N {
-				if i == b.N/2 {
-					f.leader(b).stop()
-				}
-				run.book(b, fmt.Sprint("booking-", i))
-			}
-			b.ReportMetric(float64(run.doubled), "doubled")
-			b.ReportMetric(float64(run.unknown), "told-unknown")
-			b.ReportMetric(float64(run.latency.ValueAtQuantile(50))/1000, "claim-p50-ms")
-			b.ReportMetric(float64(run.latency.ValueAtQuantile(99))/1000, "claim-p99-ms")
-		})
-	}
-}
-
-type bookingRun struct {
-	clients                               []*Client
-	claims                                bool
-	latency                               *hdrhistogram.Histogram
-	dispatched, attempt, doubled, unknown int
-}
-
-// book sends one booking until its caller has an answer or the truth that
-// there can be none.
-func (r *bookingRun) book(b *testing.B, key string) {
-	runs := 0
-	defer func() {
-		if runs > 1 {
-			r.doubled++
-		}
-	}()
-	for router := 0; ; router++ {
-		c := r.clients[router%len(r.clients)]
-		r.attempt++
-		claim := bookingOf(key, fmt.Sprint("r", router%len(r.clients)), 1, uint64(r.attempt))
-		if r.claims && !r.claim(b, c, claim) {
-			r.unknown++
-			return
-		}
-		runs++
-		r.dispatched++
-		if r.dispatched%3 == 0 {
-			continue
-		}
-		if r.claims {
-			r.resolve(b, c, claim)
-		}
-		return
-	}
-}
-
-func (r *bookingRun) claim(b *testing.B, c *Client, claim *pb.Claim) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
-	start := time.Now()
-	result, err := c.Claim(ctx, claim)
-	if err != nil {
-		b.Fatal(err)
-	}
-	_ = r.latency.RecordValue(time.Since(start).Microseconds())
-	return result.Status == pb.ClaimStatus_CLAIM_STATUS_GRANTED
-}
-
-func (r *bookingRun) resolve(b *testing.B, c *Client, claim *pb.Claim) {
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
-	_, err := c.Resolve(ctx, &pb.Resolve{
-		Customer:          claim.Customer,
-		Key:               claim.Key,
-		Router:            claim.Router,
-		RouterIncarnation: claim.RouterIncarnation,
-		Attempt:           claim.Attempt,
-		Outcome:           pb.ClaimOutcome_CLAIM_OUTCOME_DONE,
-		Answer:            &pb.StoredAnswer{Status: 201},
-	})
-	if err != nil {
-		b.Fatal(err)
-	}
-}
-
-// BenchmarkLeaseRequests is one lease request at the leader, many at once.
-func BenchmarkLeaseRequests(b *testing.B) {
-	f := startReal(b)
-	f.leader(b)
-	c := f.client(b)
-	mustAccept(b, c, change("op-0", "aina", 0))
-	var routers atomic.Int64
-	b.SetParallelism(32)
-	b.ResetTimer()
-	b.RunParallel(func(p *testing.PB) {
-		id := fmt.Sprint("r", routers.Add(1))
-		for nonce := uint64(1); p.Next(); nonce++ {
-			if _, err := c.Lease(context.Background(), &pb.LeaseRequest{Router: id, Nonce: nonce, HeldRevision: 1}); err != nil {
-				b.Error(err)
-			}
-		}
-	})
-}
-
-// bytesMeter counts what calls send and receive, without the transport's and
-// TCP's own headers.
-type bytesMeter struct{ n atomic.Int64 }
-
-func (m *bytesMeter) Sent(_ string, n int)     { m.n.Add(int64(n)) }
-func (m *bytesMeter) Received(_ string, n int) { m.n.Add(int64(n)) }
-
-// BenchmarkChangeInForce measures from sending a change to knowing that it is
-// in force at 9 routers, with three replicas on disk and none or one lost.
-func BenchmarkChangeInForce(b *testing.B) {
-	for _, lost := range []int{0, 1} {
-		for _, poll := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
-			b.Run(fmt.Sprintf("lost=%d/poll=%v", lost, poll), func(b *testing.B) { benchInForce(b, lost, poll) })
-		}
-	}
-}
-
-func benchInForce(b *testing.B, lost int, poll time.Duration) {
-	const routers = 9
-	f := startReal(b)
-	c := f.client(b)
-	f.leader(b)
-	meter := &bytesMeter{}
-	f.routers(b, routers, poll, meter)
-	for _, r := range f.replicas {
-		if lost == 1 && r != f.leader(b) {
-			r.stop()
-			break
-		}
-	}
-	revision := mustAccept(b, c, change("op-0", "aina", 0)).Revision
-	mustBeInForce(b, c, revision)
-	hist := hdrhistogram.New(1, 60_000_000, 3)
-	meter.n.Store(0)
-	begin := time.Now()
-	b.ResetTimer()
-	for i := range b.N {
-		start := time.Now()
-		revision = mustAccept(b, c, change(fmt.Sprint("op-", i+1), "aina", revision)).Revision
-		mustBeInForce(b, c, revision)
-		_ = hist.RecordValue(time.Since(start).Microseconds())
-	}
-	b.StopTimer()
-	b.ReportMetric(float64(hist.ValueAtQuantile(50))/1000, "p50-ms")
-	b.ReportMetric(float64(hist.ValueAtQuantile(99))/1000, "p99-ms")
-	b.ReportMetric(float64(meter.n.Load())/routers/time.Since(begin).Seconds(), "B/s/router")
-}
