--- /dev/null
+++ b/internal/control/real_test.go
@@ -0,0 +1,287 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/configlease"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/replica"
+	"github.com/wigeonwood/wigeonwood/internal/state"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+const realToken = "secret"
+
+// realReplica is a replica with a journal on disk, on loopback.
+type realReplica struct {
+	dir, addr string
+	opts      realOptions
+	node      *replica.Node
+	server    *transport.Server
+	pool      *transport.Pool
+	service   *Service
+	served    sync.WaitGroup
+}
+
+type realFleet struct {
+	founders []string
+	replicas []*realReplica
+}
+
+// realOptions changes a fleet's defaults where they are not zero.
+type realOptions struct {
+	lease           time.Duration
+	snapshotEntries uint64
+}
+
+func startReal(t testing.TB, opts realOptions) *realFleet {
+	f := &realFleet{}
+	listeners := make([]net.Listener, 3)
+	for i := range listeners {
+		listeners[i] = listen(t, "127.0.0.1:0")
+		f.founders = append(f.founders, listeners[i].Addr().String())
+	}
+	for i, l := range listeners {
+		r := &realReplica{dir: t.TempDir(), addr: f.founders[i], opts: opts}
+		f.replicas = append(f.replicas, r)
+		r.start(t, f.founders, l)
+	}
+	t.Cleanup(func() {
+		for _, r := range f.replicas {
+			r.stop()
+		}
+	})
+	return f
+}
+
+func listen(t testing.TB, addr string) net.Listener {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func (r *realReplica) start(t testing.TB, founders []string, l net.Listener) {
+	r.server = transport.NewServer(realToken, quietLogger())
+	r.pool = transport.NewPool(realToken, nil, nil)
+	machine := state.New()
+	node, err := replica.Start(context.Background(), replica.Config{
+		Dir:        r.dir,
+		Addr:       r.addr,
+		DataCentre: "dc1",
+		Founders:   founders,
+		Machine:    machine,
+		Server:     r.server,
+		Pool:       r.pool,
+		Logger:     quietLogger(),
+		Scope:      tally.NoopScope,
+
+		SnapshotEntries: r.opts.snapshotEntries,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.node = node
+	r.service = NewService(Config{
+		Log:    node,
+		State:  machine,
+		Server: r.server,
+		Pool:   r.pool,
+		Logger: quietLogger(),
+		Scope:  tally.NoopScope,
+		Lease:  r.opts.lease,
+	})
+	r.served.Go(func() { _ = r.server.Serve(l) })
+}
+
+// stop ends the replica; it may be called twice.
+func (r *realReplica) stop() {
+	if r.node == nil {
+		return
+	}
+	r.service.Close()
+	r.node.Close()
+	r.server.Close()
+	r.pool.Close()
+	r.served.Wait()
+	r.node = nil
+}
+
+func (f *realFleet) leader(t testing.TB) *realReplica {
+	for range 200 {
+		for _, r := range f.replicas {
+			if r.node == nil {
+				continue
+			}
+			if _, _, ok := r.node.ActUntil(); ok {
+				return r
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatal("no leader")
+	return nil
+}
+
+func (f *realFleet) client(t testing.TB) *Client { return f.meteredClient(t, nil) }
+
+func (f *realFleet) meteredClient(t testing.TB, m transport.Meter) *Client {
+	pool := transport.NewPool(realToken, nil, m)
+	c := NewClient(ClientConfig{
+		Pool:     pool,
+		Replicas: func() []string { return f.founders },
+		Logger:   quietLogger(),
+		Scope:    tally.NoopScope,
+	})
+	t.Cleanup(func() {
+		pool.Close()
+		c.Close()
+	})
+	return c
+}
+
+// routers starts holders and waits for their first leases.
+func (f *realFleet) routers(t testing.TB, n int, poll time.Duration, m transport.Meter) []*configlease.Holder {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	holders := make([]*configlease.Holder, n)
+	for i := range holders {
+		holders[i] = configlease.NewHolder(configlease.Config{
+			Router:      fmt.Sprint("r", i),
+			Incarnation: 1,
+			Client:      f.meteredClient(t, m),
+			Poll:        poll,
+			Logger:      quietLogger(),
+			Scope:       tally.NoopScope,
+		})
+		wg.Go(func() { holders[i].Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	waitCtx, cancelWait := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancelWait()
+	for _, h := range holders {
+		if err := h.WaitFirst(waitCtx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return holders
+}
+
+func mustAccept(t testing.TB, c *Client, ch *pb.ConfigChange) *pb.ChangeResult {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	r, err := c.Change(ctx, ch)
+	if err != nil || r.Status != pb.ChangeStatus_CHANGE_STATUS_ACCEPTED {
+		t.Fatalf("change %s: %v, %v", ch.OperationId, r, err)
+	}
+	return r
+}
+
+func mustBeInForce(t testing.TB, c *Client, revision uint64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if reply, err := c.InForce(ctx, revision); err != nil || !reply.InForce {
+		t.Fatalf("revision %d in force: %v, %v", revision, reply, err)
+	}
+}
+
+// The first answer outlives 500 changes, the loss of the leader and a restart
+// of all replicas from snapshots and journals; routers end at the last revision.
+func TestResendAcrossRestartOfAllReplicas(t *testing.T) {
+	f := startReal(t, realOptions{snapshotEntries: 100})
+	c := f.client(t)
+	first := mustAccept(t, c, change("op-first", "aina", 0))
+	revision := first.Revision
+	for i := range 500 {
+		if i == 250 {
+			f.leader(t).stop()
+		}
+		revision = mustAccept(t, c, change(fmt.Sprint("op-", i), "bayani", revision)).Revision
+	}
+	for _, r := range f.replicas {
+		r.stop()
+	}
+	for _, r := range f.replicas {
+		r.start(t, f.founders, listen(t, r.addr))
+	}
+	holders := f.routers(t, 3, 0, nil)
+	again := mustAccept(t, c, change("op-first", "aina", 0))
+	if !again.Resent {
+		t.Fatal("the resend is not marked as one")
+	}
+	again.Resent = first.Resent
+	if !proto.Equal(first, again) {
+		t.Fatalf("first %v, again %v", first, again)
+	}
+	mustBeInForce(t, c, revision)
+	for _, h := range holders {
+		if held, _, ok := h.Lease(); !ok || held != revision {
+			t.Fatalf("lease %v at revision %d, want %d", ok, held, revision)
+		}
+	}
+}
+
+func bookingOf(key, router string, incarnation, attempt uint64) *pb.Claim {
+	return &pb.Claim{
+		Customer:          "batangas",
+		Key:               key,
+		Digest:            make([]byte, state.DigestBytes),
+		Router:            router,
+		RouterIncarnation: incarnation,
+		Attempt:           attempt,
+		RequestId:         fmt.Sprint(router, "-", attempt),
+	}
+}
+
+// Routers race for the same keys while the leader is lost: each key is granted
+// to one of them at most, and every claim ends within its bound.
+func TestOneGrantForEachKeyWhileTheLeaderIsLost(t *testing.T) {
+	const keys, routers = 150, 4
+	f := startReal(t, realOptions{})
+	f.leader(t)
+	var granted [keys]atomic.Int32
+	var claimed atomic.Int32
+	var wg sync.WaitGroup
+	for r := range routers {
+		c := f.client(t)
+		wg.Go(func() {
+			for i := range keys {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				result, err := c.Claim(ctx, bookingOf(fmt.Sprint("booking-", i), fmt.Sprint("r", r), 1, uint64(i)))
+				cancel()
+				if err != nil {
+					t.Errorf("claim %d of router %d: %v", i, r, err)
+				}
+				if result.GetStatus() == pb.ClaimStatus_CLAIM_STATUS_GRANTED {
+					granted[i].Add(1)
+				}
+				claimed.Add(1)
+			}
+		})
+	}
+	for claimed.Load() < keys*routers/3 {
+		time.Sleep(time.Millisecond)
+	}
+	f.leader(t).stop()
+	wg.Wait()
+	for i := range granted {
+		if n := granted[i].Load(); n != 1 {
+			t.Errorf("key %d was granted %d times", i, n)
+		}
+	}
+}
