--- a/internal/router/standin_test.go
+++ b/internal/router/standin_test.go
@@ -77,7 +77,7 @@
 	return s
 }
 
-// Read makes a frozen process read nothing.
+// gated is a connection of a process that reads nothing while frozen.
 type gated struct {
 	net.Conn
 	s *stand
@@ -144,6 +144,10 @@
 	s.mu.Unlock()
 	time.Sleep(late)
 	if cut {
+		if k == stream {
+			// The framing is whole; only the end mark is missing.
+			io.WriteString(c, "0\r\n\r\n")
+		}
 		return false
 	}
 	s.write(c, k, "", body[mid:])
