--- /dev/null
+++ b/internal/filter/chain_test.go
@@ -0,0 +1,168 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/forward"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+// status returns a claim function with a fixed result.
+func status(s pb.ClaimStatus, answer *pb.StoredAnswer) func(*fake, *Exchange) {
+	return func(f *fake, _ *Exchange) {
+		f.claim = func(*pb.Claim) (*pb.ClaimResult, error) {
+			return &pb.ClaimResult{Status: s, Answer: answer, RequestId: "earlier"}, nil
+		}
+	}
+}
+
+// failing lets each try end with err, after a byte left if sent.
+func failing(err error, sent bool) func(*fake, *Exchange) {
+	return func(f *fake, _ *Exchange) {
+		f.try = func(x *Exchange) (*Answer, error) {
+			if sent {
+				x.Token.Spend()
+			}
+			return nil, err
+		}
+	}
+}
+
+// TestChain checks what each filter makes of a request.
+func TestChain(t *testing.T) {
+	const run, unknown, notRun = OutcomeRun, OutcomeUnknown, OutcomeNotRun
+	long := &pb.StoredAnswer{Status: 201, Truncated: true}
+	tests := []struct {
+		name    string
+		set     func(f *fake, x *Exchange)
+		status  int
+		code    string
+		outcome Outcome
+		back    bool
+		ends    []pb.ClaimOutcome
+	}{
+		{name: "answered", status: 200, outcome: run, ends: []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_DONE}},
+		{"no lease", func(f *fake, _ *Exchange) { f.unleased = true }, 503, "no_lease", notRun, true, nil},
+		{"lease ends in the queue", func(f *fake, _ *Exchange) {
+			f.admit = func() error { f.unleased = true; return nil }
+		}, 503, "no_lease", notRun, true, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED}},
+		{"no key", func(_ *fake, x *Exchange) { x.Bearer = "" }, 401, "no_key", notRun, false, nil},
+		{"unknown key", func(_ *fake, x *Exchange) { x.Bearer = "z" }, 401, "unknown_key", notRun, false, nil},
+		{"deleted contract", func(f *fake, _ *Exchange) { f.contract.Deleted = true }, 401, "unknown_key", notRun, false, nil},
+		{"not permitted", func(_ *fake, x *Exchange) { x.Demand.Service = "hr" }, 403, "not_permitted", notRun, false, nil},
+		{"unknown model", func(_ *fake, x *Exchange) { x.Demand.Service, x.Demand.Model = "", "z" }, 404, "unknown_model", notRun, false, nil},
+		{"service away", func(f *fake, x *Exchange) {
+			x.Demand.Service = "away"
+			f.targets = nil
+		}, 503, "no_target", notRun, true, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED}},
+		{"limited", func(f *fake, _ *Exchange) {
+			f.take = func() error { return &Refusal{Code: "over_limit", RetryAfter: time.Second} }
+		}, 429, "over_limit", notRun, true, nil},
+		{"key too long", func(_ *fake, x *Exchange) { x.Key = strings.Repeat("k", 256) }, 400, "key_too_long", notRun, false, nil},
+		{"in progress", status(pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS, nil), 409, "in_progress", unknown, true, nil},
+		{"unknown", status(pb.ClaimStatus_CLAIM_STATUS_UNKNOWN, nil), 409, "outcome_unknown", unknown, false, nil},
+		{"other digest", status(pb.ClaimStatus_CLAIM_STATUS_DIGEST_MISMATCH, nil), 422, "key_reused", notRun, false, nil},
+		{"ledger full", status(pb.ClaimStatus_CLAIM_STATUS_FULL, nil), 503, "ledger_full", notRun, true, nil},
+		{"answer too large to store", status(pb.ClaimStatus_CLAIM_STATUS_DONE, long), 409, "answer_not_stored", run, false, nil},
+		{"claim not sent", func(f *fake, _ *Exchange) {
+			f.claim = func(*pb.Claim) (*pb.ClaimResult, error) { return nil, transport.ErrNotSent }
+		}, 503, "no_claim", notRun, true, nil},
+		{"claim's answer lost", func(f *fake, _ *Exchange) {
+			f.claim = func(*pb.Claim) (*pb.ClaimResult, error) { return nil, errors.New("lost") }
+		}, 503, "no_claim", notRun, true, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED}},
+		{"no connection", failing(errDial, false), 503, "no_target", notRun, true, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED}},
+		{"cut", failing(forward.ErrCut, true), 502, "target_failed", unknown, false, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN}},
+		{"silent", failing(forward.ErrSilent, true), 504, "target_silent", unknown, false, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN}},
+		{"cut in the body", func(f *fake, _ *Exchange) {
+			f.try = func(x *Exchange) (*Answer, error) {
+				x.Token.Spend()
+				return plainAnswer("ans", forward.ErrCut), nil
+			}
+		}, 502, "target_failed", unknown, false, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN}},
+		{"end not marked", func(f *fake, _ *Exchange) {
+			f.try = func(x *Exchange) (*Answer, error) {
+				x.Token.Spend()
+				a := plainAnswer("ans", nil)
+				a.Framed, a.Length = false, -1
+				return a, nil
+			}
+		}, 502, "target_failed", unknown, false, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f, x := newFake(), booking()
+			if test.set != nil {
+				test.set(f, x)
+			}
+			chain, claim := f.chain(t)
+			err := chain.Run(context.Background(), x)
+			x.End()
+			claim.Wait()
+			if f.taken != f.given || f.admitted != f.released {
+				t.Errorf("taken %d, given %d; admitted %d, released %d", f.taken, f.given, f.admitted, f.released)
+			}
+			if len(f.resolved) != len(test.ends) || len(test.ends) > 0 && f.resolved[0] != test.ends[0] {
+				t.Errorf("the claim ended %v", f.resolved)
+			}
+			if err == nil {
+				body, readErr := io.ReadAll(x.Answer.Body)
+				if test.status != 200 || string(body) != "answer" || readErr != nil {
+					t.Errorf("answered %q, %v", body, readErr)
+				}
+				return
+			}
+			var r *Rejection
+			if !errors.As(err, &r) {
+				t.Fatal(err)
+			}
+			if r.Status != test.status || r.Code != test.code || r.Outcome() != test.outcome || (r.RetryAfter > 0) != test.back {
+				t.Errorf("%d %s %s, back after %v: %v", r.Status, r.Code, r.Outcome(), r.RetryAfter, r)
+			}
+			if test.code == "no_lease" && len(r.Entries) != 1 {
+				t.Error("names no other entries")
+			}
+		})
+	}
+}
+
+// TestReplay checks that a stored answer comes back as it was.
+func TestReplay(t *testing.T) {
+	a := plainAnswer("answer", nil)
+	a.Status = 201
+	a.Header.Set("X-Number", "4")
+	f, x := newFake(), booking()
+	status(pb.ClaimStatus_CLAIM_STATUS_DONE, stored(a, []byte("answer"), true))(f, x)
+	chain, _ := f.chain(t)
+	if err := chain.Run(context.Background(), x); err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(x.Answer.Body)
+	if got := x.Answer; string(body) != "answer" || got.Status != 201 || got.Header.Get("X-Number") != "4" || !got.Replayed {
+		t.Errorf("%q %+v", body, got)
+	}
+	if f.admitted != 0 {
+		t.Error("a resend reached a target")
+	}
+}
+
+// TestBudget checks that retries stay below their share of requests.
+func TestBudget(t *testing.T) {
+	const requests, burst = 1000, 5
+	b := NewBudget(0.1, burst)
+	retries := 0
+	for range requests {
+		b.Request()
+		for b.Retry() {
+			retries++
+		}
+	}
+	if most := requests/10 + burst; retries > most || retries < requests/10-1 {
+		t.Errorf("%d retries of %d requests", retries, requests)
+	}
+}
--- /dev/null
+++ b/internal/filter/random_test.go
@@ -0,0 +1,164 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wigeonwood/wigeonwood/internal/forward"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+// history is a random run: requests, some of them resends, through one chain
+// whose surroundings fail at random.
+type history struct {
+	*fake
+	rt    *rapid.T
+	held  map[string]*pb.Claim
+	ended map[string]*pb.Resolve
+	// runs counts the tries that left, by request and by key.
+	runs map[string]int
+	keys map[string]int
+}
+
+// odds draws true once in n.
+func (h *history) odds(what string, n int) bool {
+	return rapid.IntRange(1, n).Draw(h.rt, what) == 1
+}
+
+// commit is a ledger that loses answers and refuses at random.
+func (h *history) commit(c *pb.Claim) (*pb.ClaimResult, error) {
+	if h.odds("claim not sent", 8) {
+		return nil, transport.ErrNotSent
+	}
+	result := &pb.ClaimResult{Status: pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS}
+	switch end := h.ended[c.GetKey()]; {
+	case h.held[c.GetKey()] == nil:
+		h.held[c.GetKey()] = c
+		result.Status = pb.ClaimStatus_CLAIM_STATUS_GRANTED
+	case end.GetOutcome() == pb.ClaimOutcome_CLAIM_OUTCOME_DONE:
+		result.Status, result.Answer = pb.ClaimStatus_CLAIM_STATUS_DONE, end.GetAnswer()
+	case end != nil:
+		result.Status = pb.ClaimStatus_CLAIM_STATUS_UNKNOWN
+	}
+	if h.odds("claim answer lost", 8) {
+		return nil, errors.New("lost")
+	}
+	return result, nil
+}
+
+func (h *history) settle(r *pb.Resolve) (*pb.ResolveResult, error) {
+	if h.odds("resolve fails", 4) {
+		return nil, errors.New("no leader")
+	}
+	held := h.held[r.GetKey()]
+	if held.GetAttempt() != r.GetAttempt() || h.ended[r.GetKey()] != nil {
+		return &pb.ResolveResult{}, nil
+	}
+	if r.GetOutcome() == pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED {
+		delete(h.held, r.GetKey())
+	} else {
+		h.ended[r.GetKey()] = r
+	}
+	return &pb.ResolveResult{Applied: true}, nil
+}
+
+// send is a target that fails at random before or after the first byte left.
+func (h *history) send(x *Exchange) (*Answer, error) {
+	time.Sleep(time.Duration(rapid.IntRange(0, 3).Draw(h.rt, "work")) * time.Second)
+	if h.odds("dial fails", 4) {
+		return nil, errDial
+	}
+	x.Token.Spend()
+	h.runs[x.ID]++
+	h.keys[x.Key]++
+	if h.odds("try fails", 4) {
+		return nil, rapid.SampledFrom(sentError).Draw(h.rt, "error")
+	}
+	body := answerOf(x.Key, h.keys[x.Key])
+	if h.odds("cut", 4) {
+		return plainAnswer(body[:5], forward.ErrCut), nil
+	}
+	a := plainAnswer(body, nil)
+	if h.odds("busy", 4) {
+		a.Status = 503
+	}
+	return a, nil
+}
+
+func answerOf(key string, run int) string { return fmt.Sprintf("answer to %s, run %d", key, run) }
+
+// TestRandomHistories runs the chain against random faults and asserts the
+// promises on each request.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			h := &history{fake: newFake(), rt: rt, held: map[string]*pb.Claim{}, ended: map[string]*pb.Resolve{}, runs: map[string]int{}, keys: map[string]int{}}
+			h.take = func() error { return h.refusal("limit") }
+			h.admit = func() error { return h.refusal("admit") }
+			h.claim, h.resolve, h.try = h.commit, h.settle, h.send
+			chain, claim := h.chain(t)
+			for i := range rapid.IntRange(1, 12).Draw(rt, "requests") {
+				h.request(t, chain, i)
+				// Draws must come in one order.
+				claim.Wait()
+			}
+			if h.taken != h.given || h.admitted != h.released {
+				rt.Errorf("taken %d, given %d; admitted %d, released %d", h.taken, h.given, h.admitted, h.released)
+			}
+		})
+	})
+}
+
+func (h *history) refusal(what string) error {
+	h.unleased = h.odds("lease lost at "+what, 10)
+	if h.odds(what+" refuses", 8) {
+		return &Refusal{Code: what, RetryAfter: time.Second}
+	}
+	return nil
+}
+
+// request passes one request through the chain and checks what came of it.
+func (h *history) request(t *testing.T, chain *Chain, i int) {
+	x := booking()
+	x.ID = fmt.Sprint("id-", i)
+	x.Key = rapid.SampledFrom([]string{"", "k1", "k2"}).Draw(h.rt, "key")
+	x.Idempotent = h.odds("idempotent", 3)
+	repeatable := x.Idempotent
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	if repeatable {
+		x.Key = x.ID
+	}
+	err := chain.Run(ctx, x)
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(x.Answer.Body)
+	}
+	x.End()
+	h.check(x, repeatable, string(body), err)
+}
+
+func (h *history) check(x *Exchange, repeatable bool, body string, err error) {
+	runs := h.runs[x.ID]
+	if !repeatable && (runs > 1 || x.Key != "" && h.keys[x.Key] > 1) {
+		h.rt.Errorf("%s: %d runs, %d of key %q", x.ID, runs, h.keys[x.Key], x.Key)
+	}
+	if runs > maxTries || errors.Is(err, ErrInvariant) {
+		h.rt.Errorf("%s: %d runs, %v", x.ID, runs, err)
+	}
+	var r *Rejection
+	if errors.As(err, &r) && r.Outcome() == OutcomeNotRun && runs > 0 {
+		h.rt.Errorf("%s says not-run after %d runs: %v", x.ID, runs, r)
+	}
+	if err == nil && body != answerOf(x.Key, h.keys[x.Key]) {
+		h.rt.Errorf("%s got %q", x.ID, body)
+	}
+}
