--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,161 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the random runs unless one is given.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func always(*Item) bool { return true }
+
+func item(id uint64, customer string, weight uint32, class int, cost float64, at time.Time) *Item {
+	return &Item{ID: id, Customer: customer, Weight: weight, Class: class, Cost: cost, Enqueued: at, GiveUp: at.Add(time.Hour)}
+}
+
+// However much the others send, a customer's next request comes once each of
+// them has got at most its share of service, and one request more.
+func TestNoCustomerStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const maxCost = 100
+		others := rapid.IntRange(1, 5).Draw(t, "others")
+		q := NewQueue(100000)
+		now := start
+		var id uint64
+		push := func(customer string, weight uint32) {
+			id++
+			cost := float64(rapid.IntRange(1, maxCost).Draw(t, "cost"))
+			q.Push(item(id, customer, weight, rapid.IntRange(0, 2).Draw(t, "class"), cost, now))
+		}
+		weights := make(map[string]uint32)
+		for i := range others {
+			weights[fmt.Sprint("o", i)] = uint32(rapid.IntRange(1, 5).Draw(t, "weight"))
+		}
+		feed := func() {
+			for i := range others {
+				c := fmt.Sprint("o", i)
+				for q.Waiting(c) < 3 {
+					push(c, weights[c])
+				}
+			}
+		}
+		for range rapid.IntRange(0, 30).Draw(t, "before") {
+			feed()
+			q.Take(now, always)
+		}
+		weight := uint32(rapid.IntRange(1, 5).Draw(t, "own weight"))
+		ahead := rapid.IntRange(0, 3).Draw(t, "ahead")
+		for range ahead + 1 {
+			push("own", weight)
+		}
+		served := make(map[string]float64)
+		for q.Waiting("own") > 0 {
+			feed()
+			now = now.Add(time.Second)
+			it := q.Take(now, always)
+			if it.Customer != "own" {
+				served[it.Customer] += it.cost()
+			}
+		}
+		for c, cost := range served {
+			fair := float64(ahead)*maxCost*float64(weights[c])/float64(weight) + 2*maxCost
+			if cost > fair {
+				t.Fatalf("%s got %.0f tokens before the customer's %d requests, over %.0f", c, cost, ahead+1, fair)
+			}
+		}
+	})
+}
+
+// A draft that may wait arrives though checks of its customer keep coming.
+func TestLowestClassArrives(t *testing.T) {
+	q := NewQueue(100)
+	q.Push(item(1, "c", 1, 2, 1, start))
+	now := start
+	for n := uint64(2); n < 100; n++ {
+		q.Push(item(n, "c", 1, 0, 1, now))
+		if it := q.Take(now, always); it.ID == 1 {
+			if now.Sub(start) < AgingStep {
+				t.Fatalf("the draft came before the checks after %v", now.Sub(start))
+			}
+			return
+		}
+		now = now.Add(500 * time.Millisecond)
+	}
+	t.Fatalf("the draft has not come after %v", now.Sub(start))
+}
+
+func TestUrgentClassFirst(t *testing.T) {
+	q := NewQueue(10)
+	for i, class := range []int{2, 1, 0, 1} {
+		q.Push(item(uint64(i), "c", 1, class, 1, start))
+	}
+	for _, want := range []uint64{2, 1, 3, 0} {
+		if it := q.Take(start, always); it.ID != want {
+			t.Fatalf("took %d, want %d", it.ID, want)
+		}
+	}
+}
+
+// A full queue sheds the newest of the lowest class of whoever queues most.
+func TestShedsTheLongest(t *testing.T) {
+	q := NewQueue(4)
+	q.Push(item(1, "surge", 1, 2, 50, start))
+	q.Push(item(2, "surge", 1, 2, 50, start))
+	q.Push(item(3, "surge", 1, 0, 50, start))
+	q.Push(item(4, "quiet", 1, 2, 50, start))
+	if shed := q.Push(item(5, "quiet", 1, 0, 50, start)); shed == nil || shed.ID != 2 {
+		t.Fatalf("shed %+v", shed)
+	}
+	if q.Len() != 4 || q.Waiting("quiet") != 2 {
+		t.Fatalf("%d wait, %d of the quiet customer", q.Len(), q.Waiting("quiet"))
+	}
+}
+
+// A customer that was idle gets no credit for it.
+func TestIdleTimeGivesNoCredit(t *testing.T) {
+	q := NewQueue(100)
+	for n := range uint64(50) {
+		q.Charge("busy", 1, 100)
+		_ = n
+	}
+	var id uint64
+	for range 10 {
+		id += 2
+		q.Push(item(id, "busy", 1, 0, 100, start))
+		q.Push(item(id+1, "idle", 1, 0, 100, start))
+	}
+	idle := 0
+	for range 6 {
+		if q.Take(start, always).Customer == "idle" {
+			idle++
+		}
+	}
+	if idle < 3 || idle > 4 {
+		t.Fatalf("the idle customer got %d of 6 turns", idle)
+	}
+}
+
+func TestExpired(t *testing.T) {
+	q := NewQueue(10)
+	late := item(1, "c", 1, 0, 1, start)
+	late.GiveUp = start.Add(time.Second)
+	q.Push(late)
+	q.Push(item(2, "c", 1, 0, 1, start))
+	if got := q.Expired(start.Add(time.Second)); len(got) != 1 || got[0].ID != 1 || q.Len() != 1 {
+		t.Fatalf("expired %v, %d left", got, q.Len())
+	}
+}
--- a/internal/limits/lender.go
+++ b/internal/limits/lender.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
 )
 
 const (
@@ -69,12 +71,30 @@
 	a.expire(now)
 	delete(a.loans, ask.Router)
 	share := a.share(ask.Demand, ask.Routers)
+	a.check(share)
 	counted := share.atLeast(ask.Held)
 	counted.Concurrency = max(counted.Concurrency, float64(ask.InUse))
 	a.loans[ask.Router] = loan{counted: counted, demand: ask.Demand, until: now.Add(ShareLifetime)}
 	return share
 }
 
+// check holds a share, with what the others may be using, to the limits.
+func (a *account) check(share Amount) {
+	lent := a.sum(func(lo loan) Amount { return lo.counted })
+	if fits(share.Requests, lent.Requests, a.limits.Requests) &&
+		fits(share.Tokens, lent.Tokens, a.limits.Tokens) &&
+		fits(share.Concurrency, lent.Concurrency, a.limits.Concurrency) {
+		return
+	}
+	invariant.Check(false, "lend within the contract", "share", share, "lent", lent, "limits", a.limits)
+}
+
+// fits allows for rounding. A share of nothing always fits.
+func fits(share, lent, limit float64) bool {
+	const rounding = 1e-9
+	return share <= 0 || share+lent <= limit*(1+rounding)
+}
+
 // Lent returns the sum of what the routers may be using of a customer's limits.
 func (l *Lender) Lent(now time.Time, customer string) Amount {
 	a, ok := l.accounts[customer]
--- a/internal/placement/measure/pools.go
+++ b/internal/placement/measure/pools.go
@@ -235,7 +235,7 @@
 	for i := range s.run.trace {
 		q := &s.run.trace[i]
 		if s.run.inFlight[q.number] == q {
-			s.pool.Adopt(at(s.run.now), pool.Held{ID: placeID(q), Target: s.run.engines[q.engine].id, Customer: q.name, Model: model})
+			s.pool.Adopt(at(s.run.now), pool.Held{ID: placeID(q), Target: s.run.engines[q.engine].id, Customer: q.name, Weight: q.weight, Model: model})
 		}
 	}
 	s.control += routerCount * callOverhead * 2
--- a/internal/placement/measure/result.go
+++ b/internal/placement/measure/result.go
@@ -26,6 +26,8 @@
 	BusiestBytes float64
 	// WaitP99 is that of customers that don't surge, in the surge's period.
 	WaitP99 time.Duration
+	// FirstTokenP99 adds the time to compute a prefix that was not held.
+	FirstTokenP99 time.Duration
 	// Refused counts requests that were turned away.
 	Refused int
 }
@@ -47,7 +49,12 @@
 		}
 	}
 	if q.name != surgeCustomer && q.at >= surgeFrom && q.at < surgeUntil {
-		r.waits = append(r.waits, r.now-q.at)
+		wait := r.now - q.at
+		r.waits = append(r.waits, wait)
+		if !q.hit {
+			wait += q.prefill
+		}
+		r.firstTokens = append(r.firstTokens, wait)
 	}
 }
 
@@ -67,9 +74,11 @@
 	}
 	slices.Sort(r.skews)
 	slices.Sort(r.waits)
+	slices.Sort(r.firstTokens)
 	r.results.SkewMax = r.skews[len(r.skews)-1]
 	r.results.SkewP99 = r.skews[len(r.skews)*99/100]
 	r.results.WaitP99 = r.waits[len(r.waits)*99/100]
+	r.results.FirstTokenP99 = r.firstTokens[len(r.firstTokens)*99/100]
 	r.strategy.addTraffic(&r.results)
 	return r.results
 }
--- a/internal/placement/measure/run.go
+++ b/internal/placement/measure/run.go
@@ -34,7 +34,9 @@
 	lastEvent uint64
 	results   Result
 	waits     []time.Duration
-	skews     []float64
+	// firstTokens are the waits with the time to compute the prefix.
+	firstTokens []time.Duration
+	skews       []float64
 }
 
 type event struct {
--- a/internal/placement/measure/situation.go
+++ b/internal/placement/measure/situation.go
@@ -100,17 +100,25 @@
 	e.announced = false
 	r.engines = append(r.engines, e)
 	r.index[id] = len(r.engines) - 1
-	r.after(r.now+viewLag, func() { e.announced = true })
+	r.viewChange(viewLag, func() { e.announced = true })
 }
 
 func (r *run) leave(i int) {
-	r.after(r.now+viewLag, func() { r.engines[i].leaving = true })
+	r.viewChange(viewLag, func() { r.engines[i].leaving = true })
 }
 
 // flap makes an engine silent for a while; what it runs goes on.
 func (r *run) flap(i int) {
-	r.after(r.now+silentLag, func() { r.engines[i].announced = false })
-	r.after(r.now+flapDown, func() { r.engines[i].announced = true })
+	r.viewChange(silentLag, func() { r.engines[i].announced = false })
+	r.viewChange(flapDown, func() { r.engines[i].announced = true })
+}
+
+// viewChange changes what routers know of engines. Their next decision uses it.
+func (r *run) viewChange(lag time.Duration, change func()) {
+	r.after(r.now+lag, func() {
+		change()
+		r.strategy.tick()
+	})
 }
 
 // restart fails what an engine runs; callers' requests are placed again.
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,204 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the random runs unless one is given.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func engines(n, capacity int) []Engine {
+	all := make([]Engine, n)
+	for i := range all {
+		id := fmt.Sprint("engine-", i)
+		all[i] = Engine{ID: id, Hash: HashEngine(id), Incarnation: 1, Capacity: capacity}
+	}
+	return all
+}
+
+func newChooser() *Chooser {
+	return &Chooser{
+		Factor: DefaultBoundFactor, Spread: DefaultSpread, Takeover: DefaultTakeover,
+		Directory: NewDirectory(1000),
+	}
+}
+
+// The bound alone never refuses: some engine is always below it.
+func TestBoundAlwaysLeavesRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		loads := rapid.SliceOfN(rapid.IntRange(0, 50), 1, 20).Draw(t, "loads")
+		all := engines(len(loads), 1000)
+		total := 1
+		for i, load := range loads {
+			all[i].InFlight = load
+			total += load
+		}
+		factor := rapid.Float64Range(1, 3).Draw(t, "factor")
+		c := newChooser()
+		c.Factor = factor
+		key := ChatKey(rapid.String().Draw(t, "chat"))
+		for _, choice := range []Choice{c.Choose(start, key, all), c.LeastLoaded(key, all)} {
+			if choice.Index < 0 {
+				t.Fatalf("no engine of %v has room", loads)
+			}
+			if !Within(factor, loads[choice.Index]+1, total, len(loads)) {
+				t.Fatalf("engine with %d of %v chosen", loads[choice.Index], loads)
+			}
+		}
+	})
+}
+
+// A chat stays with its holder through other engines' coming and going, and
+// through the holder's own short absence; a restart makes the holder cold.
+func TestHolderKeepsItsChat(t *testing.T) {
+	c := newChooser()
+	all := engines(8, 10)
+	key := ChatKey("chat")
+	c.Directory.Record(key, Holder{Engine: "engine-5", Incarnation: 1, Used: start})
+	if got := c.Choose(start, key, all); got.Index != 5 || got.Why != WhyHeld {
+		t.Fatalf("got %+v", got)
+	}
+	away := append(append([]Engine(nil), all[:5]...), all[6:]...)
+	other := c.Choose(start, key, away)
+	c.Directory.Record(key, Holder{Engine: away[other.Index].ID, Incarnation: 1, Used: start})
+	c.Directory.Forget(key, away[other.Index].ID)
+	if got := c.Choose(start, key, all); got.Index != 5 {
+		t.Fatalf("after its absence: %+v", got)
+	}
+	all[5].Incarnation = 2
+	if got := c.Choose(start, key, all); got.Why == WhyHeld {
+		t.Fatalf("a restarted engine counts as a holder: %+v", got)
+	}
+}
+
+func TestFullHolderIsPassedOver(t *testing.T) {
+	c := newChooser()
+	all := engines(4, 10)
+	key := ChatKey("chat")
+	c.Directory.Record(key, Holder{Engine: "engine-1", Incarnation: 1, Used: start})
+	all[1].InFlight = 10
+	if got := c.Choose(start, key, all); got.Index == 1 || got.Index < 0 || got.Why != WhySpill && got.Why != WhyDefault {
+		t.Fatalf("got %+v", got)
+	}
+	for i := range all {
+		all[i].Blocked = true
+	}
+	if got := c.Choose(start, key, all); got.Index >= 0 {
+		t.Fatalf("a blocked engine was chosen: %+v", got)
+	}
+}
+
+// A joining engine takes over chats in proportion to the time since it joined.
+func TestGradualTakeover(t *testing.T) {
+	c := newChooser()
+	c.Spread = 1
+	all := engines(4, 1000)
+	all[3].Joined = start
+	share := func(after time.Duration) float64 {
+		n := 0
+		for i := range 4000 {
+			if c.Choose(start.Add(after), ChatKey(fmt.Sprint(i)), all).Index == 3 {
+				n++
+			}
+		}
+		return float64(n) / 4000
+	}
+	for _, want := range []struct {
+		after    time.Duration
+		low, top float64
+	}{{0, 0, 0}, {DefaultTakeover / 2, 0.10, 0.15}, {DefaultTakeover, 0.22, 0.28}} {
+		if got := share(want.after); got < want.low || got > want.top {
+			t.Errorf("after %v the joining engine takes %.3f of the chats", want.after, got)
+		}
+	}
+}
+
+func TestDirectoryIsBounded(t *testing.T) {
+	d := NewDirectory(10)
+	for i := range 100 {
+		d.Record(ChatKey(fmt.Sprint(i)), Holder{Engine: "e", Incarnation: 1, Used: start})
+	}
+	if d.Len() != 10 {
+		t.Fatalf("%d chats in a directory of 10", d.Len())
+	}
+	if d.Holders(ChatKey("99"))[0].Engine != "e" || d.Holders(ChatKey("0"))[0].Engine != "" {
+		t.Fatal("the directory forgot the latest chats")
+	}
+}
+
+// After a resync the holders that it names are warm again.
+func TestResyncRenewsHolders(t *testing.T) {
+	d := NewDirectory(10)
+	f := NewFeeds(d)
+	kept, lost := ChatKey("kept"), ChatKey("lost")
+	d.Record(kept, Holder{Engine: "e", Incarnation: 1, Used: start})
+	d.Record(lost, Holder{Engine: "e", Incarnation: 1, Used: start})
+	now := start.Add(time.Second)
+	if f.Apply(now, "e", 1, 1, []CacheEvent{{Kind: EventStored, Chat: kept}}) {
+		t.Fatal("resync without a gap")
+	}
+	if !f.Apply(now, "e", 1, 5, []CacheEvent{{Kind: EventStored, Chat: kept}}) {
+		t.Fatal("no resync after a gap")
+	}
+	if f.Apply(now, "e", 1, 6, []CacheEvent{{Kind: EventCleared}, {Kind: EventStored, Chat: kept}}) {
+		t.Fatal("resync again though all was sent")
+	}
+	if d.Holders(kept)[0].Engine != "e" {
+		t.Error("a holder that the resync named is cold")
+	}
+	if d.Holders(lost)[0].Engine != "" {
+		t.Error("a holder that the resync did not name is warm")
+	}
+	// What was seen already, and what is of an earlier incarnation, is ignored.
+	f.Apply(now, "e", 1, 6, []CacheEvent{{Kind: EventEvicted, Chat: kept}})
+	f.Apply(now, "e", 0, 9, []CacheEvent{{Kind: EventEvicted, Chat: kept}})
+	if d.Holders(kept)[0].Engine != "e" {
+		t.Error("a late event was applied")
+	}
+	f.Apply(now.Add(time.Second), "e", 2, 1, nil)
+	if d.Holders(kept)[0].Engine != "" {
+		t.Error("a restarted engine's holders are warm")
+	}
+}
+
+// An older hint does not put a holder back.
+func TestOldHintChangesNothing(t *testing.T) {
+	d := NewDirectory(10)
+	key := ChatKey("chat")
+	d.Record(key, Holder{Engine: "e", Incarnation: 1, Used: start.Add(time.Minute)})
+	d.Hint(key, Holder{Engine: "e", Incarnation: 1, Used: start})
+	d.Clear("e", start.Add(time.Second))
+	if d.Holders(key)[0].Engine != "e" {
+		t.Fatal("a hint made the holder older than the clear before it")
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{15, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := newChooser()
+			all := engines(n, 16)
+			for i := range all {
+				all[i].InFlight = i % 7
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				c.Choose(start, Key(i)*2+1, all)
+			}
+		})
+	}
+}
--- a/internal/pool/adopt.go
+++ b/internal/pool/adopt.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/placement"
 )
 
 // Held is a place that a request of another router holds. Without a target
@@ -12,30 +14,37 @@
 	ID       ID
 	Target   string
 	Customer string
-	Model    string
-	Service  string
+	// Weight is the customer's share by contract.
+	Weight  uint32
+	Model   string
+	Service string
 }
 
-// Adopt counts a place that another home granted. It tells whether the place
-// is counted now.
+// Adopt counts a place that another home granted, also at a target that is
+// silent now and may return. It tells whether the place is counted now.
 func (p *Pool) Adopt(now time.Time, h Held) bool {
 	if _, ok := p.grants[h.ID]; ok {
 		return true
 	}
+	if h.Target == "" {
+		return false
+	}
 	t, ok := p.targets[h.Target]
 	if !ok {
-		return false
+		t = &target{Target: Target{ID: h.Target}, hash: placement.HashEngine(h.Target), gone: now}
+		p.targets[h.Target] = t
 	}
 	g := &grant{target: t}
-	r := Request{ID: h.ID, Customer: h.Customer, Model: h.Model, Service: h.Service}
+	r := Request{ID: h.ID, Customer: h.Customer, Weight: h.Weight, Model: h.Model, Service: h.Service}
 	if l, ok := p.lanes[LaneName(r.Model, r.Service)]; ok {
-		if s, ok := l.shares[h.Customer]; ok {
-			r.Weight = uint32(s.weight)
-		}
 		g.lane = l
 		g.share = l.see(now, &r)
 	}
 	p.hold(now, h.ID, g)
+	if g.share != nil {
+		// What the customer used before is not known here: as much as now.
+		g.share.average = max(g.share.average, float64(g.share.inFlight))
+	}
 	return true
 }
 
@@ -46,9 +55,7 @@
 	listed := make(map[ID]bool, len(held))
 	for _, h := range held {
 		listed[h.ID] = true
-		if h.Target != "" {
-			p.Adopt(now, h)
-		}
+		p.Adopt(now, h)
 	}
 	return p.releaseAll(now, func(id ID) bool {
 		return id.Router == router && id.Incarnation == incarnation && id.Number <= upTo && !listed[id]
--- a/internal/pool/lane.go
+++ b/internal/pool/lane.go
@@ -27,8 +27,10 @@
 	name     string
 	targets  []*target
 	capacity int
-	queue    *admission.Queue
-	shares   map[string]*share
+	// reserve is the part kept free, in thousandths of the capacity.
+	reserve int
+	queue   *admission.Queue
+	shares  map[string]*share
 	// weights is the sum over shares.
 	weights float64
 
@@ -64,11 +66,12 @@
 	s.averaged = now
 }
 
-func newLane(name string, queueLength int) *lane {
+func newLane(name string, cfg *Config) *lane {
 	return &lane{
-		name:   name,
-		queue:  admission.NewQueue(queueLength),
-		shares: make(map[string]*share),
+		name:    name,
+		reserve: cfg.Reserve,
+		queue:   admission.NewQueue(cfg.QueueLength),
+		shares:  make(map[string]*share),
 	}
 }
 
@@ -111,18 +114,24 @@
 }
 
 // aboveShare tells whether a customer uses more than its weighted share of the
-// lane's capacity: on average, or by far with one more request now. Chance
-// alone takes a small customer past its share for moments.
+// lane's capacity: on average, or with one more request now by far or so much
+// that it reaches into the reserve. Chance alone takes a small customer past
+// its share for moments. A customer that is alone is never above its share.
 func (l *lane) aboveShare(now time.Time, customer string) bool {
 	s, ok := l.shares[customer]
-	if !ok || l.weights <= 0 {
+	if !ok || len(l.shares) < 2 {
 		return false
 	}
 	s.settle(now)
 	fair := float64(l.capacity) * s.weight / l.weights
-	return s.average > fair || float64(s.inFlight+1) > burstFactor*fair
+	most := min(burstFactor*fair, float64(l.capacity-l.reserved()))
+	return s.average > fair || float64(s.inFlight+1) > most
 }
 
+// reserved is the number of places that are left to customers within their
+// share.
+func (l *lane) reserved() int { return (l.capacity*l.reserve + 999) / 1000 }
+
 // free counts the places that the lane's targets have left.
 func (l *lane) free() int {
 	free := 0
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/admission"
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
 	"github.com/wigeonwood/wigeonwood/internal/placement"
 )
 
@@ -59,11 +60,11 @@
 		feeds:     placement.NewFeeds(directory),
 		chooser:   chooser,
 		placer:    placer,
-		targets:  make(map[string]*target),
-		lanes:    make(map[string]*lane),
-		grants:   make(map[ID]*grant),
-		waiting:  make(map[uint64]*waiter),
-		waiterOf: make(map[ID]*waiter),
+		targets:   make(map[string]*target),
+		lanes:     make(map[string]*lane),
+		grants:    make(map[ID]*grant),
+		waiting:   make(map[uint64]*waiter),
+		waiterOf:  make(map[ID]*waiter),
 	}
 }
 
@@ -110,7 +111,7 @@
 	reserve := 0
 	if l.aboveShare(now, r.Customer) {
 		reserve = p.cfg.Reserve
-		if l.free()*1000 <= l.capacity*reserve {
+		if l.free() <= l.reserved() {
 			return Result{}, false
 		}
 	}
@@ -125,11 +126,27 @@
 		return Result{}, false
 	}
 	t := l.targets[choice.Index]
+	p.checkPlace(l, t)
 	p.hold(now, r.ID, &grant{target: t, lane: l, share: l.shares[r.Customer]})
 	p.directory.Record(r.Chat, placement.Holder{Engine: t.ID, Incarnation: t.Incarnation, Used: now})
 	return Result{ID: r.ID, Kind: Granted, Target: t.ID, Incarnation: t.Incarnation, Why: choice.Why}, true
 }
 
+// checkPlace holds each admission to the load bound and to the capacity. It
+// counts by itself, apart from the code that chose the target.
+func (p *Pool) checkPlace(l *lane, t *target) {
+	total := 1
+	for _, other := range l.targets {
+		total += other.inFlight()
+	}
+	load := t.inFlight() + 1
+	if placement.Within(p.cfg.Factor, load, total, len(l.targets)) && load <= t.Capacity && t.open() {
+		return
+	}
+	invariant.Check(false, "admit within the load bound",
+		"target", t.ID, "load", load, "total", total, "targets", len(l.targets), "capacity", t.Capacity, "open", t.open())
+}
+
 func (p *Pool) hold(now time.Time, id ID, g *grant) {
 	g.target.granted++
 	if g.share != nil {
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,95 @@
+package pool
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testConfig() Config {
+	return Config{
+		Factor: 1.25, Spread: 4, Takeover: 10 * time.Minute, Reserve: DefaultReserve,
+		QueueLength: 8, DirectorySize: 1000, FlapHold: 2 * time.Minute,
+	}
+}
+
+func engine(id string, capacity int) Target {
+	return Target{ID: id, Incarnation: 1, Models: []string{"m"}, Capacity: capacity}
+}
+
+// A place at an engine that is silent while a home takes over still counts
+// when the engine returns.
+func TestAdoptsPlacesAtSilentTarget(t *testing.T) {
+	p := New(testConfig())
+	p.SetTargets(start, []Target{engine("a", 4)})
+	held := Held{ID: ID{Router: "r", Number: 1}, Target: "b", Customer: "c", Model: "m"}
+	if !p.Adopt(start, held) {
+		t.Fatal("a place at a silent engine is not counted")
+	}
+	p.SetTargets(start.Add(time.Second), []Target{engine("a", 4), engine("b", 4)})
+	if got := p.Granted("b"); got != 1 {
+		t.Fatalf("%d places are counted at the engine that returned, not 1", got)
+	}
+	p.Release(start.Add(time.Second), held.ID)
+	if got := p.Granted("b"); got != 0 {
+		t.Fatalf("%d places are counted after the release", got)
+	}
+}
+
+func request(n uint64, customer string) Request {
+	return Request{
+		ID: ID{Router: "r", Number: n}, Customer: customer, Weight: 1, Model: "m",
+		Cost: 100, MaxWait: time.Minute,
+	}
+}
+
+// A customer that surges leaves places for one that comes later, and is the
+// one that is shed.
+func TestSurgeLeavesRoomAndIsShed(t *testing.T) {
+	p := New(testConfig())
+	p.SetTargets(start, []Target{engine("a", 10), engine("b", 10)})
+	p.Submit(start, request(1, "quiet"))
+	shed := 0
+	for n := range uint64(40) {
+		for _, r := range p.Submit(start, request(100+n, "surge")) {
+			if r.Kind == Refused {
+				shed++
+				if r.ID.Number < 100 {
+					t.Fatalf("%v was shed", r.ID)
+				}
+			}
+		}
+	}
+	if shed == 0 {
+		t.Fatal("nothing was shed of 40 requests on 20 places and a queue of 8")
+	}
+	// 15% of 20 places are for others than the surging customer: three, of
+	// which the quiet one has one.
+	for n := range uint64(2) {
+		if r := p.Submit(start, request(2+n, "quiet"))[0]; r.Kind != Granted {
+			t.Fatalf("request %d of the quiet customer: %+v", n, r)
+		}
+	}
+}
+
+func TestConfirmRepairsBothWays(t *testing.T) {
+	p := New(testConfig())
+	p.SetTargets(start, []Target{engine("a", 10)})
+	for n := range uint64(3) {
+		p.Submit(start, request(n, "c"))
+	}
+	// The router lost place 0, still waits for the answer on 1, and holds 2
+	// and 7, which this pool does not know; 9 came after its list was made.
+	p.Submit(start, request(9, "c"))
+	p.Confirm(start, "r", 0, 8, []Held{
+		{ID: ID{Router: "r", Number: 1}},
+		{ID: ID{Router: "r", Number: 2}, Target: "a", Customer: "c", Model: "m"},
+		{ID: ID{Router: "r", Number: 7}, Target: "a", Customer: "c", Model: "m"},
+	})
+	for n, want := range map[uint64]bool{0: false, 1: true, 2: true, 7: true, 9: true} {
+		if _, got := p.grants[ID{Router: "r", Number: n}]; got != want {
+			t.Errorf("place %d counted: %v", n, got)
+		}
+	}
+}
--- a/internal/pool/targets.go
+++ b/internal/pool/targets.go
@@ -80,7 +80,7 @@
 	}
 	for name, targets := range byLane {
 		if p.lanes[name] == nil {
-			p.lanes[name] = newLane(name, p.cfg.QueueLength)
+			p.lanes[name] = newLane(name, &p.cfg)
 		}
 		p.lanes[name].setTargets(targets)
 	}
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -116,6 +116,7 @@
 			Number:   req.Id.Number,
 			Target:   reply.Target,
 			Customer: req.Customer,
+			Weight:   req.Weight,
 			Model:    req.Model,
 			Service:  req.Service,
 		})
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -33,6 +33,7 @@
 		_, known = g.present()
 		return &pb.AdmitReply{Code: codeMoved, Home: known}, nil
 	}
+	s.refreshIfChanged()
 	result, err := opened.admit(ctx, fromAdmitRequest(req))
 	if err != nil {
 		return nil, err
--- a/internal/scheduler/messages.go
+++ b/internal/scheduler/messages.go
@@ -59,6 +59,7 @@
 			ID:       pool.ID{Router: h.Router, Incarnation: h.Incarnation, Number: p.Number},
 			Target:   p.Target,
 			Customer: p.Customer,
+			Weight:   p.Weight,
 			Model:    p.Model,
 			Service:  p.Service,
 		})
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +19,10 @@
 
 	mu     sync.Mutex
 	layout *layout
-	groups map[string]*group
+	// seen and revision are the targets and the configuration of layout.
+	seen     []*pb.TargetStatus
+	revision uint64
+	groups   map[string]*group
 	// recent remembers where this router's chats were placed, as hints for a
 	// home that has lost its directory.
 	recent *placement.Directory
@@ -110,9 +114,30 @@
 
 func (s *Scheduler) refreshLayout() {
 	targets := s.cfg.View.Targets()
+	revision, _, _ := s.cfg.Config.Lease()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.layout = newLayout(targets, s.layout.engines)
+	s.seen = targets
+	s.revision = revision
+}
+
+// refreshIfChanged refreshes at once if targets came, left, restarted or were
+// drained since the last refresh. The mean of the load bound is over those
+// that take work now.
+func (s *Scheduler) refreshIfChanged() {
+	targets := s.cfg.View.Targets()
+	revision, _, _ := s.cfg.Config.Lease()
+	s.mu.Lock()
+	same := s.revision == revision && slices.EqualFunc(s.seen, targets, sameTarget)
+	s.mu.Unlock()
+	if !same {
+		s.refresh()
+	}
+}
+
+func sameTarget(a, b *pb.TargetStatus) bool {
+	return a == b || (a.Id == b.Id && a.Incarnation == b.Incarnation && a.Leaving == b.Leaving)
 }
 
 func (s *Scheduler) currentLayout() *layout {
