Cache events are passed on within the control budget; tests of services and events

Config.AllowHint asks first, by default a rate of 512 bytes a second; one resync an engine and minute.

--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -63,19 +63,6 @@
 	return &pb.ReleaseReply{Home: news(known, req.KnownEpoch)}, nil
 }
 
-func (s *Scheduler) handleCache(_ context.Context, req *pb.CacheEventsRequest) (*pb.CacheEventsReply, error) {
-	g := s.group(req.Group)
-	if g == nil {
-		return nil, errs.New(methodCache, s.cfg.Self, "too many groups of targets")
-	}
-	opened, _ := g.present()
-	if opened == nil {
-		return &pb.CacheEventsReply{}, nil
-	}
-	resync := opened.cacheEvents(req.Target, req.Incarnation, req.From, fromCacheEvents(req.Events))
-	return &pb.CacheEventsReply{Resync: resync}, nil
-}
-
 // callAdmit asks a router, which may be this one, for a place.
 func (s *Scheduler) callAdmit(ctx context.Context, to router, req *pb.AdmitRequest) (*pb.AdmitReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.MaxWaitMs)*time.Millisecond+admitSlack)
@@ -110,17 +97,3 @@
 	err := s.cfg.Pool.Call(ctx, addr, methodClaim, &pb.ClaimHomeRequest{Claim: c}, reply)
 	return reply, err
 }
-
-func (s *Scheduler) sendCacheEvents(group string, req *pb.CacheEventsRequest) (resync bool) {
-	candidates := s.candidates(group)
-	if len(candidates) == 0 || candidates[0].id == s.cfg.Self {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), cacheTimeout)
-	defer cancel()
-	reply := &pb.CacheEventsReply{}
-	if err := s.cfg.Pool.Call(ctx, candidates[0].addr, methodCache, req, reply); err != nil {
-		return false
-	}
-	return reply.Resync
-}
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/wigeonwood/wigeonwood/internal/admission"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
@@ -22,6 +23,11 @@
 	// hintDirectorySize bounds the chats of which an entry router remembers
 	// where it placed them.
 	hintDirectorySize = 16384
+	// hintBytesPerSecond and hintBurstBytes bound the cache events passed on.
+	hintBytesPerSecond = 512
+	hintBurstBytes     = 4096
+	// resyncInterval is the least time between two resyncs of one engine.
+	resyncInterval = 1 * time.Minute
 )
 
 // The longest waits in a queue by class; a request's own deadline shortens
@@ -56,6 +62,10 @@
 	// ConfirmInterval is how often a router confirms to each home what it
 	// holds there.
 	ConfirmInterval time.Duration
+	// AllowHint asks the control budget for bytes before cache events are
+	// passed on to another router; those that it refuses are dropped. Nil
+	// stands for a rate of hintBytesPerSecond.
+	AllowHint func(bytes int) bool
 }
 
 func (c *Config) setDefaults() {
@@ -74,6 +84,10 @@
 	if c.DirectorySize == 0 {
 		c.DirectorySize = placement.DefaultDirectorySize
 	}
+	if c.AllowHint == nil {
+		limiter := rate.NewLimiter(hintBytesPerSecond, hintBurstBytes)
+		c.AllowHint = func(bytes int) bool { return limiter.AllowN(time.Now(), bytes) }
+	}
 	if c.ConfirmInterval == 0 {
 		c.ConfirmInterval = defaultConfirmInterval
 	}
--- a/internal/scheduler/homes_test.go
+++ b/internal/scheduler/homes_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/placement"
 	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
@@ -316,3 +317,55 @@
 		t.Fatalf("%d bytes for each request, over %d", each, maxAdmissionBytes)
 	}
 }
+
+// Events that reach any router steer the home: a chat goes where an engine
+// reported its prefix.
+func TestCacheEventsReachTheHome(t *testing.T) {
+	nodes := startNodes(t, 3, engines(8, 50)...)
+	releaseAll(fill(t, nodes, 3))
+	home := homeOf(nodes)
+	entry := without(nodes, home)[0]
+	for i := range 8 {
+		target := fmt.Sprint("engine-", i)
+		chat := fmt.Sprint("imported-", i)
+		events := []placement.CacheEvent{{Kind: placement.EventStored, Chat: placement.ChatKey(chat)}}
+		if entry.CacheEvents(target, 1, 1, events) {
+			t.Fatalf("resync of %s without a gap", target)
+		}
+		if i == 0 && !entry.CacheEvents(target, 1, 9, events) {
+			t.Fatal("no resync after a gap")
+		}
+		g := mustAdmit(t, entry.Scheduler, demand("c", chat))
+		if g.Target.Id != target {
+			t.Errorf("%s went to %s, %s holds it", chat, g.Target.Id, target)
+		}
+		g.Release(filter.Usage{})
+	}
+	entry.cfg.AllowHint = func(int) bool { return false }
+	if entry.CacheEvents("engine-1", 1, 9, nil) {
+		t.Fatal("events were passed on without budget")
+	}
+}
+
+// A service's requests go to its least loaded target, through one home.
+func TestServiceIsLeastLoaded(t *testing.T) {
+	var targets []*pb.TargetStatus
+	for i := range 3 {
+		targets = append(targets, &pb.TargetStatus{
+			Id: fmt.Sprint("portal-", i), Kind: pb.TargetKind_TARGET_KIND_SERVICE,
+			Incarnation: 1, Service: "portal", Capacity: 10,
+		})
+	}
+	nodes := startNodes(t, 3, targets...)
+	var grants []*filter.Grant
+	for i := range 9 {
+		d := filter.Demand{Contract: &pb.Contract{Customer: "c"}, Service: "portal", RequestID: fmt.Sprint(i)}
+		grants = append(grants, mustAdmit(t, nodes[i%3].Scheduler, d))
+	}
+	for id, n := range perTarget(grants) {
+		if n != 3 {
+			t.Errorf("%s has %d of 9 requests on 3 targets", id, n)
+		}
+	}
+	releaseAll(grants)
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,6 +26,8 @@
 	// recent remembers where this router's chats were placed, as hints for a
 	// home that has lost its directory.
 	recent *placement.Directory
+	// resyncs is when each engine was last asked for a resync.
+	resyncs map[string]time.Time
 	// absent is since when routers that hold places have been out of view.
 	absent map[routerKey]time.Time
 
@@ -46,6 +48,7 @@
 		layout:  newLayout(nil, 1),
 		groups:  make(map[string]*group),
 		recent:  placement.NewDirectory(hintDirectorySize),
+		resyncs: make(map[string]time.Time),
 		absent:  make(map[routerKey]time.Time),
 		stop:    make(chan struct{}),
 	}
@@ -167,25 +170,3 @@
 	}
 	return all
 }
-
-// CacheEvents takes the events numbered from, from+1 and so on of an engine's
-// cache and passes them on to the home. It returns resync if earlier ones are
-// missing: the engine should then send placement.EventCleared and all that it
-// holds. Events that the home can't be given are lost; a gap shows it later.
-func (s *Scheduler) CacheEvents(target string, incarnation, from uint64, events []placement.CacheEvent) (resync bool) {
-	name := s.currentLayout().groupOf[target]
-	if name == "" {
-		return false
-	}
-	opened, _ := s.group(name).present()
-	if opened != nil {
-		return opened.cacheEvents(target, incarnation, from, events)
-	}
-	return s.sendCacheEvents(name, &pb.CacheEventsRequest{
-		Target:      target,
-		Incarnation: incarnation,
-		From:        from,
-		Group:       name,
-		Events:      toCacheEvents(events),
-	})
-}
