--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -128,6 +128,9 @@
 	return b
 }
 
+// Rate returns the bytes that may be spent in a second.
+func (b *Budget) Rate() int { return b.rate }
+
 // Allow spends n bytes in class c now, or tells that the class must wait or
 // drop. A class may use all that it need not leave to the classes above it.
 func (b *Budget) Allow(c Class, n int) bool { return b.AllowAt(time.Now(), c, n) }
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -20,6 +20,8 @@
 	// allow spends budget for one packet, or refuses it.
 	allow func(now time.Time, class budget.Class, bytes int) bool
 
+	pace pace
+
 	self    *routerEntry
 	routers map[string]*routerEntry
 	targets map[string]*targetEntry
@@ -69,6 +71,8 @@
 	intervals Intervals
 	rng       *rand.Rand
 	allow     func(now time.Time, class budget.Class, bytes int) bool
+	// rate is the budget in bytes a second.
+	rate int
 }
 
 func newCore(cfg coreConfig, now time.Time) *core {
@@ -78,6 +82,7 @@
 		iv:        cfg.intervals.withDefaults(),
 		rng:       cfg.rng,
 		allow:     cfg.allow,
+		pace:      newPace(cfg.rate),
 		self:      &routerEntry{status: self, generation: self.Incarnation},
 		routers:   make(map[string]*routerEntry),
 		targets:   make(map[string]*targetEntry),
@@ -115,8 +120,8 @@
 	c.expireProbes(now)
 	c.expireSuspicions(now)
 	if !now.Before(c.nextProbe) {
-		c.nextProbe = now.Add(c.iv.Probe)
 		c.startProbe(now)
+		c.nextProbe = now.Add(c.probeInterval())
 	}
 	if !now.Before(c.nextJoin) {
 		c.nextJoin = now.Add(c.joinInterval())
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -65,6 +65,7 @@
 		intervals: cfg.Intervals,
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		allow:     cfg.Budget.AllowAt,
+		rate:      cfg.Budget.Rate(),
 	}, time.Now())
 	m.done.Go(m.tickLoop)
 	m.done.Go(m.readLoop)
--- a/internal/member/piggyback.go
+++ b/internal/member/piggyback.go
@@ -24,19 +24,26 @@
 	return newsFactor * int(math.Ceil(math.Log2(float64(len(c.routers)+2))))
 }
 
-// sendWithNews adds as much news to m as fits and sends it. A message that
-// tells of a target's leaving goes out in the drain class.
+// sendWithNews sends m with as much news as fits. News waits while the budget
+// is short, except that a target leaves, which goes out in the drain class.
 func (c *core) sendWithNews(now time.Time, to string, class budget.Class, m *pb.Gossip) bool {
+	base := proto.Size(m) + headerBytes + packetOverheadBytes
 	routers, targets := len(m.Routers), len(m.Targets)
 	picked, urgent := c.addNews(m)
+	withNews := max(class, budget.Load)
 	if urgent {
-		class = min(class, budget.Drain)
+		withNews = budget.Drain
 	}
-	if c.send(now, to, class, m) {
+	if len(picked) > 0 && c.send(now, to, withNews, m) {
 		c.news.passed(picked, c.newsLimit())
+		c.pace.sent(base)
 		return true
 	}
 	m.Routers, m.Targets = m.Routers[:routers], m.Targets[:targets]
+	if c.send(now, to, class, m) {
+		c.pace.sent(base)
+		return true
+	}
 	return false
 }
 
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -33,6 +33,7 @@
 
 // startProbe pings the next router in this round's random order.
 func (c *core) startProbe(now time.Time) {
+	c.pace.probed()
 	if len(c.probes) >= maxProbes {
 		return
 	}
--- a/internal/member/renewals.go
+++ b/internal/member/renewals.go
@@ -29,7 +29,7 @@
 	for _, e := range c.targets {
 		if c.present(now, e) {
 			list = append(list, e)
-			digest ^= hashOf(e.status.Id, e.status.Incarnation, leavingBit(e.status))
+			digest ^= e.identity
 		}
 	}
 	slices.SortFunc(list, func(a, b *targetEntry) int { return cmp.Compare(a.key, b.key) })
--- a/internal/member/routers.go
+++ b/internal/member/routers.go
@@ -22,7 +22,7 @@
 	leaveFanout = 5
 	// gcInterval is the time between removals of old entries.
 	gcInterval = 10 * time.Second
-	// smallFleet is the size up to which the suspicion time isn't scaled.
+	// smallFleet is the number of routers up to which intervals aren't scaled.
 	smallFleet = 10
 )
 
@@ -42,11 +42,14 @@
 	state        liveness
 	suspectUntil time.Time
 	diedAt       time.Time
-	hash         uint64
+	// hash and bucket place the entry in digests.
+	hash   uint32
+	bucket int
 }
 
 func (e *routerEntry) rehash() {
-	e.hash = hashOf(e.status.Id, e.generation, e.status.Version)
+	e.bucket = bucketOf(e.status.Id)
+	e.hash = fold(hashOf(e.status.Id, e.generation, e.status.Version))
 }
 
 // hashOf hashes a name and numbers.
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -155,6 +155,7 @@
 		self:  n.status,
 		seeds: seeds,
 		rng:   rand.New(rand.NewPCG(w.rng.Uint64(), w.rng.Uint64())),
+		rate:  n.budget.Rate(),
 		allow: func(now time.Time, class budget.Class, bytes int) bool {
 			return w.now.Before(w.unlimitedUntil) || n.budget.AllowAt(now, class, bytes)
 		},
--- /dev/null
+++ b/internal/member/slopes_test.go
@@ -0,0 +1,135 @@
+package member
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// BenchmarkSlopes measures control traffic, leases and processor time against
+// the numbers of routers and targets, in memory under virtual time:
+//
+//	go test ./internal/member -run '^$' -bench Slopes -benchtime 1x -timeout 30m
+func BenchmarkSlopes(b *testing.B) {
+	for _, size := range [][2]int{{9, 15}, {10, 10}, {30, 30}, {100, 100}, {300, 300}, {112, 625}} {
+		b.Run(fmt.Sprintf("routers=%d/targets=%d", size[0], size[1]), func(b *testing.B) {
+			for range b.N {
+				measureSteady(b, size[0], size[1])
+			}
+		})
+	}
+}
+
+func measureSteady(b *testing.B, routers, targets int) {
+	const warmUp, measured = 10 * time.Second, 20 * time.Second
+	w := newWorld(warmUp, 1, routers, targets, 3)
+	w.run(warmUp + 5*time.Second)
+	var sent, received, most int64
+	for _, n := range w.nodes {
+		s := n.budget.Stats()
+		sent -= s.Control()
+		received -= s.ControlReceived()
+		n.core.counts = counts{}
+	}
+	before := make([]int64, len(w.nodes))
+	for i, n := range w.nodes {
+		before[i] = n.budget.Stats().Control()
+	}
+	messages := w.messages
+	b.ResetTimer()
+	ages, lapsed := sampleLeases(w, measured)
+	b.StopTimer()
+	var refused int64
+	for i, n := range w.nodes {
+		s := n.budget.Stats()
+		sent += s.Control()
+		received += s.ControlReceived()
+		refused += n.core.counts.refused
+		most = max(most, s.Control()-before[i])
+	}
+	seconds := measured.Seconds()
+	perRouter := seconds * float64(routers)
+	b.ReportMetric(float64(sent)/perRouter, "sent-B/s")
+	b.ReportMetric(float64(most)/seconds, "most-B/s")
+	b.ReportMetric(float64(received)/perRouter, "received-B/s")
+	b.ReportMetric(float64(refused)/perRouter, "refused/s")
+	b.ReportMetric(1e6*float64(lapsed)/float64(len(ages)+lapsed), "lapsed-ppm")
+	b.ReportMetric(float64(percentile(ages, 0.50).Milliseconds()), "age-p50-ms")
+	b.ReportMetric(float64(percentile(ages, 0.999).Milliseconds()), "age-p99.9-ms")
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(w.messages-messages), "us/message")
+}
+
+// sampleLeases returns how old the proof of each leased target's life is at
+// each router, over a time, and how often there was no lease.
+func sampleLeases(w *world, d time.Duration) (ages []time.Duration, lapsed int) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.run(100 * time.Millisecond)
+		for _, n := range w.nodes {
+			for _, target := range w.targets {
+				e := n.core.targets[target.status.Id]
+				if e == nil || !n.core.leased(w.now, e) {
+					lapsed++
+					continue
+				}
+				ages = append(ages, w.now.Sub(e.fresh))
+			}
+		}
+	}
+	return ages, lapsed
+}
+
+func percentile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[int(q*float64(len(values)-1))]
+}
+
+// BenchmarkTimes measures, at 9 routers and 15 targets and within the budget,
+// how long it takes until all views agree: after a start of all at once, a
+// router's silent end, a target's leave, and the end of a cut in two halves.
+func BenchmarkTimes(b *testing.B) {
+	var start, death, leave, cut []time.Duration
+	for i := range b.N {
+		w := newWorld(0, uint64(i), 9, 15, 3)
+		start = append(start, timeToAgree(b, w))
+		w.run(5 * time.Second)
+		w.nodes[i%9].running = false
+		death = append(death, timeToAgree(b, w))
+		w.run(5 * time.Second)
+		w.leave(w.targets[i%15])
+		leave = append(leave, timeToAgree(b, w))
+		halve(w)
+		w.run(30 * time.Second)
+		clear(w.cut)
+		cut = append(cut, timeToAgree(b, w))
+	}
+	for name, times := range map[string][]time.Duration{"start": start, "death": death, "leave": leave, "cut": cut} {
+		b.ReportMetric(float64(percentile(times, 0.5).Milliseconds()), name+"-p50-ms")
+		b.ReportMetric(float64(percentile(times, 1).Milliseconds()), name+"-max-ms")
+	}
+}
+
+func timeToAgree(b *testing.B, w *world) time.Duration {
+	const bound = 60 * time.Second
+	for began := w.now; w.now.Sub(began) < bound; {
+		w.run(10 * time.Millisecond)
+		if w.disagreement() == "" {
+			return w.now.Sub(began)
+		}
+	}
+	b.Fatalf("no agreement within %v: %s", bound, w.disagreement())
+	return 0
+}
+
+func halve(w *world) {
+	for _, from := range w.nodes {
+		for _, to := range w.nodes {
+			if (from.index < 4) != (to.index < 4) {
+				w.cut[[2]int{from.index, to.index}] = true
+			}
+		}
+	}
+}
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -38,15 +38,15 @@
 // known to be dead and the present targets.
 func (c *core) buckets(now time.Time) []uint32 {
 	sums := make([]uint32, numBuckets)
-	sums[bucketOf(c.self.status.Id)] ^= fold(c.self.hash)
-	for id, e := range c.routers {
+	sums[c.self.bucket] ^= c.self.hash
+	for _, e := range c.routers {
 		if e.state != dead {
-			sums[bucketOf(id)] ^= fold(e.hash)
+			sums[e.bucket] ^= e.hash
 		}
 	}
-	for id, e := range c.targets {
+	for _, e := range c.targets {
 		if c.present(now, e) {
-			sums[bucketOf(id)] ^= fold(e.hash)
+			sums[e.bucket] ^= e.hash
 		}
 	}
 	return sums
@@ -144,8 +144,8 @@
 func (c *core) routersIn(differs []bool) []*pb.RouterDelta {
 	deltas := []*pb.RouterDelta{}
 	for _, id := range c.sortedRouters() {
-		if differs[bucketOf(id)] {
-			deltas = append(deltas, c.routers[id].delta())
+		if e := c.routers[id]; differs[e.bucket] {
+			deltas = append(deltas, e.delta())
 		}
 	}
 	c.rng.Shuffle(len(deltas), func(i, j int) { deltas[i], deltas[j] = deltas[j], deltas[i] })
@@ -163,8 +163,8 @@
 
 func (c *core) targetsIn(now time.Time, differs []bool) []*targetEntry {
 	var entries []*targetEntry
-	for id, e := range c.targets {
-		if differs[bucketOf(id)] && c.present(now, e) {
+	for _, e := range c.targets {
+		if differs[e.bucket] && c.present(now, e) {
 			entries = append(entries, e)
 		}
 	}
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -40,11 +40,17 @@
 	loadAt time.Time
 	// seen is when the target was last proven alive, or else added.
 	seen time.Time
-	hash uint64
+	// hash and bucket place the entry in digests of views, identity in digests
+	// of lists of targets.
+	hash     uint32
+	bucket   int
+	identity uint64
 }
 
 func (e *targetEntry) rehash() {
-	e.hash = hashOf(e.status.Id, e.status.Incarnation, e.described, leavingBit(e.status))
+	e.bucket = bucketOf(e.status.Id)
+	e.identity = hashOf(e.status.Id, e.status.Incarnation, leavingBit(e.status))
+	e.hash = fold(hashOf(e.status.Id, e.status.Incarnation, e.described, leavingBit(e.status)))
 }
 
 func targetKey(id string, incarnation uint64) uint64 { return hashOf(id, incarnation) }
