--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -31,6 +31,8 @@
 	cut map[[2]string]bool
 	// Chances, in per cent, that a message is dropped, late or doubled.
 	dropPct, latePct, doublePct int
+	// lateBy bounds how late a late message is.
+	lateBy time.Duration
 
 	// entries holds what was applied first at each index.
 	entries map[uint64]appliedEntry
@@ -73,6 +75,8 @@
 	epoch time.Time
 	// afterPass is called after each pass of the node.
 	afterPass func()
+	// onKill replaces what happens when a hook kills the node.
+	onKill func()
 }
 
 type event struct {
@@ -141,6 +145,7 @@
 		entries: make(map[uint64]appliedEntry),
 		leaders: make(map[uint64]string),
 		faults:  make(map[string]int),
+		lateBy:  2 * time.Second,
 	}
 	for i := range simFounders + 1 {
 		w.sites = append(w.sites, &site{
@@ -245,7 +250,8 @@
 	})
 }
 
-// join asks a random site to admit this one while it is outside.
+// join asks a random site to admit this one while it is outside; that site
+// names the leader.
 func (s *site) join(life int) {
 	if s.life != life || s.node == nil {
 		return
@@ -259,7 +265,18 @@
 	if to == s || s.w.cut[[2]string{s.addr, to.addr}] {
 		return
 	}
-	s.w.after(time.Millisecond, func() { to.change(admissionAt(self)) })
+	s.w.after(time.Millisecond, func() { to.leaderOr().change(admissionAt(self)) })
+}
+
+// leaderOr returns the site of the leader that this site knows, else itself.
+func (s *site) leaderOr() *site {
+	if s.node == nil {
+		return s
+	}
+	if _, addr := s.node.Leader(); s.w.site(addr) != nil && !s.w.cut[[2]string{s.addr, addr}] {
+		return s.w.site(addr)
+	}
+	return s
 }
 
 func admissionAt(self *pb.Member) func(*Node) membershipEdit {
@@ -280,7 +297,7 @@
 	}
 	defer func() {
 		if p := recover(); p == errKilled {
-			s.crash(journaltest.KeepAll)
+			s.onKill()
 		} else if p != nil {
 			panic(p)
 		}
@@ -312,7 +329,9 @@
 		s.crash(journaltest.KeepAll)
 		return
 	}
-	s.w.observe(s)
+	if s.w.now >= s.thaw {
+		s.w.observe(s)
+	}
 	if s.afterPass != nil {
 		s.afterPass()
 	}
@@ -355,8 +374,10 @@
 	}
 	delay := time.Duration(w.r.Int64N(int64(3 * time.Millisecond)))
 	if w.r.IntN(100) < w.latePct {
-		delay += time.Duration(w.r.Int64N(int64(2 * time.Second)))
+		delay += time.Duration(w.r.Int64N(int64(w.lateBy)))
 	}
+	// What a process sends while it freezes leaves once it thaws.
+	delay += max(0, o.from.thaw-w.now)
 	w.deliver(o.from.addr, o.to, m, delay)
 	if w.r.IntN(100) < w.doublePct {
 		w.deliver(o.from.addr, o.to, m, delay+time.Duration(w.r.Int64N(int64(time.Second))))
