--- a/internal/filter/catalog_test.go
+++ b/internal/filter/catalog_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
@@ -47,3 +48,10 @@
 		}
 	})
 }
+
+// settledCatalog is the catalog of a router past its warm-up.
+func settledCatalog(view fleet.View) *Catalog {
+	c := NewCatalog(view)
+	c.started = c.started.Add(-catalogWarmUp)
+	return c
+}
--- a/internal/instance/replica.go
+++ b/internal/instance/replica.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/wigeonwood/wigeonwood/internal/control"
+	"github.com/wigeonwood/wigeonwood/internal/controller"
 	"github.com/wigeonwood/wigeonwood/internal/replica"
 	"github.com/wigeonwood/wigeonwood/internal/state"
 )
@@ -13,6 +14,7 @@
 	node    *replica.Node
 	state   *state.Machine
 	service *control.Service
+	orders  *controller.Orders
 }
 
 // startReplica starts the control replica, or the relay to the replicas at an
@@ -54,15 +56,24 @@
 		Logger: in.logger,
 		Scope:  in.scope,
 	})
+	part.orders = controller.NewOrders(controller.OrdersConfig{
+		Leader:  node,
+		Intents: machine,
+		View:    in.members,
+		Logger:  in.logger,
+		Scope:   in.scope,
+	})
 	in.replica = part
 	return nil
 }
 
-// serveReplica ends the process if the replica must stop.
+// serveReplica sends orders while this replica leads, and ends the process if
+// the replica must stop.
 func (in *Instance) serveReplica() {
 	if in.replica == nil {
 		return
 	}
+	in.work.Go(func() { in.replica.orders.Run(in.ctx) })
 	in.work.Go(func() {
 		select {
 		case <-in.ctx.Done():
