--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -60,6 +60,14 @@
 		}
 		f.net.setCut("a", "r1", true)
 		stays("cut from the leader")
+		c := f.client(t, "r1")
+		c.route.learn("b", "a", nil)
+		for _, bound := range []time.Duration{time.Second, hedgeDelay} {
+			start := time.Now()
+			if _, err := c.Lease(within(t, time.Second), &pb.LeaseRequest{Router: "r1"}); err != nil || time.Since(start) >= bound {
+				t.Fatalf("a lease past the silent leader took %v: %v", time.Since(start), err)
+			}
+		}
 		for _, id := range f.replicas() {
 			f.net.setCut("r1", id, true)
 		}
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -109,10 +109,23 @@
 			r.leader = ""
 		}
 	default:
-		if len(r.avoided) >= maxAvoided {
-			clear(r.avoided)
-		}
-		r.avoided[addr] = time.Now().Add(avoidFor)
+		r.avoidLocked(addr)
+	}
+}
+
+func (r *route) avoidLocked(addr string) {
+	if len(r.avoided) >= maxAvoided {
+		clear(r.avoided)
+	}
+	r.avoided[addr] = time.Now().Add(avoidFor)
+}
+
+// avoid tries addresses last for a while.
+func (r *route) avoid(addrs []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, addr := range addrs {
+		r.avoidLocked(addr)
 	}
 }
 
@@ -176,7 +189,8 @@
 }
 
 // read asks the addresses one after another, without waiting long for a silent
-// one, and returns the first answer.
+// one, and returns the first answer. Those that were asked before the one that
+// answered, and stayed silent, are avoided for a while.
 func read[T any, R interface {
 	*T
 	proto.Message
@@ -184,19 +198,22 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type answer struct {
+		from int
 		resp R
 		err  error
 	}
 	addrs := r.addresses()
 	answers := make(chan answer, len(addrs))
+	// silent holds the addresses asked so far that haven't answered.
+	silent := slices.Clone(addrs)
 	next := 0
 	ask := func() {
-		addr := addrs[next]
+		from, addr := next, addrs[next]
 		next++
 		r.done.Go(func() {
 			resp := R(new(T))
 			err := r.call(ctx, addr, method, req, resp)
-			answers <- answer{resp, err}
+			answers <- answer{from, resp, err}
 		})
 	}
 	err := errNoAddress(method)
@@ -210,7 +227,9 @@
 				hedge.Reset(hedgeDelay)
 			}
 		case a := <-answers:
+			silent[a.from] = ""
 			if a.err == nil {
+				r.avoid(slices.DeleteFunc(silent[:a.from], func(s string) bool { return s == "" }))
 				return a.resp, nil
 			}
 			err = a.err
