--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -8,10 +8,12 @@
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/state"
 	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
@@ -144,8 +146,13 @@
 	return result, nil
 }
 
-// Resolve ends a claim.
+// Resolve ends a claim. An answer larger than the ledger stores goes without
+// its body, so that it doesn't burden the log.
 func (c *Client) Resolve(ctx context.Context, r *pb.Resolve) (*pb.ResolveResult, error) {
+	if proto.Size(r.Answer) > state.DefaultBounds().AnswerBytes {
+		r = proto.CloneOf(r)
+		r.Answer = &pb.StoredAnswer{Status: r.Answer.Status, Truncated: true}
+	}
 	reply, err := c.Submit(ctx, &pb.Command{Body: &pb.Command_Resolve{Resolve: r}})
 	if err != nil {
 		return nil, err
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -135,6 +135,14 @@
 		if err != nil || again.Status != pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS {
 			t.Fatalf("second call with the same attempt: %v, %v", again, err)
 		}
+		body := make([]byte, 1<<20)
+		resolved, err := c.Resolve(within(t, 5*time.Second), &pb.Resolve{
+			Customer: "harga", Key: "k", Router: "r1", RouterIncarnation: 1, Attempt: 1,
+			Outcome: pb.ClaimOutcome_CLAIM_OUTCOME_DONE, Answer: &pb.StoredAnswer{Status: 201, Body: body},
+		})
+		if err != nil || !resolved.Applied || len(f.entries[len(f.entries)-1].Data) > 1024 {
+			t.Fatalf("a large answer: %v, %v", resolved, err)
+		}
 	})
 }
 
--- a/internal/control/lease_table.go
+++ b/internal/control/lease_table.go
@@ -50,6 +50,12 @@
 	}
 }
 
+// counted is one lease as this replica counts it: to the end of a router's
+// clock that runs slow.
+func (t *leaseTable) counted() time.Duration {
+	return t.length + time.Duration(driftShare*float64(t.length))
+}
+
 // enter starts the table anew for a term that this replica was not yet seen
 // to lead. Evidence of the earlier leader is older than this one's first
 // confirmed period, so its leases end within one length of now.
@@ -60,7 +66,7 @@
 		return
 	}
 	t.term = term
-	t.settled = now.Add(t.length + driftMargin)
+	t.settled = now.Add(t.counted())
 	clear(t.byHolder)
 }
 
@@ -82,7 +88,7 @@
 	}
 	// Requests may arrive out of order; neither value falls.
 	h.revision = max(h.revision, req.HeldRevision)
-	h.until = now.Add(t.length + driftMargin)
+	h.until = now.Add(t.counted())
 	t.byHolder[key] = h
 	return true
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -18,9 +18,11 @@
 const (
 	// DefaultLease is how long a router may serve after it asked for a lease.
 	DefaultLease = 3 * time.Second
-	// driftMargin covers the difference in rate between two monotonic clocks
-	// over one lease.
-	driftMargin = 100 * time.Millisecond
+	// driftShare of a lease covers the difference in rate between a router's
+	// monotonic clock and the leader's.
+	driftShare = 0.05
+	// maxCommandBytes bounds one log entry.
+	maxCommandBytes = 128 << 10
 	// deltaBytes bounds the objects in one lease reply.
 	deltaBytes = 256 << 10
 	// forwardReserve is kept of a call's time to answer after passing it on.
@@ -144,6 +146,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(data) > maxCommandBytes {
+		return nil, transport.Fail(pb.CallStatus_CALL_STATUS_FAILED, "the command is over the bound of one log entry")
+	}
 	out, at, err := s.log.Propose(ctx, data)
 	if err != nil {
 		return nil, logError(err)
