--- a/internal/state/bounds.go
+++ b/internal/state/bounds.go
@@ -58,7 +58,7 @@
 		KeyLife:       24 * time.Hour,
 		OpenLife:      15 * time.Minute,
 		ReleaseLife:   5 * time.Minute,
-		AnswerBytes:   16 << 10,
+		AnswerBytes:   40 << 10,
 		AnswersBytes:  64 << 20,
 	}
 }
--- a/internal/state/ledger_test.go
+++ b/internal/state/ledger_test.go
@@ -153,6 +153,22 @@
 	}
 }
 
+// A full block of the largest answers passes through a snapshot.
+func TestSnapshotOfLargestAnswers(t *testing.T) {
+	s := newScript(DefaultBounds())
+	for i := range ledgerBlockEntries + 1 {
+		c := claimOf(fmt.Sprint(i), "r1", 1, uint64(i))
+		s.claim(c)
+		r := resolveOf(c, pb.ClaimOutcome_CLAIM_OUTCOME_DONE)
+		r.Answer.Body = make([]byte, s.bounds.AnswerBytes-16)
+		s.resolve(r)
+	}
+	s.restart(t)
+	if r := s.claim(claimOf("7", "r2", 1, 1)); r.Status != done || len(r.Answer.Body) != s.bounds.AnswerBytes-16 {
+		t.Fatalf("after the restart: %v with %d bytes", r.Status, len(r.Answer.GetBody()))
+	}
+}
+
 // ledgerModel knows, for each key, who was granted it and how it ended.
 type ledgerModel struct {
 	grants map[string]int
--- a/internal/state/restore.go
+++ b/internal/state/restore.go
@@ -16,7 +16,7 @@
 
 // maxRecordBytes bounds one snapshot record: a full block of the largest
 // ledger entries.
-const maxRecordBytes = 16 << 20
+const maxRecordBytes = 32 << 20
 
 func (m *Machine) restore(r io.Reader) error {
 	in := bufio.NewReaderSize(r, snapshotBuffer)
