Fault matrix of the control services: 9 faults at 9 steps

Found by it: a query whose first pass waited for a lost leader held on to it until the caller's deadline (three cells); a pass is now bounded to 2 s.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -22,6 +22,9 @@
 	// addresses.
 	retryMin = 25 * time.Millisecond
 	retryMax = 400 * time.Millisecond
+	// readPass bounds one pass of a read over the addresses; all of them may
+	// wait for a leader that was lost.
+	readPass = 2 * time.Second
 	// inForceTry bounds one call that waits for a revision to be in force.
 	inForceTry = 2 * time.Second
 )
@@ -194,7 +197,9 @@
 	req.Hops = maxHops
 	pause := retryMin
 	for {
-		resp, err := read[pb.QueryReply](ctx, c.route, methodQuery, req)
+		passCtx, cancel := context.WithTimeout(ctx, readPass)
+		resp, err := read[pb.QueryReply](passCtx, c.route, methodQuery, req)
+		cancel()
 		if err == nil || final(err) {
 			return resp, err
 		}
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -180,13 +180,35 @@
 	handlers map[string]handlers
 	cut      map[[2]string]bool
 	delay    map[[2]string]time.Duration
+	// thaw is until when an address neither takes nor sends anything.
+	thaw    map[string]time.Time
+	down    map[string]bool
+	doubled bool
+	// strike runs once, at the first call that reaches the step at replica a.
+	strikeAt step
+	strike   func()
 }
 
+// step is a moment in the handling of a call.
+type step struct {
+	method string
+	moment moment
+}
+
+type moment int
+
+const (
+	beforeHandler moment = iota + 1
+	afterHandler
+)
+
 func newMemNet() *memNet {
 	return &memNet{
 		handlers: map[string]handlers{},
 		cut:      map[[2]string]bool{},
 		delay:    map[[2]string]time.Duration{},
+		thaw:     map[string]time.Time{},
+		down:     map[string]bool{},
 	}
 }
 
@@ -204,6 +226,68 @@
 	n.delay[[2]string{from, to}] = d
 }
 
+// at arms a fault for the next call that reaches a step at replica a.
+func (n *memNet) at(s step, strike func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.strikeAt, n.strike = s, strike
+}
+
+func (n *memNet) reach(addr, method string, req proto.Message, m moment) {
+	if submit, ok := req.(*pb.SubmitRequest); ok && submit.Command.GetClaim() != nil {
+		method = "claim"
+	}
+	n.mu.Lock()
+	strike := n.strike
+	if addr != "a" || n.strikeAt != (step{method, m}) {
+		strike = nil
+	}
+	if strike != nil {
+		n.strike = nil
+	}
+	n.mu.Unlock()
+	if strike != nil {
+		strike()
+	}
+}
+
+func (n *memNet) freeze(addr string, until time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.thaw[addr] = until
+}
+
+func (n *memNet) setDown(addr string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[addr] = down
+}
+
+func (n *memNet) setDoubled(doubled bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.doubled = doubled
+}
+
+func (n *memNet) isDoubled() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.doubled
+}
+
+// awake waits for a frozen address; it returns false if ctx ends before, or
+// at once if the address is down.
+func (n *memNet) awake(ctx context.Context, addr string) bool {
+	n.mu.Lock()
+	left, down := time.Until(n.thaw[addr]), n.down[addr]
+	n.mu.Unlock()
+	if !down && (left <= 0 || sleep(ctx, left)) {
+		return true
+	}
+	<-ctx.Done()
+	return false
+}
+
 // carry returns false if ctx ends before the message arrives.
 func (n *memNet) carry(ctx context.Context, from, to string) bool {
 	n.mu.Lock()
@@ -233,7 +317,19 @@
 	if h == nil {
 		return fmt.Errorf("dial %s: %w", addr, transport.ErrNotSent)
 	}
+	l.net.reach(addr, method, req, beforeHandler)
+	if !l.net.awake(ctx, addr) {
+		return ctx.Err()
+	}
 	out, err := handle(ctx, h, proto.Clone(req))
+	if l.net.isDoubled() {
+		// The copy comes later; its answer has no reader.
+		_, _ = handle(ctx, h, proto.Clone(req))
+	}
+	l.net.reach(addr, method, req, afterHandler)
+	if !l.net.awake(ctx, addr) {
+		return ctx.Err()
+	}
 	if !l.net.carry(ctx, addr, l.from) {
 		return ctx.Err()
 	}
--- /dev/null
+++ b/internal/control/matrix_test.go
@@ -0,0 +1,202 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/configlease"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// matrixFaultTime is how long a fault lasts, matrixElection how long the
+	// others take to elect a leader that can be heard.
+	matrixFaultTime = 3 * time.Second
+	matrixElection  = 1 * time.Second
+	// matrixBound is when an operator must have the truth at the latest: the
+	// fault, the lease of routers that an earlier leader granted, and tries.
+	matrixBound = matrixFaultTime + 2*DefaultLease + 2*time.Second
+)
+
+// depose isolates the leader and lets the others elect one; back ends it.
+func depose(f *fleetInMemory) (back func()) {
+	f.setCut("a", true)
+	time.AfterFunc(matrixElection, func() { f.elect("b") })
+	return func() { f.setCut("a", false) }
+}
+
+// matrixFaults strike the leading replica, a. Faults of its disk (lost
+// unsynced writes, lost disk, torn tail, failed sync, full disk) can't strike
+// at these steps: none of them writes, and the commit before them is a step
+// of the matrix of internal/replica.
+var matrixFaults = map[string]func(f *fleetInMemory) (end func()){
+	"kill": func(f *fleetInMemory) func() {
+		back := depose(f)
+		f.net.setDown("a", true)
+		return func() {
+			f.net.setDown("a", false)
+			back()
+		}
+	},
+	"freeze and thaw": func(f *fleetInMemory) func() {
+		f.net.freeze("a", time.Now().Add(matrixFaultTime))
+		return depose(f)
+	},
+	"two-way cut": func(f *fleetInMemory) func() {
+		back := depose(f)
+		f.cutLeader(true, true)
+		return func() {
+			f.net.heal()
+			back()
+		}
+	},
+	"one-way cut, incoming": func(f *fleetInMemory) func() {
+		back := depose(f)
+		f.cutLeader(true, false)
+		return func() {
+			f.net.heal()
+			back()
+		}
+	},
+	"one-way cut, outgoing": func(f *fleetInMemory) func() {
+		back := depose(f)
+		f.cutLeader(false, true)
+		return func() {
+			f.net.heal()
+			back()
+		}
+	},
+	"cut between callers and leader only": func(f *fleetInMemory) func() {
+		for _, caller := range []string{"r1", "r2", "op"} {
+			f.net.setCut("a", caller, true)
+		}
+		return f.net.heal
+	},
+	"messages late": func(f *fleetInMemory) func() {
+		for _, caller := range []string{"r1", "r2", "op"} {
+			f.net.setDelay("a", caller, 800*time.Millisecond)
+		}
+		return f.net.heal
+	},
+	"messages doubled": func(f *fleetInMemory) func() {
+		f.net.setDoubled(true)
+		return func() { f.net.setDoubled(false) }
+	},
+	"messages reordered": func(f *fleetInMemory) func() {
+		// One path is slow, so that what was sent before arrives later.
+		f.net.setDelay("op", "a", 300*time.Millisecond)
+		f.net.setDelay("r1", "a", 300*time.Millisecond)
+		return f.net.heal
+	},
+}
+
+// cutLeader cuts the leader from everybody, as callers see it.
+func (f *fleetInMemory) cutLeader(incoming, outgoing bool) {
+	for _, peer := range []string{"b", "c", "relay", "r1", "r2", "op"} {
+		f.net.setCut(peer, "a", incoming)
+		f.net.setCut("a", peer, outgoing)
+	}
+}
+
+// matrixSteps are the method and the moment at which a fault strikes.
+var matrixSteps = map[string]step{
+	"lease renewal, asked":             {methodLease, beforeHandler},
+	"lease renewal, answered":          {methodLease, afterHandler},
+	"change, received":                 {methodSubmit, beforeHandler},
+	"change, answer to the operator":   {methodSubmit, afterHandler},
+	"in force, asked":                  {methodInForce, beforeHandler},
+	"in force, answer to the operator": {methodInForce, afterHandler},
+	"query, answer to the operator":    {methodQuery, afterHandler},
+	"claim, received":                  {"claim", beforeHandler},
+	"claim, answer to the router":      {"claim", afterHandler},
+}
+
+// TestServiceFaultMatrix strikes the leader with each fault at each step of
+// the services. The operator gets one acceptance for one change and the truth
+// on its being in force; no router serves under a revision that another was
+// told to be replaced; and all are served again once the fault is over.
+func TestServiceFaultMatrix(t *testing.T) {
+	for stepName, at := range matrixSteps {
+		for faultName, fault := range matrixFaults {
+			t.Run(stepName+"/"+faultName, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { runCell(t, at, fault) })
+			})
+		}
+	}
+}
+
+func runCell(t *testing.T, at step, fault func(*fleetInMemory) func()) {
+	f := newFleet(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	run := &leaseRun{fleetInMemory: f, held: map[string]uint64{}}
+	var holders []*configlease.Holder
+	for _, id := range []string{"r1", "r2"} {
+		h := f.startRouter(ctx, &wg, id)
+		holders = append(holders, h)
+		wg.Go(func() { run.watch(ctx, id, h) })
+	}
+	time.Sleep(2 * DefaultLease)
+	struck := make(chan struct{})
+	f.net.at(at, func() {
+		end := fault(f)
+		time.AfterFunc(matrixFaultTime, end)
+		close(struck)
+	})
+	run.operate(t)
+	select {
+	case <-struck:
+	default:
+		t.Fatal("the fault never struck")
+	}
+	time.Sleep(matrixBound)
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	if run.fault != "" {
+		t.Fatal(run.fault)
+	}
+	for i, h := range holders {
+		if revision, _, ok := h.Lease(); !ok || revision != 2 {
+			t.Fatalf("router %d after the fault: lease %v at revision %d", i+1, ok, revision)
+		}
+	}
+}
+
+// operate makes two changes, one claim and one query as their callers would.
+func (r *leaseRun) operate(t *testing.T) {
+	c := r.newClient("op")
+	defer c.Close()
+	for i := range 2 {
+		ch := change(fmt.Sprint("op-", i), "aina", uint64(i))
+		result, err := c.Change(within(t, matrixBound), ch)
+		if err != nil || result.Status != pb.ChangeStatus_CHANGE_STATUS_ACCEPTED || result.Revision != uint64(i+1) {
+			t.Fatalf("change %d: %v, %v", i+1, result, err)
+		}
+		reply, err := c.InForce(within(t, matrixBound), result.Revision)
+		if err != nil || !reply.InForce {
+			t.Fatalf("change %d in force: %v, %v", i+1, reply, err)
+		}
+		r.mu.Lock()
+		r.inForce = result.Revision
+		r.mu.Unlock()
+		again, err := c.Change(within(t, matrixBound), ch)
+		if err != nil || !again.Resent || again.Revision != result.Revision || again.Index != result.Index {
+			t.Fatalf("change %d sent again: %v, %v", i+1, again, err)
+		}
+	}
+	claim := &pb.Claim{Customer: "harga", Key: "k", Digest: make([]byte, 32), Router: "r1", RouterIncarnation: 1, Attempt: 1}
+	granted, err := c.Claim(within(t, matrixBound), claim)
+	if err != nil || granted.Status != pb.ClaimStatus_CLAIM_STATUS_GRANTED {
+		t.Fatalf("claim: %v, %v", granted, err)
+	}
+	q, err := c.Query(within(t, matrixBound), &pb.QueryRequest{What: pb.QueryRequest_WHAT_CONTRACTS})
+	if err != nil || q.Revision != 2 {
+		t.Fatalf("query: %v, %v", q, err)
+	}
+}
