--- a/internal/controller/orders_test.go
+++ b/internal/controller/orders_test.go
@@ -107,6 +107,14 @@
 	// gaveUp is how long the sender waited for the last late order.
 	gaveUp time.Duration
 	wg     sync.WaitGroup
+	// struck takes the next order in place of the target.
+	struck func(context.Context, target.Order) error
+}
+
+func (f *fakeTarget) strike(by func(context.Context, target.Order) error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.struck = by
 }
 
 func (f *fakeTarget) State(context.Context, string) (*target.State, error) {
@@ -119,9 +127,12 @@
 
 func (f *fakeTarget) Order(ctx context.Context, _ string, order target.Order) error {
 	f.mu.Lock()
-	late := f.late
-	f.late = 0
+	late, struck := f.late, f.struck
+	f.late, f.struck = 0, nil
 	f.mu.Unlock()
+	if struck != nil {
+		return struck(ctx, order)
+	}
 	if late > 0 {
 		f.wg.Go(func() {
 			time.Sleep(late)
