--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -30,6 +30,8 @@
 	joinInterval = 500 * time.Millisecond
 	// joinTimeout bounds one such request.
 	joinTimeout = 5 * time.Second
+	// joinLogEvery is how many refused requests share one log line.
+	joinLogEvery = 60
 )
 
 // membershipEdit makes the next membership of the present one. Nil means that
@@ -236,7 +238,7 @@
 // joinWhileOutside asks to be admitted as long as the own log names no
 // membership with this replica.
 func (n *Node) joinWhileOutside() {
-	next := 0
+	next, refused := 0, 0
 	for n.sleep(joinInterval) == nil {
 		if voter, learner := n.memberState(n.id); voter || learner {
 			return
@@ -245,8 +247,16 @@
 		if len(targets) == 0 {
 			continue
 		}
+		addr := targets[next%len(targets)]
 		next++
-		n.requestJoin(targets[next%len(targets)])
+		err := n.requestJoin(addr)
+		if err == nil || n.ctx.Err() != nil {
+			continue
+		}
+		if refused%joinLogEvery == 0 {
+			n.event(log.WarnLevel, "join").Err(err).Str("asked", addr).Msg("the request to join failed; an instance at a new address is admitted by the command replica add")
+		}
+		refused++
 	}
 }
 
@@ -255,7 +265,7 @@
 	return slices.DeleteFunc(slices.Clone(n.cfg.Founders), func(addr string) bool { return addr == n.cfg.Addr })
 }
 
-func (n *Node) requestJoin(addr string) {
+func (n *Node) requestJoin(addr string) error {
 	ctx, cancel := context.WithTimeout(n.ctx, joinTimeout)
 	defer cancel()
 	req := &pb.JoinRequest{
@@ -267,7 +277,5 @@
 	if err == nil && reply.LeaderAddr != "" && reply.LeaderAddr != addr {
 		err = n.cfg.Pool.Call(ctx, reply.LeaderAddr, n.method("join"), req, reply)
 	}
-	if err != nil && n.ctx.Err() == nil {
-		n.event(log.WarnLevel, "join").Err(err).Str("asked", addr).Msg("the request to join failed")
-	}
+	return err
 }
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -320,5 +320,5 @@
 }
 
 func (n *Node) event(level log.Level, step string) *log.Entry {
-	return n.cfg.Logger.WithLevel(level).Str("step", step).Str("peer", n.cfg.Addr).Uint32("group", n.cfg.Group)
+	return n.cfg.Logger.WithLevel(level).Str("step", step).Str("peer", n.cfg.Addr).Str("replica", n.id).Uint32("group", n.cfg.Group)
 }
