--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/wigeonwood/wigeonwood/internal/configlease"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
@@ -199,17 +200,19 @@
 func (m *bytesMeter) Received(_ string, n int) { m.n.Add(int64(n)) }
 
 // BenchmarkChangeInForce measures from sending a change to knowing that it is
-// in force at 9 routers, with three replicas on disk and none or one lost.
+// in force at all routers, with three replicas on disk and none or one lost.
 func BenchmarkChangeInForce(b *testing.B) {
 	for _, lost := range []int{0, 1} {
 		for _, poll := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
-			b.Run(fmt.Sprintf("lost=%d/poll=%v", lost, poll), func(b *testing.B) { benchInForce(b, lost, poll) })
+			b.Run(fmt.Sprintf("routers=9/lost=%d/poll=%v", lost, poll), func(b *testing.B) { benchInForce(b, 9, lost, poll) })
 		}
 	}
+	for _, routers := range []int{300, 1800} {
+		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) { benchInForce(b, routers, 0, configlease.DefaultPoll) })
+	}
 }
 
-func benchInForce(b *testing.B, lost int, poll time.Duration) {
-	const routers = 9
+func benchInForce(b *testing.B, routers, lost int, poll time.Duration) {
 	f := startReal(b, realOptions{})
 	c := f.client(b)
 	f.leader(b)
@@ -225,7 +228,7 @@
 	mustBeInForce(b, c, revision)
 	hist := hdrhistogram.New(1, 60_000_000, 3)
 	meter.n.Store(0)
-	begin := time.Now()
+	begin, cpu := time.Now(), cpuTime(b)
 	b.ResetTimer()
 	for i := range b.N {
 		start := time.Now()
@@ -236,5 +239,6 @@
 	b.StopTimer()
 	b.ReportMetric(float64(hist.ValueAtQuantile(50))/1000, "p50-ms")
 	b.ReportMetric(float64(hist.ValueAtQuantile(99))/1000, "p99-ms")
-	b.ReportMetric(float64(meter.n.Load())/routers/time.Since(begin).Seconds(), "B/s/router")
+	b.ReportMetric((cpuTime(b)-cpu).Seconds()/time.Since(begin).Seconds(), "cores")
+	b.ReportMetric(float64(meter.n.Load())/float64(routers)/time.Since(begin).Seconds(), "B/s/router")
 }
