A router that ends gives its lease up

Before, a change within 3 s after a graceful end waited for that router's lease. The new test failed without the giving up and without its handling.

--- a/internal/configlease/holder.go
+++ b/internal/configlease/holder.go
@@ -23,6 +23,8 @@
 	retryPause = 100 * time.Millisecond
 	// askTimeout bounds one request for the lease.
 	askTimeout = 1 * time.Second
+	// giveUpTimeout bounds telling the leader that this router serves no more.
+	giveUpTimeout = 200 * time.Millisecond
 )
 
 // Asker asks the leader for a lease; control.Client is one.
@@ -146,8 +148,10 @@
 	}
 }
 
-// Run keeps the lease until ctx ends.
+// Run keeps the lease until ctx ends; then it ends the lease here and tells the
+// leader, so that no change waits for this router.
 func (h *Holder) Run(ctx context.Context) {
+	defer h.giveUp()
 	expiry := time.AfterFunc(time.Hour, h.noteLoss)
 	defer expiry.Stop()
 	for ctx.Err() == nil {
@@ -164,6 +168,25 @@
 	}
 }
 
+// giveUp ends the lease before it tells the leader: the other way round, a
+// change could be in force while this router still serves without it.
+func (h *Holder) giveUp() {
+	h.grant.Store(&grant{revision: h.grant.Load().revision})
+	h.noteLoss()
+	ctx, cancel := context.WithTimeout(context.Background(), giveUpTimeout)
+	defer cancel()
+	_, err := h.cfg.Client.Lease(ctx, &pb.LeaseRequest{
+		Router:       h.cfg.Router,
+		Incarnation:  h.cfg.Incarnation,
+		HeldRevision: h.config.revision(),
+		GiveUp:       true,
+	})
+	if err != nil {
+		h.cfg.Logger.Debug().Err(err).Str("step", "configuration lease").Str("peer", errs.Peer(err)).
+			Msg("the leader was not told that the lease ended")
+	}
+}
+
 func (h *Holder) pause(ctx context.Context, err error) {
 	d := h.cfg.Poll
 	if err != nil {
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -20,6 +20,10 @@
 		resp := &pb.LeaseReply{}
 		return resp, s.forward(ctx, methodLease, req, resp)
 	}
+	if req.GiveUp {
+		s.leases.drop(req)
+		return &pb.LeaseReply{Nonce: req.Nonce, LeaderAddr: s.ownAddr()}, nil
+	}
 	if !s.leases.note(req, time.Now()) {
 		s.refused.Inc(1)
 		return nil, overloaded("the table of routers is full")
--- a/internal/control/lease_table.go
+++ b/internal/control/lease_table.go
@@ -83,8 +83,7 @@
 		}
 	}
 	if req.HeldRevision > h.revision || !known {
-		close(t.changed)
-		t.changed = make(chan struct{})
+		t.signalLocked()
 	}
 	// Requests may arrive out of order; neither value falls.
 	h.revision = max(h.revision, req.HeldRevision)
@@ -93,6 +92,21 @@
 	return true
 }
 
+// drop forgets a router that ended its lease. An older request of it that
+// arrives later only makes it waited for again.
+func (t *leaseTable) drop(req *pb.LeaseRequest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byHolder, holder{req.Router, req.Incarnation})
+	t.signalLocked()
+}
+
+// signalLocked wakes those that wait for acknowledgements.
+func (t *leaseTable) signalLocked() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
 func (t *leaseTable) sweepLocked(now time.Time) {
 	for key, h := range t.byHolder {
 		if !now.Before(h.until) {
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -124,6 +124,27 @@
 	})
 }
 
+// A router that ends gives its lease up: no change waits for it.
+func TestInForceDoesNotWaitForAnEndedRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		h := f.startRouter(ctx, &wg, "r1")
+		time.Sleep(DefaultLease + time.Second)
+		cancel()
+		wg.Wait()
+		if holds(h) {
+			t.Fatal("a router that ended holds a lease")
+		}
+		c := f.client(t, "op")
+		result := accept(t, c, change("op-1", "aina", 0))
+		if reply, err := c.InForce(within(t, 100*time.Millisecond), result.Revision); err != nil || !reply.InForce {
+			t.Fatalf("after the router ended: %v, %v", reply, err)
+		}
+	})
+}
+
 // TestInForceIsTrue cuts and slows links, moves the leader and submits changes
 // at random. Whenever InForce says so, no router may hold a lease with a lower
 // revision, then or later; and no router's revision falls.
