--- a/internal/control/read_batch.go
+++ b/internal/control/read_batch.go
@@ -18,7 +18,8 @@
 // evidence is always newer than its request.
 type readBatch struct {
 	ctx    context.Context
-	done   *sync.WaitGroup
+	cancel context.CancelFunc
+	done   sync.WaitGroup
 	log    replica.Log
 	rounds tally.Counter
 	reads  tally.Counter
@@ -34,10 +35,11 @@
 	err   error
 }
 
-func newReadBatch(ctx context.Context, done *sync.WaitGroup, l replica.Log, scope tally.Scope) *readBatch {
+func newReadBatch(l replica.Log, scope tally.Scope) *readBatch {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &readBatch{
 		ctx:    ctx,
-		done:   done,
+		cancel: cancel,
 		log:    l,
 		rounds: scope.Counter("read_rounds"),
 		reads:  scope.Counter("reads"),
@@ -75,6 +77,14 @@
 	return b.next
 }
 
+// close ends the round under way; no other begins.
+func (b *readBatch) close() {
+	b.mu.Lock()
+	b.cancel()
+	b.mu.Unlock()
+	b.done.Wait()
+}
+
 // run makes rounds until nobody waits.
 func (b *readBatch) run() {
 	for {
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -37,6 +37,7 @@
 	done     sync.WaitGroup
 
 	mu      sync.Mutex
+	closed  bool
 	leader  string
 	avoided map[string]time.Time
 }
@@ -207,10 +208,10 @@
 	// silent holds the addresses asked so far that haven't answered.
 	silent := slices.Clone(addrs)
 	next := 0
-	ask := func() {
+	ask := func() bool {
 		from, addr := next, addrs[next]
 		next++
-		r.done.Go(func() {
+		return r.begin(func() {
 			resp := R(new(T))
 			err := r.call(ctx, addr, method, req, resp)
 			answers <- answer{from, resp, err}
@@ -222,10 +223,13 @@
 	for ended := 0; ended < len(addrs); {
 		select {
 		case <-hedge.C:
-			if next < len(addrs) {
-				ask()
-				hedge.Reset(hedgeDelay)
+			if next == len(addrs) {
+				continue
 			}
+			if !ask() {
+				return nil, err
+			}
+			hedge.Reset(hedgeDelay)
 		case a := <-answers:
 			silent[a.from] = ""
 			if a.err == nil {
@@ -242,5 +246,21 @@
 	return nil, err
 }
 
-// close waits for calls under way.
-func (r *route) close() { r.done.Wait() }
+// begin runs call in the background; it returns false after close.
+func (r *route) begin(call func()) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	r.done.Go(call)
+	return true
+}
+
+// close lets no more reads begin and waits for those under way.
+func (r *route) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.done.Wait()
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -57,8 +56,6 @@
 	logger *log.Logger
 	leases *leaseTable
 	reads  *readBatch
-	stop   context.CancelFunc
-	done   *sync.WaitGroup
 
 	committed tally.Counter
 	refused   tally.Counter
@@ -76,8 +73,6 @@
 		cfg.Lease = DefaultLease
 	}
 	scope := cfg.Scope.SubScope("control")
-	ctx, cancel := context.WithCancel(context.Background())
-	done := &sync.WaitGroup{}
 	return &Service{
 		log:       cfg.Log,
 		state:     cfg.State,
@@ -85,19 +80,14 @@
 		pool:      pool,
 		logger:    cfg.Logger,
 		leases:    newLeaseTable(cfg.Lease),
-		reads:     newReadBatch(ctx, done, cfg.Log, scope),
-		stop:      cancel,
-		done:      done,
+		reads:     newReadBatch(cfg.Log, scope),
 		committed: scope.Counter("commands_committed"),
 		refused:   scope.Counter("leases_refused"),
 	}
 }
 
-// Close waits for rounds under way.
-func (s *Service) Close() {
-	s.stop()
-	s.done.Wait()
-}
+// Close ends the rounds under way; later calls are refused.
+func (s *Service) Close() { s.reads.close() }
 
 // leads returns the term in which this replica may act outward now.
 func (s *Service) leads() (term uint64, ok bool) {
