The end of a lease that the router gave up is no warning

dev.txtar failed on the warning that the giving up had brought (stderr must stay empty after a graceful end); it is now an ordinary event and not counted as a lost lease.

--- a/internal/configlease/holder.go
+++ b/internal/configlease/holder.go
@@ -172,7 +172,9 @@
 // change could be in force while this router still serves without it.
 func (h *Holder) giveUp() {
 	h.grant.Store(&grant{revision: h.grant.Load().revision})
-	h.noteLoss()
+	h.hookMu.Lock()
+	h.setHeldLocked(false, log.InfoLevel)
+	h.hookMu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), giveUpTimeout)
 	defer cancel()
 	_, err := h.cfg.Client.Lease(ctx, &pb.LeaseRequest{
@@ -251,7 +253,7 @@
 		h.hadFirst = true
 		close(h.first)
 	}
-	h.setHeldLocked(true)
+	h.setHeldLocked(true, log.InfoLevel)
 }
 
 // noteLoss tells the hook if the lease has ended.
@@ -261,24 +263,23 @@
 	if _, _, ok := h.Lease(); ok {
 		return
 	}
-	h.setHeldLocked(false)
+	if h.setHeldLocked(false, log.WarnLevel) {
+		h.lost.Inc(1)
+	}
 }
 
-func (h *Holder) setHeldLocked(held bool) {
+// setHeldLocked tells the hook of a change; it returns whether there was one.
+func (h *Holder) setHeldLocked(held bool, level log.Level) bool {
 	if h.held == held {
-		return
+		return false
 	}
 	h.held = held
 	revision, _, _ := h.Lease()
-	event := h.cfg.Logger.Info()
-	if !held {
-		event = h.cfg.Logger.Warn()
-		h.lost.Inc(1)
-	}
-	event.Str("step", "configuration lease").Uint64("revision", revision).Bool("held", held).Msg("the configuration lease changed")
+	h.cfg.Logger.WithLevel(level).Str("step", "configuration lease").Uint64("revision", revision).Bool("held", held).Msg("the configuration lease changed")
 	if h.cfg.OnLease != nil {
 		h.cfg.OnLease(held)
 	}
+	return true
 }
 
 func (h *Holder) report(err error) {
