--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -10,12 +9,10 @@
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/replica"
 	"github.com/wigeonwood/wigeonwood/internal/state"
-	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
 func quietLogger() *log.Logger {
@@ -174,188 +171,6 @@
 func (n *fakeLog) AddReplica(context.Context, string, string, string) error { return nil }
 func (n *fakeLog) RemoveReplica(context.Context, string) error              { return nil }
 
-// memNet carries calls between handlers in memory; the test cuts directions.
-type memNet struct {
-	mu       sync.Mutex
-	handlers map[string]handlers
-	cut      map[[2]string]bool
-	delay    map[[2]string]time.Duration
-	// thaw is until when an address neither takes nor sends anything.
-	thaw    map[string]time.Time
-	down    map[string]bool
-	doubled bool
-	// strike runs once, at the first call that reaches the step at replica a.
-	strikeAt step
-	strike   func()
-}
-
-// step is a moment in the handling of a call.
-type step struct {
-	method string
-	moment moment
-}
-
-type moment int
-
-const (
-	beforeHandler moment = iota + 1
-	afterHandler
-)
-
-func newMemNet() *memNet {
-	return &memNet{
-		handlers: map[string]handlers{},
-		cut:      map[[2]string]bool{},
-		delay:    map[[2]string]time.Duration{},
-		thaw:     map[string]time.Time{},
-		down:     map[string]bool{},
-	}
-}
-
-// setCut stops messages from one address to another; the way back stays.
-func (n *memNet) setCut(from, to string, cut bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cut[[2]string{from, to}] = cut
-}
-
-// setDelay slows one direction.
-func (n *memNet) setDelay(from, to string, d time.Duration) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.delay[[2]string{from, to}] = d
-}
-
-// at arms a fault for the next call that reaches a step at replica a.
-func (n *memNet) at(s step, strike func()) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.strikeAt, n.strike = s, strike
-}
-
-func (n *memNet) reach(addr, method string, req proto.Message, m moment) {
-	if submit, ok := req.(*pb.SubmitRequest); ok && submit.Command.GetClaim() != nil {
-		method = "claim"
-	}
-	n.mu.Lock()
-	strike := n.strike
-	if addr != "a" || n.strikeAt != (step{method, m}) {
-		strike = nil
-	}
-	if strike != nil {
-		n.strike = nil
-	}
-	n.mu.Unlock()
-	if strike != nil {
-		strike()
-	}
-}
-
-func (n *memNet) freeze(addr string, until time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.thaw[addr] = until
-}
-
-func (n *memNet) setDown(addr string, down bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.down[addr] = down
-}
-
-func (n *memNet) setDoubled(doubled bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.doubled = doubled
-}
-
-func (n *memNet) isDoubled() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.doubled
-}
-
-// awake waits for a frozen address; it returns false if ctx ends before, or
-// at once if the address is down.
-func (n *memNet) awake(ctx context.Context, addr string) bool {
-	n.mu.Lock()
-	left, down := time.Until(n.thaw[addr]), n.down[addr]
-	n.mu.Unlock()
-	if !down && (left <= 0 || sleep(ctx, left)) {
-		return true
-	}
-	<-ctx.Done()
-	return false
-}
-
-// carry returns false if ctx ends before the message arrives.
-func (n *memNet) carry(ctx context.Context, from, to string) bool {
-	n.mu.Lock()
-	d := memNetDelay + n.delay[[2]string{from, to}]
-	cut := n.cut[[2]string{from, to}]
-	n.mu.Unlock()
-	if !cut && sleep(ctx, d) {
-		return true
-	}
-	<-ctx.Done()
-	return false
-}
-
-// link is one process's way into the net.
-type link struct {
-	net  *memNet
-	from string
-}
-
-func (l link) Call(ctx context.Context, addr, method string, req, resp proto.Message) error {
-	if !l.net.carry(ctx, l.from, addr) {
-		return ctx.Err()
-	}
-	l.net.mu.Lock()
-	h := l.net.handlers[addr]
-	l.net.mu.Unlock()
-	if h == nil {
-		return fmt.Errorf("dial %s: %w", addr, transport.ErrNotSent)
-	}
-	l.net.reach(addr, method, req, beforeHandler)
-	if !l.net.awake(ctx, addr) {
-		return ctx.Err()
-	}
-	out, err := handle(ctx, h, proto.Clone(req))
-	if l.net.isDoubled() {
-		// The copy comes later; its answer has no reader.
-		_, _ = handle(ctx, h, proto.Clone(req))
-	}
-	l.net.reach(addr, method, req, afterHandler)
-	if !l.net.awake(ctx, addr) {
-		return ctx.Err()
-	}
-	if !l.net.carry(ctx, addr, l.from) {
-		return ctx.Err()
-	}
-	if err != nil {
-		return transport.Fail(transport.Status(err), err.Error())
-	}
-	proto.Merge(resp, out)
-	return nil
-}
-
-func handle(ctx context.Context, h handlers, req proto.Message) (proto.Message, error) {
-	switch r := req.(type) {
-	case *pb.SubmitRequest:
-		return h.submit(ctx, r)
-	case *pb.LeaseRequest:
-		return h.lease(ctx, r)
-	case *pb.InForceRequest:
-		return h.inForce(ctx, r)
-	case *pb.QueryRequest:
-		return h.query(ctx, r)
-	case *pb.ReplicaChangeRequest:
-		return h.replicaChange(ctx, r)
-	}
-	return nil, fmt.Errorf("no handler for %T", req)
-}
-
 // fleetInMemory is three replicas, one relay and the net between them.
 type fleetInMemory struct {
 	*fakeCluster
@@ -405,10 +220,3 @@
 	defer c.mu.Unlock()
 	return c.leader
 }
-
-func (n *memNet) heal() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	clear(n.cut)
-	clear(n.delay)
-}
