A leader's clock far ahead no longer makes ledger keys forgotten

Lives now count elapsed log time, each entry's step bounded to 10 minutes. TestClockJumpKeepsKeys failed before (granted) and passes now.

--- a/internal/state/bench_test.go
+++ b/internal/state/bench_test.go
@@ -62,7 +62,8 @@
 	b.ReportMetric(float64(time.Since(start).Nanoseconds())/float64(2*n), "ns/command")
 	b.ReportMetric(float64(heapBytes()-before)/float64(n), "B/entry")
 	measureSnapshot(b, s)
-	s.timeMs += s.bounds.KeyLife.Milliseconds()
+	s.pass(s.bounds.KeyLife - time.Millisecond)
+	s.timeMs++
 	start = time.Now()
 	entries := 0
 	for s.ledger.table.len() > 0 {
--- a/internal/state/bounds.go
+++ b/internal/state/bounds.go
@@ -13,16 +13,16 @@
 	HistoryBytes int
 	// Operations is the most answers to operation ids kept.
 	Operations int
-	// OperationLife is how long, by log time, an answer is kept.
+	// OperationLife is how long, by elapsed log time, an answer is kept.
 	OperationLife time.Duration
 	// LedgerEntries is the most ledger entries, releases included.
 	LedgerEntries int
-	// KeyLife is how long, by log time, a claimed key is remembered.
+	// KeyLife is how long, by elapsed log time, a claimed key is remembered.
 	KeyLife time.Duration
-	// OpenLife is how long, by log time, a claim may stay without outcome
+	// OpenLife is how long, by elapsed log time, a claim may stay without outcome
 	// before it counts as unknown.
 	OpenLife time.Duration
-	// ReleaseLife is how long, by log time, a release is remembered, so that
+	// ReleaseLife is how long, by elapsed log time, a release is remembered, so that
 	// a late copy of its claim isn't granted.
 	ReleaseLife time.Duration
 	// AnswerBytes is the largest answer stored whole.
@@ -32,8 +32,10 @@
 	AnswersBytes int
 }
 
-// Bounds on single fields, in bytes or counts.
+// Bounds on single fields and entries.
 const (
+	// maxStep is the most by which one log entry ages what is kept.
+	maxStep = 10 * time.Minute
 	// MaxNameBytes bounds customers, targets, operators and operation ids.
 	MaxNameBytes = 128
 	// MaxObjectBytes bounds one encoded configuration object.
--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -24,14 +24,14 @@
 	present := m.objects.get(key)
 	if present.revision() != c.Replaces {
 		result := conflict(e, present)
-		m.operations.add(c.OperationId, digest, m.nowMs, result)
+		m.operations.add(c.OperationId, digest, m.elapsedMs, result)
 		return result
 	}
 	if text := m.inadmissible(key, c); text != "" {
 		return invalid(e, text)
 	}
 	result := m.accept(e, key, c)
-	m.operations.add(c.OperationId, digest, m.nowMs, result)
+	m.operations.add(c.OperationId, digest, m.elapsedMs, result)
 	return result
 }
 
@@ -39,12 +39,12 @@
 	m.revision++
 	c = proto.CloneOf(c)
 	setRevision(c, m.revision)
-	m.objects.put(key, newObject(c, m.nowMs, e.Position))
+	m.objects.put(key, newObject(c, m.timeMs, e.Position))
 	m.history.add(&pb.ChangeRecord{
 		Revision:    m.revision,
 		Operator:    c.Operator,
 		OperationId: c.OperationId,
-		TimeUnixMs:  m.nowMs,
+		TimeUnixMs:  m.timeMs,
 		Change:      c,
 	})
 	return &pb.ChangeResult{
--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -43,7 +43,7 @@
 // untilMs.
 func (l *ledger) expireOne(list *entryList, untilMs int64) bool {
 	slot := list.head
-	if slot == noSlot || l.table.at(slot).timeMs > untilMs {
+	if slot == noSlot || l.table.at(slot).elapsedMs > untilMs {
 		return false
 	}
 	l.remove(slot)
@@ -68,7 +68,7 @@
 	if e.state == stateReleased {
 		life = l.bounds.ReleaseLife
 	}
-	if e.timeMs+life.Milliseconds() <= nowMs {
+	if e.elapsedMs+life.Milliseconds() <= nowMs {
 		// Past its life but not yet reached by expire.
 		l.remove(slot)
 		return noSlot, nil
@@ -83,7 +83,7 @@
 	if e.state != stateClaimed {
 		return e.state
 	}
-	if e.timeMs+l.bounds.OpenLife.Milliseconds() <= nowMs {
+	if e.elapsedMs+l.bounds.OpenLife.Milliseconds() <= nowMs {
 		return stateUnknown
 	}
 	if l.routers.at(e.router).incarnation > e.incarnation {
--- a/internal/state/ledger_table.go
+++ b/internal/state/ledger_table.go
@@ -63,7 +63,7 @@
 	digest      [hashBytes]byte
 	incarnation uint64
 	attempt     uint64
-	timeMs      int64
+	elapsedMs   int64
 	// tail holds the length of the request id, the id and the encoded answer.
 	tail       string
 	router     uint32
@@ -155,14 +155,14 @@
 }
 
 // add appends an entry; its time must not be before those of earlier ones.
-func (t *ledgerTable) add(key entryKey, state entryState, timeMs int64) *entry {
+func (t *ledgerTable) add(key entryKey, state entryState, elapsedMs int64) *entry {
 	list := t.list(state)
 	_, held := t.index[key]
 	invariant.Check(!held, "ledger", "state", state, "entries", len(t.index))
-	invariant.Check(list.tail == noSlot || t.at(list.tail).timeMs <= timeMs, "ledger", "time", timeMs)
+	invariant.Check(list.tail == noSlot || t.at(list.tail).elapsedMs <= elapsedMs, "ledger", "time", elapsedMs)
 	slot := t.allocate()
 	e := t.at(slot)
-	*e = entry{key: key, state: state, timeMs: timeMs, prev: list.tail, next: noSlot}
+	*e = entry{key: key, state: state, elapsedMs: elapsedMs, prev: list.tail, next: noSlot}
 	if list.tail == noSlot {
 		list.head = slot
 	} else {
--- a/internal/state/ledger_test.go
+++ b/internal/state/ledger_test.go
@@ -95,7 +95,7 @@
 
 func TestClaimTurnsUnknownAndStays(t *testing.T) {
 	ends := map[string]func(s *script){
-		"age":              func(s *script) { s.timeMs += s.bounds.OpenLife.Milliseconds() },
+		"age":              func(s *script) { s.pass(s.bounds.OpenLife) },
 		"next incarnation": func(s *script) { s.claim(claimOf("other", "r1", 2, 1)) },
 		"claimant's word": func(s *script) {
 			s.resolve(resolveOf(claimOf("k", "r1", 1, 1), pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN))
@@ -120,6 +120,20 @@
 	}
 }
 
+// A leader whose clock is days ahead must not make a key forgotten.
+func TestClockJumpKeepsKeys(t *testing.T) {
+	s := newScript(DefaultBounds())
+	a := claimOf("k", "r1", 1, 1)
+	s.claim(a)
+	s.timeMs += 3 * s.bounds.KeyLife.Milliseconds()
+	wantStatus(t, "another claimant after the jump", s.claim(claimOf("k", "r2", 1, 1)), inProgress)
+	s.restart(t)
+	s.pass(s.bounds.KeyLife - maxStep - time.Minute)
+	wantStatus(t, "before the key's life is over", s.claim(claimOf("k", "r2", 1, 2)), unknown)
+	s.pass(time.Minute)
+	wantStatus(t, "after it", s.claim(claimOf("k", "r2", 1, 3)), granted)
+}
+
 func TestStaleIncarnationIsNotGranted(t *testing.T) {
 	s := newScript(DefaultBounds())
 	s.claim(claimOf("a", "r1", 2, 1))
@@ -146,7 +160,7 @@
 			t.Fatalf("answer %d: %v", i, r)
 		}
 	}
-	s.timeMs += b.KeyLife.Milliseconds()
+	s.pass(b.KeyLife)
 	wantStatus(t, "after the keys' life", s.claim(claimOf("3", "r1", 1, 3)), granted)
 	if s.ledger.answers != 0 || s.ledger.table.len() != 1 {
 		t.Fatalf("%d bytes of answers, %d entries", s.ledger.answers, s.ledger.table.len())
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -16,8 +16,11 @@
 	bounds Bounds
 
 	mu sync.RWMutex
-	// nowMs is the log time of the last entry; it never falls.
-	nowMs int64
+	// timeMs is the log time of the last entry; it never falls.
+	timeMs int64
+	// elapsedMs counts lives: the sum of the steps of log time, each of them
+	// bounded by maxStep.
+	elapsedMs int64
 	// revision counts accepted changes.
 	revision   uint64
 	objects    objects
@@ -47,7 +50,8 @@
 }
 
 func (m *Machine) reset() {
-	m.nowMs = 0
+	m.timeMs = 0
+	m.elapsedMs = 0
 	m.revision = 0
 	m.objects = newObjects()
 	m.history = history{maxRecords: m.bounds.History, maxBytes: m.bounds.HistoryBytes}
@@ -61,9 +65,9 @@
 func (m *Machine) Apply(e replica.Entry) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.nowMs = max(m.nowMs, e.TimeMs)
-	m.operations.expire(m.nowMs)
-	m.ledger.expire(m.nowMs)
+	m.advance(e.TimeMs)
+	m.operations.expire(m.elapsedMs)
+	m.ledger.expire(m.elapsedMs)
 	if len(e.Data) == 0 {
 		return nil
 	}
@@ -79,14 +83,27 @@
 	return out
 }
 
+// advance moves the time. A leader whose clock is far ahead of its
+// predecessor's moves the log time at once, but lives by one bounded step
+// only; after a pause without entries, lives are longer rather than shorter.
+func (m *Machine) advance(timeMs int64) {
+	if timeMs <= m.timeMs {
+		return
+	}
+	if m.timeMs > 0 {
+		m.elapsedMs += min(timeMs-m.timeMs, maxStep.Milliseconds())
+	}
+	m.timeMs = timeMs
+}
+
 func (m *Machine) execute(e replica.Entry, cmd *pb.Command) *pb.CommandResult {
 	switch body := cmd.Body.(type) {
 	case *pb.Command_Change:
 		return &pb.CommandResult{Body: &pb.CommandResult_Change{Change: m.change(e, body.Change)}}
 	case *pb.Command_Claim:
-		return &pb.CommandResult{Body: &pb.CommandResult_Claim{Claim: m.ledger.claim(body.Claim, m.nowMs)}}
+		return &pb.CommandResult{Body: &pb.CommandResult_Claim{Claim: m.ledger.claim(body.Claim, m.elapsedMs)}}
 	case *pb.Command_Resolve:
-		return &pb.CommandResult{Body: &pb.CommandResult_Resolve{Resolve: m.ledger.resolve(body.Resolve, m.nowMs)}}
+		return &pb.CommandResult{Body: &pb.CommandResult_Resolve{Resolve: m.ledger.resolve(body.Resolve, m.elapsedMs)}}
 	}
 	return &pb.CommandResult{}
 }
--- a/internal/state/operations.go
+++ b/internal/state/operations.go
@@ -8,10 +8,10 @@
 
 // operation is the first answer to one operation id.
 type operation struct {
-	id     string
-	digest [sha256.Size]byte
-	timeMs int64
-	result *pb.ChangeResult
+	id        string
+	digest    [sha256.Size]byte
+	elapsedMs int64
+	result    *pb.ChangeResult
 }
 
 // operations keeps the answers in the order of their log time; the oldest
@@ -38,7 +38,7 @@
 }
 
 func (t *operations) add(id string, digest [sha256.Size]byte, nowMs int64, result *pb.ChangeResult) {
-	op := &operation{id: id, digest: digest, timeMs: nowMs, result: result}
+	op := &operation{id: id, digest: digest, elapsedMs: nowMs, result: result}
 	t.byID[id] = op
 	t.fifo = append(t.fifo, op)
 	if len(t.fifo) > t.max {
@@ -47,7 +47,7 @@
 }
 
 func (t *operations) expire(nowMs int64) {
-	for len(t.fifo) > 0 && t.fifo[0].timeMs+t.lifeMs <= nowMs {
+	for len(t.fifo) > 0 && t.fifo[0].elapsedMs+t.lifeMs <= nowMs {
 		t.dropOldest()
 	}
 }
--- a/internal/state/restore.go
+++ b/internal/state/restore.go
@@ -71,7 +71,8 @@
 		return fmt.Errorf("encoding version %d, this program reads %d", h.Version, snapshotVersion)
 	}
 	m.revision = h.Revision
-	m.nowMs = h.TimeUnixMs
+	m.timeMs = h.TimeUnixMs
+	m.elapsedMs = h.ElapsedMs
 	m.ledger.routers.last = h.LastRouter
 	return nil
 }
@@ -102,7 +103,7 @@
 	if len(r.Digest) != sha256.Size {
 		return errors.New("an operation's digest has the wrong length")
 	}
-	m.operations.add(r.OperationId, [sha256.Size]byte(r.Digest), r.TimeUnixMs, r.Result)
+	m.operations.add(r.OperationId, [sha256.Size]byte(r.Digest), r.ElapsedMs, r.Result)
 	return nil
 }
 
@@ -110,7 +111,7 @@
 	n := len(b.States)
 	whole := len(b.Keys) == n*hashBytes && len(b.Digests) == n*hashBytes &&
 		len(b.Routers) == n && len(b.Incarnations) == n && len(b.Attempts) == n &&
-		len(b.TimesUnixMs) == n && len(b.Tails) == n
+		len(b.ElapsedMs) == n && len(b.Tails) == n
 	if !whole {
 		return errors.New("the columns of a ledger block differ in length")
 	}
@@ -135,7 +136,7 @@
 	if _, held := l.table.find(key); held {
 		return errors.New("a ledger key is there twice")
 	}
-	e := l.table.add(key, state, b.TimesUnixMs[i])
+	e := l.table.add(key, state, b.ElapsedMs[i])
 	e.digest = [hashBytes]byte(b.Digests[i*hashBytes : (i+1)*hashBytes])
 	e.router = b.Routers[i]
 	router.entries++
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -46,7 +46,8 @@
 	s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_Header{Header: &pb.SnapshotHeader{
 		Version:    snapshotVersion,
 		Revision:   m.revision,
-		TimeUnixMs: m.nowMs,
+		TimeUnixMs: m.timeMs,
+		ElapsedMs:  m.elapsedMs,
 		LastRouter: m.ledger.routers.last,
 	}}})
 	m.writeObjects(s)
@@ -57,7 +58,7 @@
 		s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_Operation{Operation: &pb.OperationRecord{
 			OperationId: op.id,
 			Digest:      op.digest[:],
-			TimeUnixMs:  op.timeMs,
+			ElapsedMs:   op.elapsedMs,
 			Result:      op.result,
 		}}})
 	}
@@ -124,7 +125,7 @@
 	block.Routers = append(block.Routers, e.router)
 	block.Incarnations = append(block.Incarnations, e.incarnation)
 	block.Attempts = append(block.Attempts, e.attempt)
-	block.TimesUnixMs = append(block.TimesUnixMs, e.timeMs)
+	block.ElapsedMs = append(block.ElapsedMs, e.elapsedMs)
 	block.States = append(block.States, byte(e.state))
 	block.Tails = append(block.Tails, []byte(e.tail))
 }
@@ -136,7 +137,7 @@
 	block.Routers = block.Routers[:0]
 	block.Incarnations = block.Incarnations[:0]
 	block.Attempts = block.Attempts[:0]
-	block.TimesUnixMs = block.TimesUnixMs[:0]
+	block.ElapsedMs = block.ElapsedMs[:0]
 	block.States = block.States[:0]
 	block.Tails = block.Tails[:0]
 }
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -60,6 +61,14 @@
 	return s.apply(&pb.Command{Body: &pb.Command_Resolve{Resolve: r}}).GetResolve().GetApplied()
 }
 
+// pass lets log time pass in steps that count whole.
+func (s *script) pass(d time.Duration) {
+	for ; d > 0; d -= maxStep {
+		s.timeMs += min(d, maxStep).Milliseconds()
+		s.apply(&pb.Command{})
+	}
+}
+
 // restart replaces the machine by one restored from its snapshot.
 func (s *script) restart(t interface{ Fatal(...any) }) {
 	var first, second bytes.Buffer
