A draining home no longer refuses for the moment in which only it knows

Cause: an instance that begins to drain leaves itself out of the routers that may admit. It asked the next one, which had not heard of the drain yet and named the draining one as home; the two referred to each other until the tries were used up, and callers got 503 no-home for up to 200 ms. Ruled out: the lookup (entries were right), closing connections (no cut).

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -37,13 +37,16 @@
 		return nil, s.refuse(pool.CodeNoTarget, noHomeRetryAfter, d)
 	}
 	failed := make(map[string]bool)
+	moved := make(map[string]bool)
 	for range maxAdmitCalls {
 		to, ok := s.nextCandidate(group, failed)
 		if !ok {
 			break
 		}
 		req := s.admitRequest(ctx, group, d, exclude)
-		if len(failed) > 0 {
+		// A router that names a home which this one can't use, for example
+		// because only this one knows yet that it drains, passes the request on.
+		if len(failed) > 0 || moved[to.id] {
 			req.Hops = 1
 		}
 		reply, err := s.askFor(ctx, to, group, req)
@@ -56,6 +59,8 @@
 			continue
 		}
 		if reply.Code == codeMoved {
+			failed[to.id] = moved[to.id]
+			moved[to.id] = true
 			continue
 		}
 		if reply.Code != "" {
