--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -136,6 +136,7 @@
 	if voterCount(next) == 0 {
 		return 0, 0, errors.New("a membership without voters")
 	}
+	c.checkPromotions(next)
 	data, err := proto.Marshal(next)
 	if err != nil {
 		return 0, 0, err
@@ -144,6 +145,19 @@
 	return e.Index, e.Term, nil
 }
 
+// checkPromotions stops a learner from becoming a voter before it has synced
+// all that was committed when it asked to join.
+func (c *Core) checkPromotions(next *pb.Membership) {
+	for _, m := range next.Members {
+		before := FindMember(c.log.members.current(), m.Id)
+		if before == nil || !before.Learner || m.Learner {
+			continue
+		}
+		match := c.peers[m.Id].match
+		invariant.Check(match >= m.JoinIndex, "promote learner", "id", m.Id, "match", match, "join index", m.JoinIndex)
+	}
+}
+
 // syncPeers makes the leader's progress table match the membership.
 func (c *Core) syncPeers() {
 	membership := c.log.members.current()
--- a/internal/replica/formation_test.go
+++ b/internal/replica/formation_test.go
@@ -75,11 +75,25 @@
 			all = append(all, f)
 			addrs = append(addrs, f.addr)
 		}
+		// requireAll fails unless all founders accepted m, or were emptied.
+		requireAll := func(m *pb.Membership) {
+			for _, member := range m.Members {
+				for _, f := range all {
+					if f.id == member.Id && !proto.Equal(f.accepted, m) {
+						rt.Fatalf("a system was formed without %s", f.id)
+					}
+				}
+			}
+		}
 		var started []*pb.Membership
 		step := func() {
 			f := all[r.IntN(n)]
 			if r.IntN(n) == 0 {
+				ran := f.running != nil
 				f.act(addrs)
+				if !ran && f.running != nil {
+					requireAll(f.running)
+				}
 			} else if other := all[r.IntN(n)]; other != f {
 				if f.replies == nil {
 					f.replies = make(map[string]*pb.HelloReply)
@@ -125,4 +139,12 @@
 	if d := decideFormation(self, founders, nil, replies); d.step != formationAccept {
 		t.Fatalf("three empty founders decided %v", d)
 	}
+	replies["c"].State = pb.FormationState_FORMATION_STATE_PREPARED
+	if d := decideFormation(self, founders, nil, replies); d.step != formationWait {
+		t.Fatalf("beside a prepared founder an empty one decided %v", d)
+	}
+	replies["c"].State = pb.FormationState_FORMATION_STATE_RUNNING
+	if d := decideFormation(self, founders, nil, replies); d.step != formationJoin {
+		t.Fatalf("beside a running founder an empty one decided %v", d)
+	}
 }
--- a/internal/replica/named_test.go
+++ b/internal/replica/named_test.go
@@ -148,6 +148,61 @@
 	}
 }
 
+// threeRoles returns a leader that acts and its two followers.
+func threeRoles(w *world) (leader, first, second *site) {
+	w.runUntil(10*time.Second, func() bool { return w.leader() != nil })
+	leader = w.leader()
+	for _, s := range w.sites[:simFounders] {
+		switch {
+		case s == leader:
+		case first == nil:
+			first = s
+		default:
+			second = s
+		}
+	}
+	return leader, first, second
+}
+
+// TestOnlyOneLeaderActsBehindACutLink cuts the leader from one follower whose
+// log is complete. The other one must not help that follower to lead while it
+// hears the leader, nor after a quick restart. The world checks each election
+// for that.
+func TestOnlyOneLeaderActsBehindACutLink(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed)
+		leader, cut, other := threeRoles(w)
+		w.runFor(time.Second)
+		cutLink(w, leader, cut)
+		w.runFor(4 * time.Second)
+		if w.leader() != leader {
+			t.Fatalf("seed %d: a leader with a quorum lost its lead", seed)
+		}
+		for range 10 {
+			other.crash(journaltest.KeepAll)
+			other.start()
+			w.runFor(electionTicks / 2 * defaultTickInterval)
+		}
+		w.settle()
+	}
+}
+
+// TestLateAnswersExtendNoPeriod leaves the leader one follower, whose answers
+// are late, and then cuts what the leader sends, so that the followers elect another one while the
+// answers still come in.
+func TestLateAnswersExtendNoPeriod(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed)
+		leader, cut, other := threeRoles(w)
+		cutLink(w, leader, cut)
+		w.slow[[2]string{other.addr, leader.addr}] = time.Duration(seed+1) * 100 * time.Millisecond
+		w.runFor(3 * time.Second)
+		cutFor(w, leader, false, true, 4*time.Second)
+		w.runFor(4 * time.Second)
+		w.settle()
+	}
+}
+
 func TestThawedLeaderFindsItsPeriodOver(t *testing.T) {
 	w := newWorld(5)
 	w.runUntil(10*time.Second, func() bool { return w.leader() != nil })
--- a/internal/replica/properties_test.go
+++ b/internal/replica/properties_test.go
@@ -124,6 +124,7 @@
 // heal ends all faults and starts all founders' sites again.
 func (w *world) heal() {
 	clear(w.cut)
+	clear(w.slow)
 	w.dropPct, w.latePct, w.doublePct = 0, 0, 0
 	for _, s := range w.sites {
 		s.thaw = 0
--- a/internal/replica/random_test.go
+++ b/internal/replica/random_test.go
@@ -56,6 +56,12 @@
 	w.after(d, func() { clear(w.cut) })
 }
 
+// cutLink cuts both directions between two sites.
+func cutLink(w *world, a, b *site) {
+	w.cut[[2]string{a.addr, b.addr}] = true
+	w.cut[[2]string{b.addr, a.addr}] = true
+}
+
 var faults = []fault{
 	{"kill", crashFault(journaltest.KeepAll)},
 	{"kill and lose unsynced writes", crashFault(journaltest.LoseUnsynced)},
@@ -85,6 +91,15 @@
 	{"two-way cut", func(w *world, s *site) { cutFor(w, s, true, true, w.downFor()) }},
 	{"cut of incoming messages", func(w *world, s *site) { cutFor(w, s, true, false, w.downFor()) }},
 	{"cut of outgoing messages", func(w *world, s *site) { cutFor(w, s, false, true, w.downFor()) }},
+	{"cut of one link", func(w *world, s *site) {
+		cutLink(w, s, w.sites[w.r.IntN(len(w.sites))])
+		w.after(w.downFor(), func() { clear(w.cut) })
+	}},
+	{"one slow link", func(w *world, s *site) {
+		link := [2]string{s.addr, w.sites[w.r.IntN(len(w.sites))].addr}
+		w.slow[link] = w.downFor()
+		w.after(w.downFor(), func() { delete(w.slow, link) })
+	}},
 	{"lost messages", func(w *world, s *site) { w.dropPct = 30; w.after(w.downFor(), func() { w.dropPct = 0 }) }},
 	{"late messages", func(w *world, s *site) { w.latePct = 30; w.after(w.downFor(), func() { w.latePct = 0 }) }},
 	{"doubled messages", func(w *world, s *site) { w.doublePct = 50; w.after(w.downFor(), func() { w.doublePct = 0 }) }},
--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -29,6 +29,8 @@
 
 	// cut holds one-way cuts from address to address.
 	cut map[[2]string]bool
+	// slow holds the added delay from address to address.
+	slow map[[2]string]time.Duration
 	// Chances, in per cent, that a message is dropped, late or doubled.
 	dropPct, latePct, doublePct int
 	// lateBy bounds how late a late message is.
@@ -142,6 +144,7 @@
 	w := &world{
 		r:       rand.New(rand.NewPCG(seed, 0)),
 		cut:     make(map[[2]string]bool),
+		slow:    make(map[[2]string]time.Duration),
 		entries: make(map[uint64]appliedEntry),
 		leaders: make(map[uint64]string),
 		faults:  make(map[string]int),
@@ -377,7 +380,7 @@
 		delay += time.Duration(w.r.Int64N(int64(w.lateBy)))
 	}
 	// What a process sends while it freezes leaves once it thaws.
-	delay += max(0, o.from.thaw-w.now)
+	delay += max(0, o.from.thaw-w.now) + w.slow[[2]string{o.from.addr, o.to}]
 	w.deliver(o.from.addr, o.to, m, delay)
 	if w.r.IntN(100) < w.doublePct {
 		w.deliver(o.from.addr, o.to, m, delay+time.Duration(w.r.Int64N(int64(time.Second))))
