--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -11,7 +11,7 @@
 	if c.role != Leader {
 		return 0, 0, ErrNotLeader
 	}
-	if c.uncommittedBytes+len(data) > maxUncommittedBytes {
+	if c.uncommittedBytes > maxUncommittedBytes {
 		return 0, 0, ErrOverloaded
 	}
 	e := c.appendOwn(pb.EntryKind_ENTRY_KIND_COMMAND, data, nowMs)
@@ -27,7 +27,7 @@
 		Data:   data,
 	}
 	c.log.push(e)
-	c.uncommittedBytes += len(data)
+	c.uncommittedBytes += entryBytes(e)
 	c.unsent = true
 	if kind == pb.EntryKind_ENTRY_KIND_MEMBERSHIP {
 		c.syncPeers()
@@ -149,7 +149,7 @@
 	c.checkQuorum("commit", index, func(id string) bool { return c.peers[id].match >= index })
 	hadCommitted := c.CommittedInTerm()
 	for _, e := range c.log.slice(c.log.committed, index) {
-		c.uncommittedBytes = max(0, c.uncommittedBytes-len(e.Data))
+		c.uncommittedBytes = max(0, c.uncommittedBytes-entryBytes(e))
 	}
 	c.log.commitTo(index)
 	if !hadCommitted && c.CommittedInTerm() {
@@ -235,7 +235,7 @@
 func limitBytes(entries []*pb.LogEntry, bound int) []*pb.LogEntry {
 	size := 0
 	for i, e := range entries {
-		size += len(e.Data) + entryOverheadBytes
+		size += entryBytes(e)
 		if i > 0 && size > bound {
 			return entries[:i:i]
 		}
@@ -244,7 +244,9 @@
 }
 
 // entryOverheadBytes is counted for each entry besides its data.
-const entryOverheadBytes = 32
+const entryOverheadBytes = 64
+
+func entryBytes(e *pb.LogEntry) int { return len(e.Data) + entryOverheadBytes }
 
 // findMatch returns the last index up to index whose term is at most term.
 func (l *raftLog) findMatch(index, term uint64) uint64 {
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -99,13 +99,20 @@
 	}
 }
 
-// Compact tells that a snapshot was taken and synced here; entries up to keep
-// may be dropped from memory.
-func (c *Core) Compact(meta *pb.SnapshotMeta, keep uint64) {
+// Compact tells that a snapshot was taken and synced here. Of the entries that
+// it covers, at most maxEntries and maxBytes stay in memory for slow followers.
+func (c *Core) Compact(meta *pb.SnapshotMeta, maxEntries uint64, maxBytes int) {
 	invariant.Check(meta.Index <= c.log.applied, "compact", "index", meta.Index, "applied", c.log.applied)
 	if c.log.snapshot != nil && c.log.snapshot.Index >= meta.Index {
 		return
 	}
 	c.log.snapshot = meta
-	c.log.compact(min(keep, meta.Index))
+	keep := meta.Index
+	for size := 0; keep > c.log.baseIndex && meta.Index-keep < maxEntries; keep-- {
+		size += entryBytes(c.log.at(keep))
+		if size > maxBytes {
+			break
+		}
+	}
+	c.log.compact(keep)
 }
--- /dev/null
+++ b/internal/replica/failure_test.go
@@ -0,0 +1,98 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/journal/journaltest"
+)
+
+func TestFailedSyncEndsTheNode(t *testing.T) {
+	var failing sync.Map
+	f := newFleet(t, simFounders, func(cfg *Config) {
+		fs := journaltest.New()
+		fs.Hook = func(op journaltest.Op, _ string) error {
+			if _, fails := failing.Load(cfg.Addr); fails && op == journaltest.OpSync {
+				return journaltest.ErrSync
+			}
+			return nil
+		}
+		cfg.FS = fs
+	})
+	want := commitMany(f, nil, 5)
+	leader := f.leader()
+	failing.Store(leader.addr, true)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if _, _, err := leader.node.Propose(ctx, []byte("unsynced")); !errors.Is(err, ErrOutcomeUnknown) {
+		t.Fatalf("a proposal that met a failed sync: %v", err)
+	}
+	<-leader.node.Done()
+	if err := leader.node.Err(); !errors.Is(err, journaltest.ErrSync) {
+		t.Fatalf("the node ended with %v", err)
+	}
+	leader.stop()
+	commitMany(f, want, 5)
+}
+
+func TestRestartFromSnapshotAndJournalAfterHundredsOfChanges(t *testing.T) {
+	f := newFleet(t, simFounders, func(cfg *Config) { cfg.SnapshotEntries = 100 })
+	const proposers, each = 20, 30
+	node := f.leader().node
+	var all sync.WaitGroup
+	for p := range proposers {
+		all.Go(func() {
+			for i := range each {
+				if _, _, err := node.Propose(context.Background(), fmt.Appendf(nil, "%d/%d", p, i)); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	before := f[0].machine
+	eventually(t, "all applied", func() bool { return len(before.items()) == proposers*each })
+	for _, in := range f {
+		in.stop()
+	}
+	for _, in := range f {
+		in.start()
+	}
+	f.leader()
+	for _, in := range f {
+		eventually(t, "all applied again at "+in.addr, func() bool { return len(in.machine.items()) == proposers*each })
+		for i, item := range in.machine.items() {
+			if item != before.items()[i] {
+				t.Fatalf("item %d at %s is %q, was %q", i, in.addr, item, before.items()[i])
+			}
+		}
+	}
+}
+
+func TestRefusalsAppendNothing(t *testing.T) {
+	f := newFleet(t, simFounders, nil)
+	want := commitMany(f, nil, 1)
+	leader := f.leader()
+	if _, _, err := leader.node.Propose(context.Background(), make([]byte, maxProposalBytes+1)); !errors.Is(err, ErrTooLarge) {
+		t.Fatalf("a proposal over the bound: %v", err)
+	}
+	for _, in := range f {
+		if in == leader {
+			continue
+		}
+		if _, _, err := in.node.Propose(context.Background(), []byte("follower")); !errors.Is(err, ErrNotLeader) {
+			t.Fatalf("a proposal at a follower: %v", err)
+		}
+		if _, err := in.node.ReadIndex(context.Background()); !errors.Is(err, ErrNotLeader) {
+			t.Fatalf("a read at a follower: %v", err)
+		}
+	}
+	at, err := leader.node.ReadIndex(context.Background())
+	if err != nil || at.Index == 0 || len(leader.machine.items()) != len(want) {
+		t.Fatalf("read %v, %v; items %v", at, err, leader.machine.items())
+	}
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -137,7 +137,7 @@
 		return false
 	}
 	if r.snapshot != nil {
-		n.core.Compact(r.snapshot, r.snapshot.Index-min(r.snapshot.Index, n.cfg.Trailing))
+		n.core.Compact(r.snapshot, n.cfg.Trailing, trailingBytes)
 		if err := n.journal.Compact(r.snapshot.Index); err != nil {
 			n.fail(err)
 			return false
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -34,8 +34,13 @@
 
 	defaultSnapshotEntries = 20_000
 	defaultSnapshotBytes   = 32 << 20
-	// trailingEntries stay in memory behind a snapshot, for slow followers.
+	// trailingEntries and trailingBytes bound what stays in memory behind a
+	// snapshot, for slow followers.
 	trailingEntries = 5_000
+	trailingBytes   = 16 << 20
+
+	// maxProposalBytes bounds the data of one entry.
+	maxProposalBytes = 1 << 20
 
 	defaultMaxBatch = 1024
 	// queuedProposals and queuedBatches bound the loop's inputs.
@@ -71,7 +76,7 @@
 	SnapshotBytes   uint64
 	// MaxBatch bounds the proposals that share one sync; optional.
 	MaxBatch int
-	// Trailing is how many entries stay in memory behind a snapshot; optional.
+	// Trailing bounds the entries kept in memory behind a snapshot; optional.
 	Trailing uint64
 }
 
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -12,6 +12,9 @@
 // ErrOverloaded means that too many proposals wait; nothing was appended.
 var ErrOverloaded = errors.New("too many proposals are waiting")
 
+// ErrTooLarge means that a proposal is over the bound; nothing was appended.
+var ErrTooLarge = errors.New("the proposal is too large")
+
 type outcome struct {
 	result []byte
 	at     Position
@@ -28,6 +31,9 @@
 	if !n.running() {
 		return nil, Position{}, errs.Wrap(ErrNotLeader, "propose", n.cfg.Addr)
 	}
+	if len(data) > maxProposalBytes {
+		return nil, Position{}, errs.Wrap(ErrTooLarge, "propose", n.cfg.Addr)
+	}
 	p := &proposal{data: data, done: make(chan outcome, 1)}
 	select {
 	case n.proposals <- p:
--- a/internal/replica/read.go
+++ b/internal/replica/read.go
@@ -61,6 +61,10 @@
 		calls = append(calls, <-n.readCalls)
 	}
 	q := &n.reads
+	if len(q.rounds) >= maxOpenRounds {
+		answerReads(calls, readOutcome{err: ErrOverloaded})
+		return
+	}
 	q.nextID++
 	if q.rounds == nil {
 		q.rounds = make(map[uint64][]*readCall)
