--- a/internal/replica/matrix_test.go
+++ b/internal/replica/matrix_test.go
@@ -55,13 +55,13 @@
 	}},
 	{"add replica, at the added one", func(w *world, _ journaltest.Op, fire func(*site) error) {
 		addSpare(w, true)
-		s := w.sites[simFounders]
+		s := w.spare()
 		onLogWrite(s, journaltest.OpSync, fire, func(n *Node) bool { return true })
 	}},
 	{"remove replica, at the leader", func(w *world, _ journaltest.Op, fire func(*site) error) {
 		addSpare(w, false)
 		w.runFor(5 * time.Second)
-		id := w.sites[simFounders].node.id
+		id := w.spare().node.id
 		onMembership(w.leader(), fire)
 		leader := w.leader()
 		w.after(0, func() { leader.change(func(n *Node) membershipEdit { return n.removal(id) }) })
@@ -69,7 +69,7 @@
 	{"elect", func(w *world, at journaltest.Op, fire func(*site) error) {
 		old := w.leader()
 		old.crash(journaltest.LoseUnsynced)
-		for _, s := range w.sites[:simFounders] {
+		for _, s := range w.founders() {
 			if s != old {
 				onLogWrite(s, at, fire, func(n *Node) bool { return n.core.Role() == consensus.Candidate })
 			}
@@ -80,7 +80,7 @@
 // follower returns a founder's site that does not lead.
 func (w *world) follower() *site {
 	leader := w.leader()
-	for _, s := range w.sites[:simFounders] {
+	for _, s := range w.founders() {
 		if s != leader {
 			return s
 		}
@@ -130,7 +130,7 @@
 
 // addSpare starts the spare site and asks the leader to admit it.
 func addSpare(w *world, later bool) {
-	spare, leader := w.sites[simFounders], w.leader()
+	spare, leader := w.spare(), w.leader()
 	spare.start()
 	if leader == nil {
 		return
--- a/internal/replica/named_test.go
+++ b/internal/replica/named_test.go
@@ -21,7 +21,7 @@
 	w.load(12 * time.Second)
 	w.runUntil(10*time.Second, func() bool { return w.leader() != nil && len(w.acked) > 150 })
 	a = w.follower()
-	for _, s := range w.sites[:simFounders] {
+	for _, s := range w.founders() {
 		if s != a && s != w.leader() {
 			b = s
 		}
@@ -152,7 +152,7 @@
 func threeRoles(w *world) (leader, first, second *site) {
 	w.runUntil(10*time.Second, func() bool { return w.leader() != nil })
 	leader = w.leader()
-	for _, s := range w.sites[:simFounders] {
+	for _, s := range w.founders() {
 		switch {
 		case s == leader:
 		case first == nil:
@@ -217,7 +217,7 @@
 func TestLeaderActsOnlyAfterItsFirstOwnEntryIsApplied(t *testing.T) {
 	w := newWorld(6)
 	w.runUntil(10*time.Second, func() bool {
-		for _, s := range w.sites[:simFounders] {
+		for _, s := range w.founders() {
 			st := s.node.snapshotStatus()
 			_, _, ok := s.node.ActUntil()
 			if ok && (st.Role != consensus.Leader || st.Applied < s.node.core.FirstOfTerm()) {
--- a/internal/replica/properties_test.go
+++ b/internal/replica/properties_test.go
@@ -135,7 +135,7 @@
 			s.machine.hook = nil
 		}
 	}
-	for _, s := range w.sites[:simFounders] {
+	for _, s := range w.founders() {
 		s.start()
 	}
 }
--- a/internal/replica/random_test.go
+++ b/internal/replica/random_test.go
@@ -19,7 +19,7 @@
 	all := []disturbance{
 		{"add replica", func(w *world, _ *site) { addSpare(w, false) }},
 		{"remove replica", func(w *world, _ *site) {
-			spare, leader := w.sites[simFounders], w.leader()
+			spare, leader := w.spare(), w.leader()
 			if leader != nil && spare.node != nil {
 				id := spare.node.id
 				leader.change(func(n *Node) membershipEdit { return n.removal(id) })
@@ -50,7 +50,7 @@
 			return false
 		}
 	}
-	return committed && len(membership.Members) >= simFounders && consensus.FindMember(membership, leader.node.id) != nil
+	return committed && len(membership.Members) >= len(w.founders()) && consensus.FindMember(membership, leader.node.id) != nil
 }
 
 // historyTime is the virtual length of one random history.
@@ -64,7 +64,8 @@
 	injected := make(map[string]int)
 	all := disturbances()
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorld(rapid.Uint64().Draw(rt, "seed"))
+		founders := rapid.SampledFrom([]int{3, 3, 5}).Draw(rt, "founders")
+		w := newWorldOf(founders, rapid.Uint64().Draw(rt, "seed"))
 		n := rapid.IntRange(0, 16).Draw(rt, "more faults") + 4
 		for range n {
 			d := all[rapid.IntRange(0, len(all)-1).Draw(rt, "fault")]
--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -122,7 +122,9 @@
 const maxLate = 2 * time.Second
 
 // newWorld starts three founders and one spare site that runs nothing.
-func newWorld(seed uint64) *world {
+func newWorld(seed uint64) *world { return newWorldOf(simFounders, seed) }
+
+func newWorldOf(founders int, seed uint64) *world {
 	w := &world{
 		r:       rand.New(rand.NewPCG(seed, 0)),
 		cut:     make(map[[2]string]bool),
@@ -132,7 +134,7 @@
 		faults:  make(map[string]int),
 		lateBy:  maxLate,
 	}
-	for i := range simFounders + 1 {
+	for i := range founders + 1 {
 		w.sites = append(w.sites, &site{
 			w: w, addr: fmt.Sprintf("10.0.0.%d:1", i+1), fs: journaltest.New(),
 			// Any two clocks stay within the drift bound.
@@ -144,14 +146,18 @@
 	return w
 }
 
+func (w *world) founders() []*site { return w.sites[:len(w.sites)-1] }
+
+func (w *world) spare() *site { return w.sites[len(w.sites)-1] }
+
 // found gives the founders their first entry, as formation does.
 func (w *world) found() {
 	var members []*pb.Member
-	for _, s := range w.sites[:simFounders] {
+	for _, s := range w.founders() {
 		n, _ := s.openNode()
 		members = append(members, n.self())
 	}
-	for _, s := range w.sites[:simFounders] {
+	for _, s := range w.founders() {
 		state, err := s.node.found(&journal.State{}, consensus.NewMembership(members...))
 		if err != nil {
 			violation("formation: %v", err)
