--- a/internal/configlease/holder.go
+++ b/internal/configlease/holder.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/invariant"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
@@ -200,14 +201,12 @@
 	if reply.Nonce != req.Nonce {
 		return false, errs.New("configuration lease", reply.LeaderAddr, "the evidence answers another request")
 	}
-	if reply.Revision < held {
-		// Accepted revisions never fall, so this is no evidence of ours.
-		return false, errs.New("configuration lease", reply.LeaderAddr, "the evidence is for a lower revision than the one held")
-	}
 	if err := h.config.apply(reply); err != nil {
 		return false, errs.Wrap(err, "configuration lease", reply.LeaderAddr)
 	}
 	if !reply.Partial {
+		before := h.grant.Load().revision
+		invariant.Check(reply.Revision >= before, "configuration lease", "revision", reply.Revision, "before", before)
 		h.grant.Store(&grant{
 			revision: reply.Revision,
 			until:    asked.Add(time.Duration(reply.LeaseMs) * time.Millisecond),
--- a/internal/placement/measure/run.go
+++ b/internal/placement/measure/run.go
@@ -16,7 +16,7 @@
 	engineCount = 12
 	// meanRate is the requests per second of the trace without a surge; it
 	// keeps the engines' places about 60% busy.
-	meanRate = 16
+	meanRate = 26
 	maxTries = 4
 )
 
@@ -34,7 +34,9 @@
 	lastEvent uint64
 	results   Result
 	waits     []time.Duration
-	skews     []float64
+	// firstTokens are the waits with the time to compute the prefix.
+	firstTokens []time.Duration
+	skews       []float64
 }
 
 type event struct {
--- a/internal/pool/lane.go
+++ b/internal/pool/lane.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,11 @@
 	// minRateSamples is the number of releases below which the rate is
 	// unknown.
 	minRateSamples = 10
+	// useWindow is the time over which a customer's use is averaged.
+	useWindow = 30 * time.Second
+	// burstFactor is how far above its share a customer may be for a short
+	// time.
+	burstFactor = 2
 )
 
 // lane holds the targets that can serve one model or service, and the queue
@@ -21,8 +27,10 @@
 	name     string
 	targets  []*target
 	capacity int
-	queue    *admission.Queue
-	shares   map[string]*share
+	// reserve is the part kept free, in thousandths of the capacity.
+	reserve int
+	queue   *admission.Queue
+	shares  map[string]*share
 	// weights is the sum over shares.
 	weights float64
 
@@ -38,13 +46,32 @@
 	weight   float64
 	inFlight int
 	seen     time.Time
+	// average is that of inFlight over about useWindow, as of averaged.
+	average  float64
+	averaged time.Time
 }
 
-func newLane(name string, queueLength int) *lane {
+// add changes the requests in flight.
+func (s *share) add(now time.Time, n int) {
+	s.settle(now)
+	s.inFlight += n
+}
+
+// settle brings the average up to now.
+func (s *share) settle(now time.Time) {
+	if !s.averaged.IsZero() {
+		kept := math.Exp(-now.Sub(s.averaged).Seconds() / useWindow.Seconds())
+		s.average = s.average*kept + float64(s.inFlight)*(1-kept)
+	}
+	s.averaged = now
+}
+
+func newLane(name string, cfg *Config) *lane {
 	return &lane{
-		name:   name,
-		queue:  admission.NewQueue(queueLength),
-		shares: make(map[string]*share),
+		name:    name,
+		reserve: cfg.Reserve,
+		queue:   admission.NewQueue(cfg.QueueLength),
+		shares:  make(map[string]*share),
 	}
 }
 
@@ -86,14 +113,32 @@
 	return s
 }
 
-// aboveShare tells whether one more request takes the customer past its
-// weighted share of the lane's capacity.
-func (l *lane) aboveShare(customer string) bool {
+// aboveShare tells whether a customer uses more than its weighted share of the
+// lane's capacity: on average, or with one more request now by far or so much
+// that it reaches into the reserve. Chance alone takes a small customer past
+// its share for moments. A customer that is alone is never above its share.
+func (l *lane) aboveShare(now time.Time, customer string) bool {
 	s, ok := l.shares[customer]
-	if !ok || l.weights <= 0 {
+	if !ok || len(l.shares) < 2 {
 		return false
 	}
-	return float64(s.inFlight+1) > float64(l.capacity)*s.weight/l.weights
+	s.settle(now)
+	fair := float64(l.capacity) * s.weight / l.weights
+	most := min(burstFactor*fair, float64(l.capacity-l.reserved()))
+	return s.average > fair || float64(s.inFlight+1) > most
+}
+
+// reserved is the number of places that are left to customers within their
+// share.
+func (l *lane) reserved() int { return (l.capacity*l.reserve + 999) / 1000 }
+
+// free counts the places that the lane's targets have left.
+func (l *lane) free() int {
+	free := 0
+	for _, t := range l.targets {
+		free += max(0, t.Capacity-t.inFlight())
+	}
+	return free
 }
 
 // forgetIdle drops customers that have been idle for long.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,10 +19,15 @@
 
 	mu     sync.Mutex
 	layout *layout
-	groups map[string]*group
+	// seen and revision are the targets and the configuration of layout.
+	seen     []*pb.TargetStatus
+	revision uint64
+	groups   map[string]*group
 	// recent remembers where this router's chats were placed, as hints for a
 	// home that has lost its directory.
 	recent *placement.Directory
+	// resyncs is when each engine was last asked for a resync.
+	resyncs map[string]time.Time
 	// absent is since when routers that hold places have been out of view.
 	absent map[routerKey]time.Time
 
@@ -42,6 +48,7 @@
 		layout:  newLayout(nil, 1),
 		groups:  make(map[string]*group),
 		recent:  placement.NewDirectory(hintDirectorySize),
+		resyncs: make(map[string]time.Time),
 		absent:  make(map[routerKey]time.Time),
 		stop:    make(chan struct{}),
 	}
@@ -110,9 +117,30 @@
 
 func (s *Scheduler) refreshLayout() {
 	targets := s.cfg.View.Targets()
+	revision, _, _ := s.cfg.Config.Lease()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.layout = newLayout(targets, s.layout.engines)
+	s.seen = targets
+	s.revision = revision
+}
+
+// refreshIfChanged refreshes at once if targets came, left, restarted or were
+// drained since the last refresh. The mean of the load bound is over those
+// that take work now.
+func (s *Scheduler) refreshIfChanged() {
+	targets := s.cfg.View.Targets()
+	revision, _, _ := s.cfg.Config.Lease()
+	s.mu.Lock()
+	same := s.revision == revision && slices.EqualFunc(s.seen, targets, sameTarget)
+	s.mu.Unlock()
+	if !same {
+		s.refresh()
+	}
+}
+
+func sameTarget(a, b *pb.TargetStatus) bool {
+	return a == b || (a.Id == b.Id && a.Incarnation == b.Incarnation && a.Leaving == b.Leaving)
 }
 
 func (s *Scheduler) currentLayout() *layout {
@@ -142,25 +170,3 @@
 	}
 	return all
 }
-
-// CacheEvents takes the events numbered from, from+1 and so on of an engine's
-// cache and passes them on to the home. It returns resync if earlier ones are
-// missing: the engine should then send placement.EventCleared and all that it
-// holds. Events that the home can't be given are lost; a gap shows it later.
-func (s *Scheduler) CacheEvents(target string, incarnation, from uint64, events []placement.CacheEvent) (resync bool) {
-	name := s.currentLayout().groupOf[target]
-	if name == "" {
-		return false
-	}
-	opened, _ := s.group(name).present()
-	if opened != nil {
-		return opened.cacheEvents(target, incarnation, from, events)
-	}
-	return s.sendCacheEvents(name, &pb.CacheEventsRequest{
-		Target:      target,
-		Incarnation: incarnation,
-		From:        from,
-		Group:       name,
-		Events:      toCacheEvents(events),
-	})
-}
