--- a/internal/filter/fakes_test.go
+++ b/internal/filter/fakes_test.go
@@ -144,7 +144,7 @@
 func (f *fake) chain(t testing.TB) (*Chain, *Claim) {
 	lease := &Lease{Config: f, Entries: f.entries}
 	claim := &Claim{Ledger: f, Router: "r1", Incarnation: 1}
-	c, err := Build(DefaultSpec, lease, &Identify{Config: f}, &Catalog{View: f}, &Limits{Limiter: f}, claim,
+	c, err := Build(DefaultSpec, lease, &Identify{Config: f}, &Catalog{view: f, seen: map[string]bool{}}, &Limits{Limiter: f}, claim,
 		&Schedule{Scheduler: f, Lease: lease, Budget: NewBudget(RetryShare, RetryBurst)}, &Check{}, f)
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/router/fuzz_test.go
@@ -0,0 +1,99 @@
+package router
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"path"
+	"strings"
+	"testing"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// FuzzCaller sends what callers may send: each gets one answer that names its
+// outcome, and none that says not-run was forwarded.
+func FuzzCaller(f *testing.F) {
+	f.Add("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\nContent-Length: 56\r\n\r\n" + plainChat)
+	f.Add("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Chat-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n0\r\n\r\n")
+	f.Add("GET /v1/services/lab/a%2e%2e/b?x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\nX-Timeout-Ms: 5\r\nX-Priority: note\r\n\r\n")
+	f.Add("POST /v1/services/lab HTTP/1.1\r\nHost: x\r\nAuthorization: bearer " + testKey + "\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx")
+	f.Add("HEAD //v1/services//%zz HTTP/1.0\r\n\r\n")
+	runs := 0
+	addr := target(f, func(w http.ResponseWriter, _ *http.Request) {
+		runs++
+		io.WriteString(w, "ok")
+	})
+	t := service("s1", addr)
+	t.Models = []string{"m"}
+	b := newBench(f, t)
+	f.Fuzz(func(t *testing.T, raw string) {
+		req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(raw)))
+		if err != nil || !strings.HasPrefix(req.URL.Path, "/v1/") {
+			return
+		}
+		before := runs
+		rec := httptest.NewRecorder()
+		b.router.Handler().ServeHTTP(rec, req)
+		outcome := rec.Header().Get(headerOutcome)
+		if outcome == "" && rec.Code != http.StatusOK {
+			t.Errorf("status %d without an outcome", rec.Code)
+		}
+		if ran := runs > before; ran && outcome == "not-run" {
+			t.Errorf("%q was run and says not-run", raw)
+		}
+	})
+}
+
+// FuzzPath checks that no path is resolved by a target to one with another
+// declaration.
+func FuzzPath(f *testing.F) {
+	f.Add("/v1/services/lab/book")
+	f.Add("/v1/services/lab/lookup/%2e%2e/book")
+	f.Add("/v1/services/lab//lookup/..%2fbook")
+	f.Add(`/v1/services/lab/lookup/..%5cbook`)
+	f.Fuzz(func(t *testing.T, raw string) {
+		u, err := url.ParseRequestURI(raw)
+		if err != nil || !strings.HasPrefix(u.Path, servicesPrefix) {
+			return
+		}
+		b := &Router{ids: newIDSource()}
+		req := &http.Request{Method: "POST", URL: u}
+		x := b.exchange(req)
+		x.Demand.Service = "lab"
+		if setPath(req, x) != nil {
+			return
+		}
+		routes := []*pb.Route{{PathPrefix: "/lookup", Idempotent: true}}
+		resolved := path.Clean(strings.ReplaceAll(x.Path, `\`, "/"))
+		if idempotentAt(service("s", "", routes...), x) && !strings.HasPrefix(resolved, "/lookup") {
+			t.Errorf("%q counts as idempotent and resolves to %q", raw, resolved)
+		}
+	})
+}
+
+// FuzzChat checks that names stay the same as a chat goes on.
+func FuzzChat(f *testing.F) {
+	f.Add([]byte(plainChat))
+	f.Add([]byte(`{"model":"m","max_tokens":9,"messages":[{"role":"system","content":[{"type":"text"}]},{"role":"user"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c, err := parseChat(body)
+		if err != nil {
+			return
+		}
+		users := 0
+		for _, m := range c.Messages {
+			if m.Role == "user" {
+				users++
+			}
+		}
+		name := c.prefixName()
+		c.Messages = append(c.Messages, chatMessage{Role: "assistant", Content: bytes.Clone(body)}, chatMessage{Role: "user"})
+		if users > 0 && c.prefixName() != name {
+			t.Errorf("the next turn of %q has another name", body)
+		}
+	})
+}
