--- /dev/null
+++ b/internal/router/badinput_test.go
@@ -0,0 +1,116 @@
+package router
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestBadInput sends what a new user gets wrong: one clear answer each, and
+// nothing reaches a target.
+func TestBadInput(t *testing.T) {
+	b := newBenchWith(t, Config{Bounds: Bounds{
+		MaxBodyBytes: 100, MaxHeaderBytes: 4 << 10, BodyTimeout: 100 * time.Millisecond, MaxConns: 50,
+	}}, engine("e1", target(t, func(http.ResponseWriter, *http.Request) { t.Error("a target was reached") })))
+	post := func(body string, header ...string) string {
+		return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\n" +
+			strings.Join(append(header, ""), "\r\n") + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	get := func(path, header string) string {
+		return "GET " + path + " HTTP/1.1\r\nHost: x\r\n" + header + "\r\n"
+	}
+	tests := []struct {
+		name, request string
+		status        int
+		code          string
+	}{
+		{"malformed JSON", post(`{"model":`), 400, "malformed"},
+		{"no model", post(`{"messages":[{"role":"user"}]}`), 400, "malformed"},
+		{"no messages", post(`{"model":"m"}`), 400, "malformed"},
+		{"no tokens", post(`{"model":"m","max_tokens":0,"messages":[{}]}`), 400, "malformed"},
+		{"priority", post(plainChat, "X-Priority: urgent"), 400, "bad_priority"},
+		{"timeout", post(plainChat, "X-Timeout-Ms: soon"), 400, "bad_timeout"},
+		{"chat id", post(plainChat, "X-Chat-Id: "+strings.Repeat("c", 129)), 400, "bad_chat_id"},
+		{"body too large", post(strings.Repeat("x", 101)), 413, "body_too_large"},
+		{"chunks too large", "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", 101) + "\r\n0\r\n\r\n", 413, "body_too_large"},
+		{"slow body", "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nslow", 408, "slow_body"},
+		{"old HTTP", "GET /v1/services/lab/ HTTP/1.0\r\n\r\n", 505, "http_version"},
+		{"dot segments", get("/v1/services/lab/a/%2E./b", ""), 400, "bad_path"},
+		{"no service", get("/v1/services/", ""), 404, "not_found"},
+		{"trace", "TRACE /v1/services/lab/ HTTP/1.1\r\nHost: x\r\n\r\n", 405, "bad_method"},
+		{"no key", get("/v1/services/lab/", ""), 401, "no_key"},
+		{"other scheme", get("/v1/models", "Authorization: Basic "+testKey+"\r\n"), 401, "no_key"},
+		{"unknown key", get("/v1/models", "Authorization: Bearer x\r\n"), 401, "unknown_key"},
+		{"method", get("/v1/chat/completions", ""), 405, "method_not_allowed"},
+		{"path", get("/v2", ""), 404, "not_found"},
+		{"header too large", get("/v2", "X-Long: "+strings.Repeat("x", 16<<10)+"\r\n"), 431, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, test.request)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, _ := io.ReadAll(resp.Body)
+			if resp.StatusCode != test.status || !strings.Contains(string(body), test.code) {
+				t.Errorf("status %d: %s", resp.StatusCode, body)
+			}
+			if test.code != "" && resp.Header.Get(headerOutcome) != "not-run" {
+				t.Errorf("outcome %q", resp.Header.Get(headerOutcome))
+			}
+		})
+	}
+}
+
+// TestTooManyConnections tells callers beyond the bound to come back.
+func TestTooManyConnections(t *testing.T) {
+	b := newBenchWith(t, Config{Bounds: Bounds{MaxConns: 1}}, engine("e1", target(t, chatEngine)))
+	first, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(first, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	if resp, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	resp, body, err := b.do(t, "POST", "/v1/chat/completions", plainChat)
+	if err != nil || resp.StatusCode != 503 || resp.Header.Get(headerRetryAfter) == "" || !strings.Contains(body, "connections_full") {
+		t.Errorf("%v %v %s", resp, err, body)
+	}
+	first.Close()
+	for range 1000 {
+		if resp, _, err = b.do(t, "POST", "/v1/chat/completions", plainChat); err == nil && resp.StatusCode == 200 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Errorf("still refused: %v %v", resp, err)
+}
+
+// TestSilentConnection lets a kept connection go silent: the same target
+// answers on a new one.
+func TestSilentConnection(t *testing.T) {
+	for _, k := range []kind{lookup, stream} {
+		w := newWorldWaiting(t, k, atLimits, fault{strike: func(w *world) { w.first.silence() }}, time.Second)
+		if r := w.send(w.first, lookup, "warm"); r.status != 200 {
+			t.Fatal(r)
+		}
+		w.armed.Store(true)
+		r := w.send(w.first, k, "order")
+		runs, _ := w.targets[0].counts("order", "")
+		if r.status != 200 || r.cut || runs != 1 {
+			t.Errorf("%s: %s, %d runs at the target", k, r, runs)
+		}
+	}
+}
