Retries are the chain's alone; smaller buffers; claims end with their class

net/http's transport still replayed an idempotent request on a kept connection by itself, outside the retry budget and uncounted: TestNoReplay with GET and HEAD failed with 'the target read 3 requests, want 2'. An empty body of unknown length takes the transport's leave away; the target still sees no body.

Answers are read ahead up to 16 KiB and buffered for a claim up to 64 KiB, so that 1,024 claimed requests hold 64 MiB at most. Stored bodies stay below the ledger's 16 KiB. A claimed request ends with its class's total, below the 15 minutes after which the ledger calls a claim unknown. A caller that leaves no longer counts as a failure of its target.

--- a/internal/filter/check.go
+++ b/internal/filter/check.go
@@ -14,7 +14,7 @@
 
 // peekBytes is how much of an answer is read before it is passed on: a plain
 // answer up to this size is whole before the caller sees its first byte.
-const peekBytes = 64 << 10
+const peekBytes = 16 << 10
 
 // streamPeekBytes is the most that is taken from a stream's first read.
 const streamPeekBytes = 4 << 10
--- a/internal/filter/claim.go
+++ b/internal/filter/claim.go
@@ -17,11 +17,12 @@
 const (
 	maxKeyBytes = 255
 	// MaxClaimed bounds the claimed requests of one router at a time.
-	MaxClaimed = 4096
+	MaxClaimed = 1024
 	// ClaimTimeout bounds one claim.
 	ClaimTimeout = 5 * time.Second
-	// ClaimedTotal bounds a claimed request from its claim to its answer.
-	ClaimedTotal = 2 * time.Minute
+	// MaxClaimedTotal bounds a claimed request from its claim to its answer. It
+	// is shorter than the ledger waits before it calls an open claim unknown.
+	MaxClaimedTotal = 10 * time.Minute
 	// inProgressRetryAfter is when a resend may find the answer.
 	inProgressRetryAfter = time.Second
 )
@@ -33,6 +34,8 @@
 	// Router and Incarnation name the claimant.
 	Router      string
 	Incarnation uint64
+	// Total bounds a claimed request of this demand; nil means MaxClaimedTotal.
+	Total func(d Demand) time.Duration
 
 	attempts atomic.Uint64
 	running  atomic.Int64
@@ -73,7 +76,7 @@
 		}
 	}()
 	// From here on the request no longer depends on its caller.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ClaimedTotal)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.total(x.Demand))
 	x.OnEnd(func(Usage) { cancel() })
 	claim := c.claim(x)
 	result, err := c.commit(ctx, claim)
@@ -105,6 +108,14 @@
 	c.wg.Done()
 }
 
+// total bounds the claimed request, whatever its caller's patience.
+func (c *Claim) total(d Demand) time.Duration {
+	if c.Total == nil {
+		return MaxClaimedTotal
+	}
+	return min(c.Total(d), MaxClaimedTotal)
+}
+
 // claim makes the claim of x.
 func (c *Claim) claim(x *Exchange) *pb.Claim {
 	return &pb.Claim{
--- a/internal/filter/claimrun.go
+++ b/internal/filter/claimrun.go
@@ -13,7 +13,7 @@
 // Bounds of storing a claimed request's answer.
 const (
 	// maxBuffered is how much of the answer is read before the caller sees it.
-	maxBuffered = 1 << 20
+	maxBuffered = 64 << 10
 	// storeWait is how long the answer waits for being stored; the store goes
 	// on after it.
 	storeWait = 2 * time.Second
--- a/internal/filter/replay.go
+++ b/internal/filter/replay.go
@@ -13,7 +13,7 @@
 // Bounds of stored answers.
 const (
 	// MaxStoredBody is the largest body that the ledger stores.
-	MaxStoredBody = 32 << 10
+	MaxStoredBody = 12 << 10
 	// MaxStoredHeader bounds the stored headers' names and values.
 	MaxStoredHeader = 4 << 10
 )
--- a/internal/filter/schedule.go
+++ b/internal/filter/schedule.go
@@ -98,7 +98,7 @@
 		return err
 	}
 	if err != nil {
-		grant.Release(Usage{Failed: true})
+		grant.Release(Usage{Failed: !errors.Is(err, forward.ErrCallerGone)})
 		return err
 	}
 	x.OnEnd(grant.Release)
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -169,15 +169,27 @@
 		ProtoMajor: 1,
 		ProtoMinor: 1,
 	}
-	if len(r.Body) > 0 {
-		// The type hides the bytes and GetBody stays nil: without them the
-		// transport has nothing to replay.
+	// Each retry is the chain's decision, so the transport must have nothing to
+	// replay: GetBody stays nil, the type hides the bytes, and where a method
+	// without a body would do, there is an empty one of unknown length, which
+	// the transport finds empty before it sends the header.
+	if len(r.Body) > 0 || replayableMethod(r.Method) {
 		req.Body = io.NopCloser(&onceReader{data: r.Body})
 		req.ContentLength = int64(len(r.Body))
 	}
 	return req.WithContext(httptrace.WithClientTrace(ctx, trace))
 }
 
+// replayableMethod tells whether the transport replays the method by itself if
+// there is no body.
+func replayableMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
 // targetURL keeps the path as the caller escaped it.
 func targetURL(r *Request) *url.URL {
 	u, err := url.ParseRequestURI(r.URI)
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -84,26 +84,35 @@
 // and with kept connections forced.
 func TestNoReplay(t *testing.T) {
 	for _, forced := range []bool{false, true} {
-		for _, body := range []string{"", "steel"} {
+		for _, body := range []string{"", "steel", "GET", "HEAD"} {
 			t.Run(fmt.Sprintf("forced=%v body=%q", forced, body), func(t *testing.T) {
+				r := request("", false, body)
+				if body == "GET" || body == "HEAD" {
+					// Idempotent, but its retries are the chain's too.
+					r.Method, r.Body = body, nil
+				}
 				keys := make(chan string, 4)
 				addr, runs := rawTarget(t, func(n int, c net.Conn, req *http.Request) bool {
 					keys <- req.Header.Get("Idempotency-Key")
 					if n == 2 || !forced && len(keys) == 2 {
 						return false
 					}
-					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					if req.ContentLength < 0 || len(req.TransferEncoding) > 0 {
+						t.Errorf("length %d, encoding %v", req.ContentLength, req.TransferEncoding)
+					}
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 					return true
 				})
+				r.Addr = addr
 				c := New(Config{})
 				defer c.Close()
 				if forced {
 					c.fresh = c.kept
 				}
-				if got, err := read(c.Do(context.Background(), request(addr, false, body))); got != "ok" || err != nil {
-					t.Fatal(got, err)
+				if _, err := read(c.Do(context.Background(), r)); err != nil {
+					t.Fatal(err)
 				}
-				if _, err := c.Do(context.Background(), request(addr, false, body)); !errors.Is(err, ErrCut) {
+				if _, err := c.Do(context.Background(), r); !errors.Is(err, ErrCut) {
 					t.Errorf("second request: %v", err)
 				}
 				if runs.Load() != 2 || <-keys != "k" {
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -65,9 +65,7 @@
 		// An explicit empty value keeps the transport from adding its own.
 		h["User-Agent"] = nil
 	}
-	if !r.Idempotent {
-		hideReplayKeys(h)
-	}
+	hideReplayKeys(h)
 	return h
 }
 
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -54,6 +54,7 @@
 	// An encoded answer could not be checked for its end mark.
 	x.Header = x.Header.Clone()
 	x.Header.Del("Accept-Encoding")
+	x.Header.Set(headerPriority, className(x.Demand.Class))
 	r.serve(w, req, x)
 }
 
--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -140,6 +140,16 @@
 	"draft": filter.ClassDraft,
 }
 
+// className is the priority header's value for a class.
+func className(c filter.Class) string {
+	for name, class := range priorities {
+		if class == c {
+			return name
+		}
+	}
+	return ""
+}
+
 // readPriority sets the class from its header, or else to fallback.
 func readPriority(req *http.Request, x *filter.Exchange, fallback filter.Class) error {
 	x.Demand.Class = fallback
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,6 +48,7 @@
 			Ledger:      c.Ledger,
 			Router:      self.GetId(),
 			Incarnation: self.GetIncarnation(),
+			Total:       func(d filter.Demand) time.Duration { return c.Timeouts[d.Class].Total },
 		},
 		ids:      newIDSource(),
 		bodies:   &bodyBudget{max: c.Bounds.MaxBodiesBytes},
