--- a/internal/filter/catalog.go
+++ b/internal/filter/catalog.go
@@ -45,9 +45,9 @@
 	if named || c.known(d) || time.Since(c.started) < catalogWarmUp {
 		return next(ctx, x)
 	}
-	code, message := "unknown_model", "no target here offers the model "+d.Model
+	code, message := "unknown-model", "no target here offers the model "+d.Model
 	if d.Service != "" {
-		code, message = "unknown_service", "no target here offers the service "+d.Service
+		code, message = "unknown-service", "no target here offers the service "+d.Service
 	}
 	return x.Reject(Rejection{
 		Status:  http.StatusNotFound,
--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -48,43 +48,43 @@
 		ends    []pb.ClaimOutcome
 	}{
 		{name: "answered", status: 200, outcome: run, ends: []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_DONE}},
-		{"no lease", func(f *fake, _ *Exchange) { f.unleased = true }, 503, "no_lease", notRun, true, nil},
+		{"no lease", func(f *fake, _ *Exchange) { f.unleased = true }, 503, "no-lease", notRun, true, nil},
 		{"lease ends in the queue", func(f *fake, _ *Exchange) {
 			f.admit = func() error { f.unleased = true; return nil }
-		}, 503, "no_lease", notRun, true, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED}},
-		{"no key", func(_ *fake, x *Exchange) { x.Bearer = "" }, 401, "no_key", notRun, false, nil},
-		{"unknown key", func(_ *fake, x *Exchange) { x.Bearer = "z" }, 401, "unknown_key", notRun, false, nil},
-		{"deleted contract", func(f *fake, _ *Exchange) { f.contract.Deleted = true }, 401, "unknown_key", notRun, false, nil},
-		{"not permitted", func(_ *fake, x *Exchange) { x.Demand.Service = "hr" }, 403, "not_permitted", notRun, false, nil},
-		{"unknown model", func(_ *fake, x *Exchange) { x.Demand.Service, x.Demand.Model = "", "z" }, 404, "unknown_model", notRun, false, nil},
+		}, 503, "no-lease", notRun, true, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED}},
+		{"no key", func(_ *fake, x *Exchange) { x.Bearer = "" }, 401, "no-key", notRun, false, nil},
+		{"unknown key", func(_ *fake, x *Exchange) { x.Bearer = "z" }, 401, "unknown-key", notRun, false, nil},
+		{"deleted contract", func(f *fake, _ *Exchange) { f.contract.Deleted = true }, 401, "unknown-key", notRun, false, nil},
+		{"not permitted", func(_ *fake, x *Exchange) { x.Demand.Service = "hr" }, 403, "not-permitted", notRun, false, nil},
+		{"unknown model", func(_ *fake, x *Exchange) { x.Demand.Service, x.Demand.Model = "", "z" }, 404, "unknown-model", notRun, false, nil},
 		{"service away", func(f *fake, x *Exchange) {
 			x.Demand.Service = "away"
 			f.targets = nil
-		}, 503, "no_target", notRun, true, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED}},
+		}, 503, "no-target", notRun, true, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED}},
 		{"limited", func(f *fake, _ *Exchange) {
-			f.take = func() error { return &Refusal{Code: "over_limit", RetryAfter: time.Second} }
-		}, 429, "over_limit", notRun, true, nil},
-		{"key too long", func(_ *fake, x *Exchange) { x.Key = strings.Repeat("k", 256) }, 400, "key_too_long", notRun, false, nil},
-		{"in progress", status(pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS, nil), 409, "in_progress", unknown, true, nil},
-		{"unknown", status(pb.ClaimStatus_CLAIM_STATUS_UNKNOWN, nil), 409, "outcome_unknown", unknown, false, nil},
-		{"other digest", status(pb.ClaimStatus_CLAIM_STATUS_DIGEST_MISMATCH, nil), 422, "key_reused", notRun, false, nil},
-		{"ledger full", status(pb.ClaimStatus_CLAIM_STATUS_FULL, nil), 503, "ledger_full", notRun, true, nil},
-		{"answer too large to store", status(pb.ClaimStatus_CLAIM_STATUS_DONE, long), 409, "answer_not_stored", run, false, nil},
+			f.take = func() error { return &Refusal{Code: "over-limit", RetryAfter: time.Second} }
+		}, 429, "over-limit", notRun, true, nil},
+		{"key too long", func(_ *fake, x *Exchange) { x.Key = strings.Repeat("k", 256) }, 400, "key-too-long", notRun, false, nil},
+		{"in progress", status(pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS, nil), 409, "in-progress", unknown, true, nil},
+		{"unknown", status(pb.ClaimStatus_CLAIM_STATUS_UNKNOWN, nil), 409, "outcome-unknown", unknown, false, nil},
+		{"other digest", status(pb.ClaimStatus_CLAIM_STATUS_DIGEST_MISMATCH, nil), 422, "key-reused", notRun, false, nil},
+		{"ledger full", status(pb.ClaimStatus_CLAIM_STATUS_FULL, nil), 503, "ledger-full", notRun, true, nil},
+		{"answer too large to store", status(pb.ClaimStatus_CLAIM_STATUS_DONE, long), 409, "answer-not-stored", run, false, nil},
 		{"claim not sent", func(f *fake, _ *Exchange) {
 			f.claim = func(*pb.Claim) (*pb.ClaimResult, error) { return nil, transport.ErrNotSent }
-		}, 503, "no_claim", notRun, true, nil},
+		}, 503, "no-claim", notRun, true, nil},
 		{"claim's answer lost", func(f *fake, _ *Exchange) {
 			f.claim = func(*pb.Claim) (*pb.ClaimResult, error) { return nil, errors.New("lost") }
-		}, 503, "no_claim", notRun, true, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED}},
-		{"no connection", failing(errDial, false), 503, "no_target", notRun, true, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED}},
-		{"cut", failing(forward.ErrCut, true), 502, "target_failed", unknown, false, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN}},
-		{"silent", failing(forward.ErrSilent, true), 504, "target_silent", unknown, false, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN}},
+		}, 503, "no-claim", notRun, true, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED}},
+		{"no connection", failing(errDial, false), 503, "no-target", notRun, true, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_RELEASED}},
+		{"cut", failing(forward.ErrCut, true), 502, "target-failed", unknown, false, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN}},
+		{"silent", failing(forward.ErrSilent, true), 504, "target-silent", unknown, false, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN}},
 		{"cut in the body", func(f *fake, _ *Exchange) {
 			f.try = func(x *Exchange) (*Answer, error) {
 				x.Token.Spend()
 				return plainAnswer("ans", forward.ErrCut), nil
 			}
-		}, 502, "target_failed", unknown, false, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN}},
+		}, 502, "target-failed", unknown, false, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN}},
 		{"end not marked", func(f *fake, _ *Exchange) {
 			f.try = func(x *Exchange) (*Answer, error) {
 				x.Token.Spend()
@@ -92,7 +92,7 @@
 				a.Framed, a.Length = false, -1
 				return a, nil
 			}
-		}, 502, "target_failed", unknown, false, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN}},
+		}, 502, "target-failed", unknown, false, []pb.ClaimOutcome{pb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -124,7 +124,7 @@
 			if r.Status != test.status || r.Code != test.code || r.Outcome() != test.outcome || (r.RetryAfter > 0) != test.back {
 				t.Errorf("%d %s %s, back after %v: %v", r.Status, r.Code, r.Outcome(), r.RetryAfter, r)
 			}
-			if test.code == "no_lease" && len(r.Entries) != 1 {
+			if test.code == "no-lease" && len(r.Entries) != 1 {
 				t.Error("names no other entries")
 			}
 		})
--- a/internal/filter/claim.go
+++ b/internal/filter/claim.go
@@ -56,14 +56,14 @@
 	if len(x.Key) > maxKeyBytes {
 		return x.Reject(Rejection{
 			Status:  http.StatusBadRequest,
-			Code:    "key_too_long",
+			Code:    "key-too-long",
 			Message: "the Idempotency-Key is longer than 255 bytes",
 			Step:    StepClaim,
 		})
 	}
 	if !c.enter() {
 		return x.Reject(Rejection{
-			Code:       "claims_full",
+			Code:       "claims-full",
 			Message:    "this router holds as many claimed requests as it may",
 			Step:       StepClaim,
 			RetryAfter: defaultRetryAfter,
@@ -162,7 +162,7 @@
 // notClaimed rejects a request whose claim failed; it was not sent.
 func notClaimed(x *Exchange, err error) *Rejection {
 	return x.Reject(Rejection{
-		Code:       "no_claim",
+		Code:       "no-claim",
 		Message:    "the claim could not be committed: " + err.Error(),
 		Step:       StepClaim,
 		RetryAfter: defaultRetryAfter,
@@ -178,7 +178,7 @@
 	case pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS:
 		return Known(Rejection{
 			Status:     http.StatusConflict,
-			Code:       "in_progress",
+			Code:       "in-progress",
 			Message:    "a request with this Idempotency-Key is in progress",
 			Step:       StepClaim,
 			RetryAfter: inProgressRetryAfter,
@@ -186,20 +186,20 @@
 	case pb.ClaimStatus_CLAIM_STATUS_UNKNOWN:
 		return Known(Rejection{
 			Status:  http.StatusConflict,
-			Code:    "outcome_unknown",
+			Code:    "outcome-unknown",
 			Message: "a request with this Idempotency-Key may or may not have run",
 			Step:    StepClaim,
 		}, false)
 	case pb.ClaimStatus_CLAIM_STATUS_DIGEST_MISMATCH:
 		return x.Reject(Rejection{
 			Status:  http.StatusUnprocessableEntity,
-			Code:    "key_reused",
+			Code:    "key-reused",
 			Message: "this Idempotency-Key was used for another request",
 			Step:    StepClaim,
 		})
 	default:
 		return x.Reject(Rejection{
-			Code:       "ledger_full",
+			Code:       "ledger-full",
 			Message:    "the ledger takes no more claims now",
 			Step:       StepClaim,
 			RetryAfter: defaultRetryAfter,
--- a/internal/filter/fakes_test.go
+++ b/internal/filter/fakes_test.go
@@ -83,7 +83,7 @@
 		}
 	}
 	if len(exclude) >= len(f.targets) {
-		return nil, &Refusal{Code: "no_target", Text: "none left", RetryAfter: time.Second}
+		return nil, &Refusal{Code: "no-target", Text: "none left", RetryAfter: time.Second}
 	}
 	f.admitted++
 	return &Grant{Target: f.targets[len(exclude)], Release: func(Usage) { f.released++ }}, nil
--- a/internal/filter/identify.go
+++ b/internal/filter/identify.go
@@ -32,7 +32,7 @@
 	if !Permits(contract, x.Demand.Model, x.Demand.Service) {
 		return x.Reject(Rejection{
 			Status:  http.StatusForbidden,
-			Code:    "not_permitted",
+			Code:    "not-permitted",
 			Message: "the contract does not permit this model or service",
 			Step:    StepIdentify,
 		})
@@ -45,7 +45,7 @@
 	if x.Bearer == "" {
 		return nil, x.Reject(Rejection{
 			Status:  http.StatusUnauthorized,
-			Code:    "no_key",
+			Code:    "no-key",
 			Message: "the request needs the header Authorization: Bearer KEY",
 			Step:    StepIdentify,
 		})
@@ -54,7 +54,7 @@
 	if !ok || contract.GetDeleted() {
 		return nil, x.Reject(Rejection{
 			Status:  http.StatusUnauthorized,
-			Code:    "unknown_key",
+			Code:    "unknown-key",
 			Message: "no contract has this key",
 			Step:    StepIdentify,
 		})
--- a/internal/filter/lease.go
+++ b/internal/filter/lease.go
@@ -39,7 +39,7 @@
 		entries = l.Entries(x.Demand.Contract.GetCustomer())
 	}
 	return x.Reject(Rejection{
-		Code:       "no_lease",
+		Code:       "no-lease",
 		Message:    "this router's configuration may be out of date; use another entry",
 		Step:       step,
 		RetryAfter: leaseRetryAfter,
--- a/internal/filter/limits.go
+++ b/internal/filter/limits.go
@@ -34,7 +34,7 @@
 func refused(x *Exchange, step string, status int, err error) *Rejection {
 	r := Rejection{
 		Status:     status,
-		Code:       step + "_failed",
+		Code:       step + "-failed",
 		Message:    err.Error(),
 		Step:       step,
 		RetryAfter: defaultRetryAfter,
--- a/internal/filter/replay.go
+++ b/internal/filter/replay.go
@@ -53,7 +53,7 @@
 	if s == nil || s.GetTruncated() {
 		return Known(Rejection{
 			Status:  http.StatusConflict,
-			Code:    "answer_not_stored",
+			Code:    "answer-not-stored",
 			Message: fmt.Sprintf("the request was run with status %d; its answer was too large to store", s.GetStatus()),
 			Step:    StepClaim,
 		}, true)
--- a/internal/filter/schedule.go
+++ b/internal/filter/schedule.go
@@ -75,7 +75,7 @@
 	}
 	if x.Idempotent && s.Routes != nil && !s.Routes(grant.Target, x) {
 		return x.Reject(Rejection{
-			Code:       "routes_changed",
+			Code:       "routes-changed",
 			Message:    "the service changed its declared routes; send the request again",
 			Step:       StepSchedule,
 			RetryAfter: defaultRetryAfter,
@@ -144,7 +144,7 @@
 func gone(x *Exchange) *Rejection {
 	r := Rejection{
 		Status:  statusCallerGone,
-		Code:    "caller_gone",
+		Code:    "caller-gone",
 		Message: "the caller left",
 		Step:    StepSchedule,
 	}
@@ -171,14 +171,14 @@
 	}
 	r := Rejection{
 		Status:     http.StatusBadGateway,
-		Code:       "target_failed",
+		Code:       "target-failed",
 		Message:    fmt.Sprintf("target %s: %v", errs.Peer(err), err),
 		Step:       errs.Step(err),
 		RetryAfter: defaultRetryAfter,
 	}
 	if errors.Is(err, forward.ErrSilent) {
 		r.Status = http.StatusGatewayTimeout
-		r.Code = "target_silent"
+		r.Code = "target-silent"
 	}
 	if x.Token.Spent() && !x.Idempotent {
 		// Coming back by itself could run the request again.
--- a/internal/router/badinput_test.go
+++ b/internal/router/badinput_test.go
@@ -33,21 +33,21 @@
 		{"no model", post(`{"messages":[{"role":"user"}]}`), 400, "malformed"},
 		{"no messages", post(`{"model":"m"}`), 400, "malformed"},
 		{"no tokens", post(`{"model":"m","max_tokens":0,"messages":[{}]}`), 400, "malformed"},
-		{"priority", post(plainChat, "X-Priority: urgent"), 400, "bad_priority"},
-		{"timeout", post(plainChat, "X-Timeout-Ms: soon"), 400, "bad_timeout"},
-		{"chat id", post(plainChat, "X-Chat-Id: "+strings.Repeat("c", 129)), 400, "bad_chat_id"},
-		{"body too large", post(strings.Repeat("x", 101)), 413, "body_too_large"},
-		{"chunks too large", "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", 101) + "\r\n0\r\n\r\n", 413, "body_too_large"},
-		{"slow body", "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nslow", 408, "slow_body"},
-		{"old HTTP", "GET /v1/services/lab/ HTTP/1.0\r\n\r\n", 505, "http_version"},
-		{"dot segments", get("/v1/services/lab/a/%2E./b", ""), 400, "bad_path"},
-		{"no service", get("/v1/services/", ""), 404, "not_found"},
-		{"trace", "TRACE /v1/services/lab/ HTTP/1.1\r\nHost: x\r\n\r\n", 405, "bad_method"},
-		{"no key", get("/v1/services/lab/", ""), 401, "no_key"},
-		{"other scheme", get("/v1/models", "Authorization: Basic "+testKey+"\r\n"), 401, "no_key"},
-		{"unknown key", get("/v1/models", "Authorization: Bearer x\r\n"), 401, "unknown_key"},
-		{"method", get("/v1/chat/completions", ""), 405, "method_not_allowed"},
-		{"path", get("/v2", ""), 404, "not_found"},
+		{"priority", post(plainChat, "X-Priority: urgent"), 400, "bad-priority"},
+		{"timeout", post(plainChat, "X-Timeout-Ms: soon"), 400, "bad-timeout"},
+		{"chat id", post(plainChat, "X-Chat-Id: "+strings.Repeat("c", 129)), 400, "bad-chat-id"},
+		{"body too large", post(strings.Repeat("x", 101)), 413, "body-too-large"},
+		{"chunks too large", "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", 101) + "\r\n0\r\n\r\n", 413, "body-too-large"},
+		{"slow body", "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nslow", 408, "slow-body"},
+		{"old HTTP", "GET /v1/services/lab/ HTTP/1.0\r\n\r\n", 505, "http-version"},
+		{"dot segments", get("/v1/services/lab/a/%2E./b", ""), 400, "bad-path"},
+		{"no service", get("/v1/services/", ""), 404, "not-found"},
+		{"trace", "TRACE /v1/services/lab/ HTTP/1.1\r\nHost: x\r\n\r\n", 405, "bad-method"},
+		{"no key", get("/v1/services/lab/", ""), 401, "no-key"},
+		{"other scheme", get("/v1/models", "Authorization: Basic "+testKey+"\r\n"), 401, "no-key"},
+		{"unknown key", get("/v1/models", "Authorization: Bearer x\r\n"), 401, "unknown-key"},
+		{"method", get("/v1/chat/completions", ""), 405, "method-not-allowed"},
+		{"path", get("/v2", ""), 404, "not-found"},
 		{"header too large", get("/v2", "X-Long: "+strings.Repeat("x", 16<<10)+"\r\n"), 431, ""},
 	}
 	for _, test := range tests {
@@ -85,7 +85,7 @@
 		t.Fatal(resp, err)
 	}
 	resp, body, err := b.do(t, "POST", "/v1/chat/completions", plainChat)
-	if err != nil || resp.StatusCode != 503 || resp.Header.Get(headerRetryAfter) == "" || !strings.Contains(body, "connections_full") {
+	if err != nil || resp.StatusCode != 503 || resp.Header.Get(headerRetryAfter) == "" || !strings.Contains(body, "connections-full") {
 		t.Errorf("%v %v %s", resp, err, body)
 	}
 	first.Close()
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -130,7 +130,7 @@
 func nameChat(req *http.Request, x *filter.Exchange, c *chatRequest) error {
 	id := req.Header.Get(headerChatID)
 	if len(id) > maxChatIDBytes {
-		return invalid(x, http.StatusBadRequest, "bad_chat_id", fmt.Sprintf("%s is longer than %d bytes", headerChatID, maxChatIDBytes))
+		return invalid(x, http.StatusBadRequest, "bad-chat-id", fmt.Sprintf("%s is longer than %d bytes", headerChatID, maxChatIDBytes))
 	}
 	if id != "" {
 		x.Demand.Chat = "id:" + id
--- a/internal/router/fakes_test.go
+++ b/internal/router/fakes_test.go
@@ -72,7 +72,7 @@
 			return &filter.Grant{Target: t, Release: func(filter.Usage) {}}, nil
 		}
 	}
-	return nil, &filter.Refusal{Code: "no_target", Text: "no target is left", RetryAfter: time.Second}
+	return nil, &filter.Refusal{Code: "no-target", Text: "no target is left", RetryAfter: time.Second}
 }
 
 func (f *fakeFleet) Take(context.Context, filter.Demand) (func(filter.Usage), error) {
--- a/internal/router/ledger_bench_test.go
+++ b/internal/router/ledger_bench_test.go
@@ -171,7 +171,7 @@
 	}
 	for again := 0; again < 2 && (r.status != http.StatusOK || r.cut); again++ {
 		r = w.send(w.second, w.kind, "order")
-		for wait := 0; r.code == "in_progress" && wait < maxInProgress; wait++ {
+		for wait := 0; r.code == "in-progress" && wait < maxInProgress; wait++ {
 			time.Sleep(tryWait)
 			r = w.send(w.second, w.kind, "order")
 		}
--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -54,7 +54,7 @@
 // readBody reads the body into x within its bounds of size and time.
 func (r *Router) readBody(w http.ResponseWriter, req *http.Request, x *filter.Exchange) error {
 	if !req.ProtoAtLeast(1, 1) {
-		return invalid(x, http.StatusHTTPVersionNotSupported, "http_version", "a cut answer can't be shown in HTTP/1.0; use HTTP/1.1")
+		return invalid(x, http.StatusHTTPVersionNotSupported, "http-version", "a cut answer can't be shown in HTTP/1.0; use HTTP/1.1")
 	}
 	limit := r.cfg.Bounds.MaxBodyBytes
 	if req.ContentLength > limit {
@@ -66,7 +66,7 @@
 	}
 	if !r.bodies.take(reserve) {
 		return x.Reject(filter.Rejection{
-			Code:       "bodies_full",
+			Code:       "bodies-full",
 			Message:    "this router holds as many request bodies as it may",
 			Step:       stepRead,
 			RetryAfter: bodyRetryAfter,
@@ -106,14 +106,14 @@
 	case errors.As(err, &large):
 		return tooLarge(x, limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return invalid(x, http.StatusRequestTimeout, "slow_body", "the body did not arrive in time")
+		return invalid(x, http.StatusRequestTimeout, "slow-body", "the body did not arrive in time")
 	default:
-		return invalid(x, http.StatusBadRequest, "bad_body", "the body could not be read: "+err.Error())
+		return invalid(x, http.StatusBadRequest, "bad-body", "the body could not be read: "+err.Error())
 	}
 }
 
 func tooLarge(x *filter.Exchange, limit int64) error {
-	return invalid(x, http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body is larger than %d bytes", limit))
+	return invalid(x, http.StatusRequestEntityTooLarge, "body-too-large", fmt.Sprintf("the body is larger than %d bytes", limit))
 }
 
 // maxTimeoutMs is the longest time that callers may ask for, in milliseconds.
@@ -127,7 +127,7 @@
 	}
 	ms, err := strconv.Atoi(text)
 	if err != nil || ms <= 0 || ms > maxTimeoutMs {
-		return invalid(x, http.StatusBadRequest, "bad_timeout", headerTimeout+" is not a number of milliseconds")
+		return invalid(x, http.StatusBadRequest, "bad-timeout", headerTimeout+" is not a number of milliseconds")
 	}
 	x.Deadline = x.Received.Add(time.Duration(ms) * time.Millisecond)
 	return nil
@@ -159,7 +159,7 @@
 	}
 	class, ok := priorities[text]
 	if !ok {
-		return invalid(x, http.StatusBadRequest, "bad_priority", headerPriority+" is none of check, note, draft")
+		return invalid(x, http.StatusBadRequest, "bad-priority", headerPriority+" is none of check, note, draft")
 	}
 	x.Demand.Class = class
 	return nil
--- a/internal/router/refuse.go
+++ b/internal/router/refuse.go
@@ -20,8 +20,8 @@
 	headerRetryAfter     = "Retry-After"
 	contentTypeJSON      = "application/json"
 	codeInternal         = "internal"
-	codeNotFound         = "not_found"
-	codeMethodNotAllowed = "method_not_allowed"
+	codeNotFound         = "not-found"
+	codeMethodNotAllowed = "method-not-allowed"
 )
 
 // errorBody is the JSON body of a refusal.
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -59,7 +59,7 @@
 	x := r.exchange(req)
 	w.Header().Set("Connection", "close")
 	r.refuse(w, req, x, x.Reject(filter.Rejection{
-		Code:       "connections_full",
+		Code:       "connections-full",
 		Message:    "this router holds as many connections as it may",
 		Step:       stepRead,
 		RetryAfter: connsRetryAfter,
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -27,10 +27,10 @@
 func (r *Router) readService(w http.ResponseWriter, req *http.Request, x *filter.Exchange) error {
 	service, err := url.PathUnescape(mux.Vars(req)["service"])
 	if err != nil || service == "" {
-		return invalid(x, http.StatusBadRequest, "bad_service", "the path names no service")
+		return invalid(x, http.StatusBadRequest, "bad-service", "the path names no service")
 	}
 	if req.Method == http.MethodConnect || req.Method == http.MethodTrace {
-		return invalid(x, http.StatusMethodNotAllowed, "bad_method", req.Method+" is not forwarded")
+		return invalid(x, http.StatusMethodNotAllowed, "bad-method", req.Method+" is not forwarded")
 	}
 	if err := setPath(req, x); err != nil {
 		return err
@@ -57,11 +57,11 @@
 	x.URI = "/" + rest
 	decoded, err := url.PathUnescape(x.URI)
 	if err != nil {
-		return invalid(x, http.StatusBadRequest, "bad_path", "the path is not escaped as it should be")
+		return invalid(x, http.StatusBadRequest, "bad-path", "the path is not escaped as it should be")
 	}
 	if hasDotSegment(decoded) {
 		// A target could resolve it to a path with another declaration.
-		return invalid(x, http.StatusBadRequest, "bad_path", "the path has dot segments")
+		return invalid(x, http.StatusBadRequest, "bad-path", "the path has dot segments")
 	}
 	x.Path = collapse(decoded)
 	if req.URL.RawQuery != "" {
