A stream is whole from its end mark on; metrics by refusal; tests of the retry share

A stream whose engine sent the end mark and then kept the connection open was called cut after the bound between bytes: TestEndMark fails without the change with 'the target sent nothing in time'.

--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -166,3 +166,41 @@
 		t.Errorf("%d retries of %d requests", retries, requests)
 	}
 }
+
+// TestRetryShare lets every try fail: retries stay within their share.
+func TestRetryShare(t *testing.T) {
+	const requests = 300
+	f, tries := newFake(), 0
+	f.try = func(x *Exchange) (*Answer, error) {
+		tries++
+		x.Token.Spend()
+		return nil, forward.ErrCut
+	}
+	chain, _ := f.chain(t)
+	for range requests {
+		x := booking()
+		x.Idempotent = true
+		if chain.Run(context.Background(), x) == nil {
+			t.Fatal("answered")
+		}
+		x.End()
+	}
+	if most := requests + requests*RetryShare + RetryBurst; float64(tries) > most || tries < requests+RetryBurst {
+		t.Errorf("%d tries of %d requests", tries, requests)
+	}
+}
+
+// TestEndMark checks where a stream counts as whole.
+func TestEndMark(t *testing.T) {
+	for stream, whole := range map[string]bool{
+		"data: {}\n\ndata: [DONE]\n\n": true, "data:[DONE]\r\n\r\n": true, "data: [DONE]": true,
+		"": false, "data: {}\n\n": false, "data: [DONE": false, "data: \"data: [DONE]\"\n": false,
+	} {
+		for _, end := range []error{nil, forward.ErrSilent} {
+			d := &doneChecker{body: plainAnswer(stream, end).Body}
+			if got, err := io.ReadAll(d); string(got) != stream || (err == nil) != whole {
+				t.Errorf("%q then %v: %q, %v", stream, end, got, err)
+			}
+		}
+	}
+}
--- a/internal/filter/check.go
+++ b/internal/filter/check.go
@@ -109,7 +109,15 @@
 func (d *doneChecker) Read(p []byte) (int, error) {
 	n, err := d.body.Read(p)
 	d.scan(p[:n])
-	if errors.Is(err, io.EOF) && !d.finish() {
+	if err == nil {
+		return n, nil
+	}
+	if d.finish() {
+		// All that the caller waits for has come; what fails after it is the
+		// connection's matter.
+		return n, io.EOF
+	}
+	if errors.Is(err, io.EOF) {
 		cut := fmt.Errorf("%w: the stream has no end mark", forward.ErrCut)
 		return n, errs.Wrap(cut, StepCheck, d.target)
 	}
--- a/internal/router/drain_test.go
+++ b/internal/router/drain_test.go
@@ -182,7 +182,7 @@
 	if !idle {
 		return nil
 	}
-	c, err := d.callers.dial(nil, "", "")
+	c, err := d.callers.dial(context.Background(), "", "")
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -210,7 +210,7 @@
 func (d *drainWorld) send(c net.Conn, l load, draining bool) error {
 	if c == nil {
 		var err error
-		if c, err = d.callers.dial(nil, "", ""); err != nil {
+		if c, err = d.callers.dial(context.Background(), "", ""); err != nil {
 			return err
 		}
 	}
@@ -237,7 +237,7 @@
 	if d.listed.Load() {
 		d.t.Error("still listed")
 	}
-	if _, err := d.callers.dial(nil, "", ""); err == nil {
+	if _, err := d.callers.dial(context.Background(), "", ""); err == nil {
 		d.t.Error("still accepting")
 	}
 	if n := d.router.InFlight(); n != 0 {
--- a/internal/router/record.go
+++ b/internal/router/record.go
@@ -20,6 +20,10 @@
 
 // observe hands the record of a finished request to the observer.
 func (r *Router) observe(x *filter.Exchange, res result) {
+	r.tries.Inc(int64(x.Tries))
+	if !res.refused {
+		r.firstToken.Record(res.first)
+	}
 	if r.cfg.Observer == nil {
 		return
 	}
--- a/internal/router/refuse.go
+++ b/internal/router/refuse.go
@@ -72,7 +72,7 @@
 
 // reject writes a rejection and records it.
 func (r *Router) reject(w http.ResponseWriter, req *http.Request, x *filter.Exchange, rejection *filter.Rejection) {
-	r.refused.Inc(1)
+	r.refusals.Tagged(map[string]string{"code": rejection.Code, "outcome": string(rejection.Outcome())}).Counter("refused").Inc(1)
 	r.log(x, rejection)
 	h := w.Header()
 	h.Set("Content-Type", contentTypeJSON)
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -157,6 +157,7 @@
 		RequestID: x.ID,
 		Outcome:   filter.OutcomeUnknown,
 	}})
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(r.cfg.Bounds.WriteTimeout))
 	// The blank line ends an event that was cut in the middle. The connection
 	// is aborted next, so a failed write is of no matter.
 	_, _ = fmt.Fprintf(w, "\n\nevent: error\ndata: %s\n\n", body)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,9 +29,11 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 
-	requests tally.Counter
-	refused  tally.Counter
-	cuts     tally.Counter
+	requests   tally.Counter
+	cuts       tally.Counter
+	tries      tally.Counter
+	firstToken tally.Timer
+	refusals   tally.Scope
 }
 
 // New makes a router. It fails if the chain's spec names an unknown filter.
@@ -50,11 +52,14 @@
 			Incarnation: self.GetIncarnation(),
 			Total:       func(d filter.Demand) time.Duration { return c.Timeouts[d.Class].Total },
 		},
-		ids:      newIDSource(),
-		bodies:   &bodyBudget{max: c.Bounds.MaxBodiesBytes},
-		requests: scope.Counter("requests"),
-		refused:  scope.Counter("refused"),
-		cuts:     scope.Counter("cut_answers"),
+		ids:    newIDSource(),
+		bodies: &bodyBudget{max: c.Bounds.MaxBodiesBytes},
+
+		requests:   scope.Counter("requests"),
+		cuts:       scope.Counter("cut_answers"),
+		tries:      scope.Counter("tries"),
+		firstToken: scope.Timer("first_token"),
+		refusals:   scope,
 	}
 	chain, err := r.buildChain()
 	if err != nil {
