Connections are kept only with targets that echo request ids

An answer too many on a kept connection is taken by the transport for that to the next request if it arrives after it was written. The request id tells them apart, but only if the target echoes it; for one that doesn't, nothing could. TestKeepsWhatEchoes fails without the change: a target without ids is kept.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -37,8 +37,8 @@
 	Header    http.Header
 	Body      []byte
 	RequestID string
-	// Idempotent requests may use kept connections. Fresh asks for a new
-	// connection even so.
+	// Idempotent requests may use kept connections, if the target echoes
+	// request ids. Fresh asks for a new connection even so.
 	Idempotent bool
 	Fresh      bool
 	// FirstByte bounds the wait for the answer's header, BetweenBytes each
@@ -61,6 +61,7 @@
 type Client struct {
 	kept    *http.Transport
 	fresh   *http.Transport
+	echoing echoing
 	crossed tally.Counter
 	silent  tally.Counter
 	cut     tally.Counter
@@ -136,6 +137,7 @@
 		return nil, errs.Wrap(err, Step, r.Target)
 	}
 	a := newAnswer(ctx, cancel, watch, resp, r, c.count)
+	c.echoing.learn(r.Addr, a.Header.Get(HeaderRequestID) == r.RequestID)
 	if err := a.check(r); err != nil {
 		a.drop()
 		c.count(err)
@@ -146,7 +148,7 @@
 
 // transport chooses the connections for r.
 func (c *Client) transport(r *Request) *http.Transport {
-	if r.Idempotent && !r.Fresh {
+	if r.Idempotent && !r.Fresh && c.echoing.has(r.Addr) {
 		return c.kept
 	}
 	return c.fresh
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -196,3 +196,31 @@
 		t.Error(got)
 	}
 }
+
+// TestKeepsWhatEchoes keeps connections of targets that echo request ids only,
+// so that an answer too many is never taken for another request's.
+func TestKeepsWhatEchoes(t *testing.T) {
+	for _, echo := range []bool{false, true} {
+		conns := make(chan net.Conn, 3)
+		addr, _ := rawTarget(t, func(_ int, c net.Conn, req *http.Request) bool {
+			conns <- c
+			head := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+			if echo {
+				head += "X-Request-Id: " + req.Header.Get("X-Request-Id") + "\r\n"
+			}
+			io.WriteString(c, head+"\r\nok")
+			return true
+		})
+		c := New(Config{})
+		defer c.Close()
+		for range 3 {
+			if got, err := read(c.Do(context.Background(), request(addr, true, ""))); got != "ok" || err != nil {
+				t.Fatal(got, err)
+			}
+		}
+		first, second, third := <-conns, <-conns, <-conns
+		if first == second || (second == third) != echo {
+			t.Errorf("echo %v: kept %v, then %v", echo, first == second, second == third)
+		}
+	}
+}
--- a/internal/router/badinput_test.go
+++ b/internal/router/badinput_test.go
@@ -103,9 +103,7 @@
 func TestSilentConnection(t *testing.T) {
 	for _, k := range []kind{lookup, stream} {
 		w := newWorldWaiting(t, k, atLimits, fault{strike: func(w *world) { w.first.silence() }}, time.Second)
-		if r := w.send(w.first, lookup, "warm"); r.status != 200 {
-			t.Fatal(r)
-		}
+		w.open(true).Close()
 		w.armed.Store(true)
 		r := w.send(w.first, k, "order")
 		runs, _ := w.targets[0].counts("order", "")
--- a/internal/router/matrix_test.go
+++ b/internal/router/matrix_test.go
@@ -290,8 +290,7 @@
 		if !reused {
 			return c
 		}
-		io.WriteString(c, w.message(lookup, "warm"))
-		if r := w.receive(c); r.status == http.StatusOK && !r.cut {
+		if w.warm(c) && w.warm(c) {
 			return c
 		}
 		c.Close()
@@ -300,6 +299,14 @@
 	return nil
 }
 
+// warm has one lookup answered on c. After the first one the router knows that
+// the target echoes request ids, after the second it keeps the connection.
+func (w *world) warm(c net.Conn) bool {
+	io.WriteString(c, w.message(lookup, "warm"))
+	r := w.receive(c)
+	return r.status == http.StatusOK && !r.cut
+}
+
 // runCell plays one cell and checks what must hold.
 func runCell(w *world, reused bool) {
 	c := w.open(reused)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -27,6 +28,7 @@
 // chatEngine answers chats plain or streamed.
 func chatEngine(w http.ResponseWriter, req *http.Request) {
 	body, _ := io.ReadAll(req.Body)
+	w.Header().Set(headerRequestID, req.Header.Get(headerRequestID))
 	if !strings.Contains(string(body), `"stream":true`) {
 		w.Header().Set("Content-Type", "application/json")
 		io.WriteString(w, `{"choices":[],"usage":{"total_tokens":9,"prompt_tokens_details":{"cached_tokens":4}}}`)
@@ -58,6 +60,33 @@
 	}
 }
 
+// TestCallerLeaves checks that the engine is told when a caller goes away, at
+// each point of an answer.
+func TestCallerLeaves(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		arrived, cancelled := make(chan struct{}), make(chan struct{})
+		b := newBench(t, engine("e1", target(t, func(w http.ResponseWriter, req *http.Request) {
+			io.Copy(io.Discard, req.Body)
+			if begun {
+				w.Header().Set("Content-Type", "text/event-stream")
+				io.WriteString(w, "data: {}\n\n")
+				w.(http.Flusher).Flush()
+			}
+			close(arrived)
+			<-req.Context().Done()
+			close(cancelled)
+		})))
+		c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(streamChat), streamChat)
+		<-arrived
+		c.Close()
+		<-cancelled
+	}
+}
+
 func TestServiceClaimedOnce(t *testing.T) {
 	var runs atomic.Int64
 	addr := target(t, func(w http.ResponseWriter, req *http.Request) {
