A claimed request outlives its caller

The handler of a claimed request waited for its end, also past the deadline that the caller gave: TestClaimedPastDeadline with 50 ms of patience was answered after 10.01 s by the target's bound on silence. Now the request runs apart; its caller is answered at its deadline, and a second record under the same request id tells how it ended.

--- a/internal/filter/claim.go
+++ b/internal/filter/claim.go
@@ -36,6 +36,9 @@
 	Incarnation uint64
 	// Total bounds a claimed request of this demand; nil means MaxClaimedTotal.
 	Total func(d Demand) time.Duration
+	// Outlived takes an exchange that ended after its caller's end, with the
+	// chain's error. It must end the exchange.
+	Outlived func(x *Exchange, err error)
 
 	attempts atomic.Uint64
 	running  atomic.Int64
@@ -69,27 +72,26 @@
 			RetryAfter: defaultRetryAfter,
 		})
 	}
-	handed := false
-	defer func() {
-		if !handed {
-			c.leave()
-		}
-	}()
-	// From here on the request no longer depends on its caller.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.total(x.Demand))
-	x.OnEnd(func(Usage) { cancel() })
+	return c.outlive(ctx, x, next)
+}
+
+// claimed claims x and sends it if the claim is granted. It gives back the
+// count of enter, at the latest when the claim has ended.
+func (c *Claim) claimed(ctx context.Context, x *Exchange, next Next) error {
 	claim := c.claim(x)
 	result, err := c.commit(ctx, claim)
 	if err != nil {
-		handed = c.abandon(claim, err)
+		if !c.abandon(claim, err) {
+			c.leave()
+		}
 		return notClaimed(x, err)
 	}
 	if result.GetStatus() != pb.ClaimStatus_CLAIM_STATUS_GRANTED {
+		c.leave()
 		return c.known(x, result)
 	}
 	x.claimed = true
 	x.Note(StepClaim, "", "claim committed")
-	handed = true
 	return c.run(ctx, x, claim, next)
 }
 
--- a/internal/filter/random_test.go
+++ b/internal/filter/random_test.go
@@ -118,9 +118,7 @@
 			h.claim, h.resolve, h.try = h.commit, h.settle, h.send
 			chain, claim := h.chain(t)
 			for i := range requests {
-				h.request(t, chain, i)
-				// Decisions must be taken in one order.
-				claim.Wait()
+				h.request(t, chain, claim, i)
 			}
 			if h.taken != h.given || h.admitted != h.released {
 				rt.Errorf("taken %d, given %d; admitted %d, released %d", h.taken, h.given, h.admitted, h.released)
@@ -138,7 +136,7 @@
 }
 
 // request passes one request through the chain and checks what came of it.
-func (h *history) request(t *testing.T, chain *Chain, i int) {
+func (h *history) request(t *testing.T, chain *Chain, claim *Claim, i int) {
 	x := booking()
 	x.ID = fmt.Sprint("id-", i)
 	x.Key = []string{"", "k1", "k2"}[h.pick(3)]
@@ -150,6 +148,9 @@
 		x.Key = x.ID
 	}
 	err := chain.Run(ctx, x)
+	// Decisions must be taken in one order, also those of a request that
+	// outlived its caller.
+	claim.Wait()
 	var body []byte
 	if err == nil {
 		body, err = io.ReadAll(x.Answer.Body)
--- a/internal/router/record.go
+++ b/internal/router/record.go
@@ -55,3 +55,18 @@
 func failedTarget(err error) bool {
 	return err != nil && !errors.Is(err, errCallerWrite) && !errors.Is(err, forward.ErrCallerGone)
 }
+
+// endOutlived records how a claimed request ended that its caller did not wait
+// for, and ends it.
+func (r *Router) endOutlived(x *filter.Exchange, err error) {
+	defer x.End()
+	res := result{outcome: filter.OutcomeRun}
+	if err != nil {
+		rejection := asRejection(x, err)
+		res = result{status: rejection.Status, outcome: rejection.Outcome(), refused: true}
+	}
+	if x.Answer != nil {
+		res.status = x.Answer.Status
+	}
+	r.observe(x, res)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -61,6 +62,7 @@
 		firstToken: scope.Timer("first_token"),
 		refusals:   scope,
 	}
+	r.claim.Outlived = r.endOutlived
 	chain, err := r.buildChain()
 	if err != nil {
 		return nil, err
@@ -157,8 +159,13 @@
 	r.requests.Inc(1)
 	ctx, cancel := r.bound(req.Context(), x)
 	defer cancel()
-	defer x.End()
 	err := r.chain.Run(ctx, x)
+	var outlived *filter.Outlived
+	if errors.As(err, &outlived) {
+		r.reject(w, req, outlived.Exchange, outlived.Rejection)
+		return
+	}
+	defer x.End()
 	if err != nil {
 		r.reject(w, req, x, asRejection(x, err))
 		return
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -116,3 +116,32 @@
 		t.Errorf("%d runs", runs.Load())
 	}
 }
+
+// TestClaimedPastDeadline answers the caller of a claimed request at its
+// deadline; the request goes on and its answer is found under the key.
+func TestClaimedPastDeadline(t *testing.T) {
+	release := make(chan struct{})
+	b := newBench(t, service("s1", target(t, func(w http.ResponseWriter, req *http.Request) {
+		io.Copy(io.Discard, req.Body)
+		<-release
+		io.WriteString(w, "booked")
+	})))
+	post := func(header ...string) (*http.Response, string, error) {
+		return b.do(t, "POST", "/v1/services/lab/book", "steel", append(header, "Idempotency-Key", "k")...)
+	}
+	resp, body, err := post("X-Timeout-Ms", "50")
+	if err != nil || resp.StatusCode != 504 || !strings.Contains(body, `"deadline"`) || resp.Header.Get(headerOutcome) != "unknown" {
+		t.Errorf("at the deadline: %v %v %s", resp, err, body)
+	}
+	if resp, body, _ := post(); resp.StatusCode != 409 || !strings.Contains(body, "in-progress") {
+		t.Errorf("meanwhile: %v %s", resp, body)
+	}
+	close(release)
+	b.router.claim.Wait()
+	if resp, body, _ := post(); resp.StatusCode != 200 || body != "booked" {
+		t.Errorf("later: %v %s", resp, body)
+	}
+	if got := b.records.all; len(got) != 4 || got[0].Outcome != "unknown" || got[2].Outcome != "run" || got[2].RequestID != got[0].RequestID {
+		t.Errorf("%d records, the first %+v", len(got), got[0])
+	}
+}
