--- a/internal/filter/claim.go
+++ b/internal/filter/claim.go
@@ -17,11 +17,12 @@
 const (
 	maxKeyBytes = 255
 	// MaxClaimed bounds the claimed requests of one router at a time.
-	MaxClaimed = 4096
+	MaxClaimed = 1024
 	// ClaimTimeout bounds one claim.
 	ClaimTimeout = 5 * time.Second
-	// ClaimedTotal bounds a claimed request from its claim to its answer.
-	ClaimedTotal = 2 * time.Minute
+	// MaxClaimedTotal bounds a claimed request from its claim to its answer. It
+	// is shorter than the ledger waits before it calls an open claim unknown.
+	MaxClaimedTotal = 10 * time.Minute
 	// inProgressRetryAfter is when a resend may find the answer.
 	inProgressRetryAfter = time.Second
 )
@@ -33,6 +34,11 @@
 	// Router and Incarnation name the claimant.
 	Router      string
 	Incarnation uint64
+	// Total bounds a claimed request of this demand; nil means MaxClaimedTotal.
+	Total func(d Demand) time.Duration
+	// Outlived takes an exchange that ended after its caller's end, with the
+	// chain's error. It must end the exchange.
+	Outlived func(x *Exchange, err error)
 
 	attempts atomic.Uint64
 	running  atomic.Int64
@@ -53,40 +59,39 @@
 	if len(x.Key) > maxKeyBytes {
 		return x.Reject(Rejection{
 			Status:  http.StatusBadRequest,
-			Code:    "key_too_long",
+			Code:    "key-too-long",
 			Message: "the Idempotency-Key is longer than 255 bytes",
 			Step:    StepClaim,
 		})
 	}
 	if !c.enter() {
 		return x.Reject(Rejection{
-			Code:       "claims_full",
+			Code:       "claims-full",
 			Message:    "this router holds as many claimed requests as it may",
 			Step:       StepClaim,
 			RetryAfter: defaultRetryAfter,
 		})
 	}
-	handed := false
-	defer func() {
-		if !handed {
-			c.leave()
-		}
-	}()
-	// From here on the request no longer depends on its caller.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ClaimedTotal)
-	x.OnEnd(func(Usage) { cancel() })
+	return c.outlive(ctx, x, next)
+}
+
+// claimed claims x and sends it if the claim is granted. It gives back the
+// count of enter, at the latest when the claim has ended.
+func (c *Claim) claimed(ctx context.Context, x *Exchange, next Next) error {
 	claim := c.claim(x)
 	result, err := c.commit(ctx, claim)
 	if err != nil {
-		handed = c.abandon(claim, err)
+		if !c.abandon(claim, err) {
+			c.leave()
+		}
 		return notClaimed(x, err)
 	}
 	if result.GetStatus() != pb.ClaimStatus_CLAIM_STATUS_GRANTED {
+		c.leave()
 		return c.known(x, result)
 	}
 	x.claimed = true
 	x.Note(StepClaim, "", "claim committed")
-	handed = true
 	return c.run(ctx, x, claim, next)
 }
 
@@ -105,6 +110,14 @@
 	c.wg.Done()
 }
 
+// total bounds the claimed request, whatever its caller's patience.
+func (c *Claim) total(d Demand) time.Duration {
+	if c.Total == nil {
+		return MaxClaimedTotal
+	}
+	return min(c.Total(d), MaxClaimedTotal)
+}
+
 // claim makes the claim of x.
 func (c *Claim) claim(x *Exchange) *pb.Claim {
 	return &pb.Claim{
@@ -151,7 +164,7 @@
 // notClaimed rejects a request whose claim failed; it was not sent.
 func notClaimed(x *Exchange, err error) *Rejection {
 	return x.Reject(Rejection{
-		Code:       "no_claim",
+		Code:       "no-claim",
 		Message:    "the claim could not be committed: " + err.Error(),
 		Step:       StepClaim,
 		RetryAfter: defaultRetryAfter,
@@ -167,7 +180,7 @@
 	case pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS:
 		return Known(Rejection{
 			Status:     http.StatusConflict,
-			Code:       "in_progress",
+			Code:       "in-progress",
 			Message:    "a request with this Idempotency-Key is in progress",
 			Step:       StepClaim,
 			RetryAfter: inProgressRetryAfter,
@@ -175,20 +188,20 @@
 	case pb.ClaimStatus_CLAIM_STATUS_UNKNOWN:
 		return Known(Rejection{
 			Status:  http.StatusConflict,
-			Code:    "outcome_unknown",
+			Code:    "outcome-unknown",
 			Message: "a request with this Idempotency-Key may or may not have run",
 			Step:    StepClaim,
 		}, false)
 	case pb.ClaimStatus_CLAIM_STATUS_DIGEST_MISMATCH:
 		return x.Reject(Rejection{
 			Status:  http.StatusUnprocessableEntity,
-			Code:    "key_reused",
+			Code:    "key-reused",
 			Message: "this Idempotency-Key was used for another request",
 			Step:    StepClaim,
 		})
 	default:
 		return x.Reject(Rejection{
-			Code:       "ledger_full",
+			Code:       "ledger-full",
 			Message:    "the ledger takes no more claims now",
 			Step:       StepClaim,
 			RetryAfter: defaultRetryAfter,
