Classes of a customer share by weight instead of by the age of requests

Ruled out: a slower rise, since under a lasting surge drafts of 50 s would still stand before checks. Broken once: classes in strict order, TestLowestClassArrives: the draft has not come after 10 checks.

--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -3,7 +3,7 @@
 //
 // Customers share by weighted fair queueing: the outer choice is the customer
 // that has received the least service for its weight, so that one customer's
-// surge lengthens only its own queue. Within a customer the priority class
-// comes first, and waiting raises the class step by step, so that the lowest
-// class still arrives.
+// surge lengthens only its own queue. Within a customer the classes share by
+// weight and cost: short requests of urgent classes come first, and a request
+// that waits ages against them, so that the lowest class still arrives.
 package admission
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // laneKey names one first-in-first-out lane of a customer.
@@ -21,6 +20,18 @@
 	lanes map[laneKey][]*Item
 	count int
 	cost  float64
+
+	// classes are served by fair queueing of their own, in a virtual time of
+	// the customer.
+	classes      [classes]class
+	classVirtual float64
+}
+
+// class is one priority class of a customer.
+type class struct {
+	// next is the virtual time at which its next request starts service.
+	next  float64
+	count int
 }
 
 func (f *flow) push(it *Item) {
@@ -28,6 +39,32 @@
 	f.lanes[k] = append(f.lanes[k], it)
 	f.count++
 	f.cost += it.cost()
+	c := &f.classes[it.class()]
+	if c.count == 0 {
+		c.next = max(c.next, f.classVirtual)
+	}
+	c.count++
+}
+
+// serve moves the virtual times on by an item that begins service.
+func (f *flow) serve(it *Item) {
+	f.next += it.cost() / it.weight()
+	c := &f.classes[it.class()]
+	f.classVirtual = max(f.classVirtual, c.next)
+	c.next += it.classCost()
+}
+
+// finish is the virtual time at which the item, as its class's next, would
+// end service. It stays while those of busier classes grow: waiting ages.
+func (f *flow) finish(it *Item) float64 { return f.classes[it.class()].next + it.classCost() }
+
+// ahead counts the requests of a class and of more urgent ones.
+func (f *flow) ahead(class int) int {
+	n := 0
+	for _, c := range f.classes[:class+1] {
+		n += c.count
+	}
+	return n
 }
 
 func (f *flow) remove(id uint64) *Item {
@@ -43,21 +80,22 @@
 		}
 		f.count--
 		f.cost -= it.cost()
+		f.classes[it.class()].count--
 		return it
 	}
 	return nil
 }
 
-// heads returns the first request of each lane by aged class, then by arrival.
-// Within a lane the first one is also the most aged.
-func (f *flow) heads(now time.Time) []*Item {
+// heads returns the first request of each lane, the one whose class is next
+// first.
+func (f *flow) heads() []*Item {
 	heads := make([]*Item, 0, len(f.lanes))
 	for _, lane := range f.lanes {
 		heads = append(heads, lane[0])
 	}
 	slices.SortFunc(heads, func(a, b *Item) int {
 		return cmp.Or(
-			cmp.Compare(a.rank(now), b.rank(now)),
+			cmp.Compare(f.finish(a), f.finish(b)),
 			a.Enqueued.Compare(b.Enqueued),
 			cmp.Compare(a.ID, b.ID),
 		)
--- a/internal/admission/item.go
+++ b/internal/admission/item.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-const (
-	// AgingStep is the wait that raises a request by one priority class.
-	AgingStep = 5 * time.Second
-	// classes is the number of priority classes.
-	classes = 3
-)
+// classes is the number of priority classes.
+const classes = 3
+
+// classWeights divide a customer's service between its classes while all of
+// them wait. A lower class always gets its part, so that what may wait arrives.
+var classWeights = [classes]float64{9, 3, 1}
 
 // Item is one waiting request.
 type Item struct {
@@ -34,8 +34,5 @@
 
 func (it *Item) class() int { return min(max(it.Class, 0), classes-1) }
 
-// rank is the item's class after aging; it falls without limit, so that every
-// item comes first in the end.
-func (it *Item) rank(now time.Time) int {
-	return it.class() - int(now.Sub(it.Enqueued)/AgingStep)
-}
+// classCost is the item's service in the virtual time of its customer.
+func (it *Item) classCost() float64 { return it.cost() / classWeights[it.class()] }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -40,6 +40,15 @@
 	return 0
 }
 
+// Ahead returns the number of a customer's waiting requests of a class and of
+// more urgent ones.
+func (q *Queue) Ahead(customer string, class int) int {
+	if f, ok := q.flows[customer]; ok {
+		return f.ahead(min(max(class, 0), classes-1))
+	}
+	return 0
+}
+
 // Charge counts service that a customer received without waiting.
 func (q *Queue) Charge(customer string, weight uint32, cost float64) {
 	it := &Item{Customer: customer, Weight: weight, Cost: cost}
@@ -73,10 +82,10 @@
 
 // Take removes and returns the next request for which admit is true, nil if
 // there is none. Customers are tried in the order of their start tags.
-func (q *Queue) Take(now time.Time, admit func(*Item) bool) *Item {
+func (q *Queue) Take(admit func(*Item) bool) *Item {
 	for _, f := range q.backlogged() {
 		var refused []string
-		for _, it := range f.heads(now) {
+		for _, it := range f.heads() {
 			// The lane was refused for a more urgent class already.
 			if slices.Contains(refused, it.Lane) {
 				continue
@@ -86,7 +95,7 @@
 				continue
 			}
 			q.virtual = max(q.virtual, f.next)
-			f.next += it.cost() / it.weight()
+			f.serve(it)
 			return q.Remove(it.Customer, it.ID)
 		}
 	}
--- a/internal/pool/lane.go
+++ b/internal/pool/lane.go
@@ -172,10 +172,10 @@
 	l.windowStart = now
 }
 
-// expectedWait estimates how long a customer's next request would wait: its
-// own queue served at its share of the lane's rate; ok is false while the
-// rate is unknown.
-func (l *lane) expectedWait(customer string) (wait time.Duration, ok bool) {
+// expectedWait estimates how long a customer's next request of a class would
+// wait: what goes before it served at the customer's share of the lane's rate;
+// ok is false while the rate is unknown.
+func (l *lane) expectedWait(customer string, class int) (wait time.Duration, ok bool) {
 	s, known := l.shares[customer]
 	if !known || l.rate == 0 {
 		return 0, false
@@ -187,13 +187,13 @@
 		}
 	}
 	rate := l.rate * s.weight / competing
-	seconds := float64(l.queue.Waiting(customer)+1) / rate
+	seconds := float64(l.queue.Ahead(customer, class)+1) / rate
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()*10) * float64(time.Second)), true
 }
 
 // retryAfter is when a refused customer should come back.
-func (l *lane) retryAfter(customer string) time.Duration {
-	wait, ok := l.expectedWait(customer)
+func (l *lane) retryAfter(customer string, class int) time.Duration {
+	wait, ok := l.expectedWait(customer, class)
 	if !ok {
 		return minRetryAfter
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -157,7 +157,7 @@
 
 // enqueue lets a request wait, unless it would wait too long.
 func (p *Pool) enqueue(now time.Time, l *lane, r Request) []Result {
-	if wait, ok := l.expectedWait(r.Customer); ok && wait > r.MaxWait {
+	if wait, ok := l.expectedWait(r.Customer, r.Class); ok && wait > r.MaxWait {
 		return []Result{p.refuse(l, &r, CodeWaitTooLong)}
 	}
 	p.lastItem++
@@ -187,7 +187,7 @@
 }
 
 func (p *Pool) refuse(l *lane, r *Request, code string) Result {
-	return Result{ID: r.ID, Kind: Refused, Code: code, RetryAfter: l.retryAfter(r.Customer)}
+	return Result{ID: r.ID, Kind: Refused, Code: code, RetryAfter: l.retryAfter(r.Customer, r.Class)}
 }
 
 // forget drops the waiter of an item that left its queue.
@@ -232,7 +232,7 @@
 func (p *Pool) wakeLane(now time.Time, l *lane, results []Result) []Result {
 	for l.queue.Len() > 0 {
 		var placed Result
-		it := l.queue.Take(now, func(it *admission.Item) bool {
+		it := l.queue.Take(func(it *admission.Item) bool {
 			var ok bool
 			placed, ok = p.place(now, l, &p.waiting[it.ID].req)
 			return ok
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -11,7 +11,7 @@
 	DefaultCapacity = 32
 	// DefaultReserve is the share of each target's capacity, in thousandths,
 	// that customers above their share leave to the others.
-	DefaultReserve = 150
+	DefaultReserve = 200
 	// activeFor is how long after its last request a customer counts when
 	// shares are computed.
 	activeFor = 1 * time.Minute
