--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -204,6 +204,27 @@
 // Received counts the bytes of a call's answer.
 func (b *Budget) Received(method string, n int) { b.CountReceived(ClassOf(method), n) }
 
+// Served returns a meter for the calls that this process answers. Answers to
+// other routers' lease requests are a control replica's traffic.
+func (b *Budget) Served() *Served { return &Served{budget: b} }
+
+// Served counts the calls that a process answers. It implements
+// transport.Meter.
+type Served struct{ budget *Budget }
+
+// Sent charges the bytes of an answer.
+func (s *Served) Sent(method string, n int) { s.budget.Charge(servedClass(method), n) }
+
+// Received counts the bytes of a call.
+func (s *Served) Received(method string, n int) { s.budget.CountReceived(servedClass(method), n) }
+
+func servedClass(method string) Class {
+	if c := ClassOf(method); c != Lease {
+		return c
+	}
+	return Replica
+}
+
 // methodLease is the one control call that a router makes for itself. The
 // others act for callers, as claims do, or for operators.
 const methodLease = "control.lease"
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -110,6 +110,7 @@
 func (in *Instance) startMembers() error {
 	in.budget = budget.New(budget.Config{Scope: in.scope})
 	in.server = transport.NewServer(in.cfg.PeerToken, in.logger)
+	in.server.SetMeter(in.budget.Served())
 	in.pool = transport.NewPool(in.cfg.PeerToken, nil, in.budget)
 	self := &pb.RouterStatus{
 		Id:          in.cfg.ID,
--- a/internal/instance/interfaces.go
+++ b/internal/instance/interfaces.go
@@ -113,6 +113,7 @@
 		Registry:    in.members,
 		View:        in.members,
 		CacheEvents: in.cacheEvents,
+		Budget:      in.budget,
 		Logger:      in.logger,
 		Scope:       in.scope,
 	}))
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -47,9 +47,27 @@
 	// changes counts changes that a reader of the view can see.
 	changes uint64
 	out     []packet
+	events  []routerEvent
 	counts  counts
 }
 
+// routerEvent is a change of a router that operators want to see in the log.
+type routerEvent struct {
+	router     string
+	generation uint64
+	what       string
+}
+
+// Texts of events.
+const (
+	eventAppeared  = "a router appeared"
+	eventSuspected = "a router is suspected"
+	eventRefuted   = "a router refuted a suspicion"
+	eventDead      = "a router is dead"
+	eventLeft      = "a router left"
+	eventAccused   = "others took this router for dead or suspected it"
+)
+
 // packet is one datagram to send.
 type packet struct {
 	to  string
@@ -192,6 +210,18 @@
 	}
 }
 
+// note records an event for the log.
+func (c *core) note(e *routerEntry, what string) {
+	c.events = append(c.events, routerEvent{router: e.status.Id, generation: e.generation, what: what})
+}
+
+// takeEvents returns the events since the last call.
+func (c *core) takeEvents() []routerEvent {
+	events := c.events
+	c.events = nil
+	return events
+}
+
 // packets returns what is to be sent and forgets it.
 func (c *core) packets() []packet {
 	out := c.out
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -77,11 +77,15 @@
 	m.mu.Lock()
 	fn(m.core, time.Now())
 	out := m.core.packets()
+	events := m.core.takeEvents()
 	m.metrics.update(m.core)
 	m.mu.Unlock()
 	for _, p := range out {
 		m.write(p)
 	}
+	for _, e := range events {
+		m.log.Info().Str("step", "membership").Str("peer", e.router).Uint64("generation", e.generation).Msg(e.what)
+	}
 	select {
 	case m.wake <- struct{}{}:
 	default:
--- a/internal/member/routers.go
+++ b/internal/member/routers.go
@@ -136,6 +136,10 @@
 		c.declareDead(now, e, d.Status.State)
 	case d.Suspect:
 		c.suspectRouter(now, e)
+	case old.status == nil || old.generation < e.generation:
+		c.note(e, eventAppeared)
+	case old.state == suspect:
+		c.note(e, eventRefuted)
 	}
 }
 
@@ -146,6 +150,7 @@
 	e.state = suspect
 	e.suspectUntil = now.Add(c.suspectTimeout())
 	c.counts.suspicions++
+	c.note(e, eventSuspected)
 	c.news.add(routerNews, e.status.Id)
 }
 
@@ -154,7 +159,12 @@
 	e.state = dead
 	e.diedAt = now
 	e.status = &pb.RouterStatus{Id: e.status.Id, PeerAddr: e.status.PeerAddr, State: state}
-	c.counts.deaths++
+	if state == pb.RouterState_ROUTER_STATE_GONE {
+		c.note(e, eventLeft)
+	} else {
+		c.counts.deaths++
+		c.note(e, eventDead)
+	}
 	c.news.add(routerNews, e.status.Id)
 	c.changes++
 }
@@ -182,6 +192,7 @@
 		return
 	}
 	c.counts.refutations++
+	c.note(own, eventAccused)
 	c.publishSelf(func(s *pb.RouterStatus) { s.Version = max(s.Version, d.Status.Version+1) })
 }
 
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -201,6 +201,7 @@
 	for _, p := range n.core.packets() {
 		w.transmit(n, p)
 	}
+	n.core.takeEvents()
 	if w.onStep != nil {
 		w.onStep(n)
 	}
