Control budget: leases and answers to targets can't silence a router

Cause: nine routers and three replicas started at once as processes declared 1 to 4 living routers dead each, within 4 s of the start. Without a leader each router asked for a lease without pause; r8 spent 21 KB on that in 2 s. Lease calls were charged after they were sent, so the bucket went into debt, and answers to probes were refused. The same happens to a whole fleet whenever the control replicas have no leader. Answers to targets, charged as liveness, could do the same. Ruled out: the busy machine (the simulation starts without a suspicion, and so do the processes now, at a like load). Change: leases may take a quarter of the rate and the burst; transport.Pool asks its meter before a call, if that is a Gate, and a call held back fails as not sent. Answers to targets are a class of their own that leaves the others their reserve; what has no room is counted as excess. TestLivenessIsNotStarved fails with each of the two changes undone (tried on a scratch copy).

--- a/internal/announce/handler.go
+++ b/internal/announce/handler.go
@@ -147,7 +147,7 @@
 	if !reply.Listed || st.Sequence%listEvery == 0 {
 		reply.Routers = h.routersFor(st.DataCentre)
 	}
-	h.reply(w, budget.Liveness, reply)
+	h.reply(w, reply)
 }
 
 // routersFor returns where else the target may announce, its own data centre
@@ -184,7 +184,7 @@
 		h.fail(w, r, http.StatusBadRequest, "invalid", oneLine(err))
 		return
 	}
-	h.reply(w, budget.Hint, &CacheReply{Resync: h.CacheEvents(r.Context(), events)})
+	h.reply(w, &CacheReply{Resync: h.CacheEvents(r.Context(), events)})
 }
 
 func (h *handler) leave(w http.ResponseWriter, r *http.Request) {
@@ -198,7 +198,7 @@
 	}
 	h.Registry.TargetLeaves(req.ID, req.Incarnation)
 	h.Logger.Info().Str("step", "leave").Str("peer", req.ID).Uint64("incarnation", req.Incarnation).Msg("a target leaves")
-	h.reply(w, budget.Drain, struct{}{})
+	h.reply(w, struct{}{})
 }
 
 func (h *handler) notFound(w http.ResponseWriter, r *http.Request) {
@@ -219,7 +219,7 @@
 		h.fail(w, r, http.StatusBadRequest, "invalid", "the body was not received whole")
 	}
 	if h.Budget != nil {
-		h.Budget.CountReceived(budget.Liveness, len(body)+headerBytes)
+		h.Budget.CountReceived(budget.Announce, len(body)+headerBytes)
 	}
 	return body, err == nil
 }
@@ -238,7 +238,7 @@
 	return true
 }
 
-func (h *handler) reply(w http.ResponseWriter, class budget.Class, body any) {
+func (h *handler) reply(w http.ResponseWriter, body any) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		h.Logger.Error().Err(err).Str("step", "announce").Msg("an answer was not encoded")
@@ -246,7 +246,7 @@
 		return
 	}
 	if h.Budget != nil {
-		h.Budget.Charge(class, len(encoded)+headerBytes)
+		h.Budget.Charge(budget.Announce, len(encoded)+headerBytes)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if _, err := w.Write(append(encoded, '\n')); err != nil {
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -26,6 +26,8 @@
 	Load
 	// Hint is cache hints.
 	Hint
+	// Announce is answers to targets, which can't be refused.
+	Announce
 	// Replica is a control replica's own state traffic, outside the budget.
 	Replica
 	// Request is traffic on behalf of callers' requests, outside the budget.
@@ -37,7 +39,7 @@
 	numBudgeted = Replica
 )
 
-var classNames = [numClasses]string{"lease", "drain", "liveness", "load", "hint", "replica", "request", "report"}
+var classNames = [numClasses]string{"lease", "drain", "liveness", "load", "hint", "announce", "replica", "request", "report"}
 
 // String returns the class's name in metrics.
 func (c Class) String() string { return classNames[c] }
@@ -51,7 +53,11 @@
 
 // reserved is the share of the burst, in eighths, that a class leaves to the
 // classes above it.
-var reserved = [numBudgeted]int{0, 0, 1, 2, 4}
+var reserved = [numBudgeted]int{0, 0, 1, 2, 4, 2}
+
+// leaseShare is the part of the rate and the burst that leases may take.
+// Routers that look for a leader would otherwise fall silent to each other.
+const leaseShare = 4
 
 // Config sets up a budget; zero fields take the defaults.
 type Config struct {
@@ -67,6 +73,7 @@
 	rate    int
 	burst   int
 	limiter *rate.Limiter
+	leases  *rate.Limiter
 
 	mu     sync.Mutex
 	window window
@@ -75,6 +82,7 @@
 	sent     [numClasses]tally.Counter
 	received [numClasses]tally.Counter
 	refused  [numClasses]tally.Counter
+	excess   tally.Counter
 }
 
 // Stats are the bytes counted since the start, by class.
@@ -83,6 +91,8 @@
 	Received [numClasses]int64
 	// Refused is what the budget did not let out.
 	Refused [numClasses]int64
+	// Excess is the part of the answers to targets that had no room.
+	Excess int64
 }
 
 // Control returns the bytes sent in all classes under the budget.
@@ -118,6 +128,8 @@
 		rate:    cfg.BytesPerSecond,
 		burst:   cfg.BurstBytes,
 		limiter: rate.NewLimiter(rate.Limit(cfg.BytesPerSecond), cfg.BurstBytes),
+		leases:  rate.NewLimiter(rate.Limit(cfg.BytesPerSecond/leaseShare), cfg.BurstBytes/leaseShare),
+		excess:  cfg.Scope.Counter("control_excess_bytes"),
 	}
 	for c := range numClasses {
 		scope := cfg.Scope.Tagged(map[string]string{"class": c.String()})
@@ -167,17 +179,55 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.countSentLocked(c, n)
-	if c >= numBudgeted {
+	switch {
+	case c >= numBudgeted:
 		return
+	case c == Lease:
+		reserve(b.leases, now, n)
+	case c == Announce:
+		n = b.withoutExcessLocked(now, n)
 	}
 	b.window.add(now, n)
+	reserve(b.limiter, now, n)
+}
+
+// withoutExcessLocked returns the part of n that leaves the reserve of its
+// class whole. Targets decide how often they announce themselves; the answers
+// must not silence the router among the others.
+func (b *Budget) withoutExcessLocked(now time.Time, n int) int {
+	room := int(b.limiter.TokensAt(now)) - b.burst*reserved[Announce]/8
+	fits := min(n, max(0, room))
+	b.stats.Excess += int64(n - fits)
+	b.excess.Inc(int64(n - fits))
+	return fits
+}
+
+// reserve takes n bytes, also ones that are not there yet.
+func reserve(l *rate.Limiter, now time.Time, n int) {
 	for n > 0 {
-		part := min(n, b.burst)
-		b.limiter.ReserveN(now, part)
+		part := min(n, l.Burst())
+		l.ReserveN(now, part)
 		n -= part
 	}
 }
 
+// Ready tells whether a call of n bytes may be sent now. It spends nothing;
+// Sent does.
+func (b *Budget) Ready(method string, n int) bool {
+	if ClassOf(method) != Lease {
+		return true
+	}
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.leases.TokensAt(now) >= float64(n) {
+		return true
+	}
+	b.stats.Refused[Lease] += int64(n)
+	b.refused[Lease].Inc(int64(n))
+	return false
+}
+
 func (b *Budget) countSentLocked(c Class, n int) {
 	b.stats.Sent[c] += int64(n)
 	b.sent[c].Inc(int64(n))
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -76,3 +77,32 @@
 		}
 	}
 }
+
+// Neither a router that looks for a leader without pause nor targets that
+// announce themselves too often keep the router from answering probes.
+func TestLivenessIsNotStarved(t *testing.T) {
+	for name, flood := range map[string]func(b *Budget){
+		"leases": func(b *Budget) {
+			if b.Ready("control.lease", 120) {
+				b.Sent("control.lease", 150)
+			}
+		},
+		"answers to targets": func(b *Budget) { b.Charge(Announce, 250) },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := New(Config{})
+			for range 600 {
+				for range 10 {
+					flood(b)
+					time.Sleep(10 * time.Millisecond)
+				}
+				if !b.Allow(Liveness, 200) {
+					t.Fatalf("a probe was refused because of %s", name)
+				}
+			}
+			if s := b.Stats(); s.Refused[Lease] == 0 && s.Excess == 0 {
+				t.Fatalf("nothing of the flood of %s was refused or counted as excess", name)
+			}
+		})
+	}
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -37,6 +38,15 @@
 	Received(method string, n int)
 }
 
+// Gate is a Meter that can hold a call back before it is sent.
+type Gate interface {
+	// Ready tells whether a call of n bytes may be sent now.
+	Ready(method string, n int) bool
+}
+
+// errHeldBack is the reason of a call that the gate held back.
+var errHeldBack = errors.New("the control budget is used up")
+
 type nullMeter struct{}
 
 func (nullMeter) Sent(string, int)     {}
@@ -93,6 +103,9 @@
 	if err != nil {
 		return errs.Wrap(fmt.Errorf("%w: %w", ErrNotSent, err), method, addr)
 	}
+	if gate, ok := p.meter.(Gate); ok && !gate.Ready(method, len(payload)) {
+		return errs.Wrap(fmt.Errorf("%w: %w", ErrNotSent, errHeldBack), method, addr)
+	}
 	stream, session, err := p.openStream(ctx, addr)
 	if err != nil {
 		return errs.Wrap(fmt.Errorf("%w: %w", ErrNotSent, err), method, addr)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -157,3 +157,20 @@
 		t.Fatalf("the next call did not use a new connection: %v", err)
 	}
 }
+
+// closedGate holds all calls back and counts the bytes of those that were sent
+// all the same.
+type closedGate struct{ sent int }
+
+func (g *closedGate) Ready(string, int) bool   { return false }
+func (g *closedGate) Sent(_ string, n int)     { g.sent += n }
+func (g *closedGate) Received(_ string, n int) { g.sent += n }
+
+func TestHeldBackCallIsNotSent(t *testing.T) {
+	gate := &closedGate{}
+	p := NewPool("secret", nil, gate)
+	defer p.Close()
+	if err := echo(t.Context(), p, startServer(t)); !errors.Is(err, ErrNotSent) || gate.sent != 0 {
+		t.Fatalf("got %v, %d bytes sent", err, gate.sent)
+	}
+}
