Engines learn the name of a chat; a leaving target says so in what it announces

Cache events could never match: routers know a chat by customer and id, and no request told the engine that name. Requests to engines now carry it in X-Wigeonwood-Chat, which callers can't set. After Leave an announcer went on with announcements that its routers refused (409); they now say leaving.

--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -192,6 +192,11 @@
 	if err := announcer.Leave(t.Context()); err != nil || len(second.left) != 1 {
 		t.Fatalf("leave: %v, %v", err, second.left)
 	}
+	eventually(t, "an announcement that says it leaves", func() bool {
+		second.mu.Lock()
+		defer second.mu.Unlock()
+		return second.statuses[len(second.statuses)-1].Leaving
+	})
 }
 
 func eventually(t *testing.T, what string, cond func() bool) {
--- a/internal/announce/announcer.go
+++ b/internal/announce/announcer.go
@@ -55,6 +55,7 @@
 	// calls serialises announcements, so that sequences arrive in order.
 	calls    sync.Mutex
 	sequence uint64
+	leaving  bool
 	// routers are the known addresses; the first one is in use.
 	routers []string
 	// stamps are the last stamps by router.
@@ -146,6 +147,7 @@
 	a.sequence++
 	st := a.cfg.Status()
 	st.Sequence = a.sequence
+	st.Leaving = st.Leaving || a.leaving
 	encoded, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(st)
 	if err != nil {
 		return nil, err
@@ -230,6 +232,7 @@
 	}
 	a.calls.Lock()
 	defer a.calls.Unlock()
+	a.leaving = true
 	for _, router := range slices.Clone(a.routers) {
 		if err = a.post(ctx, router, PathLeave, body, &struct{}{}); err == nil || ctx.Err() != nil {
 			return err
--- a/internal/announce/handler.go
+++ b/internal/announce/handler.go
@@ -202,11 +202,11 @@
 }
 
 func (h *handler) notFound(w http.ResponseWriter, r *http.Request) {
-	h.fail(w, r, http.StatusNotFound, "not_found", "no such path: "+r.URL.Path)
+	h.fail(w, r, http.StatusNotFound, "not-found", "no such path: "+r.URL.Path)
 }
 
 func (h *handler) notAllowed(w http.ResponseWriter, r *http.Request) {
-	h.fail(w, r, http.StatusMethodNotAllowed, "method_not_allowed", "this path takes POST only")
+	h.fail(w, r, http.StatusMethodNotAllowed, "method-not-allowed", "this path takes POST only")
 }
 
 func (h *handler) read(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
@@ -214,7 +214,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		h.fail(w, r, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("the body is over the bound of %d bytes", MaxBodyBytes))
+		h.fail(w, r, http.StatusRequestEntityTooLarge, "too-large", fmt.Sprintf("the body is over the bound of %d bytes", MaxBodyBytes))
 	case err != nil:
 		h.fail(w, r, http.StatusBadRequest, "invalid", "the body was not received whole")
 	}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -37,6 +37,8 @@
 	Header    http.Header
 	Body      []byte
 	RequestID string
+	// Chat names the chat to an engine; empty for services.
+	Chat string
 	// Idempotent requests may use kept connections. Fresh asks for a new
 	// connection even so.
 	Idempotent bool
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -176,14 +176,14 @@
 
 // TestRequestHeader checks what targets are sent and what they are not.
 func TestRequestHeader(t *testing.T) {
-	h := requestHeader(&Request{RequestID: "id", Header: http.Header{
+	h := requestHeader(&Request{RequestID: "id", Chat: "team/id:7", Header: http.Header{
 		"Connection": {"x-hop, close"}, "X-Hop": {"1"}, "Authorization": {"Bearer x"}, "Te": {"trailers"},
-		"Expect": {"100-continue"}, "X-Wigeonwood-Outcome": {"run"}, "X-Request-Id": {"forged"},
+		"Expect": {"100-continue"}, "X-Wigeonwood-Outcome": {"run"}, "X-Request-Id": {"forged"}, "X-Wigeonwood-Chat": {"forged"},
 		"X-Idempotency-Key": {"k"}, "Accept": {"*/*"},
 	}})
 	var b bytes.Buffer
 	h.Write(&b)
-	if got := strings.ReplaceAll(b.String(), "\r\n", "|"); got != "Accept: */*|X-Request-Id: id|x-idempotency-key: k|" {
+	if got := strings.ReplaceAll(b.String(), "\r\n", "|"); got != "Accept: */*|X-Request-Id: id|X-Wigeonwood-Chat: team/id:7|x-idempotency-key: k|" {
 		t.Error(got)
 	}
 }
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -11,6 +11,9 @@
 	HeaderRequestID      = "X-Request-Id"
 	HeaderIdempotencyKey = "Idempotency-Key"
 	ownPrefix            = "X-Wigeonwood-"
+	// HeaderChat names the chat to an engine, which names it so in its cache
+	// events.
+	HeaderChat = ownPrefix + "Chat"
 )
 
 // hopByHop are the headers that concern one connection only.
@@ -61,6 +64,9 @@
 	delete(h, "Expect")
 	delete(h, "Content-Length")
 	h[HeaderRequestID] = []string{r.RequestID}
+	if r.Chat != "" {
+		h[HeaderChat] = []string{r.Chat}
+	}
 	if _, ok := h["User-Agent"]; !ok {
 		// An explicit empty value keeps the transport from adding its own.
 		h["User-Agent"] = nil
