--- a/internal/member/slopes_test.go
+++ b/internal/member/slopes_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
 // BenchmarkSlopes measures control traffic, leases and processor time against
@@ -22,9 +27,10 @@
 }
 
 func measureSteady(b *testing.B, routers, targets int) {
-	const warmUp, measured = 10 * time.Second, 20 * time.Second
-	w := newWorld(warmUp, 1, routers, targets, 3)
-	w.run(warmUp + 5*time.Second)
+	const measured = 20 * time.Second
+	w := newWorld(0, 1, routers, targets, 3)
+	w.introduce()
+	w.run(10 * time.Second)
 	var sent, received, most int64
 	for _, n := range w.nodes {
 		s := n.budget.Stats()
@@ -60,6 +66,21 @@
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(w.messages-messages), "us/message")
 }
 
+// introduce gives all nodes the same view, so that no start is measured.
+func (w *world) introduce() {
+	for _, n := range w.nodes {
+		for _, other := range w.nodes {
+			if other != n {
+				n.core.mergeRouter(w.now, other.core.self.delta())
+			}
+		}
+		for _, target := range w.targets {
+			n.core.mergeTarget(w.now, &pb.TargetDelta{Status: shallow(target.status)})
+		}
+		n.core.news = newQueue()
+	}
+}
+
 // sampleLeases returns how old the proof of each leased target's life is at
 // each router, over a time, and how often there was no lease.
 func sampleLeases(w *world, d time.Duration) (ages []time.Duration, lapsed int) {
@@ -133,3 +154,35 @@
 		}
 	}
 }
+
+// BenchmarkMemory measures what one entry of each table takes in a router.
+func BenchmarkMemory(b *testing.B) {
+	const entries = 1800
+	for range b.N {
+		w := newWorld(0, 1, 1, 0, 1)
+		c := w.nodes[0].core
+		before := heapBytes()
+		for i := range entries {
+			status := proto.CloneOf(c.self.status)
+			status.Id = fmt.Sprint("other-", i)
+			c.mergeRouter(w.now, &pb.RouterDelta{Status: status, Generation: 1})
+		}
+		withRouters := heapBytes()
+		for i := range entries {
+			t := w.addTarget(i, 1)
+			c.mergeTarget(w.now, &pb.TargetDelta{Status: shallow(t.status)})
+			w.targets, w.events = nil, nil
+		}
+		withTargets := heapBytes()
+		b.ReportMetric(float64(withRouters-before)/entries, "B/router")
+		b.ReportMetric(float64(withTargets-withRouters)/entries, "B/target")
+		runtime.KeepAlive(w)
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
