--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -29,9 +30,11 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 
-	requests tally.Counter
-	refused  tally.Counter
-	cuts     tally.Counter
+	requests   tally.Counter
+	cuts       tally.Counter
+	tries      tally.Counter
+	firstToken tally.Timer
+	refusals   tally.Scope
 }
 
 // New makes a router. It fails if the chain's spec names an unknown filter.
@@ -48,13 +51,18 @@
 			Ledger:      c.Ledger,
 			Router:      self.GetId(),
 			Incarnation: self.GetIncarnation(),
+			Total:       func(d filter.Demand) time.Duration { return c.Timeouts[d.Class].Total },
 		},
-		ids:      newIDSource(),
-		bodies:   &bodyBudget{max: c.Bounds.MaxBodiesBytes},
-		requests: scope.Counter("requests"),
-		refused:  scope.Counter("refused"),
-		cuts:     scope.Counter("cut_answers"),
+		ids:    newIDSource(),
+		bodies: &bodyBudget{max: c.Bounds.MaxBodiesBytes},
+
+		requests:   scope.Counter("requests"),
+		cuts:       scope.Counter("cut_answers"),
+		tries:      scope.Counter("tries"),
+		firstToken: scope.Timer("first_token"),
+		refusals:   scope,
 	}
+	r.claim.Outlived = r.endOutlived
 	chain, err := r.buildChain()
 	if err != nil {
 		return nil, err
@@ -151,8 +159,13 @@
 	r.requests.Inc(1)
 	ctx, cancel := r.bound(req.Context(), x)
 	defer cancel()
-	defer x.End()
 	err := r.chain.Run(ctx, x)
+	var outlived *filter.Outlived
+	if errors.As(err, &outlived) {
+		r.reject(w, req, outlived.Exchange, outlived.Rejection)
+		return
+	}
+	defer x.End()
 	if err != nil {
 		r.reject(w, req, x, asRejection(x, err))
 		return
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -27,6 +28,7 @@
 // chatEngine answers chats plain or streamed.
 func chatEngine(w http.ResponseWriter, req *http.Request) {
 	body, _ := io.ReadAll(req.Body)
+	w.Header().Set(headerRequestID, req.Header.Get(headerRequestID))
 	if !strings.Contains(string(body), `"stream":true`) {
 		w.Header().Set("Content-Type", "application/json")
 		io.WriteString(w, `{"choices":[],"usage":{"total_tokens":9,"prompt_tokens_details":{"cached_tokens":4}}}`)
@@ -58,6 +60,33 @@
 	}
 }
 
+// TestCallerLeaves checks that the engine is told when a caller goes away, at
+// each point of an answer.
+func TestCallerLeaves(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		arrived, cancelled := make(chan struct{}), make(chan struct{})
+		b := newBench(t, engine("e1", target(t, func(w http.ResponseWriter, req *http.Request) {
+			io.Copy(io.Discard, req.Body)
+			if begun {
+				w.Header().Set("Content-Type", "text/event-stream")
+				io.WriteString(w, "data: {}\n\n")
+				w.(http.Flusher).Flush()
+			}
+			close(arrived)
+			<-req.Context().Done()
+			close(cancelled)
+		})))
+		c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(streamChat), streamChat)
+		<-arrived
+		c.Close()
+		<-cancelled
+	}
+}
+
 func TestServiceClaimedOnce(t *testing.T) {
 	var runs atomic.Int64
 	addr := target(t, func(w http.ResponseWriter, req *http.Request) {
@@ -87,3 +116,32 @@
 		t.Errorf("%d runs", runs.Load())
 	}
 }
+
+// TestClaimedPastDeadline answers the caller of a claimed request at its
+// deadline; the request goes on and its answer is found under the key.
+func TestClaimedPastDeadline(t *testing.T) {
+	release := make(chan struct{})
+	b := newBench(t, service("s1", target(t, func(w http.ResponseWriter, req *http.Request) {
+		io.Copy(io.Discard, req.Body)
+		<-release
+		io.WriteString(w, "booked")
+	})))
+	post := func(header ...string) (*http.Response, string, error) {
+		return b.do(t, "POST", "/v1/services/lab/book", "steel", append(header, "Idempotency-Key", "k")...)
+	}
+	resp, body, err := post("X-Timeout-Ms", "50")
+	if err != nil || resp.StatusCode != 504 || !strings.Contains(body, `"deadline"`) || resp.Header.Get(headerOutcome) != "unknown" {
+		t.Errorf("at the deadline: %v %v %s", resp, err, body)
+	}
+	if resp, body, _ := post(); resp.StatusCode != 409 || !strings.Contains(body, "in-progress") {
+		t.Errorf("meanwhile: %v %s", resp, body)
+	}
+	close(release)
+	b.router.claim.Wait()
+	if resp, body, _ := post(); resp.StatusCode != 200 || body != "booked" {
+		t.Errorf("later: %v %s", resp, body)
+	}
+	if got := b.records.all; len(got) != 4 || got[0].Outcome != "unknown" || got[2].Outcome != "run" || got[2].RequestID != got[0].RequestID {
+		t.Errorf("%d records, the first %+v", len(got), got[0])
+	}
+}
