--- a/internal/configlease/holder.go
+++ b/internal/configlease/holder.go
@@ -59,7 +59,6 @@
 type Holder struct {
 	cfg   Config
 	nonce uint64
-	kick  chan struct{}
 
 	grant  atomic.Pointer[grant]
 	config table
@@ -87,7 +86,6 @@
 	h := &Holder{
 		cfg:      cfg,
 		nonce:    rand.Uint64(),
-		kick:     make(chan struct{}, 1),
 		config:   newTable(),
 		first:    make(chan struct{}),
 		age:      scope.Gauge("lease_age_seconds"),
@@ -139,15 +137,6 @@
 	}
 }
 
-// Kick asks for the lease at once, for example because a peer is known to hold
-// a higher revision. It never blocks.
-func (h *Holder) Kick() {
-	select {
-	case h.kick <- struct{}{}:
-	default:
-	}
-}
-
 // Run keeps the lease until ctx ends; then it ends the lease here and tells the
 // leader, so that no change waits for this router.
 func (h *Holder) Run(ctx context.Context) {
@@ -199,7 +188,6 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-h.kick:
 	case <-ctx.Done():
 	}
 }
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -247,8 +246,3 @@
 		return false
 	}
 }
-
-// IsUnknown tells whether err leaves open if the command was committed.
-func IsUnknown(err error) bool {
-	return err != nil && !errors.Is(err, transport.ErrNotSent) && !nothingHappened(err)
-}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -156,14 +156,17 @@
 			f.net.setCut(id, "relay", true)
 		}
 		_, err := c.Claim(within(t, 4*time.Second), claim)
-		if err == nil || !IsUnknown(err) || transport.Status(err) != pb.CallStatus_CALL_STATUS_OUTCOME_UNKNOWN {
+		if err == nil || !isUnknown(err) || transport.Status(err) != pb.CallStatus_CALL_STATUS_OUTCOME_UNKNOWN {
 			t.Fatalf("a claim whose answers are cut off: %v", err)
 		}
 		f.elect("b")
 		f.setCut("b", true)
 		none := newClient(ClientConfig{Replicas: func() []string { return nil }, Logger: quietLogger(), Scope: tally.NoopScope}, link{f.net, "r2"})
-		if _, err := none.Claim(within(t, time.Second), claim); err == nil || IsUnknown(err) {
+		if _, err := none.Claim(within(t, time.Second), claim); err == nil || isUnknown(err) {
 			t.Fatalf("a claim without any replica: %v", err)
 		}
 	})
 }
+
+// isUnknown tells whether err leaves open if the command was committed.
+func isUnknown(err error) bool { return err != nil && !nothingHappened(err) }
