--- a/internal/router/matrix_test.go
+++ b/internal/router/matrix_test.go
@@ -290,7 +290,9 @@
 		if !reused {
 			return c
 		}
-		if w.warm(c) && w.warm(c) {
+		first := w.warm(c)
+		second := w.warm(c)
+		if first && second {
 			return c
 		}
 		c.Close()
