--- a/internal/router/matrix_test.go
+++ b/internal/router/matrix_test.go
@@ -54,9 +54,6 @@
 	}
 }
 
-// reachTarget is reach for steps that targets see.
-func (w *world) reachTarget(s step) { w.reach(s) }
-
 // takeLeaderChange tells whether the present ledger call meets one.
 func (w *world) takeLeaderChange() bool { return w.changes.Add(-1) >= 0 }
 
--- a/internal/router/standin_test.go
+++ b/internal/router/standin_test.go
@@ -101,7 +101,7 @@
 			return
 		}
 		run := s.run(req.Header.Get("X-Order"), req.Header.Get("X-Request-Id"))
-		s.world.reachTarget(atBodyWritten)
+		s.world.reach(atBodyWritten)
 		if !s.respond(c, req, run) {
 			return
 		}
@@ -134,10 +134,10 @@
 	}
 	mid := len(body) - 20
 	s.write(c, k, head, body[:1])
-	s.world.reachTarget(atAnswerFirst)
+	s.world.reach(atAnswerFirst)
 	s.wait()
 	s.write(c, k, "", body[1:mid])
-	s.world.reachTarget(atAnswerMid)
+	s.world.reach(atAnswerMid)
 	s.wait()
 	s.mu.Lock()
 	late, cut = s.late-late, cut || s.cut
