--- a/internal/filter/exchange.go
+++ b/internal/filter/exchange.go
@@ -115,6 +115,7 @@
 		Header:       x.Header,
 		Body:         x.Body,
 		RequestID:    x.ID,
+		Customer:     x.Demand.Contract.GetCustomer(),
 		Idempotent:   x.Idempotent,
 		Fresh:        fresh,
 		FirstByte:    t.FirstByte,
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -37,6 +37,8 @@
 	Header    http.Header
 	Body      []byte
 	RequestID string
+	// Customer is whom the request is from; targets don't see the bearer key.
+	Customer string
 	// Idempotent requests may use kept connections, if the target echoes
 	// request ids. Fresh asks for a new connection even so.
 	Idempotent bool
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -185,14 +185,15 @@
 
 // TestRequestHeader checks what targets are sent and what they are not.
 func TestRequestHeader(t *testing.T) {
-	h := requestHeader(&Request{RequestID: "id", Header: http.Header{
-		"Connection": {"x-hop, close"}, "X-Hop": {"1"}, "Authorization": {"Bearer x"}, "Te": {"trailers"},
+	h := requestHeader(&Request{RequestID: "id", Customer: "acme", Header: http.Header{
+		"X-Wigeonwood-Customer": {"forged"},
+		"Connection":            {"x-hop, close"}, "X-Hop": {"1"}, "Authorization": {"Bearer x"}, "Te": {"trailers"},
 		"Expect": {"100-continue"}, "X-Wigeonwood-Outcome": {"run"}, "X-Request-Id": {"forged"},
 		"X-Idempotency-Key": {"k"}, "Accept": {"*/*"},
 	}})
 	var b bytes.Buffer
 	h.Write(&b)
-	if got := strings.ReplaceAll(b.String(), "\r\n", "|"); got != "Accept: */*|X-Request-Id: id|x-idempotency-key: k|" {
+	if got := strings.ReplaceAll(b.String(), "\r\n", "|"); got != "Accept: */*|X-Request-Id: id|X-Wigeonwood-Customer: acme|x-idempotency-key: k|" {
 		t.Error(got)
 	}
 }
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -10,6 +10,7 @@
 const (
 	HeaderRequestID      = "X-Request-Id"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderCustomer       = "X-Wigeonwood-Customer"
 	ownPrefix            = "X-Wigeonwood-"
 )
 
@@ -61,6 +62,9 @@
 	delete(h, "Expect")
 	delete(h, "Content-Length")
 	h[HeaderRequestID] = []string{r.RequestID}
+	if r.Customer != "" {
+		h[HeaderCustomer] = []string{r.Customer}
+	}
 	if _, ok := h["User-Agent"]; !ok {
 		// An explicit empty value keeps the transport from adding its own.
 		h["User-Agent"] = nil
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -47,9 +47,22 @@
 		return err
 	}
 	x.Idempotent = r.idempotent(x)
+	x.Note(stepRead, "", repeatReason(x))
 	return nil
 }
 
+// repeatReason says how the request may be repeated.
+func repeatReason(x *filter.Exchange) string {
+	switch {
+	case x.Idempotent:
+		return "idempotent by method or declaration: may be tried again"
+	case x.Key != "":
+		return "not idempotent, with a key: to be claimed"
+	default:
+		return "not idempotent, without a key: sent at most once"
+	}
+}
+
 // setPath takes the part after the service as the target's path.
 func setPath(req *http.Request, x *filter.Exchange) error {
 	rest := strings.TrimPrefix(req.URL.EscapedPath(), servicesPrefix)
