--- a/internal/configlease/holder.go
+++ b/internal/configlease/holder.go
@@ -23,6 +23,8 @@
 	retryPause = 100 * time.Millisecond
 	// askTimeout bounds one request for the lease.
 	askTimeout = 1 * time.Second
+	// giveUpTimeout bounds telling the leader that this router serves no more.
+	giveUpTimeout = 200 * time.Millisecond
 )
 
 // Asker asks the leader for a lease; control.Client is one.
@@ -146,8 +148,10 @@
 	}
 }
 
-// Run keeps the lease until ctx ends.
+// Run keeps the lease until ctx ends; then it ends the lease here and tells the
+// leader, so that no change waits for this router.
 func (h *Holder) Run(ctx context.Context) {
+	defer h.giveUp()
 	expiry := time.AfterFunc(time.Hour, h.noteLoss)
 	defer expiry.Stop()
 	for ctx.Err() == nil {
@@ -164,6 +168,27 @@
 	}
 }
 
+// giveUp ends the lease before it tells the leader: the other way round, a
+// change could be in force while this router still serves without it.
+func (h *Holder) giveUp() {
+	h.grant.Store(&grant{revision: h.grant.Load().revision})
+	h.hookMu.Lock()
+	h.setHeldLocked(false, log.InfoLevel)
+	h.hookMu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), giveUpTimeout)
+	defer cancel()
+	_, err := h.cfg.Client.Lease(ctx, &pb.LeaseRequest{
+		Router:       h.cfg.Router,
+		Incarnation:  h.cfg.Incarnation,
+		HeldRevision: h.config.revision(),
+		GiveUp:       true,
+	})
+	if err != nil {
+		h.cfg.Logger.Debug().Err(err).Str("step", "configuration lease").Str("peer", errs.Peer(err)).
+			Msg("the leader was not told that the lease ended")
+	}
+}
+
 func (h *Holder) pause(ctx context.Context, err error) {
 	d := h.cfg.Poll
 	if err != nil {
@@ -228,7 +253,7 @@
 		h.hadFirst = true
 		close(h.first)
 	}
-	h.setHeldLocked(true)
+	h.setHeldLocked(true, log.InfoLevel)
 }
 
 // noteLoss tells the hook if the lease has ended.
@@ -238,24 +263,23 @@
 	if _, _, ok := h.Lease(); ok {
 		return
 	}
-	h.setHeldLocked(false)
+	if h.setHeldLocked(false, log.WarnLevel) {
+		h.lost.Inc(1)
+	}
 }
 
-func (h *Holder) setHeldLocked(held bool) {
+// setHeldLocked tells the hook of a change; it returns whether there was one.
+func (h *Holder) setHeldLocked(held bool, level log.Level) bool {
 	if h.held == held {
-		return
+		return false
 	}
 	h.held = held
 	revision, _, _ := h.Lease()
-	event := h.cfg.Logger.Info()
-	if !held {
-		event = h.cfg.Logger.Warn()
-		h.lost.Inc(1)
-	}
-	event.Str("step", "configuration lease").Uint64("revision", revision).Bool("held", held).Msg("the configuration lease changed")
+	h.cfg.Logger.WithLevel(level).Str("step", "configuration lease").Uint64("revision", revision).Bool("held", held).Msg("the configuration lease changed")
 	if h.cfg.OnLease != nil {
 		h.cfg.OnLease(held)
 	}
+	return true
 }
 
 func (h *Holder) report(err error) {
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -10,8 +10,12 @@
 const (
 	HeaderRequestID      = "X-Request-Id"
 	HeaderIdempotencyKey = "Idempotency-Key"
-	HeaderCustomer       = "X-Wigeonwood-Customer"
 	ownPrefix            = "X-Wigeonwood-"
+	// HeaderCustomer names the customer to a target.
+	HeaderCustomer = ownPrefix + "Customer"
+	// HeaderChat names the chat to an engine, which names it so in its cache
+	// events.
+	HeaderChat = ownPrefix + "Chat"
 )
 
 // hopByHop are the headers that concern one connection only.
@@ -65,6 +69,9 @@
 	if r.Customer != "" {
 		h[HeaderCustomer] = []string{r.Customer}
 	}
+	if r.Chat != "" {
+		h[HeaderChat] = []string{r.Chat}
+	}
 	if _, ok := h["User-Agent"]; !ok {
 		// An explicit empty value keeps the transport from adding its own.
 		h["User-Agent"] = nil
--- a/internal/router/matrix_test.go
+++ b/internal/router/matrix_test.go
@@ -287,7 +287,7 @@
 		if !reused {
 			return c
 		}
-		if w.warm(c) && w.warm(c) {
+		if known := w.warm(c); known && w.warm(c) {
 			return c
 		}
 		c.Close()
