--- a/internal/router/matrix_test.go
+++ b/internal/router/matrix_test.go
@@ -287,7 +287,9 @@
 		if !reused {
 			return c
 		}
-		if known := w.warm(c); known && w.warm(c) {
+		first := w.warm(c)
+		second := w.warm(c)
+		if first && second {
 			return c
 		}
 		c.Close()
