A busy target's answer costs one retry of the budget

The retry was taken from the budget twice, and with one left the answer was dropped without a second try: TestBusyTarget failed with 'target-failed: ... the target answered that it can't serve now'.

--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -204,3 +204,23 @@
 		}
 	}
 }
+
+// TestBusyTarget replaces an answer that the target can't serve now, for one
+// retry of the budget; without one left the caller is given that answer.
+func TestBusyTarget(t *testing.T) {
+	for burst, want := range map[float64]int{0: 503, 1: 200} {
+		f, x := newFake(), booking()
+		x.Idempotent = true
+		s := &Schedule{Scheduler: f, Lease: &Lease{Config: f}, Budget: NewBudget(0, burst)}
+		err := s.Handle(context.Background(), x, func(context.Context, *Exchange) error {
+			x.Answer = plainAnswer("answer", nil)
+			if x.Tries == 1 {
+				x.Answer.Status = 503
+			}
+			return nil
+		})
+		if err != nil || x.Answer.Status != want {
+			t.Errorf("burst %v: %v, %+v", burst, err, x.Answer)
+		}
+	}
+}
--- a/internal/filter/invariant.go
+++ b/internal/filter/invariant.go
@@ -5,8 +5,9 @@
 	"fmt"
 )
 
-// ErrInvariant marks a state that the chain must never reach; the request goes
-// no further.
+// ErrInvariant marks a state that the chain must never reach. It ends the
+// request and not the process: nothing was sent, and the other requests of the
+// router are not concerned.
 var ErrInvariant = errors.New("invariant violated")
 
 // mayDispatch asserts, before a try is handed to the client of targets, that a
--- a/internal/filter/schedule.go
+++ b/internal/filter/schedule.go
@@ -57,7 +57,7 @@
 		if !errors.Is(err, forward.ErrKept) {
 			exclude = append(exclude, grant.Target.GetId())
 		}
-		if !s.mayRetry(ctx, x, err) {
+		if !errors.Is(err, errBusy) && !s.mayRetry(ctx, x, err) {
 			return failed(ctx, x, err)
 		}
 	}
@@ -84,7 +84,8 @@
 	return nil
 }
 
-// try sends the request to one target. The grant is held to the exchange's end
+// try sends the request to one target. It fails with errBusy once the budget
+// has granted the retry that replaces the target's answer. The grant is held to the exchange's end
 // if it answers, and given back at once if not.
 func (s *Schedule) try(ctx context.Context, x *Exchange, grant *Grant, next Next) error {
 	x.Grant = grant
