--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -37,6 +37,8 @@
 	Header    http.Header
 	Body      []byte
 	RequestID string
+	// Customer is whom the request is from; targets don't see the bearer key.
+	Customer string
 	// Chat names the chat to an engine; empty for services.
 	Chat string
 	// Idempotent requests may use kept connections, if the target echoes
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -185,14 +185,15 @@
 
 // TestRequestHeader checks what targets are sent and what they are not.
 func TestRequestHeader(t *testing.T) {
-	h := requestHeader(&Request{RequestID: "id", Chat: "team/id:7", Header: http.Header{
-		"Connection": {"x-hop, close"}, "X-Hop": {"1"}, "Authorization": {"Bearer x"}, "Te": {"trailers"},
+	h := requestHeader(&Request{RequestID: "id", Chat: "team/id:7", Customer: "team", Header: http.Header{
+		"X-Wigeonwood-Customer": {"forged"},
+		"Connection":            {"x-hop, close"}, "X-Hop": {"1"}, "Authorization": {"Bearer x"}, "Te": {"trailers"},
 		"Expect": {"100-continue"}, "X-Wigeonwood-Outcome": {"run"}, "X-Request-Id": {"forged"}, "X-Wigeonwood-Chat": {"forged"},
 		"X-Idempotency-Key": {"k"}, "Accept": {"*/*"},
 	}})
 	var b bytes.Buffer
 	h.Write(&b)
-	if got := strings.ReplaceAll(b.String(), "\r\n", "|"); got != "Accept: */*|X-Request-Id: id|X-Wigeonwood-Chat: team/id:7|x-idempotency-key: k|" {
+	if got := strings.ReplaceAll(b.String(), "\r\n", "|"); got != "Accept: */*|X-Request-Id: id|X-Wigeonwood-Chat: team/id:7|X-Wigeonwood-Customer: team|x-idempotency-key: k|" {
 		t.Error(got)
 	}
 }
@@ -224,3 +225,32 @@
 		}
 	}
 }
+
+// FuzzAnswer reads what a target may send: a clean end means the whole body as
+// declared.
+func FuzzAnswer(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc")
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n2\r\nab\r\n0\r\nX: y\r\n\r\n")
+	f.Add("HTTP/1.1 103 Early\r\n\r\nHTTP/1.0 200 OK\r\nX-Request-Id: id-2\r\n\r\nabc")
+	f.Add("HTTP/1.1 101 S\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")
+	f.Fuzz(func(t *testing.T, answer string) {
+		c := New(Config{Dial: func(context.Context, string, string) (net.Conn, error) {
+			here, there := net.Pipe()
+			go func() {
+				defer there.Close()
+				http.ReadRequest(bufio.NewReader(there))
+				io.WriteString(there, answer)
+			}()
+			return here, nil
+		}})
+		defer c.Close()
+		a, err := c.Do(context.Background(), request("t", true, ""))
+		body, err := read(a, err)
+		if err == nil && a.Length >= 0 && int64(len(body)) != a.Length {
+			t.Errorf("%d bytes of %d end cleanly", len(body), a.Length)
+		}
+		if err == nil && a.Header.Get(HeaderRequestID) != "" && a.Header.Get(HeaderRequestID) != "id-1" {
+			t.Error("another's answer was taken")
+		}
+	})
+}
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -11,6 +11,8 @@
 	HeaderRequestID      = "X-Request-Id"
 	HeaderIdempotencyKey = "Idempotency-Key"
 	ownPrefix            = "X-Wigeonwood-"
+	// HeaderCustomer names the customer to a target.
+	HeaderCustomer = ownPrefix + "Customer"
 	// HeaderChat names the chat to an engine, which names it so in its cache
 	// events.
 	HeaderChat = ownPrefix + "Chat"
@@ -64,6 +66,9 @@
 	delete(h, "Expect")
 	delete(h, "Content-Length")
 	h[HeaderRequestID] = []string{r.RequestID}
+	if r.Customer != "" {
+		h[HeaderCustomer] = []string{r.Customer}
+	}
 	if r.Chat != "" {
 		h[HeaderChat] = []string{r.Chat}
 	}
