Two homes of one group find each other

Cause: claims travelled only when they were made. Routers that start side by side, or come back from a cut, each had a home, and both went on admitting for good: TestTwoHomesBecomeOne saw one count 9 places of 16 and the other 7, after 4 s. A home now tells each router that comes into view; the lower claim yields, and the higher one counts what that router holds, the rest with the confirmations.

Ruled out: claims in the gossip, which costs bytes all the time.

Goroutines start under the lock that Close takes, so that none starts once Close waits.

--- a/internal/scheduler/group.go
+++ b/internal/scheduler/group.go
@@ -21,6 +21,10 @@
 	known *pb.HomeClaim
 	// gate is nil unless this router is the home.
 	gate *gate
+	// told are the routers in view that know the own claim; telling tells
+	// that a goroutine tells the others.
+	told    map[routerKey]bool
+	telling bool
 	// releases are the numbers to be given back to the home; sending tells
 	// that a goroutine sends them, confirm that it is to list what is held.
 	releases []uint64
@@ -63,17 +67,56 @@
 	return true
 }
 
-// open begins admission under the own claim, unless a higher one is known.
-func (g *group) open(c *pb.HomeClaim, opened *gate) bool {
+// open begins admission under the own claim, of which some routers are told,
+// unless a higher one is known.
+func (g *group) open(c *pb.HomeClaim, opened *gate, told map[routerKey]bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if higher(g.known, c) {
 		return false
 	}
 	g.gate = opened
+	g.told = told
 	return true
 }
 
+// untold returns the routers that have yet to be told of the own claim, and
+// the claim; those that left the view are told again when they return.
+func (g *group) untold(inView map[routerKey]router) (*pb.HomeClaim, []routerKey) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.gate == nil || g.telling {
+		return nil, nil
+	}
+	for key := range g.told {
+		if _, ok := inView[key]; !ok {
+			delete(g.told, key)
+		}
+	}
+	var untold []routerKey
+	for key := range inView {
+		if !g.told[key] {
+			untold = append(untold, key)
+		}
+	}
+	g.telling = len(untold) > 0
+	return g.known, untold
+}
+
+func (g *group) markTold(key routerKey) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.gate != nil {
+		g.told[key] = true
+	}
+}
+
+func (g *group) endTelling() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.telling = false
+}
+
 func (g *group) present() (*gate, *pb.HomeClaim) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -108,8 +108,8 @@
 	targets, reports := s.targetsOf(g.name)
 	opened.update(targets, reports, func(pool.ID) bool { return true })
 	// The claim is not that of one request: it goes on when that one ends.
-	s.collect(context.WithoutCancel(ctx), g, next, known, opened)
-	if !g.open(next, opened) {
+	told := s.collect(context.WithoutCancel(ctx), g, next, known, opened)
+	if !g.open(next, opened, told) {
 		return nil
 	}
 	s.metrics.claims.Inc(1)
@@ -118,33 +118,79 @@
 	return opened
 }
 
-// collect tells all routers of a claim and counts what they hold. Those that
-// don't answer in time are counted by their next confirmation.
-func (s *Scheduler) collect(ctx context.Context, g *group, c, before *pb.HomeClaim, opened *gate) {
+// collect tells all routers of a claim and counts what they hold. It returns
+// those that answered; the others are told again by tellNew.
+func (s *Scheduler) collect(ctx context.Context, g *group, c, before *pb.HomeClaim, opened *gate) map[routerKey]bool {
 	s.count(opened, s.heldPlaces(g.name))
-	peers := make(map[string]string)
-	if before != nil {
+	peers := s.otherRouters()
+	if before != nil && before.Router != s.cfg.Self {
 		// The home so far, also if it is out of view.
-		peers[before.Router] = before.Addr
+		key := routerKey{id: before.Router, incarnation: before.Incarnation}
+		peers[key] = router{id: before.Router, addr: before.Addr}
 	}
-	for _, r := range s.cfg.View.Routers() {
-		peers[r.Id] = r.PeerAddr
-	}
-	delete(peers, s.cfg.Self)
+	var mu sync.Mutex
+	told := make(map[routerKey]bool)
 	var calls sync.WaitGroup
-	for _, addr := range peers {
+	for key, r := range peers {
 		calls.Go(func() {
-			reply, err := s.callClaim(ctx, addr, c)
-			if err != nil {
-				s.cfg.Logger.Warn().Err(err).Str("step", errs.Step(err)).Str("peer", errs.Peer(err)).
-					Str("group", g.name).Msg("a router did not answer the claim")
+			if !s.tell(ctx, g, c, r.addr, opened) {
 				return
 			}
-			g.learn(reply.Known)
-			s.count(opened, reply.Held)
+			mu.Lock()
+			defer mu.Unlock()
+			told[key] = true
 		})
 	}
 	calls.Wait()
+	return told
+}
+
+// tell tells one router of a claim, counts what it holds and learns what it
+// knows.
+func (s *Scheduler) tell(ctx context.Context, g *group, c *pb.HomeClaim, addr string, opened *gate) bool {
+	reply, err := s.callClaim(ctx, addr, c)
+	if err != nil {
+		s.cfg.Logger.Warn().Err(err).Str("step", errs.Step(err)).Str("peer", errs.Peer(err)).
+			Str("group", g.name).Msg("a router did not answer the claim")
+		return false
+	}
+	g.learn(reply.Known)
+	s.count(opened, reply.Held)
+	return true
+}
+
+// tellNew tells the routers that came into view of the claim in force here.
+// Two homes that could not see each other find each other this way, and the
+// one with the lower claim yields.
+func (s *Scheduler) tellNew(g *group) {
+	others := s.otherRouters()
+	c, untold := g.untold(others)
+	if len(untold) == 0 {
+		return
+	}
+	s.spawn(func() {
+		defer g.endTelling()
+		for _, key := range untold {
+			opened, _ := g.present()
+			if opened == nil {
+				return
+			}
+			if s.tell(context.Background(), g, c, others[key].addr, opened) {
+				g.markTold(key)
+			}
+		}
+	})
+}
+
+// otherRouters returns the other routers in view.
+func (s *Scheduler) otherRouters() map[routerKey]router {
+	others := make(map[routerKey]router)
+	for _, r := range s.cfg.View.Routers() {
+		if r.Id != s.cfg.Self && r.State != pb.RouterState_ROUTER_STATE_GONE {
+			others[routerKey{id: r.Id, incarnation: r.Incarnation}] = router{id: r.Id, addr: r.PeerAddr}
+		}
+	}
+	return others
 }
 
 func (s *Scheduler) count(opened *gate, held *pb.HeldPlaces) {
--- a/internal/scheduler/homes_test.go
+++ b/internal/scheduler/homes_test.go
@@ -383,3 +383,40 @@
 	}
 	releaseAll(grants)
 }
+
+// Routers that start or come back on two sides of a cut each have a home; once
+// they see each other, one of them yields and the other counts all places.
+func TestTwoHomesBecomeOne(t *testing.T) {
+	nodes := startNodes(t, 4, engines(4, 100)...)
+	left, right := nodes[:2], nodes[2:]
+	for _, side := range [][]*node{left, right} {
+		for _, nd := range side {
+			nd.sees(side...)
+		}
+	}
+	grants := append(fill(t, left, 9), fill(t, right, 7)...)
+	for _, nd := range nodes {
+		nd.sees(nodes...)
+	}
+	for range 200 {
+		if open := openGates(nodes); len(open) == 1 && open[0].stats().Grants == len(grants) {
+			releaseAll(grants)
+			waitEmpty(t, homeOf(nodes))
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, opened := range openGates(nodes) {
+		t.Errorf("a home counts %d places of %d", opened.stats().Grants, len(grants))
+	}
+}
+
+func openGates(nodes []*node) []*gate {
+	var open []*gate
+	for _, nd := range nodes {
+		if opened, _ := nd.group("engines/0").present(); opened != nil {
+			open = append(open, opened)
+		}
+	}
+	return open
+}
--- a/internal/scheduler/release.go
+++ b/internal/scheduler/release.go
@@ -58,13 +58,7 @@
 	if g.sending {
 		return
 	}
-	select {
-	case <-s.stop:
-		return
-	default:
-	}
-	g.sending = true
-	s.done.Go(func() { s.send(g) })
+	g.sending = s.spawn(func() { s.send(g) })
 }
 
 func (s *Scheduler) send(g *group) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -80,7 +80,9 @@
 // the transport server, which waits for running calls.
 func (s *Scheduler) Close() {
 	s.stopOnce.Do(func() {
+		s.mu.Lock()
 		close(s.stop)
+		s.mu.Unlock()
 		for _, g := range s.allGroups() {
 			g.end()
 		}
@@ -88,6 +90,20 @@
 	s.done.Wait()
 }
 
+// spawn runs do in a goroutine that Close waits for; it returns false if the
+// scheduler is closed.
+func (s *Scheduler) spawn(do func()) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-s.stop:
+		return false
+	default:
+	}
+	s.done.Go(do)
+	return true
+}
+
 // HomeOf returns the router that admits for a chat's engines, so that callers
 // can be sent straight to it; "" if no target serves the model.
 func (s *Scheduler) HomeOf(model, chat string) string {
@@ -111,6 +127,7 @@
 			targets, reports := s.targetsOf(g.name)
 			opened.update(targets, reports, alive)
 			s.metrics.report(opened.stats())
+			s.tellNew(g)
 		}
 	}
 }
