Membership: a restarted router replaces its forerunner of the same generation

A router that held the forerunner's status at the same version kept it: digests were equal, and views differed for good. Ruled out: budget and syncs, which had spare room. At one generation the higher incarnation now wins, it is part of the digest, and a router that hears of its forerunner takes a new generation. TestRestartWithForerunnersGeneration fails without this.

--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -10,6 +10,8 @@
 
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
 const (
@@ -337,3 +339,21 @@
 		}
 	}
 }
+
+// A process that restarts with the generation that its forerunner took when it
+// refuted its death replaces it, whatever the versions are.
+func TestRestartWithForerunnersGeneration(t *testing.T) {
+	w := newWorld(0, 1, 1, 0, 1)
+	c := w.nodes[0].core
+	for _, incarnation := range []uint64{1, 2, 1} {
+		c.mergeRouter(w.now, &pb.RouterDelta{Generation: 2, Status: &pb.RouterStatus{Id: "x", Incarnation: incarnation, Version: 5}})
+	}
+	if got := c.routers["x"].status.Incarnation; got != 2 {
+		t.Fatalf("incarnation %d is held", got)
+	}
+	own := c.self.generation
+	c.mergeRouter(w.now, &pb.RouterDelta{Generation: own, Status: &pb.RouterStatus{Id: c.self.status.Id, Incarnation: 1, Version: 1}})
+	if c.self.generation == own {
+		t.Fatal("the router kept the generation of its forerunner")
+	}
+}
--- a/internal/member/routers.go
+++ b/internal/member/routers.go
@@ -49,7 +49,7 @@
 
 func (e *routerEntry) rehash() {
 	e.bucket = bucketOf(e.status.Id)
-	e.hash = fold(hashOf(e.status.Id, e.generation, e.status.Version))
+	e.hash = fold(hashOf(e.status.Id, e.generation, e.status.Incarnation, e.status.Version))
 }
 
 // hashOf hashes a name and numbers.
@@ -111,13 +111,23 @@
 		}
 	case d.Dead:
 		c.declareDead(now, e, d.Status.State)
-	case d.Status.Version > e.status.Version:
+	case newer(d.Status, e.status):
 		c.replaceRouter(now, e, d)
-	case d.Suspect && d.Status.Version == e.status.Version:
+	case d.Suspect && d.Status.Incarnation == e.status.Incarnation && d.Status.Version == e.status.Version:
 		c.suspectRouter(now, e)
 	}
 }
 
+// newer tells whether a is the later status of one generation. A restarted
+// process may begin with the generation that its forerunner had taken last;
+// its incarnation is the higher one.
+func newer(a, b *pb.RouterStatus) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Version > b.Version
+}
+
 // replaceRouter takes d as all that is known of its router.
 func (c *core) replaceRouter(now time.Time, old *routerEntry, d *pb.RouterDelta) {
 	invariant.Check(old.state != dead || d.Generation > old.generation, "dead router returns",
@@ -178,16 +188,17 @@
 }
 
 // refute answers a false claim about this router itself: a suspicion by a new
-// version, a death by a new generation.
+// version, a death by a new generation. A new one also sets it apart from a
+// forerunner that had the same.
 func (c *core) refute(d *pb.RouterDelta) {
 	own := c.self
-	sameLife := d.Generation == own.generation
 	switch {
 	case d.Generation < own.generation:
 		return
-	case d.Dead || d.Generation > own.generation:
+	case d.Dead || d.Generation > own.generation || d.Status.Incarnation != own.status.Incarnation:
 		own.generation = d.Generation + 1
-	case sameLife && (d.Suspect && d.Status.Version >= own.status.Version || d.Status.Version > own.status.Version):
+	case d.Suspect && d.Status.Version >= own.status.Version:
+	case d.Status.Version > own.status.Version:
 	default:
 		return
 	}
