--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -18,9 +17,11 @@
 const (
 	// DefaultLease is how long a router may serve after it asked for a lease.
 	DefaultLease = 3 * time.Second
-	// driftMargin covers the difference in rate between two monotonic clocks
-	// over one lease.
-	driftMargin = 100 * time.Millisecond
+	// driftShare of a lease covers the difference in rate between a router's
+	// monotonic clock and the leader's.
+	driftShare = 0.05
+	// maxCommandBytes bounds one log entry.
+	maxCommandBytes = 128 << 10
 	// deltaBytes bounds the objects in one lease reply.
 	deltaBytes = 256 << 10
 	// forwardReserve is kept of a call's time to answer after passing it on.
@@ -55,8 +56,6 @@
 	logger *log.Logger
 	leases *leaseTable
 	reads  *readBatch
-	stop   context.CancelFunc
-	done   *sync.WaitGroup
 
 	committed tally.Counter
 	refused   tally.Counter
@@ -74,8 +73,6 @@
 		cfg.Lease = DefaultLease
 	}
 	scope := cfg.Scope.SubScope("control")
-	ctx, cancel := context.WithCancel(context.Background())
-	done := &sync.WaitGroup{}
 	return &Service{
 		log:       cfg.Log,
 		state:     cfg.State,
@@ -83,19 +80,14 @@
 		pool:      pool,
 		logger:    cfg.Logger,
 		leases:    newLeaseTable(cfg.Lease),
-		reads:     newReadBatch(ctx, done, cfg.Log, scope),
-		stop:      cancel,
-		done:      done,
+		reads:     newReadBatch(cfg.Log, scope),
 		committed: scope.Counter("commands_committed"),
 		refused:   scope.Counter("leases_refused"),
 	}
 }
 
-// Close waits for rounds under way.
-func (s *Service) Close() {
-	s.stop()
-	s.done.Wait()
-}
+// Close ends the rounds under way; later calls are refused.
+func (s *Service) Close() { s.reads.close() }
 
 // leads returns the term in which this replica may act outward now.
 func (s *Service) leads() (term uint64, ok bool) {
@@ -144,6 +136,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(data) > maxCommandBytes {
+		return nil, transport.Fail(pb.CallStatus_CALL_STATUS_FAILED, "the command is over the bound of one log entry")
+	}
 	out, at, err := s.log.Propose(ctx, data)
 	if err != nil {
 		return nil, logError(err)
--- a/internal/filter/replay.go
+++ b/internal/filter/replay.go
@@ -13,7 +13,7 @@
 // Bounds of stored answers.
 const (
 	// MaxStoredBody is the largest body that the ledger stores.
-	MaxStoredBody = 32 << 10
+	MaxStoredBody = 12 << 10
 	// MaxStoredHeader bounds the stored headers' names and values.
 	MaxStoredHeader = 4 << 10
 )
@@ -53,7 +53,7 @@
 	if s == nil || s.GetTruncated() {
 		return Known(Rejection{
 			Status:  http.StatusConflict,
-			Code:    "answer_not_stored",
+			Code:    "answer-not-stored",
 			Message: fmt.Sprintf("the request was run with status %d; its answer was too large to store", s.GetStatus()),
 			Step:    StepClaim,
 		}, true)
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -39,8 +39,8 @@
 	RequestID string
 	// Chat names the chat to an engine; empty for services.
 	Chat string
-	// Idempotent requests may use kept connections. Fresh asks for a new
-	// connection even so.
+	// Idempotent requests may use kept connections, if the target echoes
+	// request ids. Fresh asks for a new connection even so.
 	Idempotent bool
 	Fresh      bool
 	// FirstByte bounds the wait for the answer's header, BetweenBytes each
@@ -63,6 +63,7 @@
 type Client struct {
 	kept    *http.Transport
 	fresh   *http.Transport
+	echoing echoing
 	crossed tally.Counter
 	silent  tally.Counter
 	cut     tally.Counter
@@ -138,6 +139,7 @@
 		return nil, errs.Wrap(err, Step, r.Target)
 	}
 	a := newAnswer(ctx, cancel, watch, resp, r, c.count)
+	c.echoing.learn(r.Addr, a.Header.Get(HeaderRequestID) == r.RequestID)
 	if err := a.check(r); err != nil {
 		a.drop()
 		c.count(err)
@@ -148,7 +150,7 @@
 
 // transport chooses the connections for r.
 func (c *Client) transport(r *Request) *http.Transport {
-	if r.Idempotent && !r.Fresh {
+	if r.Idempotent && !r.Fresh && c.echoing.has(r.Addr) {
 		return c.kept
 	}
 	return c.fresh
@@ -171,15 +173,27 @@
 		ProtoMajor: 1,
 		ProtoMinor: 1,
 	}
-	if len(r.Body) > 0 {
-		// The type hides the bytes and GetBody stays nil: without them the
-		// transport has nothing to replay.
+	// Each retry is the chain's decision, so the transport must have nothing to
+	// replay: GetBody stays nil, the type hides the bytes, and where a method
+	// without a body would do, there is an empty one of unknown length, which
+	// the transport finds empty before it sends the header.
+	if len(r.Body) > 0 || replayableMethod(r.Method) {
 		req.Body = io.NopCloser(&onceReader{data: r.Body})
 		req.ContentLength = int64(len(r.Body))
 	}
 	return req.WithContext(httptrace.WithClientTrace(ctx, trace))
 }
 
+// replayableMethod tells whether the transport replays the method by itself if
+// there is no body.
+func replayableMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
 // targetURL keeps the path as the caller escaped it.
 func targetURL(r *Request) *url.URL {
 	u, err := url.ParseRequestURI(r.URI)
