--- a/cmd/wigeonwood/fleet_test.go
+++ b/cmd/wigeonwood/fleet_test.go
@@ -115,13 +115,16 @@
 	service   *standin.Service
 	http      *http.Client
 	contract  *pb.Contract
+	// tokens is the length of the answers that chat asks for.
+	tokens int
 }
 
 // startFleet starts control replicas and routers, and ends them with the test.
 func startFleet(t *testing.T, replicas, routers int) *processFleet {
 	f := &processFleet{
-		dir:  t.TempDir(),
-		http: &http.Client{Timeout: httpTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		dir:    t.TempDir(),
+		tokens: 5,
+		http:   &http.Client{Timeout: httpTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	for i := range replicas + routers {
 		p := &process{id: fmt.Sprintf("i%d", i+1)}
@@ -302,7 +305,7 @@
 
 // chat has one chat answered at addr and checks that the answer is its own.
 func (f *processFleet) chat(ctx context.Context, addr, content string) error {
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":5,"messages":[{"role":"user","content":%q}]}`, testModel, content)
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, testModel, f.tokens, content)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		return err
--- a/cmd/wigeonwood/slopes_test.go
+++ b/cmd/wigeonwood/slopes_test.go
@@ -21,6 +21,7 @@
 	slopeRouters = flag.String("slopes.routers", "3", "numbers of plain routers that TestSlopes measures, with commas")
 	slopeTargets = flag.Int("slopes.targets", 3, "number of stand-in engines in TestSlopes")
 	slopeTime    = flag.Duration("slopes.time", 5*time.Second, "length of each measured phase in TestSlopes")
+	slopeTokens  = flag.Int("slopes.tokens", 5, "tokens of each answer in the loaded phase of TestSlopes")
 	slopeCallers = flag.Int("slopes.callers", 4, "callers at once in the loaded phase of TestSlopes")
 )
 
@@ -50,6 +51,7 @@
 
 func measureSlopes(t *testing.T, routers int) {
 	f := startFleet(t, 3, routers)
+	f.tokens = *slopeTokens
 	f.startTargets(t, *slopeTargets)
 	f.ready(t)
 	time.Sleep(2 * time.Second)
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -128,3 +130,32 @@
 		t.Fatalf("others counted %d", got)
 	}
 }
+
+// BenchmarkMemory reports the heap that a recorder needs for each customer.
+func BenchmarkMemory(b *testing.B) {
+	const customers = 1000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		r := NewRecorder("r1", objective)
+		for i := range customers {
+			rec := *chat(time.Duration(i) * time.Millisecond)
+			rec.Customer = fmt.Sprint("customer-", i)
+			r.Observe(&rec)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/customers, "B/customer")
+		runtime.KeepAlive(r)
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	r := NewRecorder("r1", objective)
+	rec := chat(100 * time.Millisecond)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Observe(rec)
+	}
+}
