Membership: slow probing is no pause

The slowest probe interval was as long as the time after which a process counts as paused, so that with timers that fire a little late a suspicion never ended. The slowest interval is now 500 ms, a pause twice that. TestSlowProbesAreNoPause fails without this.

--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -357,3 +357,18 @@
 		t.Fatal("the router kept the generation of its forerunner")
 	}
 }
+
+// A router that probes as slowly as the pace allows, with timers that fire a
+// little late, still declares the dead: that is no pause.
+func TestSlowProbesAreNoPause(t *testing.T) {
+	w := newWorld(0, 1, 1, 0, 1)
+	c := w.nodes[0].core
+	c.mergeRouter(w.now, &pb.RouterDelta{Generation: 1, Suspect: true, Status: &pb.RouterStatus{Id: "x"}})
+	for end := w.now.Add(4 * c.suspectTimeout()); w.now.Before(end); {
+		w.now = w.now.Add(maxProbeInterval + 10*time.Millisecond)
+		c.tick(w.now)
+	}
+	if c.routers["x"].state != dead {
+		t.Fatal("a suspicion never ended")
+	}
+}
--- a/internal/member/pace.go
+++ b/internal/member/pace.go
@@ -12,7 +12,7 @@
 	// paceWeight is the weight of the last probe interval in the mean.
 	paceWeight = 0.125
 	// maxProbeInterval bounds the slowdown.
-	maxProbeInterval = 1 * time.Second
+	maxProbeInterval = 500 * time.Millisecond
 )
 
 // pace keeps the mean of what this router sends from one probe to the next,
--- a/internal/member/routers.go
+++ b/internal/member/routers.go
@@ -17,7 +17,7 @@
 	deadRetention = 6 * time.Hour
 	// pauseBound is the time without a tick after which a process counts as
 	// having been paused.
-	pauseBound = 1 * time.Second
+	pauseBound = 2 * maxProbeInterval
 	// leaveFanout is the number of peers that a leaving router tells.
 	leaveFanout = 5
 	// gcInterval is the time between removals of old entries.
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -172,7 +172,9 @@
 		life.tick(w.now)
 		w.flush(n)
 	}
-	w.after(max(time.Millisecond, life.next().Sub(w.now)), func() { w.tickLoop(n, life) })
+	// Timers fire late.
+	late := time.Duration(w.rng.Int64N(int64(2 * time.Millisecond)))
+	w.after(max(0, life.next().Sub(w.now))+late, func() { w.tickLoop(n, life) })
 }
 
 // deliver runs fn at the node, or when it thaws.
