An engine's lasting excess no longer raises the mean

Cause: what an engine reports beyond the home's places was counted as load like any other, and so raised the mean of all.

--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -16,6 +16,9 @@
 	Incarnation uint64
 	// InFlight counts the requests that the engine has in flight.
 	InFlight int
+	// Excess counts requests that the engine may have in flight besides. They
+	// count against the load bound, but don't raise the mean.
+	Excess int
 	// Capacity is the most requests that the engine may have in flight for
 	// the chooser to add one.
 	Capacity int
@@ -122,7 +125,7 @@
 }
 
 func hasRoom(e *Engine, limit int) bool {
-	return !e.Blocked && e.InFlight < limit && e.InFlight < e.Capacity
+	return !e.Blocked && e.InFlight+e.Excess < limit && e.InFlight < e.Capacity
 }
 
 // held returns the first holder that is eligible, has room and still runs in
--- a/internal/placement/measure/pools.go
+++ b/internal/placement/measure/pools.go
@@ -142,6 +142,8 @@
 	router int
 	// hints are the entry routers' own memories of recent placements.
 	hints    [routerCount]*placement.Directory
+	excess   map[int]*pool.Excess
+	reports  uint64
 	remote   int
 	local    int
 	requests [routerCount]int
@@ -153,7 +155,7 @@
 }
 
 func newHomeWith(r *run, cfg pool.Config) *home {
-	s := &home{baseline: baseline{run: r}, cfg: cfg, pool: pool.New(cfg)}
+	s := &home{baseline: baseline{run: r}, cfg: cfg, pool: pool.New(cfg), excess: make(map[int]*pool.Excess)}
 	for i := range s.hints {
 		s.hints[i] = placement.NewDirectory(min(cfg.DirectorySize, hintDirectorySize))
 	}
@@ -184,8 +186,30 @@
 	s.run.settle(s.pool.Release(at(s.run.now), placeID(q)))
 }
 
+func (s *home) report(engine, inFlight int) {
+	e, ok := s.excess[engine]
+	if !ok {
+		e = &pool.Excess{}
+		s.excess[engine] = e
+	}
+	s.reports++
+	target := s.run.engines[engine]
+	e.Add(pool.Report{Incarnation: target.incarnation, Sequence: s.reports, InFlight: inFlight}, s.pool.Granted(target.id))
+}
+
+func (s *home) lasting(engine int) int {
+	if e, ok := s.excess[engine]; ok {
+		return e.Lasting()
+	}
+	return 0
+}
+
 func (s *home) tick() {
-	s.pool.SetTargets(at(s.run.now), s.run.targets(func(int) int { return 0 }))
+	targets := s.run.targets(func(int) int { return 0 })
+	for i := range targets {
+		targets[i].Excess = s.lasting(s.run.index[targets[i].ID])
+	}
+	s.pool.SetTargets(at(s.run.now), targets)
 	s.run.settle(s.pool.Tick(at(s.run.now)))
 }
 
@@ -231,6 +255,7 @@
 func (s *home) moveTo(router int) {
 	s.router = router
 	s.pool = pool.New(s.cfg)
+	clear(s.excess)
 	s.tick()
 	for i := range s.run.trace {
 		q := &s.run.trace[i]
--- a/internal/placement/measure/situation.go
+++ b/internal/placement/measure/situation.go
@@ -32,6 +32,10 @@
 	{Name: "disagree 5 s", Disagree: true},
 	{Name: "reports late", Late: true},
 	{Name: "router dies", RouterDies: true},
+	{
+		Name: "all but the surge", Join: true, Leave: true, Flap: true, Restart: true, Replace: true,
+		Disagree: true, Late: true, RouterDies: true,
+	},
 	{
 		Name: "all at once", Surge: true, Join: true, Leave: true, Flap: true, Restart: true, Replace: true,
 		Disagree: true, Late: true, RouterDies: true,
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -123,3 +123,32 @@
 		})
 	}
 }
+
+// What a second home has in flight counts against the bound once it lasts
+// through several reports, and does not raise the mean.
+func TestLastingExcess(t *testing.T) {
+	e := &Excess{}
+	for i := range reportsKept {
+		if e.Lasting() != 0 {
+			t.Fatalf("an excess of %d reports counts", i)
+		}
+		e.Add(Report{Incarnation: 1, Sequence: uint64(i), InFlight: 5 + i}, 2)
+		e.Add(Report{Incarnation: 1, Sequence: uint64(i), InFlight: 0}, 2)
+	}
+	if got := e.Lasting(); got != 3 {
+		t.Fatalf("the lasting excess is %d, not 3", got)
+	}
+	p := New(testConfig())
+	busy, idle := engine("a", 10), engine("b", 10)
+	busy.Excess = e.Lasting()
+	p.SetTargets(start, []Target{busy, idle})
+	for n := range uint64(2) {
+		if r := p.Submit(start, request(n, "c"))[0]; r.Target != "b" {
+			t.Fatalf("request %d: %+v", n, r)
+		}
+	}
+	e.Add(Report{Incarnation: 2, Sequence: 0, InFlight: 9}, 0)
+	if e.Lasting() != 0 {
+		t.Fatal("a restarted target keeps its excess")
+	}
+}
--- a/internal/pool/targets.go
+++ b/internal/pool/targets.go
@@ -105,6 +105,7 @@
 			Hash:        t.hash,
 			Incarnation: t.Incarnation,
 			InFlight:    t.inFlight(),
+			Excess:      t.Excess,
 			Capacity:    t.Capacity - (t.Capacity*reserve+999)/1000,
 			Blocked:     slices.Contains(exclude, t.ID),
 			Joined:      t.joined,
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -57,6 +57,9 @@
 	Capacity    int
 	// External counts requests in flight that other routers admitted.
 	External int
+	// Excess counts requests that may be in flight besides, by reports that
+	// lag. They count against the load bound, but don't raise the mean.
+	Excess int
 	// Closed targets take no new work.
 	Closed bool
 }
--- a/internal/scheduler/gate.go
+++ b/internal/scheduler/gate.go
@@ -22,7 +22,7 @@
 	mu      sync.Mutex
 	pool    *pool.Pool
 	waiters map[pool.ID]chan pool.Result
-	excess  map[string]*excess
+	excess  map[string]*pool.Excess
 	closed  bool
 }
 
@@ -30,7 +30,7 @@
 	return &gate{
 		pool:    pool.New(cfg),
 		waiters: make(map[pool.ID]chan pool.Result),
-		excess:  make(map[string]*excess),
+		excess:  make(map[string]*pool.Excess),
 	}
 }
 
@@ -87,11 +87,11 @@
 
 // update replaces the targets, drops what routers held that are not alive, and
 // decides what can be decided since.
-func (g *gate) update(targets []pool.Target, reports []loadReport, alive func(pool.ID) bool) {
+func (g *gate) update(targets []pool.Target, reports []pool.Report, alive func(pool.ID) bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	g.addExternal(targets, reports)
+	g.addExcess(targets, reports)
 	g.pool.SetTargets(now, targets)
 	g.deliver(g.pool.ReleaseRouters(now, alive))
 	g.deliver(g.pool.Tick(now))
@@ -128,3 +128,25 @@
 		}
 	}
 }
+
+// addExcess sets the targets' excess from their reports, which are in the same
+// order.
+func (g *gate) addExcess(targets []pool.Target, reports []pool.Report) {
+	present := make(map[string]bool, len(targets))
+	for i := range targets {
+		t := &targets[i]
+		present[t.ID] = true
+		e, ok := g.excess[t.ID]
+		if !ok {
+			e = &pool.Excess{}
+			g.excess[t.ID] = e
+		}
+		e.Add(reports[i], g.pool.Granted(t.ID))
+		t.Excess = e.Lasting()
+	}
+	for id := range g.excess {
+		if !present[id] {
+			delete(g.excess, id)
+		}
+	}
+}
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -35,10 +35,10 @@
 }
 
 // targetsOf returns the targets of a group and their load reports.
-func (s *Scheduler) targetsOf(name string) ([]pool.Target, []loadReport) {
+func (s *Scheduler) targetsOf(name string) ([]pool.Target, []pool.Report) {
 	statuses := s.currentLayout().targets[name]
 	targets := make([]pool.Target, 0, len(statuses))
-	reports := make([]loadReport, 0, len(statuses))
+	reports := make([]pool.Report, 0, len(statuses))
 	for _, t := range statuses {
 		targets = append(targets, pool.Target{
 			ID:          t.Id,
@@ -48,10 +48,10 @@
 			Capacity:    int(t.Capacity),
 			Closed:      s.closed(t),
 		})
-		reports = append(reports, loadReport{
-			incarnation: t.Incarnation,
-			sequence:    t.Sequence,
-			inFlight:    int(t.Load.GetRunning() + t.Load.GetWaiting()),
+		reports = append(reports, pool.Report{
+			Incarnation: t.Incarnation,
+			Sequence:    t.Sequence,
+			InFlight:    int(t.Load.GetRunning() + t.Load.GetWaiting()),
 		})
 	}
 	return targets, reports
