--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -27,10 +27,10 @@
 func (r *Router) readService(w http.ResponseWriter, req *http.Request, x *filter.Exchange) error {
 	service, err := url.PathUnescape(mux.Vars(req)["service"])
 	if err != nil || service == "" {
-		return invalid(x, http.StatusBadRequest, "bad_service", "the path names no service")
+		return invalid(x, http.StatusBadRequest, "bad-service", "the path names no service")
 	}
 	if req.Method == http.MethodConnect || req.Method == http.MethodTrace {
-		return invalid(x, http.StatusMethodNotAllowed, "bad_method", req.Method+" is not forwarded")
+		return invalid(x, http.StatusMethodNotAllowed, "bad-method", req.Method+" is not forwarded")
 	}
 	if err := setPath(req, x); err != nil {
 		return err
@@ -47,9 +47,22 @@
 		return err
 	}
 	x.Idempotent = r.idempotent(x)
+	x.Note(stepRead, "", repeatReason(x))
 	return nil
 }
 
+// repeatReason says how the request may be repeated.
+func repeatReason(x *filter.Exchange) string {
+	switch {
+	case x.Idempotent:
+		return "idempotent by method or declaration: may be tried again"
+	case x.Key != "":
+		return "not idempotent, with a key: to be claimed"
+	default:
+		return "not idempotent, without a key: sent at most once"
+	}
+}
+
 // setPath takes the part after the service as the target's path.
 func setPath(req *http.Request, x *filter.Exchange) error {
 	rest := strings.TrimPrefix(req.URL.EscapedPath(), servicesPrefix)
@@ -57,11 +70,11 @@
 	x.URI = "/" + rest
 	decoded, err := url.PathUnescape(x.URI)
 	if err != nil {
-		return invalid(x, http.StatusBadRequest, "bad_path", "the path is not escaped as it should be")
+		return invalid(x, http.StatusBadRequest, "bad-path", "the path is not escaped as it should be")
 	}
 	if hasDotSegment(decoded) {
 		// A target could resolve it to a path with another declaration.
-		return invalid(x, http.StatusBadRequest, "bad_path", "the path has dot segments")
+		return invalid(x, http.StatusBadRequest, "bad-path", "the path has dot segments")
 	}
 	x.Path = collapse(decoded)
 	if req.URL.RawQuery != "" {
