Bodies of undeclared length hold what they are; keys that can't be read are refused

A chunked request kept the whole bound of a body reserved until its end, so 24 of them filled a router (TestBodiesHeld: '100 bytes count as held, want 5'). An empty or doubled Idempotency-Key counted as none or as its first value, so a booking meant to be claimed was sent without. Event streams with a declared length are flushed event by event; trailers lose the headers that only routers set.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -84,7 +84,7 @@
 }
 
 // Trailer returns the trailers; they are complete after the end of the body.
-func (a *Answer) Trailer() http.Header { return a.resp.Trailer }
+func (a *Answer) Trailer() http.Header { return copyEndToEnd(a.resp.Trailer) }
 
 // Close ends the answer. A body that wasn't read to its end takes its
 // connection with it, which cancels the request at the target.
--- a/internal/router/badinput_test.go
+++ b/internal/router/badinput_test.go
@@ -42,6 +42,8 @@
 		{"old HTTP", "GET /v1/services/lab/ HTTP/1.0\r\n\r\n", 505, "http-version"},
 		{"dot segments", get("/v1/services/lab/a/%2E./b", ""), 400, "bad-path"},
 		{"no service", get("/v1/services/", ""), 404, "not-found"},
+		{"two keys", "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\nContent-Length: 0\r\n\r\n", 400, "bad-key"},
+		{"empty key", "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nIdempotency-Key:\r\nContent-Length: 0\r\n\r\n", 400, "bad-key"},
 		{"trace", "TRACE /v1/services/lab/ HTTP/1.1\r\nHost: x\r\n\r\n", 405, "bad-method"},
 		{"no key", get("/v1/services/lab/", ""), 401, "no-key"},
 		{"other scheme", get("/v1/models", "Authorization: Basic "+testKey+"\r\n"), 401, "no-key"},
@@ -98,6 +100,34 @@
 	t.Errorf("still refused: %v %v", resp, err)
 }
 
+// TestBodiesHeld bounds the bytes of bodies, not the number of those whose
+// length was not declared.
+func TestBodiesHeld(t *testing.T) {
+	const bound = 100
+	b := newBenchWith(t, Config{Bounds: Bounds{MaxBodyBytes: bound, MaxBodiesBytes: bound + 10}}, service("s1", target(t, func(w http.ResponseWriter, req *http.Request) {
+		io.Copy(io.Discard, req.Body)
+		<-req.Context().Done()
+	})))
+	const chunked = "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsteel\r\n0\r\n\r\n"
+	for held := int64(5); held <= 15; held += 5 {
+		c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, chunked)
+		for wait := 0; b.router.bodies.used.Load() != held; wait++ {
+			if wait > 5000 {
+				t.Fatalf("%d bytes count as held, want %d", b.router.bodies.used.Load(), held)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if resp, body, _ := b.do(t, "POST", "/v1/services/lab/", strings.Repeat("x", bound)); resp.StatusCode != 503 || !strings.Contains(body, "bodies-full") {
+		t.Errorf("beyond the bound: %v %s", resp, body)
+	}
+}
+
 // TestSilentConnection lets a kept connection go silent: the same target
 // answers on a new one.
 func TestSilentConnection(t *testing.T) {
--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -85,6 +85,22 @@
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	x.Body = body
+	r.bodies.give(reserve - int64(len(body)))
+	reserve = int64(len(body))
+	return nil
+}
+
+// readKey sets the caller's Idempotency-Key. A key that was meant and can't be
+// read must not count as none.
+func readKey(req *http.Request, x *filter.Exchange) error {
+	values := req.Header.Values(headerKey)
+	if len(values) == 0 {
+		return nil
+	}
+	if len(values) > 1 || values[0] == "" {
+		return invalid(x, http.StatusBadRequest, "bad-key", headerKey+" is empty or given more than once")
+	}
+	x.Key = values[0]
 	return nil
 }
 
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -89,7 +89,7 @@
 	control := http.NewResponseController(w)
 	buf := relayBuffers.Get().(*[]byte)
 	defer relayBuffers.Put(buf)
-	stream := x.Answer.Length < 0
+	stream := x.Answer.Length < 0 || x.Answer.Events
 	for {
 		n, err := x.Answer.Body.Read(*buf)
 		if n > 0 {
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -36,7 +36,9 @@
 		return err
 	}
 	x.Demand.Service = service
-	x.Key = req.Header.Get(headerKey)
+	if err := readKey(req, x); err != nil {
+		return err
+	}
 	if err := r.readBody(w, req, x); err != nil {
 		return err
 	}
