--- a/internal/filter/schedule.go
+++ b/internal/filter/schedule.go
@@ -39,10 +39,11 @@
 func (s *Schedule) Handle(ctx context.Context, x *Exchange, next Next) error {
 	s.Budget.Request()
 	var exclude []string
+	var last error
 	for {
 		grant, err := s.Scheduler.Admit(ctx, x.Demand, exclude)
 		if err != nil {
-			return s.notAdmitted(ctx, x, err)
+			return s.notAdmitted(ctx, x, err, last)
 		}
 		x.AddReasons(grant.Reasons)
 		if err := s.ready(ctx, x, grant); err != nil {
@@ -54,6 +55,7 @@
 			return nil
 		}
 		x.Note(StepSchedule, grant.Target.GetId(), err.Error())
+		last = err
 		if !errors.Is(err, forward.ErrKept) {
 			exclude = append(exclude, grant.Target.GetId())
 		}
@@ -133,12 +135,17 @@
 	return true
 }
 
-// notAdmitted rejects a request that got no target.
-func (s *Schedule) notAdmitted(ctx context.Context, x *Exchange, err error) error {
+// notAdmitted rejects a request that got no target, or none after the try that
+// failed with last.
+func (s *Schedule) notAdmitted(ctx context.Context, x *Exchange, err, last error) error {
 	if ctx.Err() != nil {
 		return gone(x)
 	}
-	return refused(x, StepSchedule, http.StatusServiceUnavailable, err)
+	r := refused(x, StepSchedule, http.StatusServiceUnavailable, err)
+	if last != nil {
+		r.Message += fmt.Sprintf("; before that, target %s: %v", errs.Peer(last), last)
+	}
+	return r
 }
 
 // gone rejects a request whose caller left or whose time is over.
