--- a/internal/filter/fakes_test.go
+++ b/internal/filter/fakes_test.go
@@ -7,11 +7,12 @@
 	"flag"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
@@ -23,7 +24,7 @@
 	flag.Set("rapid.seed", "20261203")
 	flag.Set("rapid.checks", "3000")
 	flag.Parse()
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
 
 // fake stands for everything around the chain.
