Bodies are read for known keys only, and unread ones within a bound

Any sender, without a key, could hold 20 s and 4 MiB of the body budget: now the lease and the key are asked before the body is read ('status 408: slow-body' where 401 was due, in TestBadInput). With that alone the answer never came: net/http reads up to 256 KiB of an unread body before it writes the answer, and no deadline held for it; TestBadInput hung until its 25 s timeout. The same held for every refusal before the body was read, such as a bad path, and for GET requests with a body.

--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -51,11 +51,18 @@
 	return x.Reject(filter.Rejection{Status: status, Code: code, Message: message, Step: stepRead})
 }
 
-// readBody reads the body into x within its bounds of size and time.
+// readBody reads the body into x within its bounds of size and time. Bodies are
+// held for customers only: the chain asks again, once the request is read.
 func (r *Router) readBody(w http.ResponseWriter, req *http.Request, x *filter.Exchange) error {
 	if !req.ProtoAtLeast(1, 1) {
 		return invalid(x, http.StatusHTTPVersionNotSupported, "http-version", "a cut answer can't be shown in HTTP/1.0; use HTTP/1.1")
 	}
+	if err := r.lease.Check(x, filter.StepLease); err != nil {
+		return err
+	}
+	if _, err := r.identify.Contract(x); err != nil {
+		return err
+	}
 	limit := r.cfg.Bounds.MaxBodyBytes
 	if req.ContentLength > limit {
 		return tooLarge(x, limit)
@@ -76,14 +83,11 @@
 	if reserve == 0 {
 		return nil
 	}
-	control := http.NewResponseController(w)
-	// Writers that know no deadlines are those of tests.
-	_ = control.SetReadDeadline(time.Now().Add(r.cfg.Bounds.BodyTimeout))
 	body, err := readAll(http.MaxBytesReader(w, req.Body, limit), req.ContentLength)
 	if err != nil {
 		return badBody(x, err, limit)
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	setReadDeadline(w, 0)
 	x.Body = body
 	r.bodies.give(reserve - int64(len(body)))
 	reserve = int64(len(body))
@@ -104,6 +108,16 @@
 	return nil
 }
 
+// setReadDeadline bounds further reads of the request; zero lifts the bound.
+func setReadDeadline(w http.ResponseWriter, d time.Duration) {
+	var end time.Time
+	if d > 0 {
+		end = time.Now().Add(d)
+	}
+	// Writers that know no deadlines are those of tests.
+	_ = http.NewResponseController(w).SetReadDeadline(end)
+}
+
 // readAll reads a body whose size may be known.
 func readAll(body io.Reader, size int64) ([]byte, error) {
 	if size < 0 {
--- a/internal/router/refuse.go
+++ b/internal/router/refuse.go
@@ -24,6 +24,10 @@
 	codeMethodNotAllowed = "method-not-allowed"
 )
 
+// discardTimeout bounds the reading of what is left of a refused request's
+// body, before the answer.
+const discardTimeout = time.Second
+
 // errorBody is the JSON body of a refusal.
 type errorBody struct {
 	Error errorDetail `json:"error"`
@@ -67,6 +71,9 @@
 // refuse answers a request that did not enter the chain.
 func (r *Router) refuse(w http.ResponseWriter, req *http.Request, x *filter.Exchange, err error) {
 	defer x.End()
+	if req.ContentLength != 0 && x.Body == nil {
+		setReadDeadline(w, min(discardTimeout, r.cfg.Bounds.BodyTimeout))
+	}
 	r.reject(w, req, x, asRejection(x, err))
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -115,6 +115,11 @@
 		r.inFlight.Add(1)
 		defer r.inFlight.Add(-1)
 		r.closeWhileDraining(w.Header())
+		if req.ContentLength != 0 {
+			// Holds for bodies that no handler reads, too: the library reads
+			// some of them before it writes the answer.
+			setReadDeadline(w, r.cfg.Bounds.BodyTimeout)
+		}
 		r.handler.ServeHTTP(w, req)
 	})
 }
