Each write to a caller has a deadline

A caller that read no answers held its connection and a goroutine for good: only pieces of relayed bodies had a deadline, not refusals, lists or the last flush. TestSlowCallers: 'still connected' after 10 s with a bound of 200 ms.

--- a/internal/router/badinput_test.go
+++ b/internal/router/badinput_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -143,3 +145,35 @@
 		}
 	}
 }
+
+// TestSlowCallers disconnects callers that send their header too slowly or
+// read no answers.
+func TestSlowCallers(t *testing.T) {
+	const bound = 200 * time.Millisecond
+	b := newBenchWith(t, Config{Bounds: Bounds{HeaderTimeout: bound, WriteTimeout: bound}}, engine("e1", target(t, chatEngine)))
+	for name, request := range map[string]string{
+		"header":  "GET /healthz HTTP/1.1\r\n",
+		"answers": strings.Repeat("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n", 1000),
+		"errors":  strings.Repeat("GET /v2 HTTP/1.1\r\nHost: x\r\n\r\n", 1000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(10 * time.Second))
+			if name == "header" {
+				io.WriteString(c, request)
+				_, err = c.Read(make([]byte, 1))
+			}
+			for err == nil {
+				_, err = io.WriteString(c, request)
+			}
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("still connected")
+			}
+		})
+	}
+}
--- a/internal/router/refuse.go
+++ b/internal/router/refuse.go
@@ -95,6 +95,7 @@
 		h.Set("Connection", "close")
 	}
 	r.closeWhileDraining(h)
+	r.setWriteDeadline(w)
 	w.WriteHeader(rejection.Status)
 	whole := true
 	if req.Method != http.MethodHead {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -68,6 +68,7 @@
 		h.Set(headerReplayed, "true")
 	}
 	r.closeWhileDraining(h)
+	r.setWriteDeadline(w)
 	w.WriteHeader(a.Status)
 }
 
@@ -94,8 +95,7 @@
 		n, err := x.Answer.Body.Read(*buf)
 		if n > 0 {
 			use.scan((*buf)[:n])
-			// Writers that know no deadlines are those of tests.
-			_ = control.SetWriteDeadline(time.Now().Add(r.cfg.Bounds.WriteTimeout))
+			r.setWriteDeadline(w)
 			if werr := write(w, control, (*buf)[:n], stream); werr != nil {
 				return errs.Wrap(fmt.Errorf("%w: %w", errCallerWrite, werr), stepRelay, "")
 			}
@@ -113,6 +113,12 @@
 	}
 }
 
+// setWriteDeadline bounds the next writes to the caller.
+func (r *Router) setWriteDeadline(w http.ResponseWriter) {
+	// Writers that know no deadlines are those of tests.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(r.cfg.Bounds.WriteTimeout))
+}
+
 // write writes p and flushes it if it belongs to a stream.
 func write(w io.Writer, control *http.ResponseController, p []byte, flush bool) error {
 	if _, err := w.Write(p); err != nil {
@@ -157,7 +163,7 @@
 		RequestID: x.ID,
 		Outcome:   filter.OutcomeUnknown,
 	}})
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(r.cfg.Bounds.WriteTimeout))
+	r.setWriteDeadline(w)
 	// The blank line ends an event that was cut in the middle. The connection
 	// is aborted next, so a failed write is of no matter.
 	_, _ = fmt.Fprintf(w, "\n\nevent: error\ndata: %s\n\n", body)
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -49,8 +49,8 @@
 // others.
 func (r *Router) serveConn(w http.ResponseWriter, req *http.Request) {
 	// The deadline of an earlier answer on this connection must not end this
-	// one. Writers that know no deadlines are those of tests.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	// one; each further write sets its own.
+	r.setWriteDeadline(w)
 	c, ok := req.Context().Value(connKey{}).(*boundConn)
 	if !ok || !c.over {
 		r.Handler().ServeHTTP(w, req)
