consensus: shorter and steadier failover

Cause: timeouts drawn from one to two election timeouts, and a pre-vote that a peer refused because it had heard the leader one tick later waited for a whole new timeout. Seeds were the hash of the identity, so that each restart drew the same timeouts again; they are drawn anew now.

The lease does not rest on these draws but on votes refused for one election timeout, which is unchanged.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -20,7 +20,7 @@
 	c.role = role
 	c.leader = ""
 	c.votes = map[string]bool{c.cfg.ID: true}
-	c.resetElection()
+	c.resetCampaign()
 	if c.countVotes() {
 		return
 	}
--- a/internal/consensus/raft.go
+++ b/internal/consensus/raft.go
@@ -41,7 +41,8 @@
 	ID    string
 	Group uint32
 	// ElectionTicks without a leader start an election; the actual timeout is
-	// drawn from [ElectionTicks, 2*ElectionTicks).
+	// drawn from [ElectionTicks, 1.5*ElectionTicks). An undecided campaign is
+	// repeated after a quarter to a half of ElectionTicks.
 	ElectionTicks int
 	// HeartbeatTicks lie between two confirmation rounds.
 	HeartbeatTicks int
@@ -121,7 +122,7 @@
 		return
 	}
 	c.quietTicks++
-	if c.electionElapsed >= c.electionTimeout {
+	if c.electionElapsed >= c.electionTimeout && !c.leaderAlive() {
 		c.resetElection()
 		c.campaign(PreCandidate)
 	}
@@ -221,7 +222,16 @@
 
 func (c *Core) resetElection() {
 	c.electionElapsed = 0
-	c.electionTimeout = c.cfg.ElectionTicks + c.rand.IntN(c.cfg.ElectionTicks)
+	c.electionTimeout = c.cfg.ElectionTicks + c.rand.IntN(max(1, c.cfg.ElectionTicks/2))
+}
+
+// resetCampaign sets the time after which an undecided campaign is repeated.
+// It is short, since the leader was silent for a whole timeout already; a
+// peer that heard of it a tick later refuses the first pre-vote.
+func (c *Core) resetCampaign() {
+	c.electionElapsed = 0
+	quarter := max(1, c.cfg.ElectionTicks/4)
+	c.electionTimeout = quarter + c.rand.IntN(quarter)
 }
 
 // send queues a message that may leave only after the state it rests on is
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/fnv"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -125,6 +125,9 @@
 	journal *journal.Journal
 	metrics metrics
 	syncs   atomic.Uint64
+	// seed is drawn anew at each start, so that two replicas whose election
+	// timeouts coincide do so once only.
+	seed uint64
 	// now is the monotonic clock.
 	now func() time.Time
 
@@ -199,6 +202,7 @@
 		id:          state.ID,
 		journal:     j,
 		metrics:     newMetrics(cfg.Scope),
+		seed:        rand.Uint64(),
 		now:         time.Now,
 		transfers:   make(map[string]*journal.Snapshot),
 		proposals:   make(chan *proposal, queuedProposals),
@@ -250,7 +254,7 @@
 		Group:          n.cfg.Group,
 		ElectionTicks:  electionTicks,
 		HeartbeatTicks: heartbeatTicks,
-		Seed:           n.seed(),
+		Seed:           n.seed,
 	}, consensus.State{HardState: state.HardState, Snapshot: state.Snapshot, Entries: state.Entries})
 	n.publish()
 	close(n.started)
@@ -266,13 +270,6 @@
 	}
 }
 
-// seed differs between replicas, so that their election timeouts do too.
-func (n *Node) seed() uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(n.id))
-	return h.Sum64()
-}
-
 // release ends everything that the loop started.
 func (n *Node) release() {
 	n.cancel()
--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -191,6 +191,7 @@
 	cfg.setOptional()
 	n := newNode(context.Background(), cfg, j, state)
 	n.now = s.clock
+	n.seed = s.w.r.Uint64()
 	n.peers.open = func(id, addr string) outlet { return &simOutlet{s, addr, s.life} }
 	s.node = n
 	if err := n.restore(state); err != nil {
