replica: a join is admitted only if its address answers under its identity

Cause: a request with the address of a live replica would have replaced that one in the membership. Without the check (on a copy) TestJoinDoesNotReplaceALiveReplica fails.

--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -18,6 +18,8 @@
 var (
 	// ErrUnknownReplica means that no member has this id or address.
 	ErrUnknownReplica = errors.New("no such replica")
+	// ErrWrongIdentity means that an address answers under another identity.
+	ErrWrongIdentity = errors.New("another replica answers at this address")
 	// ErrQuorumAtRisk means that a removal would leave no live quorum.
 	ErrQuorumAtRisk = errors.New("the remaining replicas would have no live quorum")
 )
@@ -177,7 +179,7 @@
 		return err
 	}
 	if id != "" && reply.Id != id {
-		return fmt.Errorf("the replica at %s is %s, not %s", addr, reply.Id, id)
+		return ErrWrongIdentity
 	}
 	if voter, learner := n.memberState(reply.Id); voter || learner {
 		return nil
--- a/internal/replica/repair_test.go
+++ b/internal/replica/repair_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
 // smallSnapshots makes a snapshot every few entries.
@@ -106,3 +108,24 @@
 	eventually(t, "three voters", func() bool { return all.voters() == 3 })
 	requireHeld(t, added, want)
 }
+
+func TestJoinDoesNotReplaceALiveReplica(t *testing.T) {
+	f := newFleet(t, simFounders, nil)
+	leader := f.leader()
+	before := leader.node.Replicas()
+	for _, in := range f {
+		if in == leader {
+			continue
+		}
+		req := &pb.JoinRequest{Group: 1, Member: &pb.Member{Id: "other", Addr: in.addr}}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		err := in.pool.Call(ctx, leader.addr, leader.node.method("join"), req, &pb.JoinReply{})
+		cancel()
+		if err == nil {
+			t.Fatal("a join in the name of a live replica was admitted")
+		}
+	}
+	if after := leader.node.Replicas(); len(after) != len(before) || after[0].Id != before[0].Id || after[2].Id != before[2].Id {
+		t.Fatalf("the membership changed from %v to %v", before, after)
+	}
+}
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 
+	"github.com/wigeonwood/wigeonwood/internal/consensus"
+	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
@@ -47,7 +49,7 @@
 	if req.Member == nil || req.Member.Id == "" || req.Member.Addr == "" {
 		return nil, transport.Fail(pb.CallStatus_CALL_STATUS_FAILED, "the request names no replica")
 	}
-	err := n.admit(ctx, req.Member, false)
+	err := n.admitJoiner(ctx, req.Member)
 	if errors.Is(err, ErrNotLeader) {
 		_, addr := n.Leader()
 		return &pb.JoinReply{LeaderAddr: addr}, nil
@@ -58,3 +60,23 @@
 	voter, learner := n.memberState(req.Member.Id)
 	return &pb.JoinReply{Voter: voter, Learner: learner}, nil
 }
+
+// admitJoiner admits a replica that asked by itself, after its address answered
+// under its identity: a request with a wrong address must not replace the live
+// replica there.
+func (n *Node) admitJoiner(ctx context.Context, member *pb.Member) error {
+	if n.snapshotStatus().Role != consensus.Leader {
+		return ErrNotLeader
+	}
+	if voter, learner := n.memberState(member.Id); voter || learner {
+		return nil
+	}
+	reply, err := n.hello(member.Addr)
+	if err != nil {
+		return err
+	}
+	if reply.Id != member.Id {
+		return errs.Wrap(ErrWrongIdentity, "admit replica", member.Addr)
+	}
+	return n.admit(ctx, member, false)
+}
