--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/state"
 	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
@@ -20,6 +21,9 @@
 	// addresses.
 	retryMin = 25 * time.Millisecond
 	retryMax = 400 * time.Millisecond
+	// readPass bounds one pass of a read over the addresses; all of them may
+	// wait for a leader that was lost.
+	readPass = 2 * time.Second
 	// inForceTry bounds one call that waits for a revision to be in force.
 	inForceTry = 2 * time.Second
 )
@@ -144,8 +148,13 @@
 	return result, nil
 }
 
-// Resolve ends a claim.
+// Resolve ends a claim. An answer larger than the ledger stores goes without
+// its body, so that it doesn't burden the log.
 func (c *Client) Resolve(ctx context.Context, r *pb.Resolve) (*pb.ResolveResult, error) {
+	if proto.Size(r.Answer) > state.DefaultBounds().AnswerBytes {
+		r = proto.CloneOf(r)
+		r.Answer = &pb.StoredAnswer{Status: r.Answer.Status, Truncated: true}
+	}
 	reply, err := c.Submit(ctx, &pb.Command{Body: &pb.Command_Resolve{Resolve: r}})
 	if err != nil {
 		return nil, err
@@ -187,7 +196,9 @@
 	req.Hops = maxHops
 	pause := retryMin
 	for {
-		resp, err := read[pb.QueryReply](ctx, c.route, methodQuery, req)
+		passCtx, cancel := context.WithTimeout(ctx, readPass)
+		resp, err := read[pb.QueryReply](passCtx, c.route, methodQuery, req)
+		cancel()
 		if err == nil || final(err) {
 			return resp, err
 		}
@@ -235,8 +246,3 @@
 		return false
 	}
 }
-
-// IsUnknown tells whether err leaves open if the command was committed.
-func IsUnknown(err error) bool {
-	return err != nil && !errors.Is(err, transport.ErrNotSent) && !nothingHappened(err)
-}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -135,6 +135,14 @@
 		if err != nil || again.Status != pb.ClaimStatus_CLAIM_STATUS_IN_PROGRESS {
 			t.Fatalf("second call with the same attempt: %v, %v", again, err)
 		}
+		body := make([]byte, 1<<20)
+		resolved, err := c.Resolve(within(t, 5*time.Second), &pb.Resolve{
+			Customer: "harga", Key: "k", Router: "r1", RouterIncarnation: 1, Attempt: 1,
+			Outcome: pb.ClaimOutcome_CLAIM_OUTCOME_DONE, Answer: &pb.StoredAnswer{Status: 201, Body: body},
+		})
+		if err != nil || !resolved.Applied || len(f.entries[len(f.entries)-1].Data) > 1024 {
+			t.Fatalf("a large answer: %v, %v", resolved, err)
+		}
 	})
 }
 
@@ -148,14 +156,17 @@
 			f.net.setCut(id, "relay", true)
 		}
 		_, err := c.Claim(within(t, 4*time.Second), claim)
-		if err == nil || !IsUnknown(err) || transport.Status(err) != pb.CallStatus_CALL_STATUS_OUTCOME_UNKNOWN {
+		if err == nil || !isUnknown(err) || transport.Status(err) != pb.CallStatus_CALL_STATUS_OUTCOME_UNKNOWN {
 			t.Fatalf("a claim whose answers are cut off: %v", err)
 		}
 		f.elect("b")
 		f.setCut("b", true)
 		none := newClient(ClientConfig{Replicas: func() []string { return nil }, Logger: quietLogger(), Scope: tally.NoopScope}, link{f.net, "r2"})
-		if _, err := none.Claim(within(t, time.Second), claim); err == nil || IsUnknown(err) {
+		if _, err := none.Claim(within(t, time.Second), claim); err == nil || isUnknown(err) {
 			t.Fatalf("a claim without any replica: %v", err)
 		}
 	})
 }
+
+// isUnknown tells whether err leaves open if the command was committed.
+func isUnknown(err error) bool { return err != nil && !nothingHappened(err) }
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -10,12 +9,10 @@
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/replica"
 	"github.com/wigeonwood/wigeonwood/internal/state"
-	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
 func quietLogger() *log.Logger {
@@ -174,92 +171,6 @@
 func (n *fakeLog) AddReplica(context.Context, string, string, string) error { return nil }
 func (n *fakeLog) RemoveReplica(context.Context, string) error              { return nil }
 
-// memNet carries calls between handlers in memory; the test cuts directions.
-type memNet struct {
-	mu       sync.Mutex
-	handlers map[string]handlers
-	cut      map[[2]string]bool
-	delay    map[[2]string]time.Duration
-}
-
-func newMemNet() *memNet {
-	return &memNet{
-		handlers: map[string]handlers{},
-		cut:      map[[2]string]bool{},
-		delay:    map[[2]string]time.Duration{},
-	}
-}
-
-// setCut stops messages from one address to another; the way back stays.
-func (n *memNet) setCut(from, to string, cut bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cut[[2]string{from, to}] = cut
-}
-
-// setDelay slows one direction.
-func (n *memNet) setDelay(from, to string, d time.Duration) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.delay[[2]string{from, to}] = d
-}
-
-// carry returns false if ctx ends before the message arrives.
-func (n *memNet) carry(ctx context.Context, from, to string) bool {
-	n.mu.Lock()
-	d := memNetDelay + n.delay[[2]string{from, to}]
-	cut := n.cut[[2]string{from, to}]
-	n.mu.Unlock()
-	if !cut && sleep(ctx, d) {
-		return true
-	}
-	<-ctx.Done()
-	return false
-}
-
-// link is one process's way into the net.
-type link struct {
-	net  *memNet
-	from string
-}
-
-func (l link) Call(ctx context.Context, addr, method string, req, resp proto.Message) error {
-	if !l.net.carry(ctx, l.from, addr) {
-		return ctx.Err()
-	}
-	l.net.mu.Lock()
-	h := l.net.handlers[addr]
-	l.net.mu.Unlock()
-	if h == nil {
-		return fmt.Errorf("dial %s: %w", addr, transport.ErrNotSent)
-	}
-	out, err := handle(ctx, h, proto.Clone(req))
-	if !l.net.carry(ctx, addr, l.from) {
-		return ctx.Err()
-	}
-	if err != nil {
-		return transport.Fail(transport.Status(err), err.Error())
-	}
-	proto.Merge(resp, out)
-	return nil
-}
-
-func handle(ctx context.Context, h handlers, req proto.Message) (proto.Message, error) {
-	switch r := req.(type) {
-	case *pb.SubmitRequest:
-		return h.submit(ctx, r)
-	case *pb.LeaseRequest:
-		return h.lease(ctx, r)
-	case *pb.InForceRequest:
-		return h.inForce(ctx, r)
-	case *pb.QueryRequest:
-		return h.query(ctx, r)
-	case *pb.ReplicaChangeRequest:
-		return h.replicaChange(ctx, r)
-	}
-	return nil, fmt.Errorf("no handler for %T", req)
-}
-
 // fleetInMemory is three replicas, one relay and the net between them.
 type fleetInMemory struct {
 	*fakeCluster
@@ -309,10 +220,3 @@
 	defer c.mu.Unlock()
 	return c.leader
 }
-
-func (n *memNet) heal() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	clear(n.cut)
-	clear(n.delay)
-}
--- a/internal/control/route.go
+++ b/internal/control/route.go
@@ -37,6 +37,7 @@
 	done     sync.WaitGroup
 
 	mu      sync.Mutex
+	closed  bool
 	leader  string
 	avoided map[string]time.Time
 }
@@ -109,10 +110,23 @@
 			r.leader = ""
 		}
 	default:
-		if len(r.avoided) >= maxAvoided {
-			clear(r.avoided)
-		}
-		r.avoided[addr] = time.Now().Add(avoidFor)
+		r.avoidLocked(addr)
+	}
+}
+
+func (r *route) avoidLocked(addr string) {
+	if len(r.avoided) >= maxAvoided {
+		clear(r.avoided)
+	}
+	r.avoided[addr] = time.Now().Add(avoidFor)
+}
+
+// avoid tries addresses last for a while.
+func (r *route) avoid(addrs []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, addr := range addrs {
+		r.avoidLocked(addr)
 	}
 }
 
@@ -176,7 +190,8 @@
 }
 
 // read asks the addresses one after another, without waiting long for a silent
-// one, and returns the first answer.
+// one, and returns the first answer. Those that were asked before the one that
+// answered, and stayed silent, are avoided for a while.
 func read[T any, R interface {
 	*T
 	proto.Message
@@ -184,19 +199,22 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type answer struct {
+		from int
 		resp R
 		err  error
 	}
 	addrs := r.addresses()
 	answers := make(chan answer, len(addrs))
+	// silent holds the addresses asked so far that haven't answered.
+	silent := slices.Clone(addrs)
 	next := 0
-	ask := func() {
-		addr := addrs[next]
+	ask := func() bool {
+		from, addr := next, addrs[next]
 		next++
-		r.done.Go(func() {
+		return r.begin(func() {
 			resp := R(new(T))
 			err := r.call(ctx, addr, method, req, resp)
-			answers <- answer{resp, err}
+			answers <- answer{from, resp, err}
 		})
 	}
 	err := errNoAddress(method)
@@ -205,12 +223,17 @@
 	for ended := 0; ended < len(addrs); {
 		select {
 		case <-hedge.C:
-			if next < len(addrs) {
-				ask()
-				hedge.Reset(hedgeDelay)
+			if next == len(addrs) {
+				continue
 			}
+			if !ask() {
+				return nil, err
+			}
+			hedge.Reset(hedgeDelay)
 		case a := <-answers:
+			silent[a.from] = ""
 			if a.err == nil {
+				r.avoid(slices.DeleteFunc(silent[:a.from], func(s string) bool { return s == "" }))
 				return a.resp, nil
 			}
 			err = a.err
@@ -223,5 +246,21 @@
 	return nil, err
 }
 
-// close waits for calls under way.
-func (r *route) close() { r.done.Wait() }
+// begin runs call in the background; it returns false after close.
+func (r *route) begin(call func()) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	r.done.Go(call)
+	return true
+}
+
+// close lets no more reads begin and waits for those under way.
+func (r *route) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.done.Wait()
+}
--- a/internal/filter/schedule.go
+++ b/internal/filter/schedule.go
@@ -57,7 +57,7 @@
 		if !errors.Is(err, forward.ErrKept) {
 			exclude = append(exclude, grant.Target.GetId())
 		}
-		if !s.mayRetry(ctx, x, err) {
+		if !errors.Is(err, errBusy) && !s.mayRetry(ctx, x, err) {
 			return failed(ctx, x, err)
 		}
 	}
@@ -75,7 +75,7 @@
 	}
 	if x.Idempotent && s.Routes != nil && !s.Routes(grant.Target, x) {
 		return x.Reject(Rejection{
-			Code:       "routes_changed",
+			Code:       "routes-changed",
 			Message:    "the service changed its declared routes; send the request again",
 			Step:       StepSchedule,
 			RetryAfter: defaultRetryAfter,
@@ -84,7 +84,8 @@
 	return nil
 }
 
-// try sends the request to one target. The grant is held to the exchange's end
+// try sends the request to one target. It fails with errBusy once the budget
+// has granted the retry that replaces the target's answer. The grant is held to the exchange's end
 // if it answers, and given back at once if not.
 func (s *Schedule) try(ctx context.Context, x *Exchange, grant *Grant, next Next) error {
 	x.Grant = grant
@@ -98,7 +99,7 @@
 		return err
 	}
 	if err != nil {
-		grant.Release(Usage{Failed: true})
+		grant.Release(Usage{Failed: !errors.Is(err, forward.ErrCallerGone)})
 		return err
 	}
 	x.OnEnd(grant.Release)
@@ -144,7 +145,7 @@
 func gone(x *Exchange) *Rejection {
 	r := Rejection{
 		Status:  statusCallerGone,
-		Code:    "caller_gone",
+		Code:    "caller-gone",
 		Message: "the caller left",
 		Step:    StepSchedule,
 	}
@@ -171,14 +172,14 @@
 	}
 	r := Rejection{
 		Status:     http.StatusBadGateway,
-		Code:       "target_failed",
+		Code:       "target-failed",
 		Message:    fmt.Sprintf("target %s: %v", errs.Peer(err), err),
 		Step:       errs.Step(err),
 		RetryAfter: defaultRetryAfter,
 	}
 	if errors.Is(err, forward.ErrSilent) {
 		r.Status = http.StatusGatewayTimeout
-		r.Code = "target_silent"
+		r.Code = "target-silent"
 	}
 	if x.Token.Spent() && !x.Idempotent {
 		// Coming back by itself could run the request again.
