--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/journal"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
 // commandBytes is about the size of a ledger claim.
@@ -114,6 +115,42 @@
 	}
 }
 
+type byteMeter struct{ sent, received atomic.Int64 }
+
+func (m *byteMeter) Sent(_ string, n int)     { m.sent.Add(int64(n)) }
+func (m *byteMeter) Received(_ string, n int) { m.received.Add(int64(n)) }
+
+// BenchmarkIdleTraffic measures the leader's call bytes without proposals.
+func BenchmarkIdleTraffic(b *testing.B) {
+	meters := make(map[string]*byteMeter)
+	f := newFleet(b, simFounders, func(cfg *Config) {
+		cfg.TickInterval = defaultTickInterval
+		meters[cfg.Addr] = &byteMeter{}
+		cfg.Pool = transport.NewPool("token", nil, meters[cfg.Addr])
+		b.Cleanup(cfg.Pool.Close)
+	})
+	leader := f.leader()
+	time.Sleep(time.Second)
+	for name, in := range map[string]*instance{"leader": leader, "follower": f.other(leader)} {
+		m := meters[in.addr]
+		sent, received := m.sent.Load(), m.received.Load()
+		start := time.Now()
+		time.Sleep(3 * time.Second)
+		seconds := time.Since(start).Seconds()
+		b.ReportMetric(float64(m.sent.Load()-sent)/seconds, name+"-sent-B/s")
+		b.ReportMetric(float64(m.received.Load()-received)/seconds, name+"-received-B/s")
+	}
+}
+
+func (f fleet) other(not *instance) *instance {
+	for _, in := range f {
+		if in != not {
+			return in
+		}
+	}
+	return nil
+}
+
 // BenchmarkRecovery measures opening a journal that holds that many entries.
 func BenchmarkRecovery(b *testing.B) {
 	for _, entries := range []uint64{1_000, 10_000, 100_000} {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -24,7 +24,7 @@
 	defaultTickInterval = 50 * time.Millisecond
 	// electionTicks and heartbeatTicks count tick intervals.
 	electionTicks  = 16
-	heartbeatTicks = 2
+	heartbeatTicks = 4
 	// leaseMarginTicks cover that a follower's count of ticks may run ahead of
 	// its clock: one buffered tick at each end, and one for the rounding.
 	leaseMarginTicks = 3
