--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -119,7 +119,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if !slices.Contains(j.snapshots, index) {
+		// One taken here may end after a newer one was received.
 		j.snapshots = append(j.snapshots, index)
+		slices.Sort(j.snapshots)
 	}
 	return nil
 }
