--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -111,17 +111,13 @@
 func (m *Members) tickLoop() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	answers := answerMeter{budget: m.budget, at: time.Now()}
 	for {
 		select {
 		case <-m.stop:
 			return
 		case <-m.wake:
 		case <-timer.C:
-			m.do(func(c *core, now time.Time) {
-				answers.read(&c.pace, now)
-				c.tick(now)
-			})
+			m.do(func(c *core, now time.Time) { c.tick(now) })
 		}
 		m.mu.Lock()
 		timer.Reset(time.Until(m.core.next()))
@@ -129,25 +125,6 @@
 	}
 }
 
-// answerMeter tells the pace what answers to targets take of the budget.
-type answerMeter struct {
-	budget *budget.Budget
-	at     time.Time
-	sent   int64
-}
-
-const answerMeterInterval = time.Second
-
-func (a *answerMeter) read(p *pace, now time.Time) {
-	over := now.Sub(a.at)
-	if over < answerMeterInterval {
-		return
-	}
-	sent := a.budget.Stats().Sent[budget.Announce]
-	p.take(sent-a.sent, over)
-	a.at, a.sent = now, sent
-}
-
 func (m *Members) readLoop() {
 	buf := make([]byte, maxDatagramBytes+1)
 	for {
--- a/internal/member/pace.go
+++ b/internal/member/pace.go
@@ -11,12 +11,6 @@
 	paceShare = 0.7
 	// paceWeight is the weight of the last probe interval in the mean.
 	paceWeight = 0.125
-	// takenWeight is the weight of the last second in what answers take.
-	takenWeight = 0.3
-	// restShare is the share that probing and answers to targets may take
-	// together, and minPaceShare what answers never take from probing.
-	restShare    = 0.9
-	minPaceShare = 0.3
 	// maxProbeInterval bounds the slowdown.
 	maxProbeInterval = 500 * time.Millisecond
 )
@@ -26,27 +20,12 @@
 // Without it, a fleet whose answers outgrow the budget would have them cut
 // short at random, and leases with them.
 type pace struct {
-	budget float64
-	// taken is what answers to targets take of the budget, in bytes a second.
-	taken float64
+	rate  float64
 	since int
 	mean  float64
 }
 
-func newPace(rate int) pace { return pace{budget: float64(rate)} }
-
-// rate is what probing may take, in bytes a second.
-func (p *pace) rate() float64 {
-	return min(paceShare*p.budget, max(restShare*p.budget-p.taken, minPaceShare*p.budget))
-}
-
-// take notes what answers to targets took in a time. They can't be refused,
-// so that probing has to leave them their room.
-func (p *pace) take(bytes int64, over time.Duration) {
-	if over > 0 {
-		p.taken += takenWeight * (float64(bytes)/over.Seconds() - p.taken)
-	}
-}
+func newPace(rate int) pace { return pace{rate: paceShare * float64(rate)} }
 
 func (p *pace) sent(bytes int) { p.since += bytes }
 
@@ -58,10 +37,10 @@
 
 // interval is the least time between probes that the share allows.
 func (p *pace) interval() time.Duration {
-	if p.budget == 0 {
+	if p.rate == 0 {
 		return 0
 	}
-	return min(maxProbeInterval, time.Duration(p.mean/p.rate()*float64(time.Second)))
+	return min(maxProbeInterval, time.Duration(p.mean/p.rate*float64(time.Second)))
 }
 
 // probeInterval shrinks as the fleet grows, since proof of a target's life
