TestChaos: filings take 300 ms, so that faults strike while they run

Cause: with filings of no length TestChaos could not see a doubled one. Conclusion: the test is stricter; nothing of it was taken away.

--- a/cmd/wigeonwood/chaos_test.go
+++ b/cmd/wigeonwood/chaos_test.go
@@ -25,6 +25,9 @@
 	chaosTime = flag.Duration("chaos.time", 20*time.Second, "length of the faulty part of TestChaos")
 )
 
+// chaosFilingTime is long enough for faults to strike while filings run.
+const chaosFilingTime = 300 * time.Millisecond
+
 // outcomes counts what callers were told.
 type outcomes struct {
 	chats, chatFailures   atomic.Int64
@@ -66,6 +69,7 @@
 func TestChaos(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, 3, 3)
+	f.filingTime = chaosFilingTime
 	f.startTargets(t, 3)
 	f.ready(t)
 	ctx, cancel := context.WithTimeout(t.Context(), *chaosTime)
--- a/cmd/wigeonwood/fleet_test.go
+++ b/cmd/wigeonwood/fleet_test.go
@@ -117,6 +117,8 @@
 	contract  *pb.Contract
 	// tokens is the length of the answers that chat asks for.
 	tokens int
+	// filingTime is how long the service takes for one filing.
+	filingTime time.Duration
 }
 
 // startFleet starts control replicas and routers, and ends them with the test.
@@ -250,7 +252,7 @@
 		f.engines = append(f.engines, e)
 		run(fmt.Sprintf("e%d", i+1), e.Handler(), e.Announce)
 	}
-	f.service = standin.NewService(standin.ServiceConfig{ID: "s1"})
+	f.service = standin.NewService(standin.ServiceConfig{ID: "s1", Delay: f.filingTime})
 	run("s1", f.service.Handler(), f.service.Announce(testService))
 }
 
