Control budget: answers to targets leave room for news

Answers now leave half the burst; what has no room is counted as excess. TestLivenessIsNotStarved, which now also sends news, fails before ('news was refused because of answers to targets') and passes after.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -53,7 +53,7 @@
 
 // reserved is the share of the burst, in eighths, that a class leaves to the
 // classes above it.
-var reserved = [numBudgeted]int{0, 0, 1, 2, 4, 2}
+var reserved = [numBudgeted]int{0, 0, 1, 2, 4, 4}
 
 // leaseShare is the part of the rate and the burst that leases may take.
 // Routers that look for a leader would otherwise fall silent to each other.
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -79,7 +79,8 @@
 }
 
 // Neither a router that looks for a leader without pause nor targets that
-// announce themselves too often keep the router from answering probes.
+// announce themselves too often keep the router from answering probes and
+// passing on news.
 func TestLivenessIsNotStarved(t *testing.T) {
 	for name, flood := range map[string]func(b *Budget){
 		"leases": func(b *Budget) {
@@ -99,6 +100,9 @@
 				if !b.Allow(Liveness, 200) {
 					t.Fatalf("a probe was refused because of %s", name)
 				}
+				if !b.Allow(Load, 100) {
+					t.Fatalf("news was refused because of %s", name)
+				}
 			}
 			if s := b.Stats(); s.Refused[Lease] == 0 && s.Excess == 0 {
 				t.Fatalf("nothing of the flood of %s was refused or counted as excess", name)
