Entry lookup names the admitting router; explain says since when; three proofs sharpened

Cause: callers that named a chat were sent to a router of that chat, while one home admits for the model's engines, so that the lookup saved no hop; explain did not say since when a router holds a revision; and three breaks of a mechanism went unnoticed: no ping before an idle session is used, the directory never written, cache hints outside the control budget. Before: with the ping left out and with the directory not written all tests passed. After: TestIdleSilentSessionIsProvenFirst and TestChatReturnsToItsHolder fail then ('went out on a session that nobody had proven', 'returned to a').

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -90,8 +90,9 @@
 
 func revisionRows(w io.Writer, out *pb.RevisionExplained) {
 	historyRows(w, []*pb.ChangeRecord{out.Record})
-	fmt.Fprintln(w, "\nROUTER\tHOLDS\tREVISION\tLEASE LEFT")
+	fmt.Fprintln(w, "\nROUTER\tHOLDS\tREVISION\tSINCE\tLEASE LEFT")
 	for _, h := range out.Holds {
-		fmt.Fprintf(w, "%s\t%t\t%d\t%s\n", h.Router, h.Revision >= out.Record.Revision, h.Revision, time.Duration(h.LeaseLeftMs)*time.Millisecond)
+		fmt.Fprintf(w, "%s\t%t\t%d\t%s ago\t%s\n", h.Router, h.Revision >= out.Record.Revision, h.Revision,
+			time.Duration(h.HeldMs)*time.Millisecond, time.Duration(h.LeaseLeftMs)*time.Millisecond)
 	}
 }
--- a/internal/control/lease_table.go
+++ b/internal/control/lease_table.go
@@ -24,6 +24,8 @@
 type hold struct {
 	// revision that the router last acknowledged.
 	revision uint64
+	// since is when it was first known to have acknowledged the revision.
+	since time.Time
 	// until is when the last lease it may have been granted ends, by this
 	// replica's clock. The router counts from its send time, which is earlier.
 	until time.Time
@@ -86,7 +88,10 @@
 		t.signalLocked()
 	}
 	// Requests may arrive out of order; neither value falls.
-	h.revision = max(h.revision, req.HeldRevision)
+	if req.HeldRevision > h.revision || !known {
+		h.revision = req.HeldRevision
+		h.since = now
+	}
 	h.until = now.Add(t.counted())
 	t.byHolder[key] = h
 	return true
@@ -157,6 +162,7 @@
 			Router:      key.router,
 			Revision:    h.revision,
 			LeaseLeftMs: uint32(h.until.Sub(now).Milliseconds()),
+			HeldMs:      uint64(now.Sub(h.since).Milliseconds()),
 		})
 	}
 	slices.SortFunc(out, func(a, b *pb.RouterHold) int { return cmp.Compare(a.Router, b.Router) })
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -212,6 +212,7 @@
 		Logger:      in.logger,
 		Scope:       in.scope,
 		BoundFactor: in.cfg.LoadBound,
+		AllowHint:   func(n int) bool { return in.budget.Allow(budget.Hint, n) },
 	})
 	in.limiter = limits.New(limits.Config{
 		Self:   in.cfg.ID,
--- a/internal/instance/interfaces.go
+++ b/internal/instance/interfaces.go
@@ -55,7 +55,7 @@
 }
 
 func (in *Instance) startRouter() error {
-	in.entries = lookup.NewHandler(lookup.Config{View: in.members, TTL: in.cfg.EntryKeep})
+	in.entries = lookup.NewHandler(lookup.Config{View: in.members, TTL: in.cfg.EntryKeep, Home: in.scheduler.HomeOf})
 	r, err := router.New(router.Config{
 		View:         in.members,
 		Config:       in.lease,
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,18 @@
 	// ChatKey names a customer's chat as placement does, so that both agree
 	// on its home; nil means ChatKey.
 	ChatKey func(customer, chat string) string
+	// Home returns the router that admits for a model and the key of a chat, ""
+	// if it isn't known; nil means that no home is known.
+	Home func(model, key string) string
+}
+
+// Query is what a caller tells of its next requests; all of it is optional.
+type Query struct {
+	Customer string
+	Chat     string
+	// Model has the router that admits for it named first, which saves each
+	// request a call between routers.
+	Model string
 }
 
 // ChatKey names a chat as the filter chain does for one with a chat id header.
@@ -60,6 +73,7 @@
 	ttl    time.Duration
 	spread time.Duration
 	key    func(customer, chat string) string
+	home   func(model, key string) string
 
 	mu sync.Mutex
 	// listedUntil is the end of the last answer that listed this router.
@@ -69,7 +83,7 @@
 
 // NewHandler makes a handler.
 func NewHandler(cfg Config) *Handler {
-	h := &Handler{view: cfg.View, ttl: cfg.TTL, spread: cfg.Spread, key: cfg.ChatKey}
+	h := &Handler{view: cfg.View, ttl: cfg.TTL, spread: cfg.Spread, key: cfg.ChatKey, home: cfg.Home}
 	if h.ttl == 0 {
 		h.ttl = DefaultTTL
 	}
@@ -85,12 +99,13 @@
 // ServeHTTP answers with the entries for the chat in the query, if there is
 // one. The answer is never empty-handed without saying when to come back.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	customer, chat := r.URL.Query().Get("customer"), r.URL.Query().Get("chat")
-	if len(customer)+len(chat) > maxKeyBytes {
-		http.Error(w, fmt.Sprintf("customer and chat are longer than %d bytes", maxKeyBytes), http.StatusBadRequest)
+	values := r.URL.Query()
+	q := Query{Customer: values.Get("customer"), Chat: values.Get("chat"), Model: values.Get("model")}
+	if len(q.Customer)+len(q.Chat)+len(q.Model) > maxKeyBytes {
+		http.Error(w, fmt.Sprintf("customer, chat and model are longer than %d bytes", maxKeyBytes), http.StatusBadRequest)
 		return
 	}
-	answer := h.Lookup(customer, chat)
+	answer := h.Lookup(q)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Cache-Control", "no-store")
 	if len(answer.Entries) == 0 {
@@ -100,19 +115,26 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
-// Lookup returns the entries, the chat's home first. Without a chat they come
-// in random order, those of this data centre first.
-func (h *Handler) Lookup(customer, chat string) *Answer {
+// Lookup returns the entries: first the router that admits for the model, if
+// one is named, then by rendezvous for the chat, so that its later requests
+// meet a router that remembers it. Without a chat they come in random order,
+// those of this data centre first.
+func (h *Handler) Lookup(q Query) *Answer {
 	key := ""
-	if chat != "" {
-		key = h.key(customer, chat)
+	if q.Chat != "" {
+		key = h.key(q.Customer, q.Chat)
+	}
+	home := ""
+	if q.Model != "" && h.home != nil {
+		home = h.home(q.Model, key)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	serving := h.servingLocked()
 	answer := &Answer{Entries: []Entry{}, TTLMS: h.ttl.Milliseconds()}
 	self := h.view.Self().Id
-	for _, r := range rank(key, serving, h.view.Self().DataCentre) {
+	ranked := homeFirst(home, rank(key, serving, h.view.Self().DataCentre))
+	for _, r := range ranked {
 		if len(answer.Entries) == MaxEntries {
 			break
 		}
@@ -141,6 +163,18 @@
 	return serving
 }
 
+// homeFirst moves the router with this id to the front, if it is among them.
+func homeFirst(home string, routers []*pb.RouterStatus) []*pb.RouterStatus {
+	i := slices.IndexFunc(routers, func(r *pb.RouterStatus) bool { return r.Id == home })
+	if i <= 0 {
+		return routers
+	}
+	first := routers[i]
+	copy(routers[1:i+1], routers[:i])
+	routers[0] = first
+	return routers
+}
+
 func rank(key string, routers []*pb.RouterStatus, dataCentre string) []*pb.RouterStatus {
 	if key == "" {
 		return nearFirst(routers, dataCentre)
--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -33,7 +33,7 @@
 	}}
 	h := NewHandler(Config{View: view})
 	for _, chat := range []string{"1", "2", "3", "4", "5"} {
-		answer := h.Lookup("team", chat)
+		answer := h.Lookup(Query{Customer: "team", Chat: chat})
 		if len(answer.Entries) != 3 {
 			t.Fatalf("entries %v", answer.Entries)
 		}
@@ -51,7 +51,7 @@
 		if !h.KeptUntil().IsZero() {
 			t.Fatal("kept before any answer")
 		}
-		h.Lookup("", "")
+		h.Lookup(Query{})
 		if want := time.Now().Add(DefaultTTL); !h.KeptUntil().Equal(want) {
 			t.Fatalf("kept until %v, want %v", h.KeptUntil(), want)
 		}
@@ -59,7 +59,7 @@
 		h.StartDrain()
 		want := time.Now().Add(DefaultSpread + DefaultTTL)
 		time.Sleep(time.Second)
-		if answer := h.Lookup("team", "x"); len(answer.Entries) != 1 || answer.Entries[0].Addr != "b:80" {
+		if answer := h.Lookup(Query{Customer: "team", Chat: "x"}); len(answer.Entries) != 1 || answer.Entries[0].Addr != "b:80" {
 			t.Fatalf("a draining router lists itself: %v", answer.Entries)
 		}
 		if !h.KeptUntil().Equal(want) {
@@ -76,3 +76,25 @@
 		t.Fatalf("%d %v", w.Code, w.Header())
 	}
 }
+
+func TestRouterThatAdmitsComesFirst(t *testing.T) {
+	view := fakeView{routers: []*pb.RouterStatus{router("a", serving), router("b", serving), router("c", draining)}}
+	home := "b"
+	h := NewHandler(Config{View: view, Home: func(model, key string) string {
+		if model != "m" || key != "team/id:x" {
+			t.Errorf("asked for model %q, key %q", model, key)
+		}
+		return home
+	}})
+	q := Query{Customer: "team", Chat: "x", Model: "m"}
+	for _, home = range []string{"a", "b"} {
+		if answer := h.Lookup(q); len(answer.Entries) != 2 || answer.Entries[0].Addr != home+":80" {
+			t.Errorf("home %s: entries %v", home, answer.Entries)
+		}
+	}
+	for _, home = range []string{"", "c"} {
+		if answer := h.Lookup(q); len(answer.Entries) != 2 {
+			t.Errorf("home %q: entries %v", home, answer.Entries)
+		}
+	}
+}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -152,3 +152,28 @@
 		t.Fatal("a restarted target keeps its excess")
 	}
 }
+
+// A chat returns to the engine that took it, also when others are less loaded.
+func TestChatReturnsToItsHolder(t *testing.T) {
+	p := New(testConfig())
+	p.SetTargets(start, []Target{engine("a", 16), engine("b", 16), engine("c", 16), engine("d", 16)})
+	// Enough runs that one request more or less is within the load bound.
+	for n := range uint64(24) {
+		p.Submit(start, request(1000+n, fmt.Sprint("base-", n)))
+	}
+	for n := range uint64(200) {
+		chat := placement.Key(2*n + 1)
+		first := request(3*n, "c")
+		first.Chat = chat
+		took := p.Submit(start, first)[0]
+		// One request stays on the holder, so that each other engine is less loaded.
+		again := request(3*n+1, "c")
+		again.Chat = chat
+		returned := p.Submit(start, again)[0]
+		if returned.Target != took.Target || returned.Why != placement.WhyHeld {
+			t.Fatalf("chat %d: taken by %s, returned to %s (%v)", n, took.Target, returned.Target, returned.Why)
+		}
+		p.Release(start, first.ID)
+		p.Release(start, again.ID)
+	}
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -174,3 +174,20 @@
 		t.Fatalf("got %v, %d bytes sent", err, gate.sent)
 	}
 }
+
+// A session that went silent while it was idle is proven dead before a call
+// uses it, so that the call itself succeeds on a new connection.
+func TestIdleSilentSessionIsProvenFirst(t *testing.T) {
+	r := startRelay(t, startServer(t))
+	p := NewPool("secret", nil, nil)
+	defer p.Close()
+	addr := r.Addr().String()
+	if err := echo(t.Context(), p, addr); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(provenFor + 2*pingInterval)
+	r.frozen.Store(true)
+	if err := echo(t.Context(), p, addr); err != nil {
+		t.Fatalf("the call went out on a session that nobody had proven: %v", err)
+	}
+}
