Settings: misspelt variables are refused; contracts found by customer; idle peers forgotten

Cause: found by reading. A variable with our prefix that sets no flag was passed over in silence; the burn recorder sorted all contracts for each finished request (1,000 at the size to design for); the table of peers kept every address ever called. An empty variable now counts as absent, as shells mean it. Before: 'WIGEONWOOD_DATA_CENTER=a serve' named only the missing data centre. After: it names the variable (TestScripts/bad_input).

--- a/cmd/wigeonwood/fleet_test.go
+++ b/cmd/wigeonwood/fleet_test.go
@@ -35,7 +35,7 @@
 	testModel    = "draft"
 	testService  = "returns"
 	// childEnv marks a run of the test binary as the program itself.
-	childEnv = "WIGEONWOOD_TEST_CHILD"
+	childEnv = "TEST_WIGEONWOOD_CHILD"
 )
 
 // process is one instance as an operating system process.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/settings"
@@ -65,6 +67,30 @@
 	return ExitUsage
 }
 
+// checkVariables refuses variables with our prefix that set no flag of any
+// command, since a misspelt one would be passed over in silence.
+func checkVariables(root *cobra.Command) error {
+	known := make(map[string]bool)
+	collectFlags(root, known)
+	var faults []error
+	for _, pair := range os.Environ() {
+		name, value, _ := strings.Cut(pair, "=")
+		if value != "" && strings.HasPrefix(name, settings.EnvPrefix) && !known[name] {
+			faults = append(faults, fmt.Errorf("%s is not the variable of any flag", name))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+func collectFlags(cmd *cobra.Command, known map[string]bool) {
+	add := func(f *pflag.Flag) { known[settings.EnvName(f.Name)] = true }
+	cmd.Flags().VisitAll(add)
+	cmd.PersistentFlags().VisitAll(add)
+	for _, child := range cmd.Commands() {
+		collectFlags(child, known)
+	}
+}
+
 // message adds the step and the peer at which an error arose to its text.
 func message(err error) string {
 	text := err.Error()
@@ -87,7 +113,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
-			if err := settings.ApplyEnv(cmd.Flags()); err != nil {
+			err := errors.Join(checkVariables(cmd.Root()), settings.ApplyEnv(cmd.Flags()))
+			if err != nil {
 				return withCode(ExitUsage, err)
 			}
 			return nil
--- a/internal/configlease/holder.go
+++ b/internal/configlease/holder.go
@@ -124,6 +124,9 @@
 	return h.config.intent(target)
 }
 
+// Contract returns the contract of a customer, nil if there is none.
+func (h *Holder) Contract(customer string) *pb.Contract { return h.config.contract(customer) }
+
 // Contracts returns the contracts held, by customer.
 func (h *Holder) Contracts() []*pb.Contract { return h.config.contracts() }
 
--- a/internal/configlease/table.go
+++ b/internal/configlease/table.go
@@ -47,6 +47,12 @@
 	return t.intents[target]
 }
 
+func (t *table) contract(customer string) *pb.Contract {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.byCustomer[customer]
+}
+
 func (t *table) contracts() []*pb.Contract {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
--- a/internal/instance/interfaces.go
+++ b/internal/instance/interfaces.go
@@ -46,12 +46,7 @@
 
 // objectives returns the objectives of a customer's contract, nil without one.
 func (in *Instance) objectives(customer string) *pb.Objectives {
-	for _, c := range in.lease.Contracts() {
-		if c.Customer == customer {
-			return c.Objectives
-		}
-	}
-	return nil
+	return in.lease.Contract(customer).GetObjectives()
 }
 
 func (in *Instance) startRouter() error {
--- a/internal/settings/env.go
+++ b/internal/settings/env.go
@@ -21,13 +21,14 @@
 }
 
 // ApplyEnv sets each flag of fs that the command line left alone from its
-// environment variable. The error joins one line for each bad variable.
+// environment variable. An empty variable counts as absent. The error joins one
+// line for each bad variable.
 func ApplyEnv(fs *pflag.FlagSet) error {
 	var faults []error
 	fs.VisitAll(func(f *pflag.Flag) {
 		name := EnvName(f.Name)
 		value, ok := os.LookupEnv(name)
-		if !ok || f.Changed {
+		if !ok || value == "" || f.Changed {
 			return
 		}
 		if err := fs.Set(f.Name, value); err != nil {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -242,6 +242,7 @@
 		}
 		idle := peer.idle(session)
 		if idle > idleSessionTimeout {
+			p.forget(addr, peer)
 			return
 		}
 		if idle > pingInterval {
@@ -273,10 +274,26 @@
 	}
 }
 
+// forget removes an address that is no longer called, so that the table holds
+// only peers in use. A call that has the peer already may still dial; its
+// session then ends by idleness like any other.
+func (p *Pool) forget(addr string, peer *peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.peers[addr] == peer {
+		delete(p.peers, addr)
+	}
+}
+
 // drop closes a session and forgets it, if it is still the present one.
 func (p *Pool) drop(addr string, session *yamux.Session) {
 	session.Close()
-	peer := p.peer(addr)
+	p.mu.Lock()
+	peer, ok := p.peers[addr]
+	p.mu.Unlock()
+	if !ok {
+		return
+	}
 	peer.mu.Lock()
 	defer peer.mu.Unlock()
 	if peer.session == session {
