--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -1,22 +1,18 @@
 package budget
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/wigeonwood/wigeonwood/internal/testseed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20261203")
-	}
+	testseed.Fix(20261203, 0)
 	os.Exit(m.Run())
 }
 
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -14,6 +13,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/configlease"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/testseed"
 )
 
 // startRouter runs a holder until ctx ends.
@@ -277,9 +277,4 @@
 	})
 }
 
-func init() {
-	// A fixed seed gives every run the same verdict; -rapid.seed overrides it.
-	if err := flag.Set("rapid.seed", "20261203"); err != nil {
-		panic(err)
-	}
-}
+func init() { testseed.Fix(20261203, 0) }
--- a/internal/controller/orders_test.go
+++ b/internal/controller/orders_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -16,14 +15,10 @@
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/replica"
 	"github.com/wigeonwood/wigeonwood/internal/target"
+	"github.com/wigeonwood/wigeonwood/internal/testseed"
 )
 
-func init() {
-	// A fixed seed gives every run the same verdict; -rapid.seed overrides it.
-	if err := flag.Set("rapid.seed", "20261203"); err != nil {
-		panic(err)
-	}
-}
+func init() { testseed.Fix(20261203, 0) }
 
 // fakeLeader is a process that believes to lead a term until its period ends.
 type fakeLeader struct {
--- a/internal/filter/fakes_test.go
+++ b/internal/filter/fakes_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"errors"
-	"flag"
 	"io"
 	"net/http"
 	"strings"
@@ -16,14 +15,11 @@
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/testseed"
 )
 
 func TestMain(m *testing.M) {
-	// A fixed seed gives the same verdict each time; the command line can set
-	// another.
-	flag.Set("rapid.seed", "20261203")
-	flag.Set("rapid.checks", "3000")
-	flag.Parse()
+	testseed.Fix(20261203, 3000)
 	goleak.VerifyTestMain(m)
 }
 
--- a/internal/fleet/rendezvous_test.go
+++ b/internal/fleet/rendezvous_test.go
@@ -5,8 +5,12 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/wigeonwood/wigeonwood/internal/testseed"
 )
 
+func init() { testseed.Fix(1, 0) }
+
 func TestHomeIsFirstOfRank(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,8}`), 1, 20, rapid.ID[string]).Draw(t, "nodes")
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,18 +14,12 @@
 	"github.com/wigeonwood/wigeonwood/internal/journal"
 	"github.com/wigeonwood/wigeonwood/internal/journal/journaltest"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/testseed"
 )
 
 // TestMain fixes the seed of random tests unless the command line names one.
 func TestMain(m *testing.M) {
-	defaults := map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.nofailfile": "true"}
-	flag.Parse()
-	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
-	for name, value := range defaults {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	testseed.Fix(1, 1000)
 	m.Run()
 }
 
--- a/internal/limits/bound_test.go
+++ b/internal/limits/bound_test.go
@@ -1,23 +1,19 @@
 package limits
 
 import (
-	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
+
+	"github.com/wigeonwood/wigeonwood/internal/testseed"
 )
 
 // TestMain fixes the seed of the random runs unless one is given.
 func TestMain(m *testing.M) {
-	if err := errors.Join(flag.Set("rapid.seed", "1"), flag.Set("rapid.nofailfile", "true")); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	testseed.Fix(1, 0)
 	goleak.VerifyTestMain(m)
 }
 
--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -12,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/testseed"
 )
 
 const (
@@ -24,12 +24,7 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20261203")
-	}
+	testseed.Fix(20261203, 0)
 	code := m.Run()
 	if err := goleak.Find(); err != nil && code == 0 {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -15,20 +14,14 @@
 	"github.com/phuslu/log"
 	"go.uber.org/goleak"
 
+	"github.com/wigeonwood/wigeonwood/internal/testseed"
 	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
 // TestMain fixes the seed and the number of random histories, unless the
 // command line names them, so that every run gives the same verdict.
 func TestMain(m *testing.M) {
-	defaults := map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"}
-	flag.Parse()
-	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
-	for name, value := range defaults {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	testseed.Fix(1, 60)
 	goleak.VerifyTestMain(m)
 }
 
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -13,14 +12,11 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/replica"
+	"github.com/wigeonwood/wigeonwood/internal/testseed"
 )
 
 func TestMain(m *testing.M) {
-	// A fixed seed gives every run the same verdict; -rapid.seed overrides it.
-	if err := flag.Set("rapid.seed", "20261203"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
+	testseed.Fix(20261203, 0)
 	os.Exit(m.Run())
 }
 
