--- a/cmd/wigeonwood/slopes_test.go
+++ b/cmd/wigeonwood/slopes_test.go
@@ -18,8 +18,8 @@
 )
 
 var (
-	slopeRouters = flag.String("slopes.routers", "3", "numbers of plain routers that TestSlopes measures, with commas")
-	slopeTargets = flag.Int("slopes.targets", 3, "number of stand-in engines in TestSlopes")
+	slopeRouters = flag.String("slopes.routers", "6", "numbers of plain routers that TestSlopes measures, with commas")
+	slopeTargets = flag.Int("slopes.targets", 14, "number of stand-in engines in TestSlopes, beside one service")
 	slopeTime    = flag.Duration("slopes.time", 5*time.Second, "length of each measured phase in TestSlopes")
 	slopeTokens  = flag.Int("slopes.tokens", 5, "tokens of each answer in the loaded phase of TestSlopes")
 	slopeCallers = flag.Int("slopes.callers", 4, "callers at once in the loaded phase of TestSlopes")
@@ -36,7 +36,8 @@
 // controlBudget is the brief's bound on control traffic in bytes a second.
 const controlBudget = 4096
 
-// TestSlopes measures what an instance spends when idle, under changes of
+// TestSlopes holds control traffic to its budget at 9 instances and 15 targets,
+// which its flags change, and measures what an instance spends when idle, under changes of
 // configuration and under chats, against the number of routers.
 func TestSlopes(t *testing.T) {
 	t.Parallel()
@@ -75,8 +76,11 @@
 		t.Logf("%d instances, %d targets, %s (%.1f/s): replica %.2f%% core %.0f MB %.0f B/s sent %.0f B/s received; router %.2f%% core %.0f MB %.0f B/s sent %.0f B/s received",
 			len(f.instances), *slopeTargets+1, phase.name, float64(done)/took,
 			replica.cpu*100, replica.rss, replica.sent, replica.received, router.cpu*100, router.rss, router.sent, router.received)
-		if router.sent > controlBudget {
-			t.Errorf("%s: a router sends %.0f control bytes a second, over %d", phase.name, router.sent, controlBudget)
+		for i, p := range f.instances {
+			sent := (after[i].sent - before[i].sent) / took
+			if sent > controlBudget {
+				t.Errorf("%s: %s sends %.0f control bytes a second, over %d", phase.name, p.id, sent, controlBudget)
+			}
 		}
 	}
 }
--- a/internal/admin/explain.go
+++ b/internal/admin/explain.go
@@ -35,25 +35,20 @@
 
 func (s *server) explainRevision(w http.ResponseWriter, r *http.Request) {
 	number, err := strconv.ParseUint(mux.Vars(r)["number"], 10, 64)
-	if err != nil {
-		writeError(w, http.StatusBadRequest, "bad-revision", "the revision is not a whole number", nil)
+	if err != nil || number == 0 {
+		writeError(w, http.StatusBadRequest, "bad-revision", "the revision is not a whole number above 0", nil)
 		return
 	}
-	history, err := s.Control.Query(r.Context(), &pb.QueryRequest{What: pb.QueryRequest_WHAT_HISTORY, Limit: maxHistory})
+	history, err := s.Control.Query(r.Context(), &pb.QueryRequest{What: pb.QueryRequest_WHAT_HISTORY, Limit: 1, Revision: number})
 	if err != nil {
 		writeControlError(w, err)
 		return
 	}
-	out := &pb.RevisionExplained{}
-	for _, record := range history.History {
-		if record.Revision == number {
-			out.Record = record
-		}
-	}
-	if out.Record == nil {
+	if len(history.History) == 0 {
 		writeError(w, http.StatusNotFound, "not-found", "the kept history has no such revision", nil)
 		return
 	}
+	out := &pb.RevisionExplained{Record: history.History[0]}
 	holds, err := s.Control.Query(r.Context(), &pb.QueryRequest{What: pb.QueryRequest_WHAT_ROUTERS})
 	if err != nil {
 		writeControlError(w, err)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -176,7 +176,7 @@
 	case pb.QueryRequest_WHAT_INTENTS:
 		resp.Intents = firstN(s.state.Intents(req.Name), limit)
 	case pb.QueryRequest_WHAT_HISTORY:
-		resp.History = s.state.History(req.Name, limit)
+		resp.History = s.history(req, limit)
 	case pb.QueryRequest_WHAT_REPLICAS:
 		resp.Replicas = s.log.Replicas()
 	case pb.QueryRequest_WHAT_ROUTERS:
@@ -185,6 +185,16 @@
 	return resp, nil
 }
 
+func (s *Service) history(req *pb.QueryRequest, limit int) []*pb.ChangeRecord {
+	if req.Revision == 0 {
+		return s.state.History(req.Name, limit)
+	}
+	if r := s.state.Change(req.Revision); r != nil {
+		return []*pb.ChangeRecord{r}
+	}
+	return nil
+}
+
 func firstN[T any](items []T, n int) []T {
 	return items[:min(n, len(items))]
 }
--- a/internal/state/history.go
+++ b/internal/state/history.go
@@ -1,6 +1,9 @@
 package state
 
 import (
+	"cmp"
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
@@ -24,6 +27,17 @@
 	}
 }
 
+// at returns the change that made a revision, nil if it isn't kept.
+func (h *history) at(revision uint64) *pb.ChangeRecord {
+	i, found := slices.BinarySearchFunc(h.records, revision, func(r *pb.ChangeRecord, revision uint64) int {
+		return cmp.Compare(r.Revision, revision)
+	})
+	if !found {
+		return nil
+	}
+	return h.records[i]
+}
+
 // newest returns up to limit records, newest first; name filters by customer
 // or target unless it is empty.
 func (h *history) newest(name string, limit int) []*pb.ChangeRecord {
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -72,6 +72,14 @@
 	return o.intent, o.at
 }
 
+// Change returns the accepted change that made a revision, nil if it isn't kept.
+// The message is shared and must not be changed.
+func (m *Machine) Change(revision uint64) *pb.ChangeRecord {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.history.at(revision)
+}
+
 // History returns up to limit accepted changes, newest first. The messages
 // are shared and must not be changed.
 func (m *Machine) History(name string, limit int) []*pb.ChangeRecord {
