--- a/cmd/wigeonwood/chaos_test.go
+++ b/cmd/wigeonwood/chaos_test.go
@@ -21,8 +21,9 @@
 )
 
 var (
-	chaosSeed = flag.Uint64("chaos.seed", 1, "seed of the faults in TestChaos")
-	chaosTime = flag.Duration("chaos.time", 20*time.Second, "length of the faulty part of TestChaos")
+	chaosSeed  = flag.Uint64("chaos.seed", 1, "seed of the faults in TestChaos")
+	chaosTwice = flag.Bool("chaos.twice", true, "bring about a second kill or freeze during each fault in TestChaos")
+	chaosTime  = flag.Duration("chaos.time", 20*time.Second, "length of the faulty part of TestChaos")
 )
 
 // chaosFilingTime is long enough for faults to strike while filings run.
@@ -83,7 +84,10 @@
 	}
 	var last uint64
 	work.Go(func() { last = f.changeUntil(t, ctx, &counts) })
-	f.breakUntil(t, ctx, &counts)
+	if *chaosTwice {
+		work.Go(func() { f.breakUntil(t, ctx, &counts, 1) })
+	}
+	f.breakUntil(t, ctx, &counts, 0)
 	work.Wait()
 	f.checkFilings(t, filings)
 	f.checkContract(t, last)
@@ -100,34 +104,44 @@
 }
 
 // breakUntil brings about one fault at a time until ctx ends, then repairs.
-func (f *processFleet) breakUntil(t *testing.T, ctx context.Context, counts *outcomes) {
-	random := rand.New(rand.NewPCG(*chaosSeed, 0))
+// Only lane 0 loses disks, since two lost at once may rightly lose the state.
+func (f *processFleet) breakUntil(t *testing.T, ctx context.Context, counts *outcomes, lane uint64) {
+	random := rand.New(rand.NewPCG(*chaosSeed, lane))
 	for ctx.Err() == nil {
 		p := f.instances[random.IntN(len(f.instances))]
-		switch random.IntN(4) {
-		case 0:
-			t.Logf("kill and restart %s", p.id)
-			p.kill()
-			pause(ctx, time.Duration(random.IntN(1500))*time.Millisecond)
-			p.start(t)
-		case 1, 2:
-			length := time.Duration(200+random.IntN(5000)) * time.Millisecond
-			t.Logf("freeze %s for %v", p.id, length)
-			p.signal(syscall.SIGSTOP)
-			pause(ctx, length)
-			p.signal(syscall.SIGCONT)
-		case 3:
-			if p.dataDir == "" {
-				continue
-			}
-			t.Logf("lose the disk of %s", p.id)
-			f.loseDisk(t, p)
+		if !p.breaking.TryLock() {
+			pause(ctx, untilPause)
+			continue
 		}
+		f.breakOnce(t, ctx, p, random, lane == 0)
+		p.breaking.Unlock()
 		counts.faults.Add(1)
 		pause(ctx, time.Duration(500+random.IntN(1500))*time.Millisecond)
 	}
 }
 
+func (f *processFleet) breakOnce(t *testing.T, ctx context.Context, p *process, random *rand.Rand, disks bool) {
+	switch random.IntN(4) {
+	case 0:
+		t.Logf("kill and restart %s", p.id)
+		p.kill()
+		pause(ctx, time.Duration(random.IntN(1500))*time.Millisecond)
+		p.start(t)
+	case 1, 2:
+		length := time.Duration(200+random.IntN(5000)) * time.Millisecond
+		t.Logf("freeze %s for %v", p.id, length)
+		p.signal(syscall.SIGSTOP)
+		pause(ctx, length)
+		p.signal(syscall.SIGCONT)
+	case 3:
+		if !disks || p.dataDir == "" {
+			return
+		}
+		t.Logf("lose the disk of %s", p.id)
+		f.loseDisk(t, p)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/cmd/wigeonwood/fleet_test.go
+++ b/cmd/wigeonwood/fleet_test.go
@@ -46,6 +46,9 @@
 	args    []string
 	logPath string
 
+	// breaking is held while a fault is brought about at this process.
+	breaking sync.Mutex
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 }
