--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -1,4 +1,5 @@
-// Package filter is the chain that each caller's request passes: identify,
-// configuration lease, limits, ledger claim, placement, admission, forward and
-// answer check. Each filter is one small type in its own file.
+// Package filter is the chain that each caller's request passes: configuration
+// lease, identify, catalog, limits, ledger claim, schedule (placement and
+// admission), answer check and forward. Each filter is one small type in its
+// own file; DefaultSpec is the chain as data.
 package filter
