Read-through: one fan-out for reports, one lease note a request, dead functions gone

Burn report and explain each had their own bounded loop over all routers; both call fleet.ForEach now. The lease check, which runs three times for a request, wrote and formatted its note each time; only the filter does. Lender.Lent and Core.MembershipAt were called by nothing. Behaviour and tests stay as they were, but explain no longer lists the lease three times.

--- a/internal/burn/collect.go
+++ b/internal/burn/collect.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// callsAtOnce bounds the routers asked at the same time.
-	callsAtOnce = 32
 	// callTimeout bounds the wait for one router.
 	callTimeout = 3 * time.Second
 	// maxSeenRouters bounds the routers remembered as lost.
@@ -81,16 +79,9 @@
 	routers := c.view.Routers()
 	replies := make([]*pb.BurnReply, len(routers))
 	failures := make([]error, len(routers))
-	slots := make(chan struct{}, callsAtOnce)
-	var calls sync.WaitGroup
-	for i, r := range routers {
-		calls.Go(func() {
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			replies[i], failures[i] = c.ask(ctx, r, customer)
-		})
-	}
-	calls.Wait()
+	fleet.ForEach(routers, func(i int, r *pb.RouterStatus) {
+		replies[i], failures[i] = c.ask(ctx, r, customer)
+	})
 	return c.merge(routers, replies, failures)
 }
 
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -38,16 +38,6 @@
 
 func (m *memberships) currentIndex() uint64 { return m.list[len(m.list)-1].index }
 
-// at returns the membership in force after the entry at index.
-func (m *memberships) at(index uint64) *pb.Membership {
-	for i := len(m.list) - 1; i > 0; i-- {
-		if m.list[i].index <= index {
-			return m.list[i].membership
-		}
-	}
-	return m.list[0].membership
-}
-
 func (m *memberships) add(e *pb.LogEntry) {
 	membership := &pb.Membership{}
 	err := proto.Unmarshal(e.Data, membership)
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -166,7 +166,3 @@
 // MembershipIndex returns the log index of the latest membership.
 func (c *Core) MembershipIndex() uint64 { return c.log.members.currentIndex() }
 
-// MembershipAt returns the membership in force after an index that is held.
-func (c *Core) MembershipAt(index uint64) *pb.Membership {
-	return c.log.members.at(index)
-}
--- a/internal/explain/find.go
+++ b/internal/explain/find.go
@@ -15,10 +15,8 @@
 // Method is the name of the call between instances.
 const Method = "report.explain"
 
-const (
-	callsAtOnce = 32
-	callTimeout = 3 * time.Second
-)
+// callTimeout bounds the whole search.
+const callTimeout = 3 * time.Second
 
 var classNames = map[filter.Class]string{
 	filter.ClassCheck: "check",
@@ -68,25 +66,18 @@
 func Find(ctx context.Context, view fleet.View, caller Caller, requestID string) (found *pb.ExplainReply, silent []string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	slots := make(chan struct{}, callsAtOnce)
 	var mu sync.Mutex
-	var calls sync.WaitGroup
-	for _, r := range view.Routers() {
-		calls.Go(func() {
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			reply := &pb.ExplainReply{}
-			err := caller.Call(ctx, r.PeerAddr, Method, &pb.ExplainRequest{RequestId: requestID}, reply)
-			mu.Lock()
-			defer mu.Unlock()
-			switch {
-			case err != nil:
-				silent = append(silent, r.Id)
-			case reply.Found:
-				found = reply
-			}
-		})
-	}
-	calls.Wait()
+	fleet.ForEach(view.Routers(), func(_ int, r *pb.RouterStatus) {
+		reply := &pb.ExplainReply{}
+		err := caller.Call(ctx, r.PeerAddr, Method, &pb.ExplainRequest{RequestId: requestID}, reply)
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case err != nil:
+			silent = append(silent, r.Id)
+		case reply.Found:
+			found = reply
+		}
+	})
 	return found, silent
 }
--- a/internal/filter/lease.go
+++ b/internal/filter/lease.go
@@ -24,16 +24,18 @@
 	if err := l.Check(x, StepLease); err != nil {
 		return err
 	}
+	_, until, _ := l.Config.Lease()
+	left := time.Until(until).Round(time.Millisecond)
+	x.Note(StepLease, "", fmt.Sprintf("configuration revision %d under a lease for %s more", x.Revision, left))
 	return next(ctx, x)
 }
 
-// Check notes the revision in force, or returns a rejection that names other
+// Check sets the revision in force, or returns a rejection that names other
 // entries.
 func (l *Lease) Check(x *Exchange, step string) error {
 	revision, until, ok := l.Config.Lease()
-	if left := time.Until(until); ok && left > 0 {
+	if ok && time.Now().Before(until) {
 		x.Revision = revision
-		x.Note(step, "", fmt.Sprintf("configuration revision %d under a lease for %s more", revision, left.Round(time.Millisecond)))
 		return nil
 	}
 	var entries []string
--- a/internal/limits/lender.go
+++ b/internal/limits/lender.go
@@ -102,16 +102,6 @@
 	return share <= 0 || share+lent <= limit*(1+rounding)
 }
 
-// Lent returns the sum of what the routers may be using of a customer's limits.
-func (l *Lender) Lent(now time.Time, customer string) Amount {
-	a, ok := l.accounts[customer]
-	if !ok {
-		return Amount{}
-	}
-	a.expire(now)
-	return a.sum(func(lo loan) Amount { return lo.counted })
-}
-
 func (l *Lender) account(now time.Time, customer string) *account {
 	a, ok := l.accounts[customer]
 	if ok {
