--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -165,4 +165,3 @@
 
 // MembershipIndex returns the log index of the latest membership.
 func (c *Core) MembershipIndex() uint64 { return c.log.members.currentIndex() }
-
