Platform: the whole path, thin

A routing table replaces contracts on the platform: hosts, prefixes, kinds, teams and services as one replicated object with a number (routing, state), spread from instance to instance (routesync). A second chain of filters decides on routed requests (route, team, dispatch, forward) with targets chosen from the router's own view and the others' requests in flight (balance). platform/ reads the settings file and translates callers, heartbeats, configurations and lookups. Replicas form from the seeds and admit others without an operator.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -288,7 +288,7 @@
 	switch prefix {
 	case "control":
 		return Request
-	case "raft":
+	case "raft", "routing":
 		return Replica
 	case "schedule", "limits", "ledger", "forward":
 		return Request
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -16,6 +16,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/settings"
+	"github.com/wigeonwood/wigeonwood/platform"
 )
 
 // Exit codes of the command line.
@@ -70,7 +71,7 @@
 // checkVariables refuses variables with our prefix that set no flag of any
 // command, since a misspelt one would be passed over in silence.
 func checkVariables(root *cobra.Command) error {
-	known := make(map[string]bool)
+	known := map[string]bool{platform.SettingsVariable: true}
 	collectFlags(root, known)
 	var faults []error
 	for _, pair := range os.Environ() {
@@ -122,6 +123,7 @@
 	}
 	root.AddCommand(
 		newServe(),
+		newPlatform(),
 		newDev(),
 		newStandin(),
 		newContract(),
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -127,6 +127,16 @@
 	return reply.Result.GetChange(), nil
 }
 
+// PutRoutingTable submits a routing table and returns the number of the table
+// in force after it.
+func (c *Client) PutRoutingTable(ctx context.Context, t *pb.RoutingTable) (uint64, error) {
+	reply, err := c.Submit(ctx, &pb.Command{Body: &pb.Command_RoutingTable{RoutingTable: t}})
+	if err != nil {
+		return 0, err
+	}
+	return reply.Result.GetRoutingTable().GetNumber(), nil
+}
+
 // Claim commits a claim; each call must bear an attempt of its own. A grant is
 // returned to at most one call: a repeated grant counts only if this call sent
 // the claim before and lost the answer. After an error that leaves the outcome
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -21,7 +21,7 @@
 	// monotonic clock and the leader's.
 	driftShare = 0.05
 	// maxCommandBytes bounds one log entry.
-	maxCommandBytes = 128 << 10
+	maxCommandBytes = state.MaxRoutingTableBytes + 16<<10
 	// deltaBytes bounds the objects in one lease reply.
 	deltaBytes = 256 << 10
 	// forwardReserve is kept of a call's time to answer after passing it on.
@@ -179,6 +179,8 @@
 		resp.History = s.history(req, limit)
 	case pb.QueryRequest_WHAT_REPLICAS:
 		resp.Replicas = s.log.Replicas()
+	case pb.QueryRequest_WHAT_ROUTING_TABLE:
+		resp.RoutingTable = s.state.RoutingTable()
 	case pb.QueryRequest_WHAT_ROUTERS:
 		resp.Routers = firstN(s.leases.holds(time.Now()), limit)
 	}
--- a/internal/filter/answer.go
+++ b/internal/filter/answer.go
@@ -21,4 +21,6 @@
 	Events bool
 	// Replayed tells that the body comes from the ledger.
 	Replayed bool
+	// NotRun tells that the target declares not to have run the request.
+	NotRun bool
 }
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -28,8 +28,14 @@
 	StepSchedule = "schedule"
 	StepCheck    = "check"
 	StepForward  = "forward"
+	StepRoute    = "route"
+	StepTeam     = "team"
+	StepDispatch = "dispatch"
 )
 
+// RoutedSpec is the chain for requests that a routing table decides on.
+var RoutedSpec = Spec{StepRoute, StepTeam, StepDispatch, StepForward}
+
 // DefaultSpec is the chain of a router. The lease comes before identify,
 // because contracts that may be out of date don't tell who the caller is. The
 // claim comes before schedule, because nothing may be sent without it.
--- /dev/null
+++ b/internal/filter/events.go
@@ -0,0 +1,164 @@
+package filter
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/balance"
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+)
+
+const (
+	// streamSilenceGaps times the longest pause of a stream that is on time, and
+	// at least minStreamSilence, is how long a resumable stream may be silent.
+	streamSilenceGaps = 4
+	minStreamSilence  = 1500 * time.Millisecond
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+	// eventReadBytes is the most that is read at a time.
+	eventReadBytes = 8 << 10
+)
+
+// errOrder means that a resumed stream did not go on where it was cut.
+var errOrder = errors.New("the resumed stream does not go on after the last event")
+
+// eventStream passes whole events on. A stream that ends early is resumed at
+// another target after the last whole event, where the route permits it.
+type eventStream struct {
+	ctx  context.Context
+	work *dispatch
+	body io.ReadCloser
+	// ready holds whole events, partial what was read of the next one.
+	ready   []byte
+	partial []byte
+	buf     []byte
+	// last is the number of the last whole event, lastID its id as it was sent.
+	last    uint64
+	lastID  string
+	resumed bool
+	err     error
+}
+
+func newEventStream(ctx context.Context, work *dispatch, body io.ReadCloser) *eventStream {
+	return &eventStream{ctx: ctx, work: work, body: body, buf: make([]byte, eventReadBytes), lastID: work.x.LastEvent}
+}
+
+// Read returns whole events.
+func (s *eventStream) Read(p []byte) (int, error) {
+	for len(s.ready) == 0 {
+		if s.err != nil {
+			return 0, s.err
+		}
+		s.fill()
+	}
+	n := copy(p, s.ready)
+	s.ready = s.ready[n:]
+	return n, nil
+}
+
+// Close closes the present target's answer.
+func (s *eventStream) Close() error { return s.body.Close() }
+
+// fill reads once from the target.
+func (s *eventStream) fill() {
+	n, err := s.body.Read(s.buf)
+	if n > 0 {
+		s.partial = append(s.partial, s.buf[:n]...)
+		s.split()
+	}
+	switch {
+	case s.err != nil || err == nil:
+	case errors.Is(err, io.EOF):
+		// What follows the last whole event belongs to the body as well.
+		s.ready = append(s.ready, s.partial...)
+		s.partial = nil
+		s.err = io.EOF
+	default:
+		s.cut(err)
+	}
+}
+
+// eventEnd is the blank line after each event.
+var eventEnd = []byte("\n\n")
+
+// split moves whole events from partial to ready.
+func (s *eventStream) split() {
+	for {
+		i := bytes.Index(s.partial, eventEnd)
+		if i < 0 {
+			break
+		}
+		event := s.partial[:i+len(eventEnd)]
+		if !s.inOrder(event) {
+			s.err = errs.Wrap(errOrder, StepDispatch, s.work.choice.Target.Id)
+			return
+		}
+		s.ready = append(s.ready, event...)
+		s.partial = s.partial[len(event):]
+	}
+	if len(s.partial) > maxEventBytes {
+		s.err = errs.Wrap(fmt.Errorf("an event is over the bound of %d bytes", maxEventBytes), StepDispatch, s.work.choice.Target.Id)
+	}
+}
+
+// inOrder notes the event's id; false if a resumed stream left one out or sent
+// one again.
+func (s *eventStream) inOrder(event []byte) bool {
+	id := eventID(event)
+	if id == "" {
+		return true
+	}
+	number, err := strconv.ParseUint(id, 10, 64)
+	if err == nil && s.resumed && number != s.last+1 {
+		return false
+	}
+	if err == nil {
+		s.last = number
+	}
+	s.lastID = id
+	return true
+}
+
+// eventID returns the event's id field, "" without one.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(id))
+		}
+	}
+	return ""
+}
+
+// cut resumes the stream elsewhere, or ends it with err.
+func (s *eventStream) cut(err error) {
+	w := s.work
+	s.partial = nil
+	s.body.Close()
+	if s.ctx.Err() != nil || !w.repeatable() || s.lastID == "" || w.ran >= w.x.Route.MaxTargets || !w.Sends.Again(w.x.Demand.Service) {
+		s.err = err
+		return
+	}
+	w.choice.Done(balance.Broken)
+	w.x.Note(StepDispatch, w.choice.Target.Id, "resumed after event "+s.lastID+": "+err.Error())
+	first := w.x.Answer
+	w.x.LastEvent = s.lastID
+	if rerr := w.run(s.ctx); rerr != nil {
+		s.err = errors.Join(err, rerr)
+		return
+	}
+	next := w.x.Answer
+	w.x.Answer = first
+	if next.Status != http.StatusOK || !isEventStream(next.Header.Get("Content-Type")) {
+		next.Body.Close()
+		s.err = errs.Wrap(fmt.Errorf("the stream can't be resumed: status %d", next.Status), StepDispatch, w.choice.Target.Id)
+		return
+	}
+	s.resumed = true
+	s.body = next.Body
+}
--- a/internal/filter/exchange.go
+++ b/internal/filter/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/forward"
+	"github.com/wigeonwood/wigeonwood/internal/routing"
 )
 
 // Exchange is one request on its way through the chain. One goroutine at a
@@ -34,6 +35,22 @@
 	Demand   Demand
 	Revision uint64
 
+	// Host is the host that the caller asked; set for routed requests only, like
+	// the fields up to Extra.
+	Host string
+	// Index is the routing table that decides on the request; Route and Team are
+	// what it says of it. Team is nil on public routes.
+	Index *routing.Index
+	Route *routing.Route
+	Team  *routing.Team
+	// Prompt lists the parts of the prompt in order.
+	Prompt []PromptPart
+	// LastEvent is the id of the last event that the caller has of a stream
+	// that it resumes; empty for a new one.
+	LastEvent string
+	// Extra headers go to the target as they are.
+	Extra http.Header
+
 	// Token is unspent until a byte can leave.
 	Token Token
 	// Grant is the target of the present try, Tries the number of tries that
@@ -52,6 +69,12 @@
 	usage   Usage
 }
 
+// PromptPart is one part of a prompt; equal ids mean equal text.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
 // Note adds a reason for operators.
 func (x *Exchange) Note(step, target, text string) {
 	x.mu.Lock()
@@ -112,7 +135,9 @@
 		Addr:         target.GetAddr(),
 		Method:       x.Method,
 		URI:          x.URI,
+		Host:         x.Host,
 		Header:       x.Header,
+		Extra:        x.Extra,
 		Body:         x.Body,
 		RequestID:    x.ID,
 		Customer:     x.Demand.Contract.GetCustomer(),
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"mime"
+	"net/http"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/errs"
@@ -25,8 +26,11 @@
 // Forward sends the request to the granted target.
 type Forward struct {
 	Sender Sender
-	// Timeouts returns the bounds for a demand.
-	Timeouts func(d Demand, stream bool) Timeouts
+	// Timeouts returns the bounds of one try.
+	Timeouts func(x *Exchange) Timeouts
+	// NotRun tells whether an answer declares that the request did not run; nil
+	// if targets never do.
+	NotRun func(status int, h http.Header) bool
 }
 
 // Name returns the filter's name in specs.
@@ -38,7 +42,7 @@
 	if err := mayDispatch(x); err != nil {
 		return errs.Wrap(err, StepForward, "")
 	}
-	r := x.dispatchRequest(f.Timeouts(x.Demand, x.Stream), x.Tries > 1)
+	r := x.dispatchRequest(f.Timeouts(x), x.Tries > 1)
 	a, err := f.Sender.Do(ctx, r)
 	if err != nil {
 		return err
@@ -52,6 +56,9 @@
 		Trailer: a.Trailer,
 		Events:  isEventStream(a.Header.Get("Content-Type")),
 	}
+	if f.NotRun != nil {
+		x.Answer.NotRun = f.NotRun(a.Status, a.Header)
+	}
 	return next(ctx, x)
 }
 
--- a/internal/filter/rejection.go
+++ b/internal/filter/rejection.go
@@ -16,6 +16,10 @@
 // Spend marks that a byte may leave from now on.
 func (t *Token) Spend() { t.spent.Store(true) }
 
+// Restore takes back a Spend. It may only be called once the target that was
+// sent the request has declared that it did not run it and never will.
+func (t *Token) Restore() { t.spent.Store(false) }
+
 // Spent tells whether a byte may have left.
 func (t *Token) Spent() bool { return t.spent.Load() }
 
--- /dev/null
+++ b/internal/filter/route.go
@@ -0,0 +1,61 @@
+package filter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonwood/wigeonwood/internal/routing"
+)
+
+// noTableRetryAfter is when an instance without a routing table may have one.
+const noTableRetryAfter = 500 * time.Millisecond
+
+// Tables is where the routing table in force is found.
+type Tables interface {
+	// Current returns nil before the first table.
+	Current() *routing.Index
+}
+
+// Route finds the route and the service of a request.
+type Route struct {
+	Tables Tables
+}
+
+// Name returns the filter's name in specs.
+func (*Route) Name() string { return StepRoute }
+
+// Handle sets the route, the service and the deadline.
+func (r *Route) Handle(ctx context.Context, x *Exchange, next Next) error {
+	x.Index = r.Tables.Current()
+	if x.Index == nil {
+		return x.Reject(Rejection{
+			Code:       "no-routing-table",
+			Message:    "this instance has no routing table yet",
+			Step:       StepRoute,
+			RetryAfter: noTableRetryAfter,
+		})
+	}
+	x.Revision = x.Index.Table.Number
+	x.Route = x.Index.Match(x.Host, x.Path)
+	if x.Route == nil {
+		return x.Reject(Rejection{
+			Status:  http.StatusNotFound,
+			Code:    "no-route",
+			Message: "no route matches the host and path",
+			Step:    StepRoute,
+		})
+	}
+	x.Demand.Service = x.Route.Choose(xxhash.Sum64String(x.ID))
+	x.Idempotent = x.Route.Repeatable()
+	x.Stream = x.Route.Kind == routing.Stream
+	end := x.Received.Add(x.Route.Timeout)
+	if x.Deadline.IsZero() || end.Before(x.Deadline) {
+		x.Deadline = end
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.Deadline)
+	x.OnEnd(func(Usage) { cancel() })
+	return next(ctx, x)
+}
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -31,12 +31,13 @@
 	between time.Duration
 	target  string
 	count   func(error)
+	dialect *Dialect
 }
 
-func newAnswer(ctx context.Context, cancel context.CancelCauseFunc, w *watchdog, resp *http.Response, r *Request, count func(error)) *Answer {
+func newAnswer(ctx context.Context, cancel context.CancelCauseFunc, w *watchdog, resp *http.Response, r *Request, c *Client) *Answer {
 	return &Answer{
 		Status:  resp.StatusCode,
-		Header:  copyEndToEnd(resp.Header),
+		Header:  copyEndToEnd(resp.Header, c.dialect.OwnAnswer),
 		Length:  resp.ContentLength,
 		Framed:  framed(resp),
 		resp:    resp,
@@ -46,7 +47,8 @@
 		wait:    r.FirstByte,
 		between: r.BetweenBytes,
 		target:  r.Target,
-		count:   count,
+		count:   c.count,
+		dialect: c.dialect,
 	}
 }
 
@@ -58,11 +60,14 @@
 
 // check refuses answers that belong to another request or that switch away
 // from HTTP.
-func (a *Answer) check(r *Request) error {
-	id := a.Header.Get(HeaderRequestID)
-	if id != "" && id != r.RequestID {
+func (c *Client) check(a *Answer, r *Request, resp *http.Response) error {
+	id := resp.Header.Get(c.dialect.RequestID)
+	if id != r.RequestID && (id != "" || c.dialect.AlwaysEchoed) {
 		return ErrCrossed
 	}
+	if c.dialect.Genuine != nil && !c.dialect.Genuine(resp) {
+		return fmt.Errorf("%w: the answer is not the target's own", ErrProtocol)
+	}
 	if a.Status == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: status 101", ErrProtocol)
 	}
@@ -84,7 +89,7 @@
 }
 
 // Trailer returns the trailers; they are complete after the end of the body.
-func (a *Answer) Trailer() http.Header { return copyEndToEnd(a.resp.Trailer) }
+func (a *Answer) Trailer() http.Header { return copyEndToEnd(a.resp.Trailer, a.dialect.OwnAnswer) }
 
 // Close ends the answer. A body that wasn't read to its end takes its
 // connection with it, which cancels the request at the target.
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -41,6 +42,10 @@
 	Customer string
 	// Chat names the chat to an engine; empty for services.
 	Chat string
+	// Host replaces Addr in the Host header; empty keeps Addr.
+	Host string
+	// Extra headers replace those of Header; they go out as they are.
+	Extra http.Header
 	// Idempotent requests may use kept connections, if the target echoes
 	// request ids. Fresh asks for a new connection even so.
 	Idempotent bool
@@ -58,13 +63,17 @@
 	DialTimeout time.Duration
 	IdleTimeout time.Duration
 	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
-	Scope       tally.Scope
+	// Dialect names the headers of requests and answers; nil means the
+	// product's own.
+	Dialect *Dialect
+	Scope   tally.Scope
 }
 
 // Client sends requests to targets.
 type Client struct {
 	kept    *http.Transport
 	fresh   *http.Transport
+	dialect *Dialect
 	echoing echoing
 	crossed tally.Counter
 	silent  tally.Counter
@@ -85,10 +94,14 @@
 	if c.Scope == nil {
 		c.Scope = tally.NoopScope
 	}
+	if c.Dialect == nil {
+		c.Dialect = ownDialect
+	}
 	scope := c.Scope.SubScope("forward")
 	return &Client{
 		kept:    newTransport(c, false),
 		fresh:   newTransport(c, true),
+		dialect: c.Dialect,
 		crossed: scope.Counter("crossed_answers"),
 		silent:  scope.Counter("silent_targets"),
 		cut:     scope.Counter("cut_answers"),
@@ -124,7 +137,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	watch := newWatchdog(func() { cancel(ErrSilent) })
 	var sent, kept bool
-	req := build(ctx, r, func(info httptrace.GotConnInfo) {
+	req := c.build(ctx, r, func(info httptrace.GotConnInfo) {
 		sent = true
 		kept = info.Reused
 	})
@@ -140,9 +153,9 @@
 		}
 		return nil, errs.Wrap(err, Step, r.Target)
 	}
-	a := newAnswer(ctx, cancel, watch, resp, r, c.count)
-	c.echoing.learn(r.Addr, a.Header.Get(HeaderRequestID) == r.RequestID)
-	if err := a.check(r); err != nil {
+	a := newAnswer(ctx, cancel, watch, resp, r, c)
+	c.echoing.learn(r.Addr, resp.Header.Get(c.dialect.RequestID) == r.RequestID)
+	if err := c.check(a, r, resp); err != nil {
 		a.drop()
 		c.count(err)
 		return nil, errs.Wrap(err, Step, r.Target)
@@ -159,7 +172,7 @@
 }
 
 // build makes the request for the transport.
-func build(ctx context.Context, r *Request, onConn func(httptrace.GotConnInfo)) *http.Request {
+func (c *Client) build(ctx context.Context, r *Request, onConn func(httptrace.GotConnInfo)) *http.Request {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		onConn(info)
 		if r.OnSend != nil {
@@ -169,8 +182,8 @@
 	req := &http.Request{
 		Method:     r.Method,
 		URL:        targetURL(r),
-		Host:       r.Addr,
-		Header:     requestHeader(r),
+		Host:       cmp.Or(r.Host, r.Addr),
+		Header:     c.dialect.requestHeader(r),
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
 		ProtoMinor: 1,
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -185,7 +185,7 @@
 
 // TestRequestHeader checks what targets are sent and what they are not.
 func TestRequestHeader(t *testing.T) {
-	h := requestHeader(&Request{RequestID: "id", Chat: "team/id:7", Customer: "team", Header: http.Header{
+	h := ownDialect.requestHeader(&Request{RequestID: "id", Chat: "team/id:7", Customer: "team", Header: http.Header{
 		"X-Wigeonwood-Customer": {"forged"},
 		"Connection":            {"x-hop, close"}, "X-Hop": {"1"}, "Authorization": {"Bearer x"}, "Te": {"trailers"},
 		"Expect": {"100-continue"}, "X-Wigeonwood-Outcome": {"run"}, "X-Request-Id": {"forged"}, "X-Wigeonwood-Chat": {"forged"},
--- a/internal/forward/header.go
+++ b/internal/forward/header.go
@@ -27,13 +27,44 @@
 // replayKeys are the headers that make net/http's transport replay a request.
 var replayKeys = []string{HeaderIdempotencyKey, "X-Idempotency-Key"}
 
+// Dialect names the headers that one kind of targets understands.
+type Dialect struct {
+	// RequestID is the header of the request's id, in its canonical form.
+	RequestID string
+	// Customer and Chat are the headers that name the customer and the chat;
+	// empty if targets are not told.
+	Customer string
+	Chat     string
+	// OwnRequest and OwnAnswer tell whether only routers set a header of a
+	// request or an answer, so that the values of callers and targets are
+	// dropped.
+	OwnRequest func(name string) bool
+	OwnAnswer  func(name string) bool
+	// AlwaysEchoed tells that each answer bears the id of its request.
+	AlwaysEchoed bool
+	// Genuine tells whether an answer bears the marks of a target's own; nil
+	// accepts all.
+	Genuine func(*http.Response) bool
+}
+
+// ownDialect is that of the product's own targets.
+var ownDialect = &Dialect{
+	RequestID:  HeaderRequestID,
+	Customer:   HeaderCustomer,
+	Chat:       HeaderChat,
+	OwnRequest: hasOwnPrefix,
+	OwnAnswer:  hasOwnPrefix,
+}
+
+func hasOwnPrefix(name string) bool { return strings.HasPrefix(name, ownPrefix) }
+
 // copyEndToEnd returns h without hop-by-hop headers, those that Connection
 // names and those that only routers set.
-func copyEndToEnd(h http.Header) http.Header {
+func copyEndToEnd(h http.Header, own func(name string) bool) http.Header {
 	named := connectionNames(h)
 	out := make(http.Header, len(h))
 	for name, values := range h {
-		if named[name] || strings.HasPrefix(name, ownPrefix) {
+		if named[name] || own(name) {
 			continue
 		}
 		out[name] = values
@@ -59,18 +90,21 @@
 }
 
 // requestHeader builds the header that goes to a target.
-func requestHeader(r *Request) http.Header {
-	h := copyEndToEnd(r.Header)
+func (d *Dialect) requestHeader(r *Request) http.Header {
+	h := copyEndToEnd(r.Header, d.OwnRequest)
 	delete(h, "Authorization")
 	delete(h, "Cookie")
 	delete(h, "Expect")
 	delete(h, "Content-Length")
-	h[HeaderRequestID] = []string{r.RequestID}
-	if r.Customer != "" {
-		h[HeaderCustomer] = []string{r.Customer}
+	h[d.RequestID] = []string{r.RequestID}
+	if r.Customer != "" && d.Customer != "" {
+		h[d.Customer] = []string{r.Customer}
+	}
+	if r.Chat != "" && d.Chat != "" {
+		h[d.Chat] = []string{r.Chat}
 	}
-	if r.Chat != "" {
-		h[HeaderChat] = []string{r.Chat}
+	for name, values := range r.Extra {
+		h[name] = values
 	}
 	if _, ok := h["User-Agent"]; !ok {
 		// An explicit empty value keeps the transport from adding its own.
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,139 @@
+// Package gateway serves the requests that a routing table decides on: it runs
+// the chain of filters and writes what comes of it to the caller.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/forward"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// Config sets up a Gateway; all fields but Observer are needed.
+type Config struct {
+	Tables  filter.Tables
+	Picker  filter.Picker
+	Sends   filter.Sends
+	Forward forward.Config
+	// Prepare sets the headers for one target on an exchange.
+	Prepare func(x *filter.Exchange, t *pb.TargetStatus)
+	// NotRun tells whether an answer declares that its request did not run.
+	NotRun func(status int, h http.Header) bool
+	// Observer takes the records of finished requests; may be nil.
+	Observer filter.Observer
+	Logger   *log.Logger
+	Scope    tally.Scope
+}
+
+// Gateway serves routed requests.
+type Gateway struct {
+	cfg      Config
+	client   *forward.Client
+	chain    *filter.Chain
+	draining atomic.Bool
+	inFlight atomic.Int64
+
+	requests tally.Counter
+	cuts     tally.Counter
+	tries    tally.Counter
+	first    tally.Timer
+	outcomes tally.Scope
+}
+
+// New makes a gateway.
+func New(c Config) (*Gateway, error) {
+	scope := c.Scope.SubScope("gateway")
+	g := &Gateway{
+		cfg:      c,
+		client:   forward.New(c.Forward),
+		requests: scope.Counter("requests"),
+		cuts:     scope.Counter("cut_answers"),
+		tries:    scope.Counter("tries"),
+		first:    scope.Timer("first_byte"),
+		outcomes: scope,
+	}
+	chain, err := filter.Build(filter.RoutedSpec,
+		&filter.Route{Tables: c.Tables},
+		&filter.Team{},
+		&filter.Dispatch{Picker: c.Picker, Sends: c.Sends, Prepare: c.Prepare},
+		&filter.Forward{
+			Sender:   g.client,
+			Timeouts: func(x *filter.Exchange) filter.Timeouts { return filter.Waits(x, time.Now()) },
+			NotRun:   c.NotRun,
+		},
+	)
+	g.chain = chain
+	return g, err
+}
+
+// SetDraining has callers told to use another connection next time.
+func (g *Gateway) SetDraining() { g.draining.Store(true) }
+
+// InFlight returns the requests being served.
+func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
+
+// Close drops the idle connections to targets.
+func (g *Gateway) Close() { g.client.Close() }
+
+// Serve passes x through the chain and writes what comes of it. An answer that
+// ends early aborts the caller's connection.
+func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, x *filter.Exchange) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	defer x.End()
+	g.requests.Inc(1)
+	if err := g.chain.Run(ctx, x); err != nil {
+		g.reject(w, x, rejection(x, err))
+		return
+	}
+	defer x.Answer.Body.Close()
+	g.answer(w, x)
+}
+
+// Refuse answers a request that can't be read.
+func (g *Gateway) Refuse(w http.ResponseWriter, x *filter.Exchange, r filter.Rejection) {
+	g.reject(w, x, x.Reject(r))
+}
+
+func rejection(x *filter.Exchange, err error) *filter.Rejection {
+	var r *filter.Rejection
+	if errors.As(err, &r) {
+		return r
+	}
+	return x.Reject(filter.Rejection{
+		Status:  http.StatusInternalServerError,
+		Code:    "internal",
+		Message: err.Error(),
+		Step:    errs.Step(err),
+	})
+}
+
+// reject writes a rejection.
+func (g *Gateway) reject(w http.ResponseWriter, x *filter.Exchange, r *filter.Rejection) {
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	g.closeWhileDraining(h)
+	w.WriteHeader(r.Status)
+	_, err := w.Write([]byte(r.Code + ": " + r.Message + "\n"))
+	g.finish(x, result{status: r.Status, outcome: r.Outcome(), refused: true, code: r.Code, step: r.Step, err: err})
+}
+
+// closeWhileDraining asks the caller to use another connection next time.
+func (g *Gateway) closeWhileDraining(h http.Header) {
+	if g.draining.Load() {
+		h.Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/internal/gateway/record.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/filter"
+)
+
+// result is how a request ended.
+type result struct {
+	status  int
+	outcome filter.Outcome
+	refused bool
+	// code and step tell why it was refused.
+	code  string
+	step  string
+	first time.Duration
+	err   error
+}
+
+// finish counts and logs a request that ended.
+func (g *Gateway) finish(x *filter.Exchange, res result) {
+	total := time.Since(x.Received)
+	if res.first == 0 {
+		res.first = total
+	}
+	g.tries.Inc(int64(x.Tries))
+	g.first.Record(res.first)
+	g.outcomes.Tagged(map[string]string{"outcome": outcomeName(res)}).Counter("finished").Inc(1)
+	g.log(x, res, total)
+	if g.cfg.Observer != nil {
+		g.cfg.Observer.Observe(record(x, res, total))
+	}
+}
+
+func outcomeName(res result) string {
+	switch {
+	case res.refused:
+		return res.code
+	case res.err != nil:
+		return "cut"
+	default:
+		return "answered"
+	}
+}
+
+func record(x *filter.Exchange, res result, total time.Duration) *filter.Record {
+	return &filter.Record{
+		RequestID:  x.ID,
+		Customer:   teamName(x),
+		Service:    x.Demand.Service,
+		Start:      x.Received,
+		FirstToken: res.first,
+		Total:      total,
+		Status:     res.status,
+		Outcome:    res.outcome,
+		Refused:    res.refused,
+		Whole:      res.err == nil,
+		Target:     targetID(x),
+		Tries:      x.Tries,
+		Revision:   x.Revision,
+		Reasons:    x.Reasons(),
+	}
+}
+
+func teamName(x *filter.Exchange) string {
+	if x.Team == nil {
+		return ""
+	}
+	return x.Team.Name
+}
+
+func targetID(x *filter.Exchange) string {
+	if x.Grant == nil {
+		return ""
+	}
+	return x.Grant.Target.GetId()
+}
+
+// log writes one line for a request, with the reasons of each step.
+func (g *Gateway) log(x *filter.Exchange, res result, total time.Duration) {
+	level := log.InfoLevel
+	if res.err != nil || res.refused {
+		level = log.WarnLevel
+	}
+	e := g.cfg.Logger.WithLevel(level)
+	if e == nil {
+		return
+	}
+	e.Str("step", "request").Str("request_id", x.ID).Int("status", res.status).
+		Str("outcome", outcomeName(res)).Str("run", string(res.outcome)).
+		Int64("first_ms", res.first.Milliseconds()).Int64("total_ms", total.Milliseconds()).
+		Str("service", x.Demand.Service).Str("team", teamName(x)).Str("peer", targetID(x)).
+		Int("tries", x.Tries).Uint64("routing_table", x.Revision)
+	if x.Route != nil {
+		e.Str("route", x.Route.Name)
+	}
+	for _, r := range x.Reasons() {
+		e.Str("why_"+r.Step, r.Target+" "+r.Text)
+	}
+	if res.err != nil {
+		e.Str("error_step", errs.Step(res.err)).Err(res.err)
+	}
+	e.Msg("request finished")
+}
--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -62,6 +62,8 @@
 	// Budget bounds what is sent; nil makes one with the defaults.
 	Budget *budget.Budget
 	Logger *log.Logger
+	// OnInFlight is told of other routers' requests in flight; optional.
+	OnInFlight func(router string, counts map[uint64]int)
 	// Scope takes the metrics; nil drops them.
 	Scope     tally.Scope
 	Intervals Intervals
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -33,6 +33,8 @@
 	budget  *budget.Budget
 	log     *log.Logger
 	metrics *metrics
+	// onInFlight may be nil.
+	onInFlight func(router string, counts map[uint64]int)
 
 	mu   sync.Mutex
 	core *core
@@ -56,8 +58,10 @@
 		budget:  cfg.Budget,
 		log:     cfg.Logger,
 		metrics: newMetrics(cfg.Scope),
-		wake:    make(chan struct{}, 1),
-		stop:    make(chan struct{}),
+
+		onInFlight: cfg.OnInFlight,
+		wake:       make(chan struct{}, 1),
+		stop:       make(chan struct{}),
 	}
 	m.core = newCore(coreConfig{
 		self:      cfg.Self,
@@ -142,6 +146,10 @@
 			m.log.Debug().Err(err).Str("step", "read datagram").Str("peer", from.String()).Msg("a datagram was dropped")
 			continue
 		}
+		if msg.Kind == pb.GossipKind_GOSSIP_KIND_IN_FLIGHT {
+			m.takeInFlight(msg)
+			continue
+		}
 		m.do(func(c *core, now time.Time) { c.receive(now, from.String(), msg) })
 	}
 }
@@ -162,7 +170,13 @@
 // made it at provenAt or later, on this process's clock.
 func (m *Members) Announce(st *pb.TargetStatus, provenAt time.Time) error {
 	var err error
-	m.do(func(c *core, now time.Time) { err = c.announce(now, st, provenAt) })
+	m.do(func(c *core, now time.Time) {
+		past, known := c.history.get(st.Id)
+		err = c.announce(now, st, provenAt)
+		if st.Leaving && err == nil && !(known && past.left && past.incarnation == st.Incarnation) {
+			c.tellLeaving(now, st.Id)
+		}
+	})
 	return err
 }
 
@@ -170,7 +184,24 @@
 func (m *Members) TargetLeaves(id string, incarnation uint64) {
 	m.do(func(c *core, now time.Time) {
 		c.describe(now, &pb.TargetStatus{Id: id, Incarnation: incarnation, Leaving: true})
+		c.tellLeaving(now, id)
+	})
+}
+
+// TargetGone ends the known incarnation of a target for new work, for good. It
+// returns false if none is known.
+func (m *Members) TargetGone(id string) bool {
+	known := false
+	m.do(func(c *core, now time.Time) {
+		past, ok := c.history.get(id)
+		if !ok {
+			return
+		}
+		known = true
+		c.describe(now, &pb.TargetStatus{Id: id, Incarnation: past.incarnation, Leaving: true})
+		c.tellLeaving(now, id)
 	})
+	return known
 }
 
 // SetState publishes this router's state.
@@ -178,6 +209,15 @@
 	m.do(func(c *core, _ time.Time) { c.setState(state) })
 }
 
+// SetRoutingTable publishes the number of the routing table in force here.
+func (m *Members) SetRoutingTable(number uint64) {
+	m.do(func(c *core, _ time.Time) {
+		if c.self.status.RoutingTable < number {
+			c.publishSelf(func(s *pb.RouterStatus) { s.RoutingTable = number })
+		}
+	})
+}
+
 // Leave tells the fleet that this router is gone. The view stays readable.
 func (m *Members) Leave(ctx context.Context) error {
 	for range leaveRepeats {
--- a/internal/member/routers.go
+++ b/internal/member/routers.go
@@ -4,8 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/invariant"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
@@ -53,19 +52,7 @@
 }
 
 // hashOf hashes a name and numbers.
-func hashOf(name string, numbers ...uint64) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(name)
-	for _, n := range numbers {
-		var b [8]byte
-		for i := range b {
-			b[i] = byte(n >> (8 * i))
-		}
-		_, _ = d.Write(b[:])
-	}
-	return d.Sum64()
-}
+func hashOf(name string, numbers ...uint64) uint64 { return fleet.Hash(name, numbers...) }
 
 func (e *routerEntry) delta() *pb.RouterDelta {
 	if e.state == dead {
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/invariant"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
@@ -53,7 +54,7 @@
 	e.hash = fold(hashOf(e.status.Id, e.status.Incarnation, e.described, leavingBit(e.status)))
 }
 
-func targetKey(id string, incarnation uint64) uint64 { return hashOf(id, incarnation) }
+func targetKey(id string, incarnation uint64) uint64 { return fleet.TargetKey(id, incarnation) }
 
 // leased tells whether the target's lease at this router holds.
 func (c *core) leased(now time.Time, e *targetEntry) bool {
--- a/internal/member/wire.go
+++ b/internal/member/wire.go
@@ -103,7 +103,8 @@
 			return nil, errMessageFields
 		}
 	}
-	if !renewalsFit(m.Renewals) || !loadsFit(m.Loads) {
+	inFlightFits := len(m.GetInFlight().GetKeys()) == len(m.GetInFlight().GetCounts())
+	if !renewalsFit(m.Renewals) || !loadsFit(m.Loads) || !inFlightFits {
 		return nil, errMessageFields
 	}
 	return m, nil
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -41,6 +41,9 @@
 	if accepted != nil {
 		n.setFounding(accepted, pb.FormationState_FORMATION_STATE_PREPARED)
 	}
+	if n.cfg.JoinOnly && accepted == nil {
+		return state, nil
+	}
 	for {
 		replies := n.pollFounders()
 		next := decideFormation(n.self(), n.cfg.Founders, accepted, replies)
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -262,9 +262,14 @@
 	}
 }
 
-// joinTargets lists the other founders.
+// joinTargets lists the other founders and known replicas.
 func (n *Node) joinTargets() []string {
-	return slices.DeleteFunc(slices.Clone(n.cfg.Founders), func(addr string) bool { return addr == n.cfg.Addr })
+	addrs := slices.Clone(n.cfg.Founders)
+	if n.cfg.Peers != nil {
+		addrs = append(addrs, n.cfg.Peers()...)
+	}
+	slices.Sort(addrs)
+	return slices.DeleteFunc(slices.Compact(addrs), func(addr string) bool { return addr == n.cfg.Addr })
 }
 
 func (n *Node) requestJoin(addr string) error {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -60,8 +60,15 @@
 	DataCentre string
 	// Founders are the peer addresses that form the system together.
 	Founders []string
-	Group    uint32
-	Machine  Machine
+	// JoinOnly keeps a replica with an empty folder from forming a system; it
+	// joins one that runs.
+	JoinOnly bool
+	// OpenAdmission admits replicas at new addresses without an operator.
+	OpenAdmission bool
+	// Peers returns further addresses of replicas to join through; optional.
+	Peers   func() []string
+	Group   uint32
+	Machine Machine
 	// Server must not serve yet when Start is called.
 	Server *transport.Server
 	Pool   *transport.Pool
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -78,5 +78,5 @@
 	if reply.Id != member.Id {
 		return errs.Wrap(ErrWrongIdentity, "admit replica", member.Addr)
 	}
-	return n.admit(ctx, member, false)
+	return n.admit(ctx, member, n.cfg.OpenAdmission)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -128,10 +128,10 @@
 func (r *Router) InFlight() int { return int(r.inFlight.Load()) }
 
 // timeouts are the bounds of one try.
-func (r *Router) timeouts(d filter.Demand, stream bool) filter.Timeouts {
-	t := r.cfg.Timeouts[d.Class]
+func (r *Router) timeouts(x *filter.Exchange) filter.Timeouts {
+	t := r.cfg.Timeouts[x.Demand.Class]
 	first := t.Plain
-	if stream {
+	if x.Stream {
 		first = t.FirstByte
 	}
 	return filter.Timeouts{FirstByte: first, BetweenBytes: t.BetweenBytes}
--- /dev/null
+++ b/internal/routesync/pack.go
@@ -0,0 +1,41 @@
+package routesync
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+)
+
+// maxDocumentBytes bounds an unpacked document.
+const maxDocumentBytes = 16 << 20
+
+// Pack compresses a document by DEFLATE.
+func Pack(document []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(document); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// Unpack reverses Pack.
+func Unpack(packed []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(packed))
+	defer r.Close()
+	document, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("unpacking a document: %w", err)
+	}
+	if len(document) > maxDocumentBytes {
+		return nil, fmt.Errorf("a document is over the bound of %d bytes", maxDocumentBytes)
+	}
+	return document, nil
+}
--- /dev/null
+++ b/internal/routing/check.go
@@ -0,0 +1,83 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Check returns all faults of the table, or nil.
+func (t *Table) Check() error {
+	var faults []error
+	services := make(map[string]bool, len(t.Services))
+	for _, s := range t.Services {
+		if s.Name == "" {
+			faults = append(faults, errors.New("a service has no name"))
+		}
+		services[s.Name] = true
+	}
+	places := make(map[place]string, len(t.Routes))
+	for _, r := range t.Routes {
+		faults = append(faults, r.check(services))
+		at := place{r.Host, r.Prefix}
+		if other, taken := places[at]; taken {
+			faults = append(faults, fmt.Errorf("routes %q and %q share host %q and prefix %q", other, r.Name, r.Host, r.Prefix))
+		}
+		places[at] = r.Name
+	}
+	faults = append(faults, t.checkTeams())
+	return errors.Join(faults...)
+}
+
+// place is what tells routes apart.
+type place struct {
+	host   string
+	prefix string
+}
+
+func (r *Route) check(services map[string]bool) error {
+	var faults []error
+	fault := func(format string, args ...any) {
+		faults = append(faults, fmt.Errorf("route %q: "+format, append([]any{r.Name}, args...)...))
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		fault("the path prefix %q does not begin and end with a slash", r.Prefix)
+	}
+	if r.Kind < Idempotent || r.Kind > Stream {
+		fault("the kind of request is unknown")
+	}
+	if r.Timeout <= 0 {
+		fault("the timeout is not above 0")
+	}
+	total := 0
+	for _, s := range r.Shares {
+		if !services[s.Service] {
+			fault("service %q is unknown", s.Service)
+		}
+		if s.Weight < 0 {
+			fault("service %q has a negative weight", s.Service)
+		}
+		total += s.Weight
+	}
+	if total <= 0 {
+		fault("the weights add up to %d", total)
+	}
+	return errors.Join(faults...)
+}
+
+func (t *Table) checkTeams() error {
+	var faults []error
+	owners := make(map[string]string)
+	for _, team := range t.Teams {
+		if team.Name == "" {
+			faults = append(faults, errors.New("a team has no name"))
+		}
+		for _, key := range team.Keys {
+			if other, taken := owners[key]; taken && other != team.Name {
+				faults = append(faults, fmt.Errorf("teams %q and %q share a key", other, team.Name))
+			}
+			owners[key] = team.Name
+		}
+	}
+	return errors.Join(faults...)
+}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -27,6 +27,9 @@
 	history    history
 	operations operations
 	ledger     ledger
+	// routing is the routing table in force, onRouting its observer.
+	routing   *pb.RoutingTable
+	onRouting func(*pb.RoutingTable)
 }
 
 var _ replica.Machine = (*Machine)(nil)
@@ -57,6 +60,7 @@
 	m.history = history{maxRecords: m.bounds.History, maxBytes: m.bounds.HistoryBytes}
 	m.operations = newOperations(m.bounds)
 	m.ledger = newLedger(m.bounds)
+	m.routing = nil
 }
 
 // Apply executes one committed command and returns an encoded CommandResult.
@@ -104,6 +108,8 @@
 		return &pb.CommandResult{Body: &pb.CommandResult_Claim{Claim: m.ledger.claim(body.Claim, m.elapsedMs)}}
 	case *pb.Command_Resolve:
 		return &pb.CommandResult{Body: &pb.CommandResult_Resolve{Resolve: m.ledger.resolve(body.Resolve, m.elapsedMs)}}
+	case *pb.Command_RoutingTable:
+		return &pb.CommandResult{Body: &pb.CommandResult_RoutingTable{RoutingTable: m.routingTable(body.RoutingTable)}}
 	}
 	return &pb.CommandResult{}
 }
--- a/internal/state/restore.go
+++ b/internal/state/restore.go
@@ -62,6 +62,9 @@
 		return nil
 	case *pb.SnapshotRecord_Ledger:
 		return m.restoreBlock(body.Ledger)
+	case *pb.SnapshotRecord_RoutingTable:
+		m.setRouting(body.RoutingTable)
+		return nil
 	}
 	return errors.New("unknown record")
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -50,6 +50,9 @@
 		ElapsedMs:  m.elapsedMs,
 		LastRouter: m.ledger.routers.last,
 	}}})
+	if m.routing != nil {
+		s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_RoutingTable{RoutingTable: m.routing}})
+	}
 	m.writeObjects(s)
 	for _, r := range m.history.records {
 		s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_History{History: r}})
