Placement: prompts stay where their parts are cached; SIGHUP reads the settings again

Change: bound 1.8 x mean + 2; a target that is not the first ranked copies cached parts from the first holder.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -4,19 +4,17 @@
 package balance
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
-	"github.com/wigeonwood/wigeonwood/internal/placement"
 )
 
 const (
-	// loadFactor is the bound on a target's requests in flight as a multiple of
-	// its service's mean.
-	loadFactor = 1.5
 	// forgetAfter is how long a target that is in no view is remembered.
 	forgetAfter = 30 * time.Second
 	// peerLoadLife is how long another router's counts are taken as present.
@@ -26,9 +24,9 @@
 // Request is what the choice depends on.
 type Request struct {
 	Service string
-	// Key stands for the longest part of the prompt that requests share; zero
+	// Key stands for the longest part of the prompt that requests share; empty
 	// without one.
-	Key placement.Key
+	Key string
 	// Slots is the most requests that a target of the service runs at once;
 	// zero if unknown.
 	Slots int
@@ -42,6 +40,8 @@
 	Why    string
 	// InFlight is the number of requests that the target had, as known here.
 	InFlight int
+	// Holder is another target that may hold parts of the prompt; nil without.
+	Holder *pb.TargetStatus
 	// Done gives the place back with the outcome. Only its first call counts.
 	Done func(Outcome)
 }
@@ -54,13 +54,11 @@
 	mu      sync.Mutex
 	targets map[uint64]*target
 	peers   map[string]*peerLoad
-	chooser placement.Chooser
 	swept   time.Time
 }
 
 // target is one incarnation of a target as this router knows it.
 type target struct {
-	hash     placement.EngineHash
 	inFlight int
 	health   health
 	seen     time.Time
@@ -79,7 +77,6 @@
 		now:     time.Now,
 		targets: make(map[uint64]*target),
 		peers:   make(map[string]*peerLoad),
-		chooser: placement.Chooser{Factor: loadFactor, Spread: 1},
 	}
 }
 
@@ -90,14 +87,17 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	b.sweep(now)
-	candidates := b.candidates(now, r)
-	if len(candidates.statuses) == 0 {
+	all := b.candidates(now, r)
+	choice := b.choose(r, all)
+	if choice.target == nil {
 		return Choice{}, false
 	}
-	i, why := b.choose(now, r, candidates)
-	st := candidates.statuses[i]
+	st := choice.target.status
 	t := b.targets[fleet.TargetKey(st.Id, st.Incarnation)]
-	c = Choice{Target: st, Why: why, InFlight: candidates.engines[i].InFlight}
+	c = Choice{Target: st, Why: choice.why, InFlight: choice.target.inFlight}
+	if choice.holder != nil {
+		c.Holder = choice.holder.status
+	}
 	t.inFlight++
 	t.health.given()
 	ended := false
@@ -116,41 +116,37 @@
 	t.health.observe(b.now(), o)
 }
 
-// candidates are the targets that may be chosen, in two equally long lists.
-type candidates struct {
-	statuses []*pb.TargetStatus
-	engines  []placement.Engine
-}
-
-// candidates lists the service's targets that are not leaving or excluded:
-// those believed sound, or all if none is.
-func (b *Balancer) candidates(now time.Time, r Request) candidates {
-	var sound, all candidates
+// candidates lists the service's targets. Those of this data centre come first,
+// in random order, so that they win among equals.
+func (b *Balancer) candidates(now time.Time, r Request) []*candidate {
+	var all []*candidate
 	for _, st := range b.view.Targets() {
-		if st.Service != r.Service || st.Leaving || slices.Contains(r.Exclude, st.Id) {
+		if st.Service != r.Service {
 			continue
 		}
 		t := b.target(now, st)
-		e := placement.Engine{
-			ID:       st.Id,
-			Hash:     t.hash,
-			InFlight: t.inFlight + b.peerInFlight(now, fleet.TargetKey(st.Id, st.Incarnation)),
-			Capacity: capacity(st, r.Slots),
-		}
-		all.add(st, e)
-		if t.health.available(now) {
-			sound.add(st, e)
-		}
-	}
-	if len(sound.statuses) > 0 {
-		return sound
+		all = append(all, &candidate{
+			status:   st,
+			inFlight: t.inFlight + b.peerInFlight(now, fleet.TargetKey(st.Id, st.Incarnation)),
+			capacity: capacity(st, r.Slots),
+			sound:    t.health.available(now),
+			leaving:  st.Leaving,
+			excluded: slices.Contains(r.Exclude, st.Id),
+		})
 	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	dataCentre := b.view.Self().DataCentre
+	slices.SortStableFunc(all, func(x, y *candidate) int {
+		return cmp.Compare(distance(x, dataCentre), distance(y, dataCentre))
+	})
 	return all
 }
 
-func (c *candidates) add(st *pb.TargetStatus, e placement.Engine) {
-	c.statuses = append(c.statuses, st)
-	c.engines = append(c.engines, e)
+func distance(c *candidate, dataCentre string) int {
+	if c.status.DataCentre == dataCentre {
+		return 0
+	}
+	return 1
 }
 
 // unboundedCapacity stands for a target whose places are unknown.
@@ -171,32 +167,20 @@
 	key := fleet.TargetKey(st.Id, st.Incarnation)
 	t := b.targets[key]
 	if t == nil {
-		t = &target{hash: placement.HashEngine(st.Id)}
+		t = &target{}
 		b.targets[key] = t
 	}
 	t.seen = now
 	return t
 }
 
-// choose returns the index of the chosen target. When all are at their bound,
-// the least loaded one takes the request.
-func (b *Balancer) choose(now time.Time, r Request, c candidates) (int, string) {
-	var choice placement.Choice
-	if r.Key != 0 {
-		choice = b.chooser.Choose(now, r.Key, c.engines)
-	} else {
-		choice = b.chooser.LeastLoaded(placement.Key(uint64(now.UnixNano())|1), c.engines)
-	}
-	if choice.Index >= 0 {
-		return choice.Index, choice.Why.String()
-	}
-	least := 0
-	for i := range c.engines {
-		if c.engines[i].InFlight < c.engines[least].InFlight {
-			least = i
-		}
+// choose places requests with a prompt by its key, others where the fewest
+// requests are.
+func (b *Balancer) choose(r Request, all []*candidate) promptChoice {
+	if r.Key != "" {
+		return choosePrompt(r.Key, all)
 	}
-	return least, "all targets are full; this one has the fewest requests"
+	return promptChoice{target: leastLoaded(all), why: "fewest requests in flight"}
 }
 
 // sweep forgets targets that are in no view any more.
--- /dev/null
+++ b/internal/balance/prompt.go
@@ -0,0 +1,122 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// promptLoadFactor and promptLoadSlack bound the requests in flight at one
+	// target as a multiple of the mean plus a constant for small numbers. Within
+	// them a prompt stays where its parts are cached, since reading them again
+	// takes more of an engine than a longer batch.
+	promptLoadFactor = 1.8
+	promptLoadSlack  = 2
+)
+
+// candidate is one target that may be chosen.
+type candidate struct {
+	status *pb.TargetStatus
+	// inFlight counts the requests at the target, as known here.
+	inFlight int
+	capacity int
+	// sound tells that the target served its last requests; leaving that it
+	// takes no new ones; excluded that it failed this request.
+	sound    bool
+	leaving  bool
+	excluded bool
+}
+
+func (c *candidate) eligible() bool { return !c.leaving && !c.excluded }
+
+// promptChoice is the target for a prompt and the one to copy its cached parts
+// from; nil where there is none.
+type promptChoice struct {
+	target *candidate
+	holder *candidate
+	why    string
+}
+
+// choosePrompt places a prompt by rendezvous hashing with a bound on each
+// target's load. All routers rank the targets of a key alike, so that requests
+// with equal parts meet at one target without any message. The load pattern
+// that it answers: many sessions of unequal size, of which each router sees a
+// few requests, on targets that join and leave.
+func choosePrompt(key string, all []*candidate) promptChoice {
+	ranked := rankByKey(key, all)
+	limit := promptLimit(all)
+	var choice promptChoice
+	for _, c := range ranked {
+		if c.eligible() && c.sound && c.inFlight < min(limit, c.capacity) {
+			choice = promptChoice{target: c, why: "cached parts are expected here"}
+			break
+		}
+	}
+	if choice.target == nil {
+		choice = promptChoice{target: leastLoaded(ranked), why: "every target is at its bound; this one has the fewest requests"}
+	}
+	choice.holder = firstHolder(ranked, choice.target)
+	if choice.target != nil && choice.holder != nil && rankOf(ranked, choice.holder) < rankOf(ranked, choice.target) {
+		choice.why = "targets ranked higher are at their bound, leaving or failing"
+	}
+	return choice
+}
+
+func rankByKey(key string, all []*candidate) []*candidate {
+	scores := make(map[*candidate]uint64, len(all))
+	for _, c := range all {
+		scores[c] = fleet.Score(key, c.status.Id)
+	}
+	ranked := slices.Clone(all)
+	slices.SortFunc(ranked, func(a, b *candidate) int { return cmp.Compare(scores[b], scores[a]) })
+	return ranked
+}
+
+func rankOf(ranked []*candidate, c *candidate) int { return slices.Index(ranked, c) }
+
+// promptLimit returns the most requests in flight that a target may have to be
+// given one more.
+func promptLimit(all []*candidate) int {
+	total, n := 1, 0
+	for _, c := range all {
+		if c.leaving {
+			continue
+		}
+		total += c.inFlight
+		n++
+	}
+	if n == 0 {
+		return 0
+	}
+	return int(promptLoadFactor*float64(total)/float64(n)) + promptLoadSlack
+}
+
+// firstHolder returns the highest ranked other target that can be copied from.
+// One that leaves still holds what it had.
+func firstHolder(ranked []*candidate, target *candidate) *candidate {
+	for _, c := range ranked {
+		if c != target && c.sound && !c.excluded {
+			return c
+		}
+	}
+	return nil
+}
+
+// leastLoaded returns the eligible target with the fewest requests in flight, a
+// sound one if there is any; nil without eligible ones. Among equals the first
+// in order wins.
+func leastLoaded(all []*candidate) *candidate {
+	var best *candidate
+	for _, c := range all {
+		if !c.eligible() {
+			continue
+		}
+		if best == nil || c.sound && !best.sound || c.sound == best.sound && c.inFlight < best.inFlight {
+			best = c
+		}
+	}
+	return best
+}
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -33,11 +33,7 @@
 	if token == "" {
 		return usageError("--peer-token is needed")
 	}
-	s, err := platform.ReadSettings(path)
-	if err != nil {
-		return withCode(ExitUsage, err)
-	}
-	if err := platform.Serve(ctx, s, token, level); err != nil {
+	if err := platform.Serve(ctx, path, token, level); err != nil {
 		return withCode(ExitFailed, err)
 	}
 	return nil
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -11,7 +11,6 @@
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
-	"github.com/wigeonwood/wigeonwood/internal/placement"
 	"github.com/wigeonwood/wigeonwood/internal/routing"
 )
 
@@ -42,8 +41,9 @@
 type Dispatch struct {
 	Picker Picker
 	Sends  Sends
-	// Prepare sets the headers for one target on the exchange.
-	Prepare func(x *Exchange, t *pb.TargetStatus)
+	// Prepare sets the headers for one target on the exchange; holder may hold
+	// cached parts of the prompt and may be nil.
+	Prepare func(x *Exchange, target, holder *pb.TargetStatus)
 }
 
 // Name returns the filter's name in specs.
@@ -122,14 +122,14 @@
 
 // PromptKey stands for the longest part of a prompt that other requests share:
 // the last part belongs to one request or session alone.
-func PromptKey(parts []PromptPart) placement.Key {
+func PromptKey(parts []PromptPart) string {
 	switch n := len(parts); n {
 	case 0:
-		return 0
+		return ""
 	case 1:
-		return placement.ChatKey(parts[0].ID)
+		return parts[0].ID
 	default:
-		return placement.ChatKey(parts[n-2].ID)
+		return parts[n-2].ID
 	}
 }
 
@@ -169,7 +169,7 @@
 	}
 	x.Grant = &Grant{Target: c.Target}
 	x.Tries++
-	d.Prepare(x, c.Target)
+	d.Prepare(x, c.Target, c.Holder)
 	err := d.next(ctx, x)
 	if err != nil {
 		if x.Token.Spent() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,7 @@
 	Sends   filter.Sends
 	Forward forward.Config
 	// Prepare sets the headers for one target on an exchange.
-	Prepare func(x *filter.Exchange, t *pb.TargetStatus)
+	Prepare func(x *filter.Exchange, target, holder *pb.TargetStatus)
 	// NotRun tells whether an answer declares that its request did not run.
 	NotRun func(status int, h http.Header) bool
 	// Observer takes the records of finished requests; may be nil.
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -62,7 +62,7 @@
 	// Decode reads routing tables; Dialect, Prepare and NotRun speak to targets.
 	Decode  routesync.Decode
 	Dialect *forward.Dialect
-	Prepare func(x *filter.Exchange, t *pb.TargetStatus)
+	Prepare func(x *filter.Exchange, target, holder *pb.TargetStatus)
 	NotRun  func(status int, h http.Header) bool
 	Logger  *log.Logger
 }
@@ -87,6 +87,10 @@
 	balancer  *balance.Balancer
 	gateway   *gateway.Gateway
 
+	// seeds are the peer addresses to find the others by; they may change.
+	seedsMu sync.Mutex
+	seeds   []string
+
 	ctx    context.Context
 	stop   context.CancelFunc
 	work   sync.WaitGroup
@@ -95,7 +99,7 @@
 
 // StartRouted opens the parts of an instance and serves its peers.
 func StartRouted(cfg RoutedConfig) (*Routed, error) {
-	in := &Routed{cfg: cfg, listeners: &Listeners{}, failed: make(chan error, 1)}
+	in := &Routed{cfg: cfg, seeds: cfg.Seeds, listeners: &Listeners{}, failed: make(chan error, 1)}
 	in.ctx, in.stop = context.WithCancel(context.Background())
 	in.scope, in.metrics, in.closer = newMetrics(cfg.ID)
 	steps := []struct {
@@ -184,7 +188,9 @@
 			addrs = append(addrs, r.PeerAddr)
 		}
 	}
-	for _, addr := range in.cfg.Seeds {
+	in.seedsMu.Lock()
+	defer in.seedsMu.Unlock()
+	for _, addr := range in.seeds {
 		if !slices.Contains(addrs, addr) {
 			addrs = append(addrs, addr)
 		}
@@ -192,6 +198,14 @@
 	return addrs
 }
 
+// SetSeeds replaces the peer addresses to find the others by.
+func (in *Routed) SetSeeds(seeds []string) {
+	in.seedsMu.Lock()
+	in.seeds = seeds
+	in.seedsMu.Unlock()
+	in.members.SetSeeds(seeds)
+}
+
 func (in *Routed) startReplica() error {
 	if in.cfg.DataDir == "" {
 		return nil
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -116,16 +116,22 @@
 		nextJoin:  now,
 		nextGC:    now.Add(gcInterval),
 	}
-	for _, seed := range cfg.seeds {
-		if seed != self.PeerAddr {
-			c.seeds = append(c.seeds, seed)
-		}
-	}
+	c.setSeeds(cfg.seeds)
 	c.self.rehash()
 	c.news.add(routerNews, self.Id)
 	return c
 }
 
+// setSeeds replaces the addresses to join through, without the own one.
+func (c *core) setSeeds(seeds []string) {
+	c.seeds = nil
+	for _, seed := range seeds {
+		if seed != c.self.status.PeerAddr {
+			c.seeds = append(c.seeds, seed)
+		}
+	}
+}
+
 // tick does all that is due at now.
 func (c *core) tick(now time.Time) {
 	if now.Sub(c.lastTick) > pauseBound {
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -209,6 +209,11 @@
 	m.do(func(c *core, _ time.Time) { c.setState(state) })
 }
 
+// SetSeeds replaces the peer addresses to find lost instances by.
+func (m *Members) SetSeeds(seeds []string) {
+	m.do(func(c *core, _ time.Time) { c.setSeeds(seeds) })
+}
+
 // SetRoutingTable publishes the number of the routing table in force here.
 func (m *Members) SetRoutingTable(number uint64) {
 	m.do(func(c *core, _ time.Time) {
