--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -42,6 +42,8 @@
 	InFlight int
 	// Holder is another target that may hold parts of the prompt; nil without.
 	Holder *pb.TargetStatus
+	// Others is the number of other targets that could take the request.
+	Others int
 	// Done gives the place back with the outcome. Only its first call counts.
 	Done func(Outcome)
 }
@@ -98,6 +100,11 @@
 	if choice.holder != nil {
 		c.Holder = choice.holder.status
 	}
+	for _, other := range all {
+		if other != choice.target && other.eligible() && other.sound {
+			c.Others++
+		}
+	}
 	t.inFlight++
 	t.health.given()
 	ended := false
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -168,6 +168,7 @@
 		d.Sends.First(x.Demand.Service)
 	}
 	x.Grant = &Grant{Target: c.Target}
+	x.Others = c.Others
 	x.Tries++
 	d.Prepare(x, c.Target, c.Holder)
 	err := d.next(ctx, x)
@@ -296,7 +297,7 @@
 func Waits(x *Exchange, now time.Time) Timeouts {
 	left := x.Deadline.Sub(now)
 	t := Timeouts{FirstByte: left, BetweenBytes: left}
-	if !x.Idempotent || x.Tries >= x.Route.MaxTargets {
+	if !x.Idempotent || x.Others == 0 || x.Tries >= x.Route.MaxTargets {
 		return t
 	}
 	t.FirstByte = min(left, max(2*x.Route.Goal, left/firstByteShare))
--- a/internal/filter/exchange.go
+++ b/internal/filter/exchange.go
@@ -57,6 +57,8 @@
 	// were sent.
 	Grant *Grant
 	Tries int
+	// Others is the number of other targets that could take the request.
+	Others int
 	// Answer is what the chain has for the caller.
 	Answer *Answer
 
