--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,290 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// fakeView is a fixed view of the fleet.
+type fakeView struct {
+	self    *pb.RouterStatus
+	targets []*pb.TargetStatus
+}
+
+func (v *fakeView) Self() *pb.RouterStatus            { return v.self }
+func (v *fakeView) Routers() []*pb.RouterStatus       { return []*pb.RouterStatus{v.self} }
+func (v *fakeView) Targets() []*pb.TargetStatus       { return v.targets }
+func (v *fakeView) Target(id string) *pb.TargetStatus { return nil }
+func engine(id string) *pb.TargetStatus {
+	return &pb.TargetStatus{Id: id, Service: "llm", Capacity: 64}
+}
+
+func newView(n int) *fakeView {
+	v := &fakeView{self: &pb.RouterStatus{Id: "r0", DataCentre: "dc1"}}
+	for i := range n {
+		v.targets = append(v.targets, engine(fmt.Sprint("e", i)))
+	}
+	return v
+}
+
+// session is one of many that ask again and again, as a few routers see them.
+type session struct {
+	key    string
+	tokens int
+}
+
+// TestReplaySessions replays the load of the survey: sessions of unequal size,
+// requests that come to nine routers at random and last some seconds, and a
+// surge of 1.7 times. It counts the tokens of shared parts that are read again
+// and the load of the busiest target. The bound on the load is the platform's:
+// twice the mean and three more for 97 of 100 requests.
+func TestReplaySessions(t *testing.T) {
+	const routers, engines, requests = 9, 9, 6000
+	rng := rand.New(rand.NewPCG(7, 7))
+	views := make([]*Balancer, routers)
+	for i := range views {
+		views[i] = New(newView(engines))
+	}
+	sessions := make([]session, 134)
+	for i := range sessions {
+		sessions[i] = session{key: fmt.Sprint("s", i), tokens: 600}
+		if i < 21 {
+			sessions[i].tokens = 10000
+		}
+	}
+	type running struct {
+		done func(Outcome)
+		id   string
+		end  int
+	}
+	var live []running
+	held := make(map[string]map[string]bool)
+	load := make(map[string]int)
+	again, total, over := 0, 0, 0
+	for n := range requests {
+		// A request comes every 16 ms, and every 9 ms in the surge; it lasts 1.5 s.
+		length := 94
+		if n > 3000 && n < 4000 {
+			length = 160
+		}
+		for len(live) > 0 && live[0].end <= n {
+			live[0].done(Served)
+			load[live[0].id]--
+			live = live[1:]
+		}
+		if n%16 == 0 {
+			shareAll(views)
+		}
+		s := sessions[rng.IntN(len(sessions))]
+		c, ok := views[rng.IntN(routers)].Pick(Request{Service: "llm", Key: s.key})
+		if !ok {
+			t.Fatal("no target")
+		}
+		id := c.Target.Id
+		if float64(load[id]) > 2*float64(len(live))/engines+3 {
+			over++
+		}
+		load[id]++
+		live = append(live, running{c.Done, id, n + length})
+		total += s.tokens
+		if held[s.key] == nil {
+			held[s.key] = make(map[string]bool)
+		} else if !held[s.key][id] {
+			again += s.tokens
+		}
+		held[s.key][id] = true
+	}
+	t.Logf("%.2f%% of shared tokens read again, %d of %d requests over the bound", 100*float64(again)/float64(total), over, requests)
+	if float64(again) > 0.03*float64(total) {
+		t.Errorf("%d of %d shared tokens were read again, want at most 3 in 100", again, total)
+	}
+	if over > requests*3/100 {
+		t.Errorf("%d of %d requests were over the bound, want at most 3 in 100", over, requests)
+	}
+}
+
+// shareAll lets each balancer hear of the others' requests in flight.
+func shareAll(all []*Balancer) {
+	for i, from := range all {
+		counts := from.InFlight()
+		for j, to := range all {
+			if i != j {
+				to.PeerInFlight(fmt.Sprint("r", i), counts)
+			}
+		}
+	}
+}
+
+// TestRoutersAgree has two routers place the same keys without a message.
+func TestRoutersAgree(t *testing.T) {
+	a, b := New(newView(12)), New(newView(12))
+	for i := range 200 {
+		key := fmt.Sprint("k", i)
+		x, _ := a.Pick(Request{Service: "llm", Key: key})
+		y, _ := b.Pick(Request{Service: "llm", Key: key})
+		if x.Target.Id != y.Target.Id {
+			t.Fatalf("key %s at %s and %s", key, x.Target.Id, y.Target.Id)
+		}
+		x.Done(Served)
+		y.Done(Served)
+	}
+}
+
+// TestLeavingTargetIsTheHolder drains a session's target: the session moves, and
+// copies from the one that leaves.
+func TestLeavingTargetIsTheHolder(t *testing.T) {
+	v := newView(5)
+	b := New(v)
+	first, _ := b.Pick(Request{Service: "llm", Key: "k"})
+	first.Done(Served)
+	for i, st := range v.targets {
+		if st.Id == first.Target.Id {
+			left := engine(st.Id)
+			left.Leaving = true
+			v.targets[i] = left
+		}
+	}
+	next, ok := b.Pick(Request{Service: "llm", Key: "k"})
+	if !ok || next.Target.Id == first.Target.Id {
+		t.Fatalf("a leaving target was chosen: %v", next.Target)
+	}
+	if next.Holder == nil || next.Holder.Id != first.Target.Id {
+		t.Errorf("holder %v, want %s", next.Holder, first.Target.Id)
+	}
+}
+
+func TestExcludedAndForeignTargetsAreNotChosen(t *testing.T) {
+	v := newView(2)
+	v.targets = append(v.targets, &pb.TargetStatus{Id: "other", Service: "plain"})
+	b := New(v)
+	c, ok := b.Pick(Request{Service: "llm", Exclude: []string{"e0"}})
+	if !ok || c.Target.Id != "e1" {
+		t.Fatalf("chosen %v", c.Target)
+	}
+	if _, ok := b.Pick(Request{Service: "llm", Exclude: []string{"e0", "e1"}}); ok {
+		t.Error("an excluded target was chosen")
+	}
+	if _, ok := b.Pick(Request{Service: "none"}); ok {
+		t.Error("a target of another service was chosen")
+	}
+}
+
+// TestFailingTargetIsAvoided replays a target that announces itself as sound and
+// fails all of its requests: after the first failures it gets one try at a time.
+func TestFailingTargetIsAvoided(t *testing.T) {
+	for _, outcome := range []Outcome{Unreachable, Broken} {
+		b := New(newView(4))
+		clock := time.Unix(1000, 0)
+		b.now = func() time.Time { return clock }
+		failed := 0
+		for range 2000 {
+			clock = clock.Add(10 * time.Millisecond)
+			c, _ := b.Pick(Request{Service: "llm"})
+			if c.Target.Id == "e0" {
+				failed++
+				c.Done(outcome)
+				continue
+			}
+			c.Done(Served)
+		}
+		// 20 s with a try after 0.7, 1.4, 2.8 and then every 5 s.
+		if failed > 12 {
+			t.Errorf("outcome %v: %d requests went to the failing target", outcome, failed)
+		}
+	}
+}
+
+// TestRecoveredTargetReturns serves again after an ejection.
+func TestRecoveredTargetReturns(t *testing.T) {
+	b := New(newView(2))
+	clock := time.Unix(1000, 0)
+	b.now = func() time.Time { return clock }
+	c, _ := b.Pick(Request{Service: "llm", Exclude: []string{"e1"}})
+	c.Done(Unreachable)
+	clock = clock.Add(minEjection + time.Millisecond)
+	got := make(map[string]int)
+	for range 100 {
+		c, _ := b.Pick(Request{Service: "llm"})
+		got[c.Target.Id]++
+		c.Done(Served)
+	}
+	if got["e0"] < 20 {
+		t.Errorf("requests by target: %v, want the recovered one to take part", got)
+	}
+}
+
+// TestAllFailingStillServe has every target ejected: requests go on to them.
+func TestAllFailingStillServe(t *testing.T) {
+	b := New(newView(3))
+	for _, id := range []string{"e0", "e1", "e2"} {
+		for range 3 {
+			c, ok := b.Pick(Request{Service: "llm"})
+			if !ok {
+				t.Fatalf("no target after %s", id)
+			}
+			c.Done(Unreachable)
+		}
+	}
+}
+
+func TestDoneCountsOnce(t *testing.T) {
+	b := New(newView(1))
+	c, _ := b.Pick(Request{Service: "llm"})
+	key := fleet.TargetKey("e0", 0)
+	if got := b.InFlight()[key]; got != 1 {
+		t.Fatalf("in flight %d", got)
+	}
+	c.Done(Served)
+	c.Done(Served)
+	if got := b.targets[key].inFlight; got != 0 {
+		t.Errorf("in flight %d after the end", got)
+	}
+}
+
+// TestSendsHoldTheSharedBound replays ten routers that repeat as often as they
+// may, some dying on the way: all their repeats in any window stay within the
+// platform's bound.
+func TestSendsHoldTheSharedBound(t *testing.T) {
+	const routers, ratio, slack = 10, 0.2, 50.0
+	limits := SendLimits{Ratio: ratio, Slack: slack, Window: 10 * time.Second}
+	clock := time.Unix(1000, 0)
+	alive := routers
+	all := make([]*Sends, routers)
+	for i := range all {
+		all[i] = NewSends(limits, func() int { return alive })
+		all[i].now = func() time.Time { return clock }
+	}
+	rng := rand.New(rand.NewPCG(3, 3))
+	type tick struct{ first, again int }
+	var ticks []tick
+	for n := range 600 {
+		clock = clock.Add(100 * time.Millisecond)
+		if n == 300 {
+			alive = 6
+		}
+		var now tick
+		for i := range alive {
+			for range rng.IntN(6) {
+				all[i].First("s")
+				now.first++
+				if all[i].Again("s") {
+					now.again++
+				}
+			}
+		}
+		ticks = append(ticks, now)
+		var sum tick
+		for _, each := range ticks[max(0, len(ticks)-100):] {
+			sum.first += each.first
+			sum.again += each.again
+		}
+		if float64(sum.again) > ratio*float64(sum.first)+slack {
+			t.Fatalf("tick %d: %d repeats for %d requests in the window", n, sum.again, sum.first)
+		}
+	}
+}
--- /dev/null
+++ b/internal/filter/dispatch_test.go
@@ -0,0 +1,259 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/balance"
+	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/forward"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/routing"
+)
+
+// numberedPicker hands out targets t0, t1 and so on, without the excluded ones.
+type numberedPicker struct {
+	n        int
+	outcomes map[string]balance.Outcome
+}
+
+func (p *numberedPicker) Pick(r balance.Request) (balance.Choice, bool) {
+	for i := range p.n {
+		id := fmt.Sprint("t", i)
+		excluded := false
+		for _, e := range r.Exclude {
+			excluded = excluded || e == id
+		}
+		if !excluded {
+			return balance.Choice{
+				Target: &pb.TargetStatus{Id: id},
+				Others: p.n - len(r.Exclude) - 1,
+				Done:   func(o balance.Outcome) { p.outcomes[id] = o },
+			}, true
+		}
+	}
+	return balance.Choice{}, false
+}
+
+// allowedSends allows a number of repeated sends.
+type allowedSends struct{ left int }
+
+func (s *allowedSends) First(string) {}
+func (s *allowedSends) Again(string) bool {
+	s.left--
+	return s.left >= 0
+}
+
+// scriptedTarget answers one try.
+type scriptedTarget struct {
+	// unsent has the try fail before a byte leaves.
+	unsent bool
+	err    error
+	status int
+	notRun bool
+	events string
+	cut    error
+}
+
+// script plays the answers of the tries in order; it asserts the invariant of
+// the chain as the forward filter does.
+type script struct {
+	t     *testing.T
+	tries []scriptedTarget
+	// lastEvents are the ids from which the tries were asked to go on.
+	lastEvents []string
+}
+
+func (s *script) next(_ context.Context, x *Exchange) error {
+	if err := mayDispatch(x); err != nil {
+		s.t.Errorf("dispatch: %v", err)
+	}
+	if len(s.tries) == 0 {
+		s.t.Fatal("one try too many")
+	}
+	try := s.tries[0]
+	s.tries = s.tries[1:]
+	s.lastEvents = append(s.lastEvents, x.LastEvent)
+	if !try.unsent {
+		x.Token.Spend()
+	}
+	if try.err != nil {
+		return errs.Wrap(try.err, "forward", x.Grant.Target.Id)
+	}
+	x.Answer = &Answer{
+		Status: try.status,
+		Header: http.Header{"Content-Type": {"text/event-stream"}},
+		NotRun: try.notRun,
+		Body:   &cutBody{data: strings.NewReader(try.events), err: try.cut},
+	}
+	return nil
+}
+
+// cutBody ends with an error instead of io.EOF if it has one.
+type cutBody struct {
+	data io.Reader
+	err  error
+}
+
+func (c *cutBody) Read(p []byte) (int, error) {
+	n, err := c.data.Read(p)
+	if errors.Is(err, io.EOF) && c.err != nil {
+		err = c.err
+	}
+	return n, err
+}
+
+func (c *cutBody) Close() error { return nil }
+
+func routedExchange(kind routing.Kind, resumable bool) *Exchange {
+	r := &routing.Route{Name: "r", Kind: kind, Resumable: resumable, MaxTargets: 2, Timeout: time.Second, Goal: 100 * time.Millisecond}
+	if !r.Repeatable() {
+		r.MaxTargets = 1
+	}
+	x := &Exchange{
+		ID:       "x",
+		Received: time.Now(),
+		Route:    r,
+		Index:    routing.NewIndex(&routing.Table{}),
+		Stream:   kind == routing.Stream,
+		Deadline: time.Now().Add(time.Second),
+	}
+	x.Idempotent = r.Repeatable()
+	x.Demand.Service = "s"
+	return x
+}
+
+var (
+	errCutHere = fmt.Errorf("%w: reset", forward.ErrCut)
+	errNoConn  = fmt.Errorf("%w: refused", forward.ErrDial)
+)
+
+func TestDispatchTries(t *testing.T) {
+	ok := scriptedTarget{status: http.StatusOK}
+	refused := scriptedTarget{unsent: true, err: errNoConn}
+	declined := scriptedTarget{status: http.StatusServiceUnavailable, notRun: true}
+	cut := scriptedTarget{err: errCutHere}
+	failed := scriptedTarget{status: http.StatusInternalServerError}
+	for name, c := range map[string]struct {
+		kind    routing.Kind
+		targets int
+		allowed int
+		tries   []scriptedTarget
+		status  int
+		outcome Outcome
+	}{
+		"first answers":                         {routing.NonIdempotent, 3, 0, []scriptedTarget{ok}, 200, ""},
+		"refused connections need no allowance": {routing.NonIdempotent, 3, 0, []scriptedTarget{refused, refused, ok}, 200, ""},
+		"a declined request goes elsewhere":     {routing.NonIdempotent, 3, 1, []scriptedTarget{declined, ok}, 200, ""},
+		"declined, no allowance":                {routing.NonIdempotent, 3, 0, []scriptedTarget{declined}, 503, OutcomeNotRun},
+		"all declined":                          {routing.NonIdempotent, 2, 9, []scriptedTarget{declined, declined}, 503, OutcomeNotRun},
+		"cut, not repeatable":                   {routing.NonIdempotent, 3, 9, []scriptedTarget{cut}, 502, OutcomeUnknown},
+		"cut, repeatable":                       {routing.Idempotent, 3, 9, []scriptedTarget{cut, ok}, 200, ""},
+		"cut twice":                             {routing.Idempotent, 3, 9, []scriptedTarget{cut, cut}, 502, OutcomeUnknown},
+		"cut, then declined":                    {routing.Idempotent, 2, 9, []scriptedTarget{cut, declined}, 502, OutcomeUnknown},
+		"cut, no allowance":                     {routing.Idempotent, 3, 0, []scriptedTarget{cut}, 502, OutcomeUnknown},
+		"a failure is passed on":                {routing.NonIdempotent, 3, 9, []scriptedTarget{failed}, 500, ""},
+		"a failure is tried elsewhere":          {routing.Idempotent, 3, 9, []scriptedTarget{failed, ok}, 200, ""},
+		"the last failure is passed on":         {routing.Idempotent, 3, 9, []scriptedTarget{failed, failed}, 500, ""},
+		"no target":                             {routing.Idempotent, 0, 9, nil, 503, OutcomeNotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := routedExchange(c.kind, false)
+			s := &script{t: t, tries: c.tries}
+			d := &Dispatch{
+				Picker:  &numberedPicker{n: c.targets, outcomes: make(map[string]balance.Outcome)},
+				Sends:   &allowedSends{left: c.allowed},
+				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+			}
+			err := d.Handle(t.Context(), x, s.next)
+			if len(s.tries) > 0 {
+				t.Errorf("%d tries were not made", len(s.tries))
+			}
+			var r *Rejection
+			switch {
+			case errors.As(err, &r):
+				if r.Status != c.status || r.Outcome() != c.outcome {
+					t.Errorf("rejected with %d, %s, want %d, %s", r.Status, r.Outcome(), c.status, c.outcome)
+				}
+			case err != nil:
+				t.Errorf("error %v", err)
+			case x.Answer.Status != c.status || c.outcome != "":
+				t.Errorf("answered with %d, want %d %s", x.Answer.Status, c.status, c.outcome)
+			}
+		})
+	}
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestCutStreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		resumable bool
+		tries     []scriptedTarget
+		want      string
+		whole     bool
+		resumeAt  string
+	}{
+		"whole": {true, []scriptedTarget{{status: 200, events: events(1, 5)}}, events(1, 5), true, ""},
+		"resumed after the last whole event": {true, []scriptedTarget{
+			{status: 200, events: events(1, 3) + "id: 4\nda", cut: errCutHere},
+			{status: 200, events: events(4, 6)},
+		}, events(1, 6), true, "3"},
+		"not resumable": {false, []scriptedTarget{{status: 200, events: events(1, 3) + "id: 4\nda", cut: errCutHere}}, events(1, 3), false, ""},
+		"cut before any event": {true, []scriptedTarget{
+			{status: 200, cut: errCutHere},
+			{status: 200, events: events(1, 4)},
+		}, events(1, 4), true, ""},
+		"an event is left out": {true, []scriptedTarget{
+			{status: 200, events: events(1, 3), cut: errCutHere},
+			{status: 200, events: events(5, 6)},
+		}, events(1, 3), false, "3"},
+		"an event comes again": {true, []scriptedTarget{
+			{status: 200, events: events(1, 3), cut: errCutHere},
+			{status: 200, events: events(3, 6)},
+		}, events(1, 3), false, "3"},
+		"the other target fails": {true, []scriptedTarget{
+			{status: 200, events: events(1, 3), cut: errCutHere},
+			{status: 500},
+		}, events(1, 3), false, "3"},
+		"cut again": {true, []scriptedTarget{
+			{status: 200, events: events(1, 2), cut: errCutHere},
+			{status: 200, events: events(3, 4), cut: errCutHere},
+		}, events(1, 4), false, "2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := routedExchange(routing.Stream, c.resumable)
+			s := &script{t: t, tries: c.tries}
+			d := &Dispatch{
+				Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
+				Sends:   &allowedSends{left: 9},
+				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+			}
+			if err := d.Handle(t.Context(), x, s.next); err != nil {
+				t.Fatal(err)
+			}
+			got, err := io.ReadAll(x.Answer.Body)
+			if string(got) != c.want {
+				t.Errorf("events %q, want %q", got, c.want)
+			}
+			if (err == nil) != c.whole {
+				t.Errorf("error %v, want a whole stream: %t", err, c.whole)
+			}
+			if last := s.lastEvents[len(s.lastEvents)-1]; last != c.resumeAt {
+				t.Errorf("resumed after %q, want %q", last, c.resumeAt)
+			}
+		})
+	}
+}
--- a/internal/filter/events.go
+++ b/internal/filter/events.go
@@ -39,8 +39,10 @@
 	partial []byte
 	buf     []byte
 	// last is the number of the last whole event, lastID its id as it was sent.
-	last    uint64
-	lastID  string
+	last   uint64
+	lastID string
+	// passed tells that an event was read, resumed that the order is checked.
+	passed  bool
 	resumed bool
 	err     error
 }
@@ -110,6 +112,7 @@
 // inOrder notes the event's id; false if a resumed stream left one out or sent
 // one again.
 func (s *eventStream) inOrder(event []byte) bool {
+	s.passed = true
 	id := eventID(event)
 	if id == "" {
 		return true
@@ -140,7 +143,7 @@
 	w := s.work
 	s.partial = nil
 	s.body.Close()
-	if s.ctx.Err() != nil || !w.repeatable() || s.lastID == "" || w.ran >= w.x.Route.MaxTargets || !w.Sends.Again(w.x.Demand.Service) {
+	if s.ctx.Err() != nil || !w.repeatable() || s.passed && s.lastID == "" || w.ran >= w.x.Route.MaxTargets || !w.Sends.Again(w.x.Demand.Service) {
 		s.err = err
 		return
 	}
@@ -159,6 +162,7 @@
 		s.err = errs.Wrap(fmt.Errorf("the stream can't be resumed: status %d", next.Status), StepDispatch, w.choice.Target.Id)
 		return
 	}
-	s.resumed = true
+	// Without an event so far, the stream begins anew.
+	s.resumed = s.passed
 	s.body = next.Body
 }
