TestRollout: releases during a claim are kept; a draining router takes no announcements

(1) wait-too-long for all waiting chats 5.3 s after the home began to drain: while a new home claims a group, releases that reach it were dropped, and the places that the answers to the claim list stayed counted until the next confirmation, which comes every 5 s. (2) no-target for 0.1 s when an instance ends: targets announced themselves to the draining instance to its end; what it was told after it had left did not reach the others, and the next router lists a target only from its second call on. Ruled out: refused by limits (the code names the wait), a lost home (the claim was answered). TestReleaseDuringAClaim and TestDrainingRouterSendsTargetsElsewhere failed first.

--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -32,6 +32,7 @@
 	left     []string
 	refuse   error
 	others   []string
+	state    pb.RouterState
 }
 
 func (f *fakeRouter) Announce(st *pb.TargetStatus, provenAt time.Time) error {
@@ -48,7 +49,9 @@
 	f.left = append(f.left, id)
 }
 
-func (f *fakeRouter) Self() *pb.RouterStatus { return &pb.RouterStatus{Id: "self"} }
+func (f *fakeRouter) Self() *pb.RouterStatus {
+	return &pb.RouterStatus{Id: "self", State: f.state}
+}
 
 func (f *fakeRouter) Routers() []*pb.RouterStatus {
 	routers := []*pb.RouterStatus{{Id: "self", TargetAddr: "127.0.0.1:1"}}
@@ -209,3 +212,44 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// TestDrainingRouterSendsTargetsElsewhere has a router drain: targets must be
+// announced at the other one long before their leases end. Each announcer begins
+// at a random router, so there are several.
+func TestDrainingRouterSendsTargetsElsewhere(t *testing.T) {
+	for range 8 {
+		leaving := &fakeRouter{state: pb.RouterState_ROUTER_STATE_DRAINING}
+		staying := &fakeRouter{}
+		a := announceTo(t, startRouter(t, leaving), startRouter(t, staying))
+		deadline := time.Now().Add(time.Second)
+		for n := 0; n == 0; n, _ = staying.snapshot() {
+			if time.Now().After(deadline) {
+				t.Fatal("the target was not announced to the router that stays")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		a.Close()
+		if n, _ := leaving.snapshot(); n > 0 {
+			t.Errorf("the draining router took %d announcements", n)
+		}
+	}
+}
+
+// announceTo announces an engine to some routers.
+func announceTo(t *testing.T, routers ...*httptest.Server) *Announcer {
+	cfg := AnnouncerConfig{
+		Token:  "secret",
+		Logger: quietLogger(),
+		Status: func() *pb.TargetStatus {
+			return &pb.TargetStatus{Id: "e", Kind: pb.TargetKind_TARGET_KIND_ENGINE, Addr: "10.0.0.1:80", Incarnation: 1, Capacity: 1}
+		},
+	}
+	for _, r := range routers {
+		cfg.Routers = append(cfg.Routers, strings.TrimPrefix(r.URL, "http://"))
+	}
+	a, err := NewAnnouncer(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
--- a/internal/announce/handler.go
+++ b/internal/announce/handler.go
@@ -128,6 +128,13 @@
 	if !ok {
 		return
 	}
+	switch h.View.Self().GetState() {
+	case pb.RouterState_ROUTER_STATE_DRAINING, pb.RouterState_ROUTER_STATE_GONE:
+		// What this router is told now may not reach the others any more. The
+		// target has a lease's time to find another.
+		h.fail(w, r, http.StatusServiceUnavailable, "draining", "this router drains; announce to another")
+		return
+	}
 	st, stamp, err := parseAnnouncement(body)
 	if err != nil {
 		h.fail(w, r, http.StatusBadRequest, "invalid", oneLine(err))
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -53,9 +53,10 @@
 	if g == nil {
 		return nil, errs.New(methodRelease, s.cfg.Self, "too many groups of targets")
 	}
-	opened, known := g.present()
+	ids := placeIDs(req.Router, req.Incarnation, req.Numbers)
+	opened, known := g.keepOrRelease(s.cfg.Self, ids)
 	if opened != nil {
-		opened.release(placeIDs(req.Router, req.Incarnation, req.Numbers)...)
+		opened.release(ids...)
 		if req.Held != nil {
 			s.count(opened, req.Held)
 		}
--- a/internal/scheduler/group.go
+++ b/internal/scheduler/group.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/pool"
 )
 
 // group is what this router knows of one group of targets.
@@ -21,6 +22,9 @@
 	known *pb.HomeClaim
 	// gate is nil unless this router is the home.
 	gate *gate
+	// early are releases that came while this router claimed the group: the
+	// places may be on their way in the answers to the claim.
+	early []pool.ID
 	// told are the routers in view that know the own claim; telling tells
 	// that a goroutine tells the others.
 	told    map[routerKey]bool
@@ -59,6 +63,7 @@
 	if higher(c, g.known) {
 		g.known = c
 		ended, g.gate = g.gate, nil
+		g.early = nil
 	}
 	g.mu.Unlock()
 	if ended != nil {
@@ -75,11 +80,24 @@
 	if higher(g.known, c) {
 		return false
 	}
+	opened.release(g.early...)
+	g.early = nil
 	g.gate = opened
 	g.told = told
 	return true
 }
 
+// keepOrRelease returns the open gate and the claim in force. While self claims
+// the group and has no gate yet, it keeps the releases until the gate opens.
+func (g *group) keepOrRelease(self string, ids []pool.ID) (*gate, *pb.HomeClaim) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.gate == nil && g.known.GetRouter() == self && len(g.early)+len(ids) <= maxReleases {
+		g.early = append(g.early, ids...)
+	}
+	return g.gate, g.known
+}
+
 // untold returns the routers that have yet to be told of the own claim, and
 // the claim; those that left the view are told again when they return.
 func (g *group) untold(inView map[routerKey]router) (*pb.HomeClaim, []routerKey) {
--- a/internal/scheduler/homes_test.go
+++ b/internal/scheduler/homes_test.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/placement"
+	"github.com/wigeonwood/wigeonwood/internal/pool"
 	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
@@ -420,3 +421,30 @@
 	}
 	return open
 }
+
+// TestReleaseDuringAClaim has a place end at another router while this one
+// claims its group: the place is listed in the answer to the claim, and its
+// release comes before the gate opens. It must not stay counted.
+func TestReleaseDuringAClaim(t *testing.T) {
+	s := start(t, newFakeFleet("r1", engine("e1", 4), engine("e2", 4)))
+	g := s.group("engines/0")
+	claim := &pb.HomeClaim{Group: g.name, Epoch: 9, Router: "r1"}
+	if !g.learn(claim) {
+		t.Fatal("the claim does not hold")
+	}
+	opened := newGate(s.cfg.poolConfig())
+	targets, reports := s.targetsOf(g.name)
+	opened.update(targets, reports, func(pool.ID) bool { return true })
+	listed := &pb.HeldPlaces{Router: "r2", Incarnation: 5, UpTo: 1, Places: []*pb.HeldPlace{{Number: 1, Target: "e1", Model: "m"}}}
+	release := &pb.ReleaseRequest{Router: "r2", Incarnation: 5, Group: g.name, Numbers: []uint64{1}}
+	if _, err := s.handleRelease(t.Context(), release); err != nil {
+		t.Fatal(err)
+	}
+	s.count(opened, listed)
+	if !g.open(claim, opened, nil) {
+		t.Fatal("the gate does not open")
+	}
+	if got := opened.stats().Grants; got != 0 {
+		t.Errorf("%d places are counted after the only one was released", got)
+	}
+}
