Replicas: a silent voter is removed once another has joined beside it

With open admission a replaced machine of the core left a dead voter behind for good. TestReplacedReplicaIsRemoved failed before (the lost replica stayed a member).

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -81,6 +81,7 @@
 
 func (n *Node) tick() {
 	n.core.Tick()
+	n.noteLeadership()
 	n.reconcileMembers()
 }
 
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -157,10 +157,11 @@
 		next := proto.CloneOf(current)
 		next.Members[i].Learner = false
 		if _, _, err := n.core.ProposeMembership(next, n.now().UnixMilli()); err == nil {
-			n.event(log.InfoLevel, "promote replica").Str("replica", m.Id).Msg("a learner becomes a voter")
+			n.event(log.InfoLevel, "promote replica").Str("promoted", m.Id).Msg("a learner becomes a voter")
 		}
 		return
 	}
+	n.removeReplaced(current)
 }
 
 // AddReplica implements Log. The replica must answer at addr and hold no log;
@@ -238,12 +239,19 @@
 }
 
 // joinWhileOutside asks to be admitted as long as the own log names no
-// membership with this replica.
+// membership with this replica. With open admission it also asks when no leader
+// has been known for long: the replica may have been removed since.
 func (n *Node) joinWhileOutside() {
 	next, refused := 0, 0
 	for n.sleep(joinInterval) == nil {
-		if voter, learner := n.memberState(n.id); voter || learner {
-			return
+		voter, learner := n.memberState(n.id)
+		if voter || learner {
+			if !n.cfg.OpenAdmission {
+				return
+			}
+			if !n.leaderless() {
+				continue
+			}
 		}
 		targets := n.joinTargets()
 		if len(targets) == 0 {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -144,6 +144,8 @@
 	lease     leaseClock
 	reads     readQueue
 	transfers map[string]*journal.Snapshot
+	// leads is when this node became the leader; zero while it is not.
+	leads time.Time
 
 	proposals   chan *proposal
 	readCalls   chan *readCall
@@ -163,6 +165,8 @@
 	mu     sync.Mutex
 	err    error
 	status status
+	// ledAt is when a leader was last known.
+	ledAt time.Time
 }
 
 var _ Log = (*Node)(nil)
@@ -219,6 +223,7 @@
 		unreachable: make(chan string, queuedOthers),
 		waiters:     newWaiters(),
 		done:        make(chan struct{}),
+		ledAt:       time.Now(),
 		started:     make(chan struct{}),
 	}
 	n.ctx, n.cancel = context.WithCancel(ctx)
--- /dev/null
+++ b/internal/replica/replace.go
@@ -0,0 +1,99 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/consensus"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// replaceAfterTicks is how long a voter must be silent to count as replaced.
+	// It is well above a cut of some seconds.
+	replaceAfterTicks = 200
+	// minVoters is the least number of live voters that a removal may leave.
+	minVoters = 3
+	// rejoinAfterTicks is how long a replica goes without a leader until it asks
+	// to be admitted, in case it was removed meanwhile.
+	rejoinAfterTicks = 100
+)
+
+// replacedVoter returns the voter that another one has taken the place of, nil
+// if there is none: the number of voters is even, so that one has joined beside
+// the odd number there were, and exactly one of them is silent. silence returns
+// for how long a member has been silent.
+func replacedVoter(m *pb.Membership, silence func(id string) time.Duration, after time.Duration) *pb.Member {
+	var silent []*pb.Member
+	voters := 0
+	for _, member := range m.GetMembers() {
+		if member.Learner {
+			continue
+		}
+		voters++
+		if silence(member.Id) >= after {
+			silent = append(silent, member)
+		}
+	}
+	if voters%2 != 0 || len(silent) != 1 || voters-1 < minVoters {
+		return nil
+	}
+	return silent[0]
+}
+
+// removeReplaced removes a voter whose machine was replaced, one at a time.
+func (n *Node) removeReplaced(current *pb.Membership) {
+	if !n.cfg.OpenAdmission {
+		return
+	}
+	gone := replacedVoter(current, n.silence, replaceAfterTicks*n.cfg.TickInterval)
+	if gone == nil {
+		return
+	}
+	next := proto.CloneOf(current)
+	next.Members = slices.DeleteFunc(next.Members, func(m *pb.Member) bool { return m.Id == gone.Id })
+	if _, _, err := n.core.ProposeMembership(next, n.now().UnixMilli()); err != nil {
+		n.event(log.WarnLevel, "remove replica").Err(err).Str("removed", gone.Id).Msg("a replaced replica was not removed")
+		return
+	}
+	n.event(log.InfoLevel, "remove replica").Str("removed", gone.Id).Str("removed_addr", gone.Addr).
+		Dur("silent", n.silence(gone.Id)).Msg("a silent replica is removed, since another has joined")
+}
+
+// silence is how long nothing was heard of a member, counted from the start of
+// this node's leadership at the earliest.
+func (n *Node) silence(id string) time.Duration {
+	if id == n.id {
+		return 0
+	}
+	since := n.peers.lastHeard[id]
+	if n.leads.After(since) {
+		since = n.leads
+	}
+	return n.now().Sub(since)
+}
+
+// noteLeadership keeps when this node last became the leader.
+func (n *Node) noteLeadership() {
+	leading := n.core.Role() == consensus.Leader
+	switch {
+	case !leading:
+		n.leads = time.Time{}
+	case n.leads.IsZero():
+		n.leads = n.now()
+	}
+}
+
+// leaderless tells whether no leader has been known for so long that this
+// replica may have been removed.
+func (n *Node) leaderless() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.status.Leader != "" {
+		n.ledAt = n.now()
+	}
+	return n.now().Sub(n.ledAt) > rejoinAfterTicks*n.cfg.TickInterval
+}
