--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -9,32 +9,59 @@
 	"github.com/wigeonwood/wigeonwood/platform"
 )
 
+// maxPort is the highest TCP port.
+const maxPort = 65535
+
 func newPlatform() *cobra.Command {
-	var token, level string
+	var o platform.Options
 	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Run one instance by the platform's settings file",
-		Long:  "Run one instance by the settings file that " + platform.SettingsVariable + " names. SIGTERM drains the instance.",
+		Long:  "Run one instance by the settings file that " + platform.SettingsVariable + " names. SIGTERM drains the instance, SIGHUP has the file read again.",
 		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runPlatform(cmd.Context(), token, level)
-		},
+		RunE:  func(cmd *cobra.Command, _ []string) error { return runPlatform(cmd.Context(), o) },
 	}
-	cmd.Flags().StringVar(&token, "peer-token", "", "secret shared by the fleet's instances (required)")
-	cmd.Flags().StringVar(&level, "log-level", "info", "lowest level logged: debug, info, warn or error")
+	fs := cmd.Flags()
+	fs.StringVar(&o.Settings, "settings", "", "path of the settings file; "+platform.SettingsVariable+" if not given")
+	fs.StringVar(&o.PeerToken, "peer-token", "", "secret shared by the fleet's instances (required)")
+	fs.StringVar(&o.LogLevel, "log-level", "info", "lowest level logged: debug, info, warn or error")
+	fs.IntVar(&o.MetricsPort, "metrics-port", 0, "port that serves the metrics at /metrics; 0 for none")
+	cmd.AddCommand(newPlatformCheck())
 	return cmd
 }
 
-func runPlatform(ctx context.Context, token, level string) error {
-	path := os.Getenv(platform.SettingsVariable)
-	if path == "" {
-		return usageError("%s names no settings file", platform.SettingsVariable)
+func newPlatformCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file or, with the ending .json, a configuration",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := platform.CheckFile(args[0]); err != nil {
+				return withCode(ExitUsage, err)
+			}
+			cmd.Println("the file is valid")
+			return nil
+		},
 	}
-	if token == "" {
-		return usageError("--peer-token is needed")
+}
+
+func runPlatform(ctx context.Context, o platform.Options) error {
+	if o.Settings == "" {
+		o.Settings = os.Getenv(platform.SettingsVariable)
+	}
+	switch {
+	case o.Settings == "":
+		return usageError("%s names no settings file", platform.SettingsVariable)
+	case len(o.PeerToken) < minPeerToken:
+		return usageError("--peer-token: a secret of at least %d characters is needed", minPeerToken)
+	case o.MetricsPort < 0 || o.MetricsPort > maxPort:
+		return usageError("--metrics-port: %d is not a port", o.MetricsPort)
 	}
-	if err := platform.Serve(ctx, path, token, level); err != nil {
+	if err := platform.Serve(ctx, o); err != nil {
 		return withCode(ExitFailed, err)
 	}
 	return nil
 }
+
+// minPeerToken is the least length of the secret, in characters.
+const minPeerToken = 8
