TestRollout: releases go to the home that counts them, also while it drains

Routers that knew of the drain still reached the home through others that did not, but sent the releases to the next home by rendezvous, which dropped them; the waiting chats were refused after 5 s. Ruled out: late load reports (they said 0), lapsed targets (all open). TestDrainingHomeGetsItsReleases fails without it at its fifth request. A failed first answer is kept where no other target could take the retry.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -199,7 +199,7 @@
 		d.unsent++
 		c.Done(balance.Busy)
 		return errs.Wrap(errNotRun, StepDispatch, c.Target.Id)
-	case a.Status >= http.StatusInternalServerError && d.repeatable() && d.ran+1 < d.x.Route.MaxTargets && d.Sends.Again(d.x.Demand.Service):
+	case a.Status >= http.StatusInternalServerError && d.repeatable() && c.Others > 0 && d.ran+1 < d.x.Route.MaxTargets && d.Sends.Again(d.x.Demand.Service):
 		d.drop()
 		d.ran++
 		c.Done(balance.Broken)
--- a/internal/scheduler/homes_test.go
+++ b/internal/scheduler/homes_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/placement"
@@ -59,6 +61,11 @@
 
 // startNodes starts n routers that see each other and the targets.
 func startNodes(t testing.TB, n int, targets ...*pb.TargetStatus) []*node {
+	return startNodesConfirming(t, 200*time.Millisecond, n, targets...)
+}
+
+// startNodesConfirming starts routers that confirm their places at an interval.
+func startNodesConfirming(t testing.TB, interval time.Duration, n int, targets ...*pb.TargetStatus) []*node {
 	var nodes []*node
 	for i := range n {
 		id := fmt.Sprint("r", i)
@@ -72,7 +79,7 @@
 		server := transport.NewServer(peerToken, discard())
 		s := New(Config{
 			Self: id, View: f, Config: f, Pool: calls, Server: server, Logger: discard(),
-			ConfirmInterval: 200 * time.Millisecond,
+			ConfirmInterval: interval,
 		})
 		go func() { _ = server.Serve(listener) }()
 		nodes = append(nodes, &node{
@@ -448,3 +455,43 @@
 		t.Errorf("%d places are counted after the only one was released", got)
 	}
 }
+
+// TestDrainingHomeGetsItsReleases has one router know that the home drains while
+// the others don't: requests still reach the home through them, and so must the
+// releases of their places.
+func TestDrainingHomeGetsItsReleases(t *testing.T) {
+	nodes := startNodesConfirming(t, time.Hour, 3, engine("e1", 2), engine("e2", 2))
+	releaseAll(fill(t, nodes, 3))
+	home := homeOf(nodes)
+	waitEmpty(t, home)
+	var seen []*pb.RouterStatus
+	for _, nd := range nodes {
+		st := proto.CloneOf(nd.status)
+		if nd == home {
+			st.State = pb.RouterState_ROUTER_STATE_DRAINING
+		}
+		seen = append(seen, st)
+	}
+	// The other one is the next home by rendezvous in the asker's view.
+	var asker *node
+	for _, nd := range nodes {
+		if nd == home {
+			continue
+		}
+		nd.fleet.setRouters(seen...)
+		if nd.candidates("engines/0")[0].id != nd.cfg.Self {
+			asker = nd
+			continue
+		}
+		nd.sees(nodes...)
+	}
+	for i := range 20 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		grant, err := asker.Admit(ctx, demand("c", fmt.Sprint("chat-", i)), nil)
+		cancel()
+		if err != nil {
+			t.Fatalf("request %d: %v; all places before it were given back", i, err)
+		}
+		grant.Release(filter.Usage{})
+	}
+}
--- a/internal/scheduler/release.go
+++ b/internal/scheduler/release.go
@@ -23,8 +23,14 @@
 func (s *Scheduler) release(group string, number uint64) {
 	s.held.end(group, number)
 	g := s.group(group)
-	if opened, _ := g.present(); opened != nil {
-		opened.release(placeIDs(s.cfg.Self, s.cfg.View.Self().GetIncarnation(), []uint64{number})...)
+	ids := placeIDs(s.cfg.Self, s.cfg.View.Self().GetIncarnation(), []uint64{number})
+	opened, known := g.keepOrRelease(s.cfg.Self, ids)
+	if opened != nil {
+		opened.release(ids...)
+		return
+	}
+	if known.GetRouter() == s.cfg.Self {
+		// Kept until the gate opens.
 		return
 	}
 	g.mu.Lock()
@@ -79,8 +85,8 @@
 // sendRelease makes one call. If it fails, the next confirmation tells the
 // home instead.
 func (s *Scheduler) sendRelease(g *group, numbers []uint64, confirm bool) {
-	candidates := s.candidates(g.name)
-	if len(candidates) == 0 || candidates[0].id == s.cfg.Self {
+	home, ok := s.releaseTo(g)
+	if !ok || home.id == s.cfg.Self {
 		return
 	}
 	req := &pb.ReleaseRequest{
@@ -89,7 +95,7 @@
 		Group:       g.name,
 		Numbers:     numbers,
 	}
-	if _, known := g.present(); known.GetRouter() == candidates[0].id {
+	if _, known := g.present(); known.GetRouter() == home.id {
 		req.KnownEpoch = known.GetEpoch()
 	}
 	if confirm {
@@ -98,8 +104,22 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	reply := &pb.ReleaseReply{}
-	if err := s.cfg.Pool.Call(ctx, candidates[0].addr, methodRelease, req, reply); err != nil {
+	if err := s.cfg.Pool.Call(ctx, home.addr, methodRelease, req, reply); err != nil {
 		return
 	}
 	g.learn(reply.Home)
 }
+
+// releaseTo returns the router that counts a group's places: the home of the
+// claim in force, also while it drains, since it goes on admitting until another
+// one claims.
+func (s *Scheduler) releaseTo(g *group) (router, bool) {
+	if _, known := g.present(); known != nil {
+		return router{id: known.Router, addr: known.Addr}, true
+	}
+	candidates := s.candidates(g.name)
+	if len(candidates) == 0 {
+		return router{}, false
+	}
+	return candidates[0], true
+}
