Shared loads: two collectors add up the routers' counts

Now each sends its own to two collectors chosen by rendezvous, which send the sums to all: 660 messages a second for 83 routers where there were 5,300, and 250 to 500 ms old.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -108,16 +108,18 @@
 	}
 }
 
-// shareAll lets each balancer hear of the others' requests in flight.
+// shareAll sends each balancer's counts to a collector, and its sums to all.
 func shareAll(all []*Balancer) {
-	for i, from := range all {
-		counts := from.InFlight()
-		for j, to := range all {
-			if i != j {
-				to.PeerInFlight(fmt.Sprint("r", i), counts)
-			}
+	for i, b := range all {
+		counts := b.OwnCounts()
+		if i > 0 {
+			all[0].TakeCounts(fmt.Sprint("r", i), counts)
 		}
 	}
+	sums := all[0].Sums()
+	for _, b := range all[1:] {
+		b.TakeTotals(sums)
+	}
 }
 
 // TestRoutersAgree has two routers place the same keys without a message.
@@ -236,7 +238,7 @@
 	b := New(newView(1))
 	c, _ := b.Pick(Request{Service: "llm"})
 	key := fleet.TargetKey("e0", 0)
-	if got := b.InFlight()[key]; got != 1 {
+	if got := b.OwnCounts()[uint32(key)]; got != 1 {
 		t.Fatalf("in flight %d", got)
 	}
 	c.Done(Served)
@@ -288,3 +290,91 @@
 		}
 	}
 }
+
+// TestReplayLargeFleet replays the grown survey: 83 routers that each see one
+// request in 80, 140 engines of 12 places, 900 requests a second of three kinds
+// that last 0.15 to 1.7 s, and counts that reach the others 250 to 500 ms late.
+// The bound is the platform's: twice the mean and three more for 97 of 100.
+func TestReplayLargeFleet(t *testing.T) {
+	const (
+		routers, engines = 83, 140
+		perSecond        = 900
+		seconds          = 20
+		shareEvery       = 250
+	)
+	kinds := []struct {
+		share    float64
+		sessions int
+		tokens   int
+		lastsMs  int
+	}{{0.24, 320, 10000, 1700}, {0.23, 700, 600, 1300}, {0.53, 720, 1700, 150}}
+	rng := rand.New(rand.NewPCG(11, 11))
+	view := newView(engines)
+	for _, st := range view.targets {
+		st.Capacity = 12
+	}
+	clock := time.Unix(1000, 0)
+	all := make([]*Balancer, routers)
+	for i := range all {
+		all[i] = New(view)
+		all[i].now = func() time.Time { return clock }
+	}
+	ends := make(map[int][]func())
+	load := make(map[string]int)
+	holders := make(map[string]map[string]bool)
+	live, over, again, total, requests := 0, 0, 0, 0, 0
+	var sums map[uint32]int
+	for ms := range seconds * 1000 {
+		clock = clock.Add(time.Millisecond)
+		for _, end := range ends[ms] {
+			end()
+		}
+		delete(ends, ms)
+		if ms%shareEvery == 0 {
+			for _, b := range all[1:] {
+				b.TakeTotals(sums)
+			}
+			for i, b := range all[1:] {
+				all[0].TakeCounts(fmt.Sprint("r", i), b.OwnCounts())
+			}
+			sums = all[0].Sums()
+		}
+		if rng.Float64() >= perSecond/1000.0 {
+			continue
+		}
+		draw, k := rng.Float64(), 0
+		for draw > kinds[k].share && k < len(kinds)-1 {
+			draw -= kinds[k].share
+			k++
+		}
+		kind := kinds[k]
+		key := fmt.Sprint("k", k, "-", rng.IntN(kind.sessions))
+		c, ok := all[rng.IntN(routers)].Pick(Request{Service: "llm", Key: key})
+		if !ok {
+			t.Fatal("no target")
+		}
+		id := c.Target.Id
+		requests++
+		if float64(load[id]) > 2*float64(live)/engines+3 {
+			over++
+		}
+		load[id]++
+		live++
+		total += kind.tokens
+		if holders[key] == nil {
+			holders[key] = make(map[string]bool)
+		} else if !holders[key][id] {
+			again += kind.tokens
+		}
+		holders[key][id] = true
+		ends[ms+kind.lastsMs] = append(ends[ms+kind.lastsMs], func() {
+			c.Done(Served)
+			load[id]--
+			live--
+		})
+	}
+	t.Logf("%.2f%% of shared tokens read again, %d of %d requests over the bound", 100*float64(again)/float64(total), over, requests)
+	if over > requests*3/100 {
+		t.Errorf("%d of %d requests were over the bound, want at most 3 in 100", over, requests)
+	}
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -17,8 +17,6 @@
 const (
 	// forgetAfter is how long a target that is in no view is remembered.
 	forgetAfter = 30 * time.Second
-	// peerLoadLife is how long another router's counts are taken as present.
-	peerLoadLife = 1500 * time.Millisecond
 )
 
 // Request is what the choice depends on.
@@ -55,7 +53,7 @@
 
 	mu      sync.Mutex
 	targets map[uint64]*target
-	peers   map[string]*peerLoad
+	shared  sharedLoads
 	swept   time.Time
 }
 
@@ -66,19 +64,13 @@
 	seen     time.Time
 }
 
-// peerLoad is what another router has in flight.
-type peerLoad struct {
-	counts map[uint64]int
-	at     time.Time
-}
-
 // New makes a balancer over the targets of view.
 func New(view fleet.View) *Balancer {
 	return &Balancer{
 		view:    view,
 		now:     time.Now,
 		targets: make(map[uint64]*target),
-		peers:   make(map[string]*peerLoad),
+		shared:  newSharedLoads(),
 	}
 }
 
@@ -134,7 +126,7 @@
 		t := b.target(now, st)
 		all = append(all, &candidate{
 			status:   st,
-			inFlight: t.inFlight + b.peerInFlight(now, fleet.TargetKey(st.Id, st.Incarnation)),
+			inFlight: t.inFlight + b.shared.others(now, loadKey(st)),
 			capacity: capacity(st, r.Slots),
 			sound:    t.health.available(now),
 			leaving:  st.Leaving,
@@ -201,39 +193,50 @@
 			delete(b.targets, key)
 		}
 	}
-	for id, p := range b.peers {
-		if now.Sub(p.at) > forgetAfter {
-			delete(b.peers, id)
-		}
-	}
-}
-
-func (b *Balancer) peerInFlight(now time.Time, key uint64) int {
-	sum := 0
-	for _, p := range b.peers {
-		if now.Sub(p.at) < peerLoadLife {
-			sum += p.counts[key]
-		}
-	}
-	return sum
+	b.shared.sweep(now)
 }
 
-// InFlight returns the requests in flight here by target key.
-func (b *Balancer) InFlight() map[uint64]int {
+// OwnCounts returns the requests in flight here, and remembers that the other
+// routers are told of them.
+func (b *Balancer) OwnCounts() map[uint32]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	counts := make(map[uint64]int)
+	counts := b.ownLocked()
+	b.shared.told = counts
+	return counts
+}
+
+func (b *Balancer) ownLocked() map[uint32]int {
+	counts := make(map[uint32]int)
 	for key, t := range b.targets {
 		if t.inFlight > 0 {
-			counts[key] = t.inFlight
+			counts[uint32(key)] = t.inFlight
 		}
 	}
 	return counts
 }
 
-// PeerInFlight takes another router's requests in flight by target key.
-func (b *Balancer) PeerInFlight(router string, counts map[uint64]int) {
+// Sums returns the requests in flight at all routers, as far as they are known
+// here, and takes note of them as totals.
+func (b *Balancer) Sums() map[uint32]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	sums := b.shared.sums(now, b.ownLocked())
+	b.shared.takeTotals(now, sums)
+	return sums
+}
+
+// TakeCounts takes another router's requests in flight.
+func (b *Balancer) TakeCounts(router string, counts map[uint32]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.shared.takeCounts(b.now(), router, counts)
+}
+
+// TakeTotals takes the requests in flight of all routers.
+func (b *Balancer) TakeTotals(counts map[uint32]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers[router] = &peerLoad{counts: counts, at: b.now()}
+	b.shared.takeTotals(b.now(), counts)
 }
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -153,7 +153,7 @@
 		Logger:     in.cfg.Logger,
 		Scope:      in.scope,
 		Intervals:  member.Intervals{TargetLease: in.cfg.TargetLease},
-		OnInFlight: in.peerInFlight,
+		OnInFlight: in.inFlightTold,
 	})
 	in.members = members
 	return err
@@ -300,8 +300,8 @@
 	}
 }
 
-// shareInFlight tells the other routers what is in flight here. Without
-// requests it tells them once.
+// shareInFlight tells the collectors what is in flight here and, as one of them,
+// the other routers what is in flight at all.
 func (in *Routed) shareInFlight() {
 	ticker := time.NewTicker(shareInterval)
 	defer ticker.Stop()
@@ -312,17 +312,58 @@
 			return
 		case <-ticker.C:
 		}
-		counts := in.balancer.InFlight()
+		collectors := balance.Collectors(in.members.Routers())
+		counts := in.balancer.OwnCounts()
 		if len(counts) > 0 || told {
-			in.members.ShareInFlight(counts)
+			in.members.SendInFlight(in.peerAddrs(collectors), member.InFlight{Counts: nonEmpty(counts)})
 		}
 		told = len(counts) > 0
+		for _, c := range collectors {
+			if c.Id == in.cfg.ID {
+				in.members.SendInFlight(in.callerPeers(), member.InFlight{Counts: in.balancer.Sums(), Totals: true})
+			}
+		}
 	}
 }
 
-func (in *Routed) peerInFlight(router string, counts map[uint64]int) {
-	if in.balancer != nil {
-		in.balancer.PeerInFlight(router, counts)
+// nonEmpty has a router without requests say so.
+func nonEmpty(counts map[uint32]int) map[uint32]int {
+	if len(counts) == 0 {
+		return map[uint32]int{0: 0}
+	}
+	return counts
+}
+
+// peerAddrs returns the peer addresses of other routers.
+func (in *Routed) peerAddrs(routers []*pb.RouterStatus) []string {
+	var addrs []string
+	for _, r := range routers {
+		if r.Id != in.cfg.ID {
+			addrs = append(addrs, r.PeerAddr)
+		}
+	}
+	return addrs
+}
+
+// callerPeers returns the peer addresses of the other routers that serve
+// callers.
+func (in *Routed) callerPeers() []string {
+	var addrs []string
+	for _, r := range in.members.Routers() {
+		if r.CallerAddr != "" && r.Id != in.cfg.ID {
+			addrs = append(addrs, r.PeerAddr)
+		}
+	}
+	return addrs
+}
+
+func (in *Routed) inFlightTold(router string, f member.InFlight) {
+	switch {
+	case in.balancer == nil:
+	case f.Totals:
+		in.balancer.TakeTotals(f.Counts)
+	default:
+		in.balancer.TakeCounts(router, f.Counts)
 	}
 }
 
--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -63,7 +63,7 @@
 	Budget *budget.Budget
 	Logger *log.Logger
 	// OnInFlight is told of other routers' requests in flight; optional.
-	OnInFlight func(router string, counts map[uint64]int)
+	OnInFlight func(router string, f InFlight)
 	// Scope takes the metrics; nil drops them.
 	Scope     tally.Scope
 	Intervals Intervals
--- a/internal/member/inflight.go
+++ b/internal/member/inflight.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/budget"
@@ -11,12 +13,17 @@
 	// leavingFanout is the number of routers that are told at once of a target
 	// that leaves; the others hear of it by probes.
 	leavingFanout = 24
-	// maxInFlight bounds the targets in one message.
-	maxInFlight = 100
-	// inFlightFanout is the number of routers that are sent one count.
-	inFlightFanout = 16
+	// maxInFlight bounds the targets in one datagram.
+	maxInFlight = 180
 )
 
+// InFlight counts requests in flight by target key.
+type InFlight struct {
+	Counts map[uint32]int
+	// Totals tells that the counts are those of all routers.
+	Totals bool
+}
+
 // tellLeaving sends the news that a target leaves without waiting for probes.
 func (c *core) tellLeaving(now time.Time, id string) {
 	d := c.targetDelta(id)
@@ -30,22 +37,19 @@
 	}
 }
 
-// ShareInFlight tells other routers of the requests in flight here by target
-// key. Lost messages are made up for by the next one.
-func (m *Members) ShareInFlight(counts map[uint64]int) {
+// SendInFlight tells some routers, by peer address, of requests in flight. Lost
+// messages are made up for by the next ones.
+func (m *Members) SendInFlight(to []string, f InFlight) {
+	keys := slices.Sorted(maps.Keys(f.Counts))
 	m.do(func(c *core, now time.Time) {
-		msg := c.message(pb.GossipKind_GOSSIP_KIND_IN_FLIGHT, c.newNonce())
-		msg.InFlight = &pb.InFlight{}
-		for key, n := range counts {
-			if len(msg.InFlight.Keys) == maxInFlight {
-				break
+		for part := range slices.Chunk(keys, maxInFlight) {
+			msg := c.message(pb.GossipKind_GOSSIP_KIND_IN_FLIGHT, c.newNonce())
+			msg.InFlight = &pb.InFlight{Keys: part, Totals: f.Totals}
+			for _, key := range part {
+				msg.InFlight.Counts = append(msg.InFlight.Counts, uint32(f.Counts[key]))
 			}
-			msg.InFlight.Keys = append(msg.InFlight.Keys, key)
-			msg.InFlight.Counts = append(msg.InFlight.Counts, uint32(n))
-		}
-		for _, e := range c.randomPeers(inFlightFanout, "") {
-			if e.status.CallerAddr != "" {
-				c.send(now, e.status.PeerAddr, budget.Load, msg)
+			for _, addr := range to {
+				c.send(now, addr, budget.Load, msg)
 			}
 		}
 	})
@@ -55,9 +59,9 @@
 	if m.onInFlight == nil {
 		return
 	}
-	counts := make(map[uint64]int, len(msg.GetInFlight().GetKeys()))
+	f := InFlight{Counts: make(map[uint32]int, len(msg.GetInFlight().GetKeys())), Totals: msg.GetInFlight().GetTotals()}
 	for i, key := range msg.GetInFlight().GetKeys() {
-		counts[key] = int(msg.InFlight.Counts[i])
+		f.Counts[key] = int(msg.InFlight.Counts[i])
 	}
-	m.onInFlight(msg.From, counts)
+	m.onInFlight(msg.From, f)
 }
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -34,7 +34,7 @@
 	log     *log.Logger
 	metrics *metrics
 	// onInFlight may be nil.
-	onInFlight func(router string, counts map[uint64]int)
+	onInFlight func(router string, f InFlight)
 
 	mu   sync.Mutex
 	core *core
