Routing tables travel as deltas

Each change sent it whole to eight replicas and to 64 routers over links of 375 KB/s, and every replica decoded 300 KB of JSON on 0.08 of a core; in a storm the heartbeats of the log waited behind. Now a change goes into the log as the difference to the table held (some hundred bytes), replicas do not decode tables, routers take the difference where they hold its base and fetch whole tables from other routers first.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -127,14 +127,13 @@
 	return reply.Result.GetChange(), nil
 }
 
-// PutRoutingTable submits a routing table and returns the number of the table
-// in force after it.
-func (c *Client) PutRoutingTable(ctx context.Context, t *pb.RoutingTable) (uint64, error) {
+// PutRoutingTable submits a routing table, whole or as a delta.
+func (c *Client) PutRoutingTable(ctx context.Context, t *pb.RoutingTable) (*pb.RoutingTableResult, error) {
 	reply, err := c.Submit(ctx, &pb.Command{Body: &pb.Command_RoutingTable{RoutingTable: t}})
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
-	return reply.Result.GetRoutingTable().GetNumber(), nil
+	return reply.Result.GetRoutingTable(), nil
 }
 
 // Claim commits a claim; each call must bear an attempt of its own. A grant is
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wigeonwood/wigeonwood/internal/document"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/replica"
 	"github.com/wigeonwood/wigeonwood/internal/state"
@@ -59,6 +61,9 @@
 
 	committed tally.Counter
 	refused   tally.Counter
+
+	packedMu sync.Mutex
+	packed   *pb.RoutingTable
 }
 
 // NewService registers the control methods on cfg.Server. Close ends it.
@@ -180,13 +185,34 @@
 	case pb.QueryRequest_WHAT_REPLICAS:
 		resp.Replicas = s.log.Replicas()
 	case pb.QueryRequest_WHAT_ROUTING_TABLE:
-		resp.RoutingTable = s.state.RoutingTable()
+		resp.RoutingTable = s.packedTable()
 	case pb.QueryRequest_WHAT_ROUTERS:
 		resp.Routers = firstN(s.leases.holds(time.Now()), limit)
 	}
 	return resp, nil
 }
 
+// packedTable returns the routing table in force, nil before the first one. The
+// packed form is kept, since operators read the same table again and again.
+func (s *Service) packedTable() *pb.RoutingTable {
+	t := s.state.RoutingTable()
+	if t == nil {
+		return nil
+	}
+	s.packedMu.Lock()
+	defer s.packedMu.Unlock()
+	if s.packed.GetNumber() == t.Number {
+		return s.packed
+	}
+	data, err := document.Pack(t.Document)
+	if err != nil {
+		s.logger.Error().Err(err).Str("step", methodQuery).Uint64("number", t.Number).Msg("the routing table can't be packed")
+		return nil
+	}
+	s.packed = &pb.RoutingTable{Number: t.Number, Document: data}
+	return s.packed
+}
+
 func (s *Service) history(req *pb.QueryRequest, limit int) []*pb.ChangeRecord {
 	if req.Revision == 0 {
 		return s.state.History(req.Name, limit)
--- a/internal/routesync/pack.go
+++ b/internal/document/pack.go
@@ -1,4 +1,4 @@
-package routesync
+package document
 
 import (
 	"bytes"
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -16,6 +16,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/budget"
 	"github.com/wigeonwood/wigeonwood/internal/control"
+	"github.com/wigeonwood/wigeonwood/internal/document"
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
@@ -163,6 +164,7 @@
 	in.sync = routesync.New(routesync.Config{
 		Holder:  &in.holder,
 		Decode:  in.cfg.Decode,
+		Serves:  in.cfg.CallerAddr != "",
 		Members: in.members,
 		Pool:    in.pool,
 		Server:  in.server,
@@ -210,7 +212,9 @@
 	if in.cfg.DataDir == "" {
 		return nil
 	}
-	machine := state.New(state.WithRoutingObserver(in.sync.Committed))
+	machine := state.New(state.WithRoutingObserver(func(t *state.RoutingTable) {
+		in.sync.Committed(t.Number, t.Document, t.Command)
+	}))
 	node, err := replica.Start(in.ctx, replica.Config{
 		Dir:           in.cfg.DataDir,
 		Addr:          in.cfg.PeerListen,
@@ -393,16 +397,33 @@
 // TargetGone ends the known incarnation of a target; false if none is known.
 func (in *Routed) TargetGone(id string) bool { return in.members.TargetGone(id) }
 
-// PutTable commits a routing table and returns the number in force after it.
-func (in *Routed) PutTable(ctx context.Context, number uint64, document []byte) (uint64, error) {
-	packed, err := routesync.Pack(document)
+// PutTable commits a routing table and returns the number in force after it. It
+// goes as the difference to the table in force here, and whole if the log holds
+// another one.
+func (in *Routed) PutTable(ctx context.Context, number uint64, text []byte) (uint64, error) {
+	if base, held := in.sync.Present(); base > 0 && base < number {
+		delta, err := document.Pack(document.Diff(held, text))
+		if err != nil {
+			return 0, err
+		}
+		result, err := in.putTable(ctx, &pb.RoutingTable{Number: number, Base: base, Delta: delta})
+		if err != nil || !result.WholeNeeded {
+			return result.GetNumber(), err
+		}
+	}
+	packed, err := document.Pack(text)
 	if err != nil {
 		return 0, err
 	}
-	if len(packed) > state.MaxRoutingTableBytes {
-		return 0, ErrTableTooLarge
+	result, err := in.putTable(ctx, &pb.RoutingTable{Number: number, Document: packed})
+	return result.GetNumber(), err
+}
+
+func (in *Routed) putTable(ctx context.Context, t *pb.RoutingTable) (*pb.RoutingTableResult, error) {
+	if len(t.Document)+len(t.Delta) > state.MaxRoutingTableBytes {
+		return nil, ErrTableTooLarge
 	}
-	return in.client.PutRoutingTable(ctx, &pb.RoutingTable{Number: number, Document: packed})
+	return in.client.PutRoutingTable(ctx, t)
 }
 
 var (
@@ -422,7 +443,7 @@
 	if reply.RoutingTable == nil {
 		return nil, ErrNoTable
 	}
-	return routesync.Unpack(reply.RoutingTable.Document)
+	return document.Unpack(reply.RoutingTable.Document)
 }
 
 // StartDrain takes this instance off the entries and has callers told to leave.
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -28,8 +28,8 @@
 	operations operations
 	ledger     ledger
 	// routing is the routing table in force, onRouting its observer.
-	routing   *pb.RoutingTable
-	onRouting func(*pb.RoutingTable)
+	routing   *RoutingTable
+	onRouting func(*RoutingTable)
 }
 
 var _ replica.Machine = (*Machine)(nil)
--- a/internal/state/restore.go
+++ b/internal/state/restore.go
@@ -63,8 +63,7 @@
 	case *pb.SnapshotRecord_Ledger:
 		return m.restoreBlock(body.Ledger)
 	case *pb.SnapshotRecord_RoutingTable:
-		m.setRouting(body.RoutingTable)
-		return nil
+		return m.restoreRouting(body.RoutingTable)
 	}
 	return errors.New("unknown record")
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -51,7 +51,11 @@
 		LastRouter: m.ledger.routers.last,
 	}}})
 	if m.routing != nil {
-		s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_RoutingTable{RoutingTable: m.routing}})
+		packed, err := m.routing.packed()
+		if err != nil {
+			return err
+		}
+		s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_RoutingTable{RoutingTable: packed}})
 	}
 	m.writeObjects(s)
 	for _, r := range m.history.records {
