--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,9 @@
 	Scope    tally.Scope
 }
 
+// firstByteBuckets divide the times to the first byte, from 10 ms to 20 s.
+var firstByteBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)
+
 // Gateway serves routed requests.
 type Gateway struct {
 	cfg      Config
@@ -46,7 +49,7 @@
 	requests tally.Counter
 	cuts     tally.Counter
 	tries    tally.Counter
-	first    tally.Timer
+	first    tally.Histogram
 	outcomes tally.Scope
 }
 
@@ -59,7 +62,7 @@
 		requests: scope.Counter("requests"),
 		cuts:     scope.Counter("cut_answers"),
 		tries:    scope.Counter("tries"),
-		first:    scope.Timer("first_byte"),
+		first:    scope.Histogram("first_byte", firstByteBuckets),
 		outcomes: scope,
 	}
 	chain, err := filter.Build(filter.RoutedSpec,
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -28,7 +28,7 @@
 		res.first = total
 	}
 	g.tries.Inc(int64(x.Tries))
-	g.first.Record(res.first)
+	g.first.RecordDuration(res.first)
 	g.outcomes.Tagged(map[string]string{"outcome": outcomeName(res)}).Counter("finished").Inc(1)
 	g.log(x, res, total)
 	if g.cfg.Observer != nil {
