--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -44,6 +44,7 @@
 	// Prepare sets the headers for one target on the exchange; holder may hold
 	// cached parts of the prompt and may be nil.
 	Prepare func(x *Exchange, target, holder *pb.TargetStatus)
+	Warmup  Warmup
 }
 
 // Name returns the filter's name in specs.
@@ -149,7 +150,7 @@
 		Code:       "no-target",
 		Message:    fmt.Sprintf("service %s has no target that takes the request now", d.x.Demand.Service),
 		Step:       StepDispatch,
-		RetryAfter: overloadRetryAfter,
+		RetryAfter: d.Warmup.retryAfter(),
 	})
 }
 
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -3,16 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wigeonwood/wigeonwood/internal/routing"
 )
 
-// noTableRetryAfter is when an instance without a routing table may have one.
-const noTableRetryAfter = 500 * time.Millisecond
-
 // Tables is where the routing table in force is found.
 type Tables interface {
 	// Current returns nil before the first table.
@@ -22,6 +18,7 @@
 // Route finds the route and the service of a request.
 type Route struct {
 	Tables Tables
+	Warmup Warmup
 }
 
 // Name returns the filter's name in specs.
@@ -35,7 +32,7 @@
 			Code:       "no-routing-table",
 			Message:    "this instance has no routing table yet",
 			Step:       StepRoute,
-			RetryAfter: noTableRetryAfter,
+			RetryAfter: r.Warmup.retryAfter(),
 		})
 	}
 	x.Revision = x.Index.Table.Number
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,10 +65,11 @@
 		first:    scope.Histogram("first_byte", firstByteBuckets),
 		outcomes: scope,
 	}
+	warmup := filter.Warmup{Started: time.Now()}
 	chain, err := filter.Build(filter.RoutedSpec,
-		&filter.Route{Tables: c.Tables},
+		&filter.Route{Tables: c.Tables, Warmup: warmup},
 		&filter.Team{},
-		&filter.Dispatch{Picker: c.Picker, Sends: c.Sends, Prepare: c.Prepare},
+		&filter.Dispatch{Picker: c.Picker, Sends: c.Sends, Prepare: c.Prepare, Warmup: warmup},
 		&filter.Forward{
 			Sender:   g.client,
 			Timeouts: func(x *filter.Exchange) filter.Timeouts { return filter.Waits(x, time.Now()) },
