--- /dev/null
+++ b/internal/instance/routed_parts.go
@@ -0,0 +1,162 @@
+package instance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/balance"
+	"github.com/wigeonwood/wigeonwood/internal/budget"
+	"github.com/wigeonwood/wigeonwood/internal/control"
+	"github.com/wigeonwood/wigeonwood/internal/forward"
+	"github.com/wigeonwood/wigeonwood/internal/gateway"
+	"github.com/wigeonwood/wigeonwood/internal/member"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/replica"
+	"github.com/wigeonwood/wigeonwood/internal/routesync"
+	"github.com/wigeonwood/wigeonwood/internal/state"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+func (in *Routed) startMembers() error {
+	allowed := budget.New(budget.Config{Scope: in.scope, BytesPerSecond: routedBytesPerSecond, BurstBytes: routedBurstBytes})
+	in.server = transport.NewServer(in.cfg.PeerToken, in.cfg.Logger)
+	in.server.SetMeter(allowed.Served())
+	in.pool = transport.NewPool(in.cfg.PeerToken, nil, allowed)
+	members, err := member.Start(member.Config{
+		Self: &pb.RouterStatus{
+			Id:          in.cfg.ID,
+			Incarnation: uint64(time.Now().UnixNano()),
+			DataCentre:  in.cfg.DataCentre,
+			CallerAddr:  in.cfg.CallerAddr,
+			PeerAddr:    in.cfg.PeerListen,
+			State:       pb.RouterState_ROUTER_STATE_SERVING,
+			Replica:     in.cfg.DataDir != "",
+		},
+		Seeds:      in.cfg.Seeds,
+		Conn:       in.listeners.Gossip,
+		Token:      in.cfg.PeerToken,
+		Budget:     allowed,
+		Logger:     in.cfg.Logger,
+		Scope:      in.scope,
+		Intervals:  member.Intervals{TargetLease: in.cfg.TargetLease},
+		OnInFlight: in.inFlightTold,
+	})
+	in.members = members
+	return err
+}
+
+func (in *Routed) startSync() error {
+	in.sync = routesync.New(routesync.Config{
+		Holder:  &in.holder,
+		Decode:  in.cfg.Decode,
+		Serves:  in.cfg.CallerAddr != "",
+		Members: in.members,
+		Pool:    in.pool,
+		Server:  in.server,
+		Logger:  in.cfg.Logger,
+		Scope:   in.scope,
+	})
+	in.client = control.NewClient(control.ClientConfig{
+		Pool:     in.pool,
+		Replicas: in.replicaAddrs,
+		Logger:   in.cfg.Logger,
+		Scope:    in.scope,
+		Group:    controlGroup,
+	})
+	return nil
+}
+
+// replicaAddrs returns the peer addresses of the control replicas that the
+// membership knows, then the seeds.
+func (in *Routed) replicaAddrs() []string {
+	var addrs []string
+	for _, r := range in.members.Routers() {
+		if r.Replica {
+			addrs = append(addrs, r.PeerAddr)
+		}
+	}
+	in.seedsMu.Lock()
+	defer in.seedsMu.Unlock()
+	for _, addr := range in.seeds {
+		if !slices.Contains(addrs, addr) {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
+// SetSeeds replaces the peer addresses to find the others by.
+func (in *Routed) SetSeeds(seeds []string) {
+	in.seedsMu.Lock()
+	in.seeds = seeds
+	in.seedsMu.Unlock()
+	in.members.SetSeeds(seeds)
+}
+
+func (in *Routed) startReplica() error {
+	if in.cfg.DataDir == "" {
+		return nil
+	}
+	machine := state.New(state.WithRoutingObserver(func(t *state.RoutingTable) {
+		in.sync.Committed(t.Number, t.Document, t.Command)
+	}))
+	node, err := replica.Start(in.ctx, replica.Config{
+		Dir:           in.cfg.DataDir,
+		Addr:          in.cfg.PeerListen,
+		DataCentre:    in.cfg.DataCentre,
+		Founders:      in.cfg.Founders,
+		JoinOnly:      in.cfg.JoinOnly,
+		OpenAdmission: true,
+		Peers:         in.replicaAddrs,
+		Group:         controlGroup,
+		Machine:       machine,
+		Server:        in.server,
+		Pool:          in.pool,
+		Logger:        in.cfg.Logger,
+		Scope:         in.scope,
+	})
+	if err != nil {
+		return err
+	}
+	in.node = node
+	in.service = control.NewService(control.Config{
+		Log:    node,
+		State:  machine,
+		Group:  controlGroup,
+		Server: in.server,
+		Pool:   in.pool,
+		Logger: in.cfg.Logger,
+		Scope:  in.scope,
+	})
+	return nil
+}
+
+func (in *Routed) startGateway() error {
+	if in.cfg.CallerAddr == "" {
+		return nil
+	}
+	in.balancer = balance.New(in.members)
+	g, err := gateway.New(gateway.Config{
+		Tables:  &in.holder,
+		Picker:  in.balancer,
+		Sends:   balance.NewSends(in.cfg.SendLimits, in.callerRouters),
+		Forward: forward.Config{Dialect: in.cfg.Dialect, Scope: in.scope},
+		Prepare: in.cfg.Prepare,
+		NotRun:  in.cfg.NotRun,
+		Logger:  in.cfg.Logger,
+		Scope:   in.scope,
+	})
+	in.gateway = g
+	return err
+}
+
+// callerRouters counts the routers that serve callers.
+func (in *Routed) callerRouters() int {
+	n := 0
+	for _, r := range in.members.Routers() {
+		if r.CallerAddr != "" {
+			n++
+		}
+	}
+	return n
+}
