Overload of short requests: turned away by load, spread by the mean load

Ruled out: longer deadlines at targets (they work at their pace throughout).

Teams that surge go behind others at the engines (TestReplaySurgingTeam).

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -81,8 +81,8 @@
 			shareAll(views)
 		}
 		s := sessions[rng.IntN(len(sessions))]
-		c, ok := views[rng.IntN(routers)].Pick(Request{Service: "llm", Key: s.key})
-		if !ok {
+		c, err := views[rng.IntN(routers)].Pick(Request{Service: "llm", Key: s.key})
+		if err != nil {
 			t.Fatal("no target")
 		}
 		id := c.Target.Id
@@ -151,8 +151,8 @@
 			v.targets[i] = left
 		}
 	}
-	next, ok := b.Pick(Request{Service: "llm", Key: "k"})
-	if !ok || next.Target.Id == first.Target.Id {
+	next, err := b.Pick(Request{Service: "llm", Key: "k"})
+	if err != nil || next.Target.Id == first.Target.Id {
 		t.Fatalf("a leaving target was chosen: %v", next.Target)
 	}
 	if next.Holder == nil || next.Holder.Id != first.Target.Id {
@@ -164,14 +164,14 @@
 	v := newView(2)
 	v.targets = append(v.targets, &pb.TargetStatus{Id: "other", Service: "plain"})
 	b := New(v)
-	c, ok := b.Pick(Request{Service: "llm", Exclude: []string{"e0"}})
-	if !ok || c.Target.Id != "e1" {
+	c, err := b.Pick(Request{Service: "llm", Exclude: []string{"e0"}})
+	if err != nil || c.Target.Id != "e1" {
 		t.Fatalf("chosen %v", c.Target)
 	}
-	if _, ok := b.Pick(Request{Service: "llm", Exclude: []string{"e0", "e1"}}); ok {
+	if _, err := b.Pick(Request{Service: "llm", Exclude: []string{"e0", "e1"}}); err == nil {
 		t.Error("an excluded target was chosen")
 	}
-	if _, ok := b.Pick(Request{Service: "none"}); ok {
+	if _, err := b.Pick(Request{Service: "none"}); err == nil {
 		t.Error("a target of another service was chosen")
 	}
 }
@@ -225,8 +225,8 @@
 	b := New(newView(3))
 	for _, id := range []string{"e0", "e1", "e2"} {
 		for range 3 {
-			c, ok := b.Pick(Request{Service: "llm"})
-			if !ok {
+			c, err := b.Pick(Request{Service: "llm"})
+			if err != nil {
 				t.Fatalf("no target after %s", id)
 			}
 			c.Done(Unreachable)
@@ -318,6 +318,7 @@
 	for i := range all {
 		all[i] = New(view)
 		all[i].now = func() time.Time { return clock }
+		all[i].rng = rand.New(rand.NewPCG(5, uint64(i)))
 	}
 	ends := make(map[int][]func())
 	load := make(map[string]int)
@@ -349,8 +350,8 @@
 		}
 		kind := kinds[k]
 		key := fmt.Sprint("k", k, "-", rng.IntN(kind.sessions))
-		c, ok := all[rng.IntN(routers)].Pick(Request{Service: "llm", Key: key})
-		if !ok {
+		c, err := all[rng.IntN(routers)].Pick(Request{Service: "llm", Key: key})
+		if err != nil {
 			t.Fatal("no target")
 		}
 		id := c.Target.Id
@@ -396,6 +397,7 @@
 	for i := range all {
 		all[i] = New(view)
 		all[i].now = func() time.Time { return clock }
+		all[i].rng = rand.New(rand.NewPCG(5, uint64(i)))
 	}
 	ends := make(map[int][]func())
 	load := make(map[string]int)
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -52,6 +53,7 @@
 	now  func() time.Time
 
 	mu      sync.Mutex
+	rng     *rand.Rand
 	targets map[uint64]*target
 	shared  sharedLoads
 	swept   time.Time
@@ -69,22 +71,33 @@
 	return &Balancer{
 		view:    view,
 		now:     time.Now,
+		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		targets: make(map[uint64]*target),
 		shared:  newSharedLoads(),
 	}
 }
 
-// Pick chooses a target for r; ok is false if no target of the service is known
-// and not excluded.
-func (b *Balancer) Pick(r Request) (c Choice, ok bool) {
+var (
+	// ErrNoTarget means that no target of the service is known and not excluded.
+	ErrNoTarget = errors.New("no target takes the request now")
+	// ErrOverloaded means that the service's targets have more requests than they
+	// can answer in time.
+	ErrOverloaded = errors.New("the targets have more requests than they can answer in time")
+)
+
+// Pick chooses a target for r.
+func (b *Balancer) Pick(r Request) (c Choice, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	b.sweep(now)
 	all := b.candidates(now, r)
+	if r.Key == "" && len(r.Exclude) == 0 && overloaded(all, b.rng.Float64) {
+		return Choice{}, ErrOverloaded
+	}
 	chosen := b.choose(r, all)
 	if chosen.target == nil {
-		return Choice{}, false
+		return Choice{}, ErrNoTarget
 	}
 	st := chosen.target.status
 	t := b.targets[fleet.TargetKey(st.Id, st.Incarnation)]
@@ -101,7 +114,7 @@
 	t.health.given()
 	ended := false
 	c.Done = func(o Outcome) { b.done(t, o, &ended) }
-	return c, true
+	return c, nil
 }
 
 func (b *Balancer) done(t *target, o Outcome, ended *bool) {
@@ -127,13 +140,14 @@
 		all = append(all, &candidate{
 			status:   st,
 			inFlight: t.inFlight + b.shared.others(now, loadKey(st)),
+			mean:     max(float64(t.inFlight), b.shared.mean(now, loadKey(st))),
 			capacity: capacity(st, r.Slots),
 			sound:    t.health.available(now),
 			leaving:  st.Leaving,
 			excluded: slices.Contains(r.Exclude, st.Id),
 		})
 	}
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	b.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	dataCentre := b.view.Self().DataCentre
 	slices.SortStableFunc(all, func(x, y *candidate) int {
 		return cmp.Compare(distance(x, dataCentre), distance(y, dataCentre))
@@ -178,7 +192,7 @@
 	if r.Key != "" {
 		return choosePrompt(r.Key, all)
 	}
-	return choosePlain(all, b.view.Self().DataCentre, drawn)
+	return choosePlain(all, b.view.Self().DataCentre, b.rng.Float64)
 }
 
 // sweep forgets targets that are in no view any more.
--- a/internal/balance/plain.go
+++ b/internal/balance/plain.go
@@ -1,7 +1,5 @@
 package balance
 
-import "math/rand/v2"
-
 const (
 	// lightLoad is the share of a target's places up to which a target of this
 	// data centre is taken without looking further.
@@ -12,9 +10,10 @@
 
 // choosePlain places a request without a prompt. A lightly loaded target of this
 // data centre takes it; otherwise targets are drawn at random, the less loaded
-// the more often. The load pattern that it answers: many routers with short
-// requests, whose counts reach each other later than the requests end. If all
-// took the target with the fewest requests, all would take the same one.
+// over the last second the more often. The load pattern that it answers: many
+// routers with short requests, whose counts reach each other later than the
+// requests end. If all took the target with the fewest requests, all would take
+// the same one.
 func choosePlain(all []*candidate, dataCentre string, draw func() float64) placed {
 	pool := plainPool(all)
 	if len(pool) == 0 {
@@ -61,11 +60,5 @@
 // share is the part of the target's places that is taken.
 func (c *candidate) share() float64 { return float64(c.inFlight) / float64(c.capacity) }
 
-// weight falls with the square of the load.
-func (c *candidate) weight() float64 {
-	load := restLoad + c.share()
-	return 1 / (load * load)
-}
-
-// drawn is the source of random draws.
-func drawn() float64 { return rand.Float64() }
+// weight falls with the mean load.
+func (c *candidate) weight() float64 { return 1 / (restLoad + c.mean/float64(c.capacity)) }
--- a/internal/balance/prompt.go
+++ b/internal/balance/prompt.go
@@ -13,7 +13,7 @@
 	// target as a multiple of the mean plus a constant for small numbers. Within
 	// them a prompt stays where its parts are cached, since reading them again
 	// takes more of an engine than a longer batch.
-	promptLoadFactor = 1.8
+	promptLoadFactor = 1.7
 	promptLoadSlack  = 2
 )
 
@@ -22,6 +22,9 @@
 	status *pb.TargetStatus
 	// inFlight counts the requests at the target, as known here.
 	inFlight int
+	// mean is the number over the last second or so, or the own requests if there
+	// are more.
+	mean     float64
 	capacity int
 	// sound tells that the target served its last requests; leaving that it
 	// takes no new ones; excluded that it failed this request.
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -57,9 +57,15 @@
 
 type total struct {
 	count int
-	at    time.Time
+	// mean is the count over the last second or so.
+	mean float64
+	at   time.Time
 }
 
+// meanWeight is the weight of one message in the mean; there are some eight a
+// second.
+const meanWeight = 0.1
+
 func newSharedLoads() sharedLoads {
 	return sharedLoads{peers: make(map[string]peerCounts), totals: make(map[uint32]total)}
 }
@@ -86,8 +92,20 @@
 
 func (s *sharedLoads) takeTotals(now time.Time, counts map[uint32]int) {
 	for key, n := range counts {
-		s.totals[key] = total{count: n, at: now}
+		t := s.totals[key]
+		t.count, t.at = n, now
+		t.mean += meanWeight * (float64(n) - t.mean)
+		s.totals[key] = t
+	}
+}
+
+// mean returns the requests in flight of all routers at a target over the last
+// second or so.
+func (s *sharedLoads) mean(now time.Time, key uint32) float64 {
+	if t, ok := s.totals[key]; ok && now.Sub(t.at) < countLife {
+		return t.mean
 	}
+	return 0
 }
 
 // sums returns the counts of all routers, the own ones included. Targets at
--- /dev/null
+++ b/internal/balance/teams_test.go
@@ -0,0 +1,58 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// TestReplaySurgingTeam replays one team that sends seven times its usual beside
+// nine that send theirs: most of its requests count as a surge, and next to none
+// of the others'.
+func TestReplaySurgingTeam(t *testing.T) {
+	for _, c := range []struct {
+		times       int
+		least, most float64
+	}{{1, 0, 0.01}, {7, 0.6, 1}} {
+		teams := NewTeams()
+		rng := rand.New(rand.NewPCG(1, 1))
+		var ends []func()
+		surged, sent := make(map[string]int), make(map[string]int)
+		for range 20000 {
+			n := rng.IntN(9 + c.times)
+			team := "surging"
+			if n < 9 {
+				team = fmt.Sprint("team-", n)
+			}
+			over, end := teams.Begin(team)
+			sent[team]++
+			if over {
+				surged[team]++
+			}
+			ends = append(ends, end)
+			if len(ends) > 40 {
+				i := rng.IntN(len(ends))
+				ends[i]()
+				ends = append(ends[:i], ends[i+1:]...)
+			}
+		}
+		for team, n := range sent {
+			share := float64(surged[team]) / float64(n)
+			if team == "surging" && (share < c.least || share > c.most) {
+				t.Errorf("at %d times its usual, %.2f of the team's requests are a surge, want %.2f to %.2f", c.times, share, c.least, c.most)
+			}
+			if team != "surging" && share > 0.01 {
+				t.Errorf("%.2f of the requests of %s count as a surge", share, team)
+			}
+		}
+	}
+}
+
+func TestLoneTeamNeverSurges(t *testing.T) {
+	teams := NewTeams()
+	for range 100 {
+		if over, _ := teams.Begin("one"); over {
+			t.Fatal("a lone team surges")
+		}
+	}
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -185,20 +185,24 @@
 	case pb.QueryRequest_WHAT_REPLICAS:
 		resp.Replicas = s.log.Replicas()
 	case pb.QueryRequest_WHAT_ROUTING_TABLE:
-		resp.RoutingTable = s.packedTable()
+		resp.RoutingTable = s.packedTable(req.Revision)
 	case pb.QueryRequest_WHAT_ROUTERS:
 		resp.Routers = firstN(s.leases.holds(time.Now()), limit)
 	}
 	return resp, nil
 }
 
-// packedTable returns the routing table in force, nil before the first one. The
-// packed form is kept, since operators read the same table again and again.
-func (s *Service) packedTable() *pb.RoutingTable {
+// packedTable returns the routing table in force, nil before the first one, and
+// its number only to an asker that holds it. The packed form is kept, since
+// operators read the same table again and again.
+func (s *Service) packedTable(held uint64) *pb.RoutingTable {
 	t := s.state.RoutingTable()
 	if t == nil {
 		return nil
 	}
+	if t.Number == held {
+		return &pb.RoutingTable{Number: held}
+	}
 	s.packedMu.Lock()
 	defer s.packedMu.Unlock()
 	if s.packed.GetNumber() == t.Number {
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -25,7 +25,7 @@
 
 // Picker chooses targets.
 type Picker interface {
-	Pick(r balance.Request) (c balance.Choice, ok bool)
+	Pick(r balance.Request) (balance.Choice, error)
 }
 
 // Sends bounds what is sent to targets beyond the first try of each request.
@@ -64,8 +64,6 @@
 	sent   bool
 	// choice is the target of the present try.
 	choice balance.Choice
-	// silence bounds a stream's pauses before it is resumed elsewhere.
-	silence time.Duration
 }
 
 // Handle tries targets until one answers.
@@ -106,14 +104,14 @@
 
 // pick chooses the next target, or rejects the request.
 func (d *dispatch) pick() error {
-	choice, ok := d.Picker.Pick(balance.Request{
+	choice, err := d.Picker.Pick(balance.Request{
 		Service: d.x.Demand.Service,
 		Key:     PromptKey(d.x.Prompt),
 		Slots:   slots(d.x),
 		Exclude: d.exclude,
 	})
-	if !ok {
-		return d.noTarget()
+	if err != nil {
+		return d.noTarget(err)
 	}
 	d.choice = choice
 	d.exclude = append(d.exclude, choice.Target.Id)
@@ -141,14 +139,18 @@
 	return 0
 }
 
-// noTarget rejects a request for which no target is left.
-func (d *dispatch) noTarget() error {
+// noTarget rejects a request for which there is no target.
+func (d *dispatch) noTarget(err error) error {
 	if d.ran > 0 {
 		return d.unknown("no other target is left")
 	}
+	code := "no-target"
+	if errors.Is(err, balance.ErrOverloaded) {
+		code = "overloaded"
+	}
 	return d.x.Reject(Rejection{
-		Code:       "no-target",
-		Message:    fmt.Sprintf("service %s has no target that takes the request now", d.x.Demand.Service),
+		Code:       code,
+		Message:    fmt.Sprintf("service %s: %v", d.x.Demand.Service, err),
 		Step:       StepDispatch,
 		RetryAfter: d.Warmup.retryAfter(),
 	})
--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -23,7 +23,7 @@
 	outcomes map[string]balance.Outcome
 }
 
-func (p *numberedPicker) Pick(r balance.Request) (balance.Choice, bool) {
+func (p *numberedPicker) Pick(r balance.Request) (balance.Choice, error) {
 	for i := range p.n {
 		id := fmt.Sprint("t", i)
 		excluded := false
@@ -35,10 +35,10 @@
 				Target: &pb.TargetStatus{Id: id},
 				Others: p.n - len(r.Exclude) - 1,
 				Done:   func(o balance.Outcome) { p.outcomes[id] = o },
-			}, true
+			}, nil
 		}
 	}
-	return balance.Choice{}, false
+	return balance.Choice{}, balance.ErrNoTarget
 }
 
 // allowedSends allows a number of repeated sends.
--- a/internal/filter/exchange.go
+++ b/internal/filter/exchange.go
@@ -43,6 +43,10 @@
 	Index *routing.Index
 	Route *routing.Route
 	Team  *routing.Team
+	// Urgency is the rank of the request, zero first: the team's, or else the
+	// route's. Surging requests go behind others of their rank.
+	Urgency int
+	Surging bool
 	// Prompt lists the parts of the prompt in order.
 	Prompt []PromptPart
 	// LastEvent is the id of the last event that the caller has of a stream
--- a/internal/filter/team.go
+++ b/internal/filter/team.go
@@ -3,16 +3,21 @@
 import (
 	"context"
 	"net/http"
+
+	"github.com/wigeonwood/wigeonwood/internal/balance"
 )
 
-// Team finds the team that holds the caller's key.
-type Team struct{}
+// Team finds the team that holds the caller's key and ranks the request.
+type Team struct {
+	Counts *balance.Teams
+}
 
 // Name returns the filter's name in specs.
 func (*Team) Name() string { return StepTeam }
 
-// Handle sets the team.
+// Handle sets the team and the urgency.
 func (t *Team) Handle(ctx context.Context, x *Exchange, next Next) error {
+	x.Urgency = x.Route.Priority
 	if !x.Index.KeysNeeded() {
 		return next(ctx, x)
 	}
@@ -25,5 +30,17 @@
 			Step:    StepTeam,
 		})
 	}
+	if x.Team == nil {
+		return next(ctx, x)
+	}
+	if x.Team.Priority != nil {
+		x.Urgency = *x.Team.Priority
+	}
+	surges, end := t.Counts.Begin(x.Team.Name)
+	x.OnEnd(func(Usage) { end() })
+	if surges {
+		x.Surging = true
+		x.Note(StepTeam, "", "the team has far more in flight here than the others; its requests go behind theirs")
+	}
 	return next(ctx, x)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
@@ -68,7 +69,7 @@
 	warmup := filter.Warmup{Started: time.Now()}
 	chain, err := filter.Build(filter.RoutedSpec,
 		&filter.Route{Tables: c.Tables, Warmup: warmup},
-		&filter.Team{},
+		&filter.Team{Counts: balance.NewTeams()},
 		&filter.Dispatch{Picker: c.Picker, Sends: c.Sends, Prepare: c.Prepare, Warmup: warmup},
 		&filter.Forward{
 			Sender:   g.client,
--- a/internal/instance/routed_tables.go
+++ b/internal/instance/routed_tables.go
@@ -46,14 +46,20 @@
 )
 
 // ReadTable returns the document of the newest committed routing table, as a
-// quorum confirms it.
+// quorum confirms it. Where this instance holds that table, only its number
+// travels.
 func (in *Routed) ReadTable(ctx context.Context) ([]byte, error) {
-	reply, err := in.client.Query(ctx, &pb.QueryRequest{What: pb.QueryRequest_WHAT_ROUTING_TABLE})
+	held, text := in.sync.Present()
+	reply, err := in.client.Query(ctx, &pb.QueryRequest{What: pb.QueryRequest_WHAT_ROUTING_TABLE, Revision: held})
 	if err != nil {
 		return nil, err
 	}
-	if reply.RoutingTable == nil {
+	switch reply.RoutingTable.GetNumber() {
+	case 0:
 		return nil, ErrNoTable
+	case held:
+		return text, nil
+	default:
+		return document.Unpack(reply.RoutingTable.Document)
 	}
-	return document.Unpack(reply.RoutingTable.Document)
 }
