--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -198,7 +198,9 @@
 	switch {
 	case a.NotRun:
 		d.drop()
-		d.x.Token.Restore()
+		if d.ran == 0 {
+			d.x.Token.Restore()
+		}
 		d.unsent++
 		c.Done(balance.Busy)
 		return errs.Wrap(errNotRun, StepDispatch, c.Target.Id)
--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -175,6 +175,11 @@
 			if len(s.tries) > 0 {
 				t.Errorf("%d tries were not made", len(s.tries))
 			}
+			for _, try := range c.tries {
+				if !try.unsent && !try.notRun && !x.Token.Spent() {
+					t.Error("a byte reached a target that may have run the request, and the token is not spent")
+				}
+			}
 			var r *Rejection
 			switch {
 			case errors.As(err, &r):
