Overload refusals taken out again

Cause: a caller that comes back is late already and adds to the load; the targets' own queues bound the wait.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -77,13 +77,8 @@
 	}
 }
 
-var (
-	// ErrNoTarget means that no target of the service is known and not excluded.
-	ErrNoTarget = errors.New("no target takes the request now")
-	// ErrOverloaded means that the service's targets have more requests than they
-	// can answer in time.
-	ErrOverloaded = errors.New("the targets have more requests than they can answer in time")
-)
+// ErrNoTarget means that no target of the service is known and not excluded.
+var ErrNoTarget = errors.New("no target takes the request now")
 
 // Pick chooses a target for r.
 func (b *Balancer) Pick(r Request) (c Choice, err error) {
@@ -92,9 +87,6 @@
 	now := b.now()
 	b.sweep(now)
 	all := b.candidates(now, r)
-	if r.Key == "" && len(r.Exclude) == 0 && overloaded(all, b.rng.Float64) {
-		return Choice{}, ErrOverloaded
-	}
 	chosen := b.choose(r, all)
 	if chosen.target == nil {
 		return Choice{}, ErrNoTarget
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -144,12 +144,8 @@
 	if d.ran > 0 {
 		return d.unknown("no other target is left")
 	}
-	code := "no-target"
-	if errors.Is(err, balance.ErrOverloaded) {
-		code = "overloaded"
-	}
 	return d.x.Reject(Rejection{
-		Code:       code,
+		Code:       "no-target",
 		Message:    fmt.Sprintf("service %s: %v", d.x.Demand.Service, err),
 		Step:       StepDispatch,
 		RetryAfter: d.Warmup.retryAfter(),
