--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/routing"
 )
 
 // Config sets up a Gateway; all fields but Observer are needed.
@@ -81,6 +82,15 @@
 	return g, err
 }
 
+// Limits returns the limits of the routing table in force; zeros before the
+// first one.
+func (g *Gateway) Limits() routing.Limits {
+	if x := g.cfg.Tables.Current(); x != nil {
+		return x.Table.Limits
+	}
+	return routing.Limits{}
+}
+
 // SetDraining has callers told to use another connection next time.
 func (g *Gateway) SetDraining() { g.draining.Store(true) }
 
