--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -170,6 +170,7 @@
 	x.Others = c.Others
 	x.Tries++
 	d.Prepare(x, c.Target, c.Holder)
+	began := time.Now()
 	err := d.next(ctx, x)
 	if err != nil {
 		if x.Token.Spent() {
@@ -177,7 +178,7 @@
 		} else {
 			d.unsent++
 		}
-		c.Done(outcomeOf(err))
+		c.Done(outcomeOf(err, time.Since(began), x.Route.Goal))
 		if errors.Is(err, forward.ErrKept) {
 			// The connection may have been closed meanwhile; the target may do
 			// well on a new one.
@@ -226,9 +227,15 @@
 
 func (d *dispatch) repeatable() bool { return d.x.Idempotent }
 
-// outcomeOf tells what a failed try says of its target.
-func outcomeOf(err error) balance.Outcome {
+// patienceGoals times the latency objective is how long a target may leave a
+// caller without an answer until the caller's leaving counts against it.
+const patienceGoals = 3
+
+// outcomeOf tells what a failed try that lasted so long says of its target.
+func outcomeOf(err error, lasted, goal time.Duration) balance.Outcome {
 	switch {
+	case errors.Is(err, forward.ErrCallerGone) && lasted > patienceGoals*goal:
+		return balance.Broken
 	case errors.Is(err, forward.ErrCallerGone):
 		return balance.Abandoned
 	case errors.Is(err, forward.ErrDial), errors.Is(err, forward.ErrSilent):
--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -262,3 +262,26 @@
 		})
 	}
 }
+
+// TestOutcomes has tries fail: what they say of the target decides whether it is
+// avoided. Callers who leave early say nothing of it, those who waited long do.
+func TestOutcomes(t *testing.T) {
+	goal := 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		err    error
+		lasted time.Duration
+		want   balance.Outcome
+	}{
+		"a caller left early":     {forward.ErrCallerGone, goal, balance.Abandoned},
+		"a caller waited long":    {forward.ErrCallerGone, 4 * goal, balance.Broken},
+		"no connection":           {errNoConn, goal, balance.Unreachable},
+		"silent":                  {forward.ErrSilent, goal, balance.Unreachable},
+		"cut":                     {errCutHere, goal, balance.Broken},
+		"a kept connection ended": {fmt.Errorf("%w %w", errCutHere, forward.ErrKept), goal, balance.Abandoned},
+		"another one's answer":    {forward.ErrCrossed, goal, balance.Broken},
+	} {
+		if got := outcomeOf(c.err, c.lasted, goal); got != c.want {
+			t.Errorf("%s: outcome %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/forward"
 )
 
 const (
@@ -36,8 +37,9 @@
 	// Writers that know no deadlines are those of tests.
 	_ = http.NewResponseController(w).SetWriteDeadline(x.Deadline.Add(writeGrace))
 	g.writeHeader(w, x)
-	res.err = g.copyBody(w, x, &res.first)
-	x.SetUsage(filter.Usage{Failed: res.err != nil && !errors.Is(res.err, errCallerWrite)})
+	last := time.Now()
+	res.err = g.copyBody(w, x, &res.first, &last)
+	x.SetUsage(filter.Usage{Failed: targetFailed(res.err, time.Since(last))})
 	if res.err == nil {
 		g.finish(x, res)
 		return
@@ -62,14 +64,33 @@
 	w.WriteHeader(x.Answer.Status)
 }
 
-// copyBody passes the body on piece by piece; a stream's pieces are flushed.
-func (g *Gateway) copyBody(w http.ResponseWriter, x *filter.Exchange, first *time.Duration) error {
+// silenceBound is the pause in an answer from which a caller's leaving counts
+// against the target.
+const silenceBound = 1500 * time.Millisecond
+
+// targetFailed tells whether the end of an answer says that its target failed;
+// silence is the time since its last piece.
+func targetFailed(err error, silence time.Duration) bool {
+	switch {
+	case err == nil, errors.Is(err, errCallerWrite):
+		return false
+	case errors.Is(err, forward.ErrCallerGone):
+		return silence > silenceBound
+	default:
+		return true
+	}
+}
+
+// copyBody passes the body on piece by piece; a stream's pieces are flushed. last
+// is set to the time of the last piece.
+func (g *Gateway) copyBody(w http.ResponseWriter, x *filter.Exchange, first *time.Duration, last *time.Time) error {
 	control := http.NewResponseController(w)
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
 	for {
 		n, err := x.Answer.Body.Read(*buf)
 		if n > 0 {
+			*last = time.Now()
 			if werr := write(w, control, (*buf)[:n], x.Answer.Events); werr != nil {
 				return errs.Wrap(fmt.Errorf("%w: %w", errCallerWrite, werr), "answer", "")
 			}
--- /dev/null
+++ b/internal/gateway/answer_test.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/forward"
+)
+
+// TestTargetFailed has answers end: a caller who leaves in the middle of a stream
+// says nothing of the target, unless the stream had stopped.
+func TestTargetFailed(t *testing.T) {
+	for name, c := range map[string]struct {
+		err     error
+		silence time.Duration
+		want    bool
+	}{
+		"whole":                          {nil, time.Minute, false},
+		"the caller can't be written to": {fmt.Errorf("%w: reset", errCallerWrite), 0, false},
+		"the caller left":                {forward.ErrCallerGone, 100 * time.Millisecond, false},
+		"left after a long pause":        {forward.ErrCallerGone, 2 * time.Second, true},
+		"cut by the target":              {forward.ErrCut, 0, true},
+		"silent":                         {forward.ErrSilent, 0, true},
+		"out of order":                   {errors.New("order"), 0, true},
+	} {
+		if got := targetFailed(c.err, c.silence); got != c.want {
+			t.Errorf("%s: %t, want %t", name, got, c.want)
+		}
+	}
+}
