Leaving targets: told together and twice; counts shared every 150 ms

News within 30 ms now shares its datagrams and is sent once more after 0.5 s. TestLeavingIsToldToAll.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -300,7 +300,7 @@
 		routers, engines = 83, 140
 		perSecond        = 900
 		seconds          = 20
-		shareEvery       = 250
+		shareEvery       = 150
 	)
 	kinds := []struct {
 		share    float64
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -62,7 +62,7 @@
 	at   time.Time
 }
 
-// meanWeight is the weight of one message in the mean; there are some eight a
+// meanWeight is the weight of one message in the mean; there are some dozen a
 // second.
 const meanWeight = 0.1
 
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -27,7 +27,7 @@
 
 const (
 	// shareInterval lies between two messages about requests in flight.
-	shareInterval = 250 * time.Millisecond
+	shareInterval = 150 * time.Millisecond
 	// routedBytesPerSecond and routedBurstBytes bound the control traffic of a
 	// routed instance.
 	routedBytesPerSecond = 64 << 10
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -42,6 +42,7 @@
 	nextJoin   time.Time
 	nextGC     time.Time
 	left       bool
+	leaving    leavingNews
 	syncWanted bool
 
 	// changes counts changes that a reader of the view can see.
@@ -141,6 +142,7 @@
 	if c.left {
 		return
 	}
+	c.spreadLeaving(now)
 	c.expireProbes(now)
 	c.expireSuspicions(now)
 	if !now.Before(c.nextProbe) {
@@ -165,7 +167,7 @@
 	if c.left {
 		return c.lastTick.Add(farFuture)
 	}
-	next := earliest(c.nextProbe, c.nextJoin, c.nextGC)
+	next := c.leaving.next(earliest(c.nextProbe, c.nextJoin, c.nextGC))
 	if c.syncWanted {
 		next = earliest(next, c.nextSync)
 	}
--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"testing"
@@ -10,6 +11,7 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
+	"github.com/wigeonwood/wigeonwood/internal/budget"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/testseed"
 )
@@ -367,3 +369,60 @@
 		t.Fatal("a suspicion never ended")
 	}
 }
+
+// TestLeavingIsToldToAll has several targets leave within a moment: every other
+// router is told of all of them within 100 ms, in few datagrams, and once more
+// for those that were lost.
+func TestLeavingIsToldToAll(t *testing.T) {
+	const routers, targets = 92, 5
+	start := time.Unix(1000, 0)
+	c := newCore(coreConfig{
+		self:  &pb.RouterStatus{Id: "r0", Incarnation: 1, PeerAddr: "10.0.0.0:1"},
+		rng:   rand.New(rand.NewPCG(1, 1)),
+		allow: func(time.Time, budget.Class, int) bool { return true },
+		rate:  1 << 20,
+	}, start)
+	for i := range routers - 1 {
+		st := &pb.RouterStatus{Id: fmt.Sprint("r", i+1), Incarnation: 1, PeerAddr: fmt.Sprintf("10.0.1.%d:1", i)}
+		c.mergeRouter(start, &pb.RouterDelta{Status: st, Generation: 1})
+	}
+	for i := range targets {
+		st := &pb.TargetStatus{Id: fmt.Sprint("t", i), Incarnation: 1, Sequence: 1, Addr: "10.0.2.1:1", Service: "s"}
+		if err := c.announce(start, st, start); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.packets()
+	for i := range targets {
+		id := fmt.Sprint("t", i)
+		c.describe(start, &pb.TargetStatus{Id: id, Incarnation: 1, Leaving: true})
+		c.tellLeaving(start, id)
+	}
+	for _, from := range []time.Duration{0, leavingRepeat} {
+		told := make(map[string]map[string]bool)
+		datagrams := 0
+		for at := from; at <= from+100*time.Millisecond; at += 10 * time.Millisecond {
+			c.tick(start.Add(at))
+			for _, p := range c.packets() {
+				if p.msg.Kind != pb.GossipKind_GOSSIP_KIND_UPDATE {
+					continue
+				}
+				datagrams++
+				for _, d := range p.msg.Targets {
+					if told[d.Status.Id] == nil {
+						told[d.Status.Id] = make(map[string]bool)
+					}
+					told[d.Status.Id][p.to] = d.Status.Leaving
+				}
+			}
+		}
+		for i := range targets {
+			if got := len(told[fmt.Sprint("t", i)]); got != routers-1 {
+				t.Errorf("from %v: %d routers were told of t%d, want %d", from, got, i, routers-1)
+			}
+		}
+		if datagrams > routers-1 {
+			t.Errorf("from %v: %d datagrams for %d routers", from, datagrams, routers-1)
+		}
+	}
+}
