--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -48,7 +48,7 @@
 	rng := rand.New(rand.NewPCG(7, 7))
 	views := make([]*Balancer, routers)
 	for i := range views {
-		views[i] = New(newView(engines))
+		views[i] = New(newView(engines), nil)
 	}
 	sessions := make([]session, 134)
 	for i := range sessions {
@@ -124,7 +124,7 @@
 
 // TestRoutersAgree has two routers place the same keys without a message.
 func TestRoutersAgree(t *testing.T) {
-	a, b := New(newView(12)), New(newView(12))
+	a, b := New(newView(12), nil), New(newView(12), nil)
 	for i := range 200 {
 		key := fmt.Sprint("k", i)
 		x, _ := a.Pick(Request{Service: "llm", Key: key})
@@ -141,7 +141,7 @@
 // copies from the one that leaves.
 func TestLeavingTargetIsTheHolder(t *testing.T) {
 	v := newView(5)
-	b := New(v)
+	b := New(v, nil)
 	first, _ := b.Pick(Request{Service: "llm", Key: "k"})
 	first.Done(Served)
 	for i, st := range v.targets {
@@ -163,7 +163,7 @@
 func TestExcludedAndForeignTargetsAreNotChosen(t *testing.T) {
 	v := newView(2)
 	v.targets = append(v.targets, &pb.TargetStatus{Id: "other", Service: "plain"})
-	b := New(v)
+	b := New(v, nil)
 	c, err := b.Pick(Request{Service: "llm", Exclude: []string{"e0"}})
 	if err != nil || c.Target.Id != "e1" {
 		t.Fatalf("chosen %v", c.Target)
@@ -180,7 +180,7 @@
 // fails all of its requests: after the first failures it gets one try at a time.
 func TestFailingTargetIsAvoided(t *testing.T) {
 	for _, outcome := range []Outcome{Unreachable, Broken} {
-		b := New(newView(4))
+		b := New(newView(4), nil)
 		clock := time.Unix(1000, 0)
 		b.now = func() time.Time { return clock }
 		failed := 0
@@ -203,7 +203,7 @@
 
 // TestRecoveredTargetReturns serves again after an ejection.
 func TestRecoveredTargetReturns(t *testing.T) {
-	b := New(newView(2))
+	b := New(newView(2), nil)
 	clock := time.Unix(1000, 0)
 	b.now = func() time.Time { return clock }
 	c, _ := b.Pick(Request{Service: "llm", Exclude: []string{"e1"}})
@@ -222,7 +222,7 @@
 
 // TestAllFailingStillServe has every target ejected: requests go on to them.
 func TestAllFailingStillServe(t *testing.T) {
-	b := New(newView(3))
+	b := New(newView(3), nil)
 	for _, id := range []string{"e0", "e1", "e2"} {
 		for range 3 {
 			c, err := b.Pick(Request{Service: "llm"})
@@ -235,7 +235,7 @@
 }
 
 func TestDoneCountsOnce(t *testing.T) {
-	b := New(newView(1))
+	b := New(newView(1), nil)
 	c, _ := b.Pick(Request{Service: "llm"})
 	key := fleet.TargetKey("e0", 0)
 	if got := b.OwnCounts()[uint32(key)]; got != 1 {
@@ -316,7 +316,7 @@
 	clock := time.Unix(1000, 0)
 	all := make([]*Balancer, routers)
 	for i := range all {
-		all[i] = New(view)
+		all[i] = New(view, nil)
 		all[i].now = func() time.Time { return clock }
 		all[i].rng = rand.New(rand.NewPCG(5, uint64(i)))
 	}
@@ -395,7 +395,7 @@
 	clock := time.Unix(1000, 0)
 	all := make([]*Balancer, routers)
 	for i := range all {
-		all[i] = New(view)
+		all[i] = New(view, nil)
 		all[i].now = func() time.Time { return clock }
 		all[i].rng = rand.New(rand.NewPCG(5, uint64(i)))
 	}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -47,10 +47,22 @@
 	Done func(Outcome)
 }
 
+// HealthChange tells that a target is avoided, or no longer.
+type HealthChange struct {
+	Target  *pb.TargetStatus
+	Avoided bool
+	// Failures is the weighted share of its failed requests.
+	Failures float64
+	// For is how long it is avoided.
+	For time.Duration
+}
+
 // Balancer chooses targets. It is safe for concurrent use.
 type Balancer struct {
 	view fleet.View
 	now  func() time.Time
+	// onHealth is told of changes; it must not block or call the balancer.
+	onHealth func(HealthChange)
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -66,14 +78,18 @@
 	seen     time.Time
 }
 
-// New makes a balancer over the targets of view.
-func New(view fleet.View) *Balancer {
+// New makes a balancer over the targets of view; onHealth may be nil.
+func New(view fleet.View, onHealth func(HealthChange)) *Balancer {
+	if onHealth == nil {
+		onHealth = func(HealthChange) {}
+	}
 	return &Balancer{
-		view:    view,
-		now:     time.Now,
-		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		targets: make(map[uint64]*target),
-		shared:  newSharedLoads(),
+		view:     view,
+		now:      time.Now,
+		onHealth: onHealth,
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		targets:  make(map[uint64]*target),
+		shared:   newSharedLoads(),
 	}
 }
 
@@ -105,11 +121,11 @@
 	t.inFlight++
 	t.health.given()
 	ended := false
-	c.Done = func(o Outcome) { b.done(t, o, &ended) }
+	c.Done = func(o Outcome) { b.done(t, st, o, &ended) }
 	return c, nil
 }
 
-func (b *Balancer) done(t *target, o Outcome, ended *bool) {
+func (b *Balancer) done(t *target, st *pb.TargetStatus, o Outcome, ended *bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if *ended {
@@ -117,7 +133,14 @@
 	}
 	*ended = true
 	t.inFlight--
-	t.health.observe(b.now(), o)
+	before, now := t.health, b.now()
+	t.health.observe(now, o)
+	switch after := &t.health; {
+	case after.ejections > before.ejections:
+		b.onHealth(HealthChange{Target: st, Avoided: true, Failures: after.failures, For: after.until.Sub(now)})
+	case after.ejections == 0 && before.ejections > 0:
+		b.onHealth(HealthChange{Target: st, Failures: after.failures})
+	}
 }
 
 // candidates lists the service's targets. Those of this data centre come first,
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -201,7 +201,7 @@
 		d.unsent++
 		c.Done(balance.Busy)
 		return errs.Wrap(errNotRun, StepDispatch, c.Target.Id)
-	case a.Status >= http.StatusInternalServerError && d.repeatable() && c.Others > 0 && d.ran+1 < d.x.Route.MaxTargets && d.Sends.Again(d.x.Demand.Service):
+	case a.Status >= http.StatusInternalServerError && d.repeatable() && c.Others > 0 && d.ran+1 < d.x.Route.MaxTargets && d.again():
 		d.drop()
 		d.ran++
 		c.Done(balance.Broken)
@@ -220,6 +220,15 @@
 	return balance.Served
 }
 
+// again asks for one more send within the shared bound.
+func (d *dispatch) again() bool {
+	if d.Sends.Again(d.x.Demand.Service) {
+		return true
+	}
+	d.x.Note(StepDispatch, "", "the bound on repeated sends to the service is reached")
+	return false
+}
+
 func (d *dispatch) drop() {
 	d.x.Answer.Body.Close()
 	d.x.Answer = nil
@@ -257,11 +266,11 @@
 	case errors.Is(err, forward.ErrDial):
 		return d.unsent < maxUnsent
 	case errors.Is(err, errNotRun):
-		return d.unsent < maxUnsent && d.Sends.Again(d.x.Demand.Service)
+		return d.unsent < maxUnsent && d.again()
 	case !d.repeatable() || d.ran >= d.x.Route.MaxTargets:
 		return false
 	default:
-		return d.Sends.Again(d.x.Demand.Service)
+		return d.again()
 	}
 }
 
--- a/internal/filter/events.go
+++ b/internal/filter/events.go
@@ -143,7 +143,7 @@
 	w := s.work
 	s.partial = nil
 	s.body.Close()
-	if s.ctx.Err() != nil || !w.repeatable() || s.passed && s.lastID == "" || w.ran >= w.x.Route.MaxTargets || !w.Sends.Again(w.x.Demand.Service) {
+	if s.ctx.Err() != nil || !w.repeatable() || s.passed && s.lastID == "" || w.ran >= w.x.Route.MaxTargets || !w.again() {
 		s.err = err
 		return
 	}
--- a/internal/instance/routed_parts.go
+++ b/internal/instance/routed_parts.go
@@ -135,7 +135,7 @@
 	if in.cfg.CallerAddr == "" {
 		return nil
 	}
-	in.balancer = balance.New(in.members)
+	in.balancer = balance.New(in.members, in.logHealth)
 	g, err := gateway.New(gateway.Config{
 		Tables:  &in.holder,
 		Picker:  in.balancer,
@@ -160,3 +160,10 @@
 	}
 	return n
 }
+
+// logHealth tells that a target is avoided, or no longer.
+func (in *Routed) logHealth(c balance.HealthChange) {
+	in.cfg.Logger.Warn().Str("step", "health").Str("peer", c.Target.Id).Str("service", c.Target.Service).
+		Bool("avoided", c.Avoided).Float64("failures", c.Failures).Int64("for_ms", c.For.Milliseconds()).
+		Msg("the health of a target changed")
+}
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -48,13 +48,14 @@
 	// changes counts changes that a reader of the view can see.
 	changes uint64
 	out     []packet
-	events  []routerEvent
+	events  []viewEvent
 	counts  counts
 }
 
-// routerEvent is a change of a router that operators want to see in the log.
-type routerEvent struct {
-	router     string
+// viewEvent is a change of a router or target that operators want to see in the log.
+type viewEvent struct {
+	// id names the router or target, generation its life.
+	id         string
 	generation uint64
 	what       string
 }
@@ -67,6 +68,10 @@
 	eventDead      = "a router is dead"
 	eventLeft      = "a router left"
 	eventAccused   = "others took this router for dead or suspected it"
+
+	eventTargetAppeared  = "a target appeared"
+	eventTargetLeaves    = "a target leaves"
+	eventTargetForgotten = "a target was not heard of and is forgotten"
 )
 
 // packet is one datagram to send.
@@ -220,11 +225,16 @@
 
 // note records an event for the log.
 func (c *core) note(e *routerEntry, what string) {
-	c.events = append(c.events, routerEvent{router: e.status.Id, generation: e.generation, what: what})
+	c.events = append(c.events, viewEvent{id: e.status.Id, generation: e.generation, what: what})
+}
+
+// noteTarget records an event of a target for the log.
+func (c *core) noteTarget(id string, incarnation uint64, what string) {
+	c.events = append(c.events, viewEvent{id: id, generation: incarnation, what: what})
 }
 
 // takeEvents returns the events since the last call.
-func (c *core) takeEvents() []routerEvent {
+func (c *core) takeEvents() []viewEvent {
 	events := c.events
 	c.events = nil
 	return events
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -88,7 +88,7 @@
 		m.write(p)
 	}
 	for _, e := range events {
-		m.log.Info().Str("step", "membership").Str("peer", e.router).Uint64("generation", e.generation).Msg(e.what)
+		m.log.Info().Str("step", "membership").Str("peer", e.id).Uint64("generation", e.generation).Msg(e.what)
 	}
 	select {
 	case m.wake <- struct{}{}:
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -222,6 +222,7 @@
 	}
 	for _, e := range c.targets {
 		if now.Sub(e.seen) > lapsedRetention {
+			c.noteTarget(e.status.Id, e.status.Incarnation, eventTargetForgotten)
 			c.removeTarget(e)
 		}
 	}
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -163,6 +163,7 @@
 	c.targets[st.Id] = e
 	c.byKey[e.key] = e
 	c.history.set(st.Id, st.Incarnation, st.Leaving)
+	c.noteTarget(st.Id, st.Incarnation, eventTargetAppeared)
 	c.changes++
 	c.news.add(targetNews, st.Id)
 }
@@ -180,6 +181,7 @@
 		return
 	}
 	c.history.set(id, incarnation, true)
+	c.noteTarget(id, incarnation, eventTargetLeaves)
 	c.news.add(targetNews, id)
 	e := c.targets[id]
 	if e == nil || e.status.Incarnation != incarnation {
