Placement: the limit counts targets that leave

The platform's mean is over all of them, 3.2; ours left out those that leave, 4.6, and allowed 9 to 10 where twice 3.2 plus three is 9.4. TestLimitDuringAReplacement fails without it.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -436,3 +436,31 @@
 		t.Errorf("%d of %d requests found no free place, want at most one in ten", crowded, requests)
 	}
 }
+
+// TestLimitDuringAReplacement has 88 of 284 targets leave with little to do while
+// as many empty ones have joined: the limit stays within twice the mean over all,
+// plus three. Where most targets leave, the others still get what they must carry.
+func TestLimitDuringAReplacement(t *testing.T) {
+	fleetOf := func(staying, load, leaving, leavingLoad int) []*candidate {
+		var all []*candidate
+		for range staying {
+			all = append(all, &candidate{inFlight: load})
+		}
+		for range leaving {
+			all = append(all, &candidate{inFlight: leavingLoad, leaving: true})
+		}
+		return all
+	}
+	for _, c := range []struct{ staying, load, leaving, leavingLoad int }{
+		{196, 5, 88, 0}, {196, 5, 88, 1}, {140, 5, 0, 0}, {100, 4, 60, 2},
+	} {
+		all := fleetOf(c.staying, c.load, c.leaving, c.leavingLoad)
+		mean := float64(c.staying*c.load+c.leaving*c.leavingLoad) / float64(c.staying+c.leaving)
+		if got := promptLimit(all); float64(got) > 2*mean+3 {
+			t.Errorf("%+v: limit %d, twice the mean plus three is %.1f", c, got, 2*mean+3)
+		}
+	}
+	if got := promptLimit(fleetOf(10, 8, 90, 0)); got < 8 {
+		t.Errorf("most leave: limit %d below the load of 8 that the others carry", got)
+	}
+}
--- a/internal/balance/prompt.go
+++ b/internal/balance/prompt.go
@@ -81,20 +81,24 @@
 func rankOf(ranked []*candidate, c *candidate) int { return slices.Index(ranked, c) }
 
 // promptLimit returns the most requests in flight that a target may have to be
-// given one more.
+// given one more: a multiple of the mean over all targets, those that leave
+// included, since the platform counts them. It is never below what the staying
+// ones have to carry in the mean.
 func promptLimit(all []*candidate) int {
-	total, n := 1, 0
+	total, staying, stayingTotal := 1, 0, 1
 	for _, c := range all {
-		if c.leaving {
-			continue
-		}
 		total += c.inFlight
-		n++
+		if !c.leaving {
+			staying++
+			stayingTotal += c.inFlight
+		}
 	}
-	if n == 0 {
+	if staying == 0 {
 		return 0
 	}
-	return int(promptLoadFactor*float64(total)/float64(n)) + promptLoadSlack
+	bound := promptLoadFactor * float64(total) / float64(len(all))
+	least := float64(stayingTotal) / float64(staying)
+	return int(max(bound, least)) + promptLoadSlack
 }
 
 // firstHolder returns the highest ranked other target that can be copied from.
