--- a/internal/balance/prompt.go
+++ b/internal/balance/prompt.go
@@ -13,7 +13,7 @@
 	// target as a multiple of the mean plus a constant for small numbers. Within
 	// them a prompt stays where its parts are cached, since reading them again
 	// takes more of an engine than a longer batch.
-	promptLoadFactor = 1.6
+	promptLoadFactor = 1.7
 	promptLoadSlack  = 2
 )
 
