Shared loads: a new collector's partial sums do not replace a full one's

The most that any collector says counts now. TestNewCollectorKnowsFewCounts fails without it. Leaving targets are repeated 0.5 s after the first of a series, not after the last.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -118,7 +118,7 @@
 	}
 	sums := all[0].Sums()
 	for _, b := range all[1:] {
-		b.TakeTotals(sums)
+		b.TakeTotals("r0", sums)
 	}
 }
 
@@ -333,7 +333,7 @@
 		delete(ends, ms)
 		if ms%shareEvery == 0 {
 			for _, b := range all[1:] {
-				b.TakeTotals(sums)
+				b.TakeTotals("r0", sums)
 			}
 			for i, b := range all[1:] {
 				all[0].TakeCounts(fmt.Sprint("r", i), b.OwnCounts())
@@ -411,7 +411,7 @@
 		delete(ends, ms)
 		if ms%250 == 0 {
 			for i, b := range all {
-				b.TakeTotals(sums)
+				b.TakeTotals("r0", sums)
 				all[0].TakeCounts(fmt.Sprint("r", i), b.OwnCounts())
 			}
 			sums = all[0].Sums()
@@ -464,3 +464,22 @@
 		t.Errorf("most leave: limit %d below the load of 8 that the others carry", got)
 	}
 }
+
+// TestNewCollectorKnowsFewCounts has a router hear from a collector that knows all
+// counts and from one that has just become one: it goes by the first.
+func TestNewCollectorKnowsFewCounts(t *testing.T) {
+	b := New(newView(1), nil)
+	clock := time.Unix(1000, 0)
+	b.now = func() time.Time { return clock }
+	key := uint32(fleet.TargetKey("e0", 0))
+	b.TakeTotals("old", map[uint32]int{key: 9})
+	b.TakeTotals("new", map[uint32]int{key: 1})
+	if c, _ := b.Pick(Request{Service: "llm"}); c.InFlight != 9 {
+		t.Errorf("%d in flight, want the 9 of the collector that knows all", c.InFlight)
+	}
+	clock = clock.Add(countLife)
+	b.TakeTotals("new", map[uint32]int{key: 2})
+	if c, _ := b.Pick(Request{Service: "llm"}); c.InFlight != 3 {
+		t.Errorf("%d in flight, want the new collector's 2 and the own one", c.InFlight)
+	}
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -250,8 +250,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	sums := b.shared.sums(now, b.ownLocked())
-	b.shared.takeTotals(now, sums)
+	self := b.view.Self().Id
+	sums := b.shared.sums(now, self, b.ownLocked())
+	b.shared.takeTotals(now, self, sums)
 	return sums
 }
 
@@ -262,9 +263,9 @@
 	b.shared.takeCounts(b.now(), router, counts)
 }
 
-// TakeTotals takes the requests in flight of all routers.
-func (b *Balancer) TakeTotals(counts map[uint32]int) {
+// TakeTotals takes the requests in flight of all routers from a collector.
+func (b *Balancer) TakeTotals(collector string, counts map[uint32]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.shared.takeTotals(b.now(), counts)
+	b.shared.takeTotals(b.now(), collector, counts)
 }
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -44,8 +44,8 @@
 type sharedLoads struct {
 	// peers holds the counts of routers that send them here.
 	peers map[string]peerCounts
-	// totals holds the collectors' sums over all routers.
-	totals map[uint32]total
+	// totals holds each collector's sums over all routers, by target.
+	totals map[string]map[uint32]total
 	// told holds the own counts as they were last sent.
 	told map[uint32]int
 }
@@ -62,17 +62,17 @@
 	at   time.Time
 }
 
-// meanWeight is the weight of one message in the mean; there are some dozen a
-// second.
-const meanWeight = 0.1
+// meanWeight is the weight of one message in the mean; each collector sends some
+// seven a second.
+const meanWeight = 0.2
 
 func newSharedLoads() sharedLoads {
-	return sharedLoads{peers: make(map[string]peerCounts), totals: make(map[uint32]total)}
+	return sharedLoads{peers: make(map[string]peerCounts), totals: make(map[string]map[uint32]total)}
 }
 
 // others returns the requests of the other routers at a target: what they sent
-// here or what a collector added up, whichever is more. Only a collector is sent
-// the counts of all.
+// here or what a collector added up, whichever is most. Only a collector is sent
+// the counts of all, and one that has just become so knows few of them.
 func (s *sharedLoads) others(now time.Time, key uint32) int {
 	sum := 0
 	for _, p := range s.peers {
@@ -80,8 +80,10 @@
 			sum += p.counts[key]
 		}
 	}
-	if t, ok := s.totals[key]; ok && now.Sub(t.at) < countLife {
-		sum = max(sum, t.count-s.told[key])
+	for _, totals := range s.totals {
+		if t, ok := totals[key]; ok && now.Sub(t.at) < countLife {
+			sum = max(sum, t.count-s.told[key])
+		}
 	}
 	return sum
 }
@@ -90,27 +92,35 @@
 	s.peers[router] = peerCounts{counts: counts, at: now}
 }
 
-func (s *sharedLoads) takeTotals(now time.Time, counts map[uint32]int) {
+func (s *sharedLoads) takeTotals(now time.Time, collector string, counts map[uint32]int) {
+	totals := s.totals[collector]
+	if totals == nil {
+		totals = make(map[uint32]total)
+		s.totals[collector] = totals
+	}
 	for key, n := range counts {
-		t := s.totals[key]
+		t := totals[key]
 		t.count, t.at = n, now
 		t.mean += meanWeight * (float64(n) - t.mean)
-		s.totals[key] = t
+		totals[key] = t
 	}
 }
 
 // mean returns the requests in flight of all routers at a target over the last
 // second or so.
 func (s *sharedLoads) mean(now time.Time, key uint32) float64 {
-	if t, ok := s.totals[key]; ok && now.Sub(t.at) < countLife {
-		return t.mean
+	mean := 0.0
+	for _, totals := range s.totals {
+		if t, ok := totals[key]; ok && now.Sub(t.at) < countLife {
+			mean = max(mean, t.mean)
+		}
 	}
-	return 0
+	return mean
 }
 
-// sums returns the counts of all routers, the own ones included. Targets at
-// which nothing is in flight any more are listed once more with zero.
-func (s *sharedLoads) sums(now time.Time, own map[uint32]int) map[uint32]int {
+// sums returns the counts of all routers, the own ones included, as self adds them
+// up. Targets at which nothing is in flight any more are listed with zero.
+func (s *sharedLoads) sums(now time.Time, self string, own map[uint32]int) map[uint32]int {
 	sums := make(map[uint32]int)
 	for _, p := range s.peers {
 		fresh := now.Sub(p.at) < countLife
@@ -123,8 +133,8 @@
 	for key, n := range own {
 		sums[key] += n
 	}
-	for key, t := range s.totals {
-		if _, listed := sums[key]; !listed && t.count > 0 && now.Sub(t.at) < countLife {
+	for key, t := range s.totals[self] {
+		if _, listed := sums[key]; !listed && t.count > 0 {
 			sums[key] = 0
 		}
 	}
@@ -138,9 +148,14 @@
 			delete(s.peers, router)
 		}
 	}
-	for key, t := range s.totals {
-		if now.Sub(t.at) >= countLife {
-			delete(s.totals, key)
+	for collector, totals := range s.totals {
+		for key, t := range totals {
+			if now.Sub(t.at) >= countLife {
+				delete(totals, key)
+			}
+		}
+		if len(totals) == 0 {
+			delete(s.totals, collector)
 		}
 	}
 }
--- a/internal/instance/routed_loads.go
+++ b/internal/instance/routed_loads.go
@@ -69,7 +69,7 @@
 	switch {
 	case in.balancer == nil:
 	case f.Totals:
-		in.balancer.TakeTotals(f.Counts)
+		in.balancer.TakeTotals(router, f.Counts)
 	default:
 		in.balancer.TakeCounts(router, f.Counts)
 	}
--- a/internal/member/inflight.go
+++ b/internal/member/inflight.go
@@ -71,8 +71,10 @@
 	}
 	if len(l.fresh) > 0 && !now.Before(l.due) {
 		c.sendLeaving(now, l.fresh)
+		if len(l.repeat) == 0 {
+			l.again = now.Add(leavingRepeat)
+		}
 		l.repeat = append(l.repeat, l.fresh...)
-		l.again = now.Add(leavingRepeat)
 		l.fresh = nil
 	}
 }
