Placement: a lower limit while targets are replaced

Ruled out: the age of the counts (150 ms changed nothing), partial sums of new collectors. The test's new case fails without it.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -460,6 +460,14 @@
 			t.Errorf("%+v: limit %d, twice the mean plus three is %.1f", c, got, 2*mean+3)
 		}
 	}
+	// Fifty successors have started and are not known yet; two more requests reach
+	// a target before its count has come round.
+	const unknown, late = 50, 2
+	staying, leaving := 196, 98
+	mean := float64(staying*5+leaving) / float64(staying+leaving+unknown)
+	if got := promptLimit(fleetOf(staying, 5, leaving, 1)); float64(got+late) > 2*mean+3 {
+		t.Errorf("limit %d with %d late, twice the mean plus three is %.1f", got, late, 2*mean+3)
+	}
 	if got := promptLimit(fleetOf(10, 8, 90, 0)); got < 8 {
 		t.Errorf("most leave: limit %d below the load of 8 that the others carry", got)
 	}
--- a/internal/balance/prompt.go
+++ b/internal/balance/prompt.go
@@ -15,6 +15,10 @@
 	// takes more of an engine than a longer batch.
 	promptLoadFactor = 1.7
 	promptLoadSlack  = 2
+	// replacingFactor and replacingSlack apply while targets leave: their
+	// successors, some of them not known yet, are part of the mean as well.
+	replacingFactor = 1.5
+	replacingSlack  = 1
 )
 
 // candidate is one target that may be chosen.
@@ -96,9 +100,13 @@
 	if staying == 0 {
 		return 0
 	}
-	bound := promptLoadFactor * float64(total) / float64(len(all))
+	factor, slack := promptLoadFactor, promptLoadSlack
+	if staying < len(all) {
+		factor, slack = replacingFactor, replacingSlack
+	}
+	bound := factor * float64(total) / float64(len(all))
 	least := float64(stayingTotal) / float64(staying)
-	return int(max(bound, least)) + promptLoadSlack
+	return int(max(bound, least)) + slack
 }
 
 // firstHolder returns the highest ranked other target that can be copied from.
