Dispatch: another target at the address makes a target avoided; 0.85 of the retry ratio

The limit itself was passed by one: the routers' windows don't begin with the platform's. TestOutcomes (declined) fails without it.

--- a/internal/balance/sends.go
+++ b/internal/balance/sends.go
@@ -19,6 +19,10 @@
 	Window time.Duration
 }
 
+// ratioShare is the part of the ratio that is used: the routers' windows and the
+// one in which the limit is counted don't begin together.
+const ratioShare = 0.85
+
 // slackShare is the part of the slack that routers divide up among themselves;
 // the rest covers routers that disagree on how many they are.
 const slackShare = 0.6
@@ -55,7 +59,7 @@
 	w := s.window(service)
 	first, again := w.sums()
 	slack := slackShare * s.limits.Slack / float64(max(1, s.routers()))
-	if float64(again+1) > s.limits.Ratio*float64(first)+slack {
+	if float64(again+1) > ratioShare*s.limits.Ratio*float64(first)+slack {
 		return false
 	}
 	w.part().again++
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -199,7 +199,7 @@
 			d.x.Token.Restore()
 		}
 		d.unsent++
-		c.Done(balance.Busy)
+		c.Done(declined(a.Status))
 		return errs.Wrap(errNotRun, StepDispatch, c.Target.Id)
 	case a.Status >= http.StatusInternalServerError && d.repeatable() && c.Others > 0 && d.ran+1 < d.x.Route.MaxTargets && d.again():
 		d.drop()
@@ -212,6 +212,15 @@
 	return nil
 }
 
+// declined tells what it says of a target that it did not run a request. Where
+// another one answers at its address, the target is gone.
+func declined(status int) balance.Outcome {
+	if status == http.StatusMisdirectedRequest {
+		return balance.Unreachable
+	}
+	return balance.Busy
+}
+
 // endOutcome tells how a request that was answered went.
 func endOutcome(a *Answer, u Usage) balance.Outcome {
 	if u.Failed || a.Status >= http.StatusInternalServerError {
--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -267,6 +267,12 @@
 // avoided. Callers who leave early say nothing of it, those who waited long do.
 func TestOutcomes(t *testing.T) {
 	goal := 100 * time.Millisecond
+	if got := declined(http.StatusMisdirectedRequest); got != balance.Unreachable {
+		t.Errorf("another target at the address: outcome %v, want the target to be avoided", got)
+	}
+	if got := declined(http.StatusServiceUnavailable); got != balance.Busy {
+		t.Errorf("a full target: outcome %v", got)
+	}
 	for name, c := range map[string]struct {
 		err    error
 		lasted time.Duration
