--- a/internal/logsink/sink_test.go
+++ b/internal/logsink/sink_test.go
@@ -54,3 +54,35 @@
 		t.Errorf("no report of %s in the last line %q", want, text[max(0, len(text)-200):])
 	}
 }
+
+// TestFullQueueBlocksNobody writes more warnings than the queue holds while the
+// reader stands still: no write may wait, and the sink must say how many lines
+// are missing.
+func TestFullQueueBlocksNobody(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	s := New(out)
+	const warnings = 2 * queuedLines
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		for i := range warnings {
+			fmt.Fprintf(s, `{"level":"warn","n":%d}`+"\n", i)
+		}
+	}()
+	select {
+	case <-written:
+	case <-time.After(time.Second):
+		t.Error("a write waits for the reader")
+	}
+	close(out.release)
+	<-written
+	s.Close()
+	text := out.lines.String()
+	kept := strings.Count(text, `"level":"warn","n"`)
+	if kept < queuedLines || kept == warnings {
+		t.Errorf("%d of %d warnings came out, the queue holds %d", kept, warnings, queuedLines)
+	}
+	if want := fmt.Sprintf(`"left_out":%d`, warnings-kept); !strings.Contains(text, want) {
+		t.Errorf("no report of %s in the last line %q", want, text[max(0, len(text)-200):])
+	}
+}
