Scheduler: a place that ended is not counted again; the last release is repaired

Nothing took it away again, since a group in which nothing is held was not confirmed any more; its chats spilled past the engine. The same rule left the last place of a router counted at a remote home when its release was lost. Ruled out: the directory and the bound, which chose rightly for what they counted.

--- a/internal/scheduler/homes_test.go
+++ b/internal/scheduler/homes_test.go
@@ -495,3 +495,54 @@
 		grant.Release(filter.Usage{})
 	}
 }
+
+// A request that ends while the own home takes a list of held places leaves no
+// place behind.
+func TestEndedPlaceIsNotCountedAgain(t *testing.T) {
+	nodes := startNodesConfirming(t, time.Hour, 1, engines(2, 50)...)
+	home := nodes[0]
+	grant := mustAdmit(t, home.Scheduler, demand("c", "chat"))
+	opened, _ := home.group("engines/0").present()
+	listed := home.heldPlaces("engines/0")
+	grant.Release(filter.Usage{})
+	home.confirmOwn(opened, "engines/0", listed)
+	if got := opened.stats().Grants; got != 0 {
+		t.Fatalf("%d places are counted after the only one was released", got)
+	}
+}
+
+// The last place that a router held is given back even if its release was lost.
+func TestConfirmationRepairsTheLastRelease(t *testing.T) {
+	nodes := startNodes(t, 2, engines(2, 50)...)
+	releaseAll(fill(t, nodes, 2))
+	home := homeOf(nodes)
+	entry := without(nodes, home)[0]
+	fill(t, []*node{entry}, 1)
+	_, held := entry.held.list("engines/0")
+	entry.held.end("engines/0", held[0].Number)
+	waitEmpty(t, home)
+}
+
+// A group in which nothing is held any more is confirmed a few times, then no
+// longer.
+func TestPlacesAreConfirmedUntilTheHomeKnowsOfNone(t *testing.T) {
+	p := newPlaces()
+	number := p.begin("g")
+	p.end("g", number)
+	for range emptyConfirmations {
+		if got := p.groups(); len(got) != 1 {
+			t.Fatalf("groups to confirm: %v", got)
+		}
+		upTo, held := p.list("g")
+		p.confirmed("g", upTo, len(held))
+	}
+	if got := p.groups(); len(got) != 0 {
+		t.Fatalf("groups to confirm at the end: %v", got)
+	}
+	p.begin("g")
+	upTo, held := p.list("g")
+	p.confirmed("g", upTo, len(held))
+	if got := p.groups(); len(got) != 1 {
+		t.Fatalf("groups to confirm with a place: %v", got)
+	}
+}
--- a/internal/scheduler/release.go
+++ b/internal/scheduler/release.go
@@ -46,7 +46,7 @@
 	for _, name := range s.held.groups() {
 		g := s.group(name)
 		if opened, _ := g.present(); opened != nil {
-			s.count(opened, s.heldPlaces(name))
+			s.confirmOwn(opened, name, s.heldPlaces(name))
 			continue
 		}
 		g.mu.Lock()
@@ -56,6 +56,15 @@
 	}
 }
 
+// confirmOwn counts the listed places of this router at its own gate. Those that
+// ended since the list was made may have been released before it was counted.
+func (s *Scheduler) confirmOwn(opened *gate, group string, listed *pb.HeldPlaces) {
+	s.count(opened, listed)
+	s.held.confirmed(group, listed.UpTo, len(listed.Places))
+	ended := s.held.ended(group, listed.Places)
+	opened.release(placeIDs(listed.Router, listed.Incarnation, ended)...)
+}
+
 // startSending sends what a group's home is to be told, unless that is being
 // done. One call is open at a time, so that the home sees them in order.
 func (s *Scheduler) startSending(g *group) {
@@ -107,6 +116,9 @@
 	if err := s.cfg.Pool.Call(ctx, home.addr, methodRelease, req, reply); err != nil {
 		return
 	}
+	if confirm {
+		s.held.confirmed(g.name, req.Held.UpTo, len(req.Held.Places))
+	}
 	g.learn(reply.Home)
 }
 
