Relay: one package passes answers on

internal/gateway and internal/router each had the copying of bodies, the marking of failed writes, the rule of lengths and the close while draining. TestSlopes names the counters of an instance over its budget. Ruled out: sharing the end of a cut answer too; the router ends a stream with an error event and the gateway must not.

--- a/cmd/wigeonwood/slopes_test.go
+++ b/cmd/wigeonwood/slopes_test.go
@@ -31,6 +31,16 @@
 	rss      float64 // MB
 	sent     float64 // control bytes a second
 	received float64
+	sentBy   map[string]float64 // sent, by the counter's labels
+}
+
+// perSecond returns how much each counter grew a second, in bytes.
+func perSecond(before, after map[string]float64, seconds float64) map[string]int {
+	rates := make(map[string]int)
+	for labels, value := range after {
+		rates[labels] = int((value - before[labels]) / seconds)
+	}
+	return rates
 }
 
 // controlBudget is the brief's bound on control traffic in bytes a second.
@@ -79,7 +89,7 @@
 		for i, p := range f.instances {
 			sent := (after[i].sent - before[i].sent) / took
 			if sent > controlBudget {
-				t.Errorf("%s: %s sends %.0f control bytes a second, over %d", phase.name, p.id, sent, controlBudget)
+				t.Errorf("%s: %s sends %.0f control bytes a second, over %d: %v", phase.name, p.id, sent, controlBudget, perSecond(before[i].sentBy, after[i].sentBy, took))
 			}
 		}
 	}
@@ -92,7 +102,7 @@
 	for i, p := range f.instances {
 		reads.Go(func() {
 			samples[i] = usage{cpu: cpuSeconds(t, p.pid()), rss: rssMB(t, p.pid())}
-			samples[i].sent, samples[i].received = f.controlBytes(t, p)
+			f.controlBytes(t, p, &samples[i])
 		})
 	}
 	reads.Wait()
@@ -148,34 +158,36 @@
 var requestClasses = []string{`class="replica"`, `class="request"`}
 
 // controlBytes reads an instance's counters of control traffic.
-func (f *processFleet) controlBytes(t *testing.T, p *process) (sent, received float64) {
+func (f *processFleet) controlBytes(t *testing.T, p *process, u *usage) {
 	req, err := http.NewRequest(http.MethodGet, "http://"+p.admin()+"/metrics", nil)
 	if err != nil {
 		t.Error(err)
-		return 0, 0
+		return
 	}
 	req.Header.Set("Authorization", "Bearer "+testToken)
 	resp, err := f.http.Do(req)
 	if err != nil {
 		t.Error(err)
-		return 0, 0
+		return
 	}
 	defer resp.Body.Close()
+	u.sentBy = make(map[string]float64)
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
 		line := lines.Text()
 		if strings.Contains(line, requestClasses[0]) || strings.Contains(line, requestClasses[1]) {
 			continue
 		}
-		value, _ := strconv.ParseFloat(line[strings.LastIndex(line, " ")+1:], 64)
-		switch {
-		case strings.HasPrefix(line, "wigeonwood_control_sent_bytes"):
-			sent += value
-		case strings.HasPrefix(line, "wigeonwood_control_received_bytes"):
-			received += value
+		at := strings.LastIndex(line, " ")
+		value, _ := strconv.ParseFloat(line[at+1:], 64)
+		if labels, ok := strings.CutPrefix(line[:max(at, 0)], "wigeonwood_control_sent_bytes"); ok {
+			u.sent += value
+			u.sentBy[labels] = value
+		}
+		if strings.HasPrefix(line, "wigeonwood_control_received_bytes") {
+			u.received += value
 		}
 	}
-	return sent, received
 }
 
 // changeSteadily makes one change after another, each in force before the next.
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/forward"
+	"github.com/wigeonwood/wigeonwood/internal/relay"
 )
 
 // TestTargetFailed has answers end: a caller who leaves in the middle of a stream
@@ -18,7 +19,7 @@
 		want    bool
 	}{
 		"whole":                          {nil, time.Minute, false},
-		"the caller can't be written to": {fmt.Errorf("%w: reset", errCallerWrite), 0, false},
+		"the caller can't be written to": {fmt.Errorf("%w: reset", relay.ErrCallerWrite), 0, false},
 		"the caller left":                {forward.ErrCallerGone, 100 * time.Millisecond, false},
 		"left after a long pause":        {forward.ErrCallerGone, 2 * time.Second, true},
 		"cut by the target":              {forward.ErrCut, 0, true},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/relay"
 	"github.com/wigeonwood/wigeonwood/internal/routing"
 )
 
@@ -45,7 +46,7 @@
 	cfg      Config
 	client   *forward.Client
 	chain    *filter.Chain
-	draining atomic.Bool
+	drain    relay.Drain
 	inFlight atomic.Int64
 
 	requests tally.Counter
@@ -92,7 +93,7 @@
 }
 
 // SetDraining has callers told to use another connection next time.
-func (g *Gateway) SetDraining() { g.draining.Store(true) }
+func (g *Gateway) SetDraining() { g.drain.Set() }
 
 // InFlight returns the requests being served.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
@@ -140,15 +141,8 @@
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	g.closeWhileDraining(h)
+	g.drain.Mark(h)
 	w.WriteHeader(r.Status)
 	_, err := w.Write([]byte(r.Code + ": " + r.Message + "\n"))
 	g.finish(x, result{status: r.Status, outcome: r.Outcome(), refused: true, code: r.Code, step: r.Step, err: err})
 }
-
-// closeWhileDraining asks the caller to use another connection next time.
-func (g *Gateway) closeWhileDraining(h http.Header) {
-	if g.draining.Load() {
-		h.Set("Connection", "close")
-	}
-}
--- a/internal/router/info.go
+++ b/internal/router/info.go
@@ -74,7 +74,7 @@
 
 // notReady says why new requests are not welcome, "" if they are.
 func (r *Router) notReady() string {
-	if r.draining.Load() {
+	if r.drain.IsSet() {
 		return "draining"
 	}
 	_, until, ok := r.cfg.Config.Lease()
--- a/internal/router/record.go
+++ b/internal/router/record.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
+	"github.com/wigeonwood/wigeonwood/internal/relay"
 )
 
 // result is how a request ended for its caller.
@@ -53,7 +54,7 @@
 
 // failedTarget tells whether err is the target's failure, not the caller's.
 func failedTarget(err error) bool {
-	return err != nil && !errors.Is(err, errCallerWrite) && !errors.Is(err, forward.ErrCallerGone)
+	return err != nil && !errors.Is(err, relay.ErrCallerWrite) && !errors.Is(err, forward.ErrCallerGone)
 }
 
 // endOutlived records how a claimed request ended that its caller did not wait
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
+	"github.com/wigeonwood/wigeonwood/internal/relay"
 )
 
 // Router serves callers.
@@ -27,7 +28,7 @@
 	server   *http.Server
 	ids      *idSource
 	bodies   *bodyBudget
-	draining atomic.Bool
+	drain    relay.Drain
 	inFlight atomic.Int64
 
 	requests   tally.Counter
@@ -114,7 +115,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		r.inFlight.Add(1)
 		defer r.inFlight.Add(-1)
-		r.closeWhileDraining(w.Header())
+		r.drain.Mark(w.Header())
 		if req.ContentLength != 0 {
 			// Holds for bodies that no handler reads, too: the library reads
 			// some of them before it writes the answer.
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -80,7 +80,7 @@
 // kept, then finishes what is in flight, claimed requests whose caller left
 // included. If ctx ends first, what is left is cut and an error says how much.
 func (r *Router) Drain(ctx context.Context) error {
-	r.draining.Store(true)
+	r.drain.Set()
 	if r.cfg.SetDraining != nil {
 		r.cfg.SetDraining()
 	}
