Instance: one base for both kinds; dispatch in four files; a test for the restored token

The guard on Token.Restore had no test: with a cut try before a declined one and the caller's time over, a rejection said not-run without it (TestTimeOverAfterDeclinedTry failed with the guard taken out on a scratch copy). Ruled out: an ordered list of closers for both instances; the serving one stops its interfaces between its parts. Tests of instance, filter and platform pass.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -11,16 +11,6 @@
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
-	"github.com/wigeonwood/wigeonwood/internal/routing"
-)
-
-const (
-	// maxUnsent bounds the targets that one request is offered to without
-	// running at any.
-	maxUnsent = 4
-	// overloadRetryAfter is when a request that found no free target may come
-	// back.
-	overloadRetryAfter = 300 * time.Millisecond
 )
 
 // Picker chooses targets.
@@ -212,123 +202,9 @@
 	return nil
 }
 
-// declined tells what it says of a target that it did not run a request. Where
-// another one answers at its address, the target is gone.
-func declined(status int) balance.Outcome {
-	if status == http.StatusMisdirectedRequest {
-		return balance.Unreachable
-	}
-	return balance.Busy
-}
-
-// endOutcome tells how a request that was answered went.
-func endOutcome(a *Answer, u Usage) balance.Outcome {
-	if u.Failed || a.Status >= http.StatusInternalServerError {
-		return balance.Broken
-	}
-	return balance.Served
-}
-
-// again asks for one more send within the shared bound.
-func (d *dispatch) again() bool {
-	if d.Sends.Again(d.x.Demand.Service) {
-		return true
-	}
-	d.x.Note(StepDispatch, "", "the bound on repeated sends to the service is reached")
-	return false
-}
-
 func (d *dispatch) drop() {
 	d.x.Answer.Body.Close()
 	d.x.Answer = nil
 }
 
 func (d *dispatch) repeatable() bool { return d.x.Idempotent }
-
-// patienceGoals times the latency objective is how long a target may leave a
-// caller without an answer until the caller's leaving counts against it.
-const patienceGoals = 3
-
-// outcomeOf tells what a failed try that lasted so long says of its target.
-func outcomeOf(err error, lasted, goal time.Duration) balance.Outcome {
-	switch {
-	case errors.Is(err, forward.ErrCallerGone) && lasted > patienceGoals*goal:
-		return balance.Broken
-	case errors.Is(err, forward.ErrCallerGone):
-		return balance.Abandoned
-	case errors.Is(err, forward.ErrDial), errors.Is(err, forward.ErrSilent):
-		return balance.Unreachable
-	case errors.Is(err, forward.ErrKept):
-		return balance.Abandoned
-	default:
-		return balance.Broken
-	}
-}
-
-// mayTryAgain tells whether the request may go to another target after err. The
-// shared bound on repeated sends is asked last, since asking spends it.
-func (d *dispatch) mayTryAgain(err error) bool {
-	switch {
-	case errors.Is(err, errFailed):
-		// The bound was asked before the answer was dropped.
-		return true
-	case errors.Is(err, forward.ErrDial):
-		return d.unsent < maxUnsent
-	case errors.Is(err, errNotRun):
-		return d.unsent < maxUnsent && d.again()
-	case !d.repeatable() || d.ran >= d.x.Route.MaxTargets:
-		return false
-	default:
-		return d.again()
-	}
-}
-
-// failed rejects the request after its last try.
-func (d *dispatch) failed(err error) error {
-	var rejection *Rejection
-	if errors.As(err, &rejection) {
-		return rejection
-	}
-	if errors.Is(err, ErrInvariant) {
-		return err
-	}
-	if d.ran > 0 {
-		return d.unknown(err.Error())
-	}
-	return d.x.Reject(Rejection{
-		Code:       "targets-busy",
-		Message:    err.Error(),
-		Step:       StepDispatch,
-		RetryAfter: overloadRetryAfter,
-	})
-}
-
-// unknown rejects a request that may have run.
-func (d *dispatch) unknown(text string) error {
-	d.x.Token.Spend()
-	return d.x.Reject(Rejection{
-		Status:  http.StatusBadGateway,
-		Code:    "target-failed",
-		Message: text,
-		Step:    StepDispatch,
-	})
-}
-
-// firstByteShare is the part of the time left that a repeatable request waits
-// for its first target.
-const firstByteShare = 3
-
-// Waits returns the bounds of one try of a routed request. A request that may
-// be repeated elsewhere doesn't spend all of its time on one target.
-func Waits(x *Exchange, now time.Time) Timeouts {
-	left := x.Deadline.Sub(now)
-	t := Timeouts{FirstByte: left, BetweenBytes: left}
-	if !x.Idempotent || x.Others == 0 || x.Tries >= x.Route.MaxTargets {
-		return t
-	}
-	t.FirstByte = min(left, max(2*x.Route.Goal, left/firstByteShare))
-	if x.Route.Kind == routing.Stream {
-		t.BetweenBytes = max(streamSilenceGaps*x.Route.GapGoal, minStreamSilence)
-	}
-	return t
-}
--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -195,6 +195,40 @@
 	}
 }
 
+// TestTimeOverAfterDeclinedTry ends the caller's time in a try that a target
+// declines: whether the request ran is told by the tries before it.
+func TestTimeOverAfterDeclinedTry(t *testing.T) {
+	declined := scriptedTarget{status: http.StatusServiceUnavailable, notRun: true}
+	for name, c := range map[string]struct {
+		tries   []scriptedTarget
+		outcome Outcome
+	}{
+		"declined":           {[]scriptedTarget{declined}, OutcomeNotRun},
+		"cut, then declined": {[]scriptedTarget{{err: errCutHere}, declined}, OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			s := &script{t: t, tries: c.tries}
+			d := &Dispatch{
+				Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
+				Sends:   &allowedSends{left: 9},
+				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+			}
+			err := d.Handle(ctx, routedExchange(routing.Idempotent, false), func(ctx context.Context, x *Exchange) error {
+				if len(s.tries) == 1 {
+					leave()
+				}
+				return s.next(ctx, x)
+			})
+			var r *Rejection
+			if !errors.As(err, &r) || r.Outcome() != c.outcome {
+				t.Errorf("ended with %v, want a rejection with %s", err, c.outcome)
+			}
+		})
+	}
+}
+
 func events(from, to int) string {
 	var b strings.Builder
 	for i := from; i <= to; i++ {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -5,13 +5,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/wigeonwood/wigeonwood/internal/budget"
 	"github.com/wigeonwood/wigeonwood/internal/burn"
@@ -34,18 +31,10 @@
 
 // Instance is one running process of the fleet.
 type Instance struct {
-	cfg     *settings.Serve
-	version string
-	logger  *log.Logger
-	scope   tally.Scope
-	metrics http.Handler
-	closer  io.Closer
-
-	listeners *Listeners
+	base
+	cfg       *settings.Serve
+	version   string
 	budget    *budget.Budget
-	server    *transport.Server
-	pool      *transport.Pool
-	members   *member.Members
 	replica   *replicaPart
 	relay     *control.Relay
 	client    *control.Client
@@ -59,20 +48,13 @@
 	router    *router.Router
 	admin     *http.Server
 	targets   *http.Server
-
-	// ctx ends the background work at the end of a shutdown.
-	ctx    context.Context
-	stop   context.CancelFunc
-	work   sync.WaitGroup
-	failed chan error
 }
 
 // Start opens the parts of an instance on l and serves. The settings must have
 // been checked.
 func Start(s *settings.Serve, l *Listeners, version string, logger *log.Logger) (*Instance, error) {
-	in := &Instance{cfg: s, version: version, logger: logger, listeners: l, failed: make(chan error, 1)}
-	in.ctx, in.stop = context.WithCancel(context.Background())
-	in.scope, in.metrics, in.closer = newMetrics(s.ID)
+	in := &Instance{cfg: s, version: version}
+	in.init(s.ID, l, logger)
 	steps := []struct {
 		name string
 		run  func() error
@@ -87,7 +69,7 @@
 	}
 	for _, step := range steps {
 		if err := step.run(); err != nil {
-			in.close()
+			in.closeAll()
 			return nil, errs.Wrap(err, "start "+step.name, "")
 		}
 	}
@@ -97,16 +79,6 @@
 	return in, nil
 }
 
-// Failed delivers an error that must end the process, such as a failed sync.
-func (in *Instance) Failed() <-chan error { return in.failed }
-
-func (in *Instance) fail(err error) {
-	select {
-	case in.failed <- err:
-	default:
-	}
-}
-
 func (in *Instance) startMembers() error {
 	in.budget = budget.New(budget.Config{Scope: in.scope})
 	in.server = transport.NewServer(in.cfg.PeerToken, in.logger)
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -1,15 +1,12 @@
 package instance
 
 import (
-	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/control"
@@ -17,12 +14,10 @@
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
 	"github.com/wigeonwood/wigeonwood/internal/gateway"
-	"github.com/wigeonwood/wigeonwood/internal/member"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/replica"
 	"github.com/wigeonwood/wigeonwood/internal/routesync"
 	"github.com/wigeonwood/wigeonwood/internal/routing"
-	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
 const (
@@ -66,38 +61,25 @@
 // Routed is an instance that serves a routing table: a router for callers, a
 // control replica of the table, or both.
 type Routed struct {
-	cfg     RoutedConfig
-	scope   tally.Scope
-	metrics http.Handler
-	closer  io.Closer
-
-	listeners *Listeners
-	server    *transport.Server
-	pool      *transport.Pool
-	members   *member.Members
-	holder    routing.Holder
-	sync      *routesync.Sync
-	client    *control.Client
-	node      *replica.Node
-	service   *control.Service
-	balancer  *balance.Balancer
-	gateway   *gateway.Gateway
+	base
+	cfg      RoutedConfig
+	holder   routing.Holder
+	sync     *routesync.Sync
+	client   *control.Client
+	node     *replica.Node
+	service  *control.Service
+	balancer *balance.Balancer
+	gateway  *gateway.Gateway
 
 	// seeds are the peer addresses to find the others by; they may change.
 	seedsMu sync.Mutex
 	seeds   []string
-
-	ctx    context.Context
-	stop   context.CancelFunc
-	work   sync.WaitGroup
-	failed chan error
 }
 
 // StartRouted opens the parts of an instance and serves its peers.
 func StartRouted(cfg RoutedConfig) (*Routed, error) {
-	in := &Routed{cfg: cfg, seeds: cfg.Seeds, listeners: &Listeners{}, failed: make(chan error, 1)}
-	in.ctx, in.stop = context.WithCancel(context.Background())
-	in.scope, in.metrics, in.closer = newMetrics(cfg.ID)
+	in := &Routed{cfg: cfg, seeds: cfg.Seeds}
+	in.init(cfg.ID, &Listeners{}, cfg.Logger)
 	steps := []struct {
 		name string
 		run  func() error
@@ -118,9 +100,6 @@
 	return in, nil
 }
 
-// Failed delivers an error that must end the process, such as a failed sync.
-func (in *Routed) Failed() <-chan error { return in.failed }
-
 // Metrics serves the counters and histograms.
 func (in *Routed) Metrics() http.Handler { return in.metrics }
 
@@ -148,13 +127,6 @@
 	}
 }
 
-func (in *Routed) fail(err error) {
-	select {
-	case in.failed <- err:
-	default:
-	}
-}
-
 // Ready tells whether callers are served here.
 func (in *Routed) Ready() bool {
 	return in.holder.Number() > 0 && in.members.Self().State == pb.RouterState_ROUTER_STATE_SERVING
@@ -197,15 +169,6 @@
 	return in.gateway.InFlight()
 }
 
-// Leave tells the other instances that this one is gone.
-func (in *Routed) Leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	defer cancel()
-	if err := in.members.Leave(ctx); err != nil {
-		in.cfg.Logger.Warn().Err(err).Str("step", "leave").Msg("other instances were not told of the departure")
-	}
-}
-
 // Close ends all parts in the reverse order of their use.
 func (in *Routed) Close() {
 	in.stop()
@@ -219,14 +182,5 @@
 		in.service.Close()
 		in.node.Close()
 	}
-	if in.server != nil {
-		in.server.Close()
-		in.pool.Close()
-	}
-	if in.members != nil {
-		in.members.Close()
-	}
-	in.listeners.Close()
-	in.work.Wait()
-	_ = in.closer.Close()
+	in.close()
 }
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -5,24 +5,16 @@
 	"time"
 )
 
-const (
-	// leaveTimeout bounds telling other instances of the departure.
-	leaveTimeout = 2 * time.Second
-	// interfaceTimeout bounds the last answers to operators and targets.
-	interfaceTimeout = 2 * time.Second
-)
+// interfaceTimeout bounds the last answers to operators and targets.
+const interfaceTimeout = 2 * time.Second
 
 // Shutdown drains the router, so that no request in flight is cut off, and
 // then ends all parts. It returns the drain's error if ctx ended first.
 func (in *Instance) Shutdown(ctx context.Context) error {
 	in.logger.Info().Str("step", "drain").Msg("the instance drains")
 	err := in.router.Drain(ctx)
-	leaveCtx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	defer cancel()
-	if leaveErr := in.members.Leave(leaveCtx); leaveErr != nil {
-		in.logger.Warn().Err(leaveErr).Str("step", "leave").Msg("other instances were not told of the departure")
-	}
-	in.close()
+	in.Leave()
+	in.closeAll()
 	in.logger.Info().Str("step", "stop").Msg("the instance stopped")
 	return err
 }
@@ -30,11 +22,11 @@
 // Abort ends all parts at once, requests in flight included.
 func (in *Instance) Abort() {
 	in.router.Abort()
-	in.close()
+	in.closeAll()
 }
 
-// close ends the parts that were started, in the reverse order of their use.
-func (in *Instance) close() {
+// closeAll ends the parts that were started, in the reverse order of their use.
+func (in *Instance) closeAll() {
 	ctx, cancel := context.WithTimeout(context.Background(), interfaceTimeout)
 	defer cancel()
 	if in.admin != nil {
@@ -53,14 +45,5 @@
 		in.relay.Close()
 	}
 	in.replica.close()
-	if in.server != nil {
-		in.server.Close()
-		in.pool.Close()
-	}
-	if in.members != nil {
-		in.members.Close()
-	}
-	in.listeners.Close()
-	in.work.Wait()
-	_ = in.closer.Close()
+	in.close()
 }
