Membership: the end of a target's lease and its return are logged

Cause of the gap: TestRollout once saw two instances that knew no target for 0.1 s, and nothing told when and why a target left their lists: only its first appearance, its leaving and its removal after 30 s were logged. Now the end of a lease that nobody announced is a warning with the age of the last proof of the target's life, and its return a line. TestLapsesAreReported failed without it (no event).

--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -58,6 +58,9 @@
 	id         string
 	generation uint64
 	what       string
+	// age is that of the last proof of a target's life; zero if it has no part
+	// in the event.
+	age time.Duration
 }
 
 // Texts of events.
@@ -72,6 +75,8 @@
 	eventTargetAppeared  = "a target appeared"
 	eventTargetLeaves    = "a target leaves"
 	eventTargetForgotten = "a target was not heard of and is forgotten"
+	eventTargetLapsed    = "a target's lease ended: it is not listed until it is heard of again"
+	eventTargetRenewed   = "a target is heard of again and listed"
 )
 
 // packet is one datagram to send.
@@ -150,6 +155,7 @@
 	c.spreadLeaving(now)
 	c.expireProbes(now)
 	c.expireSuspicions(now)
+	c.noteLapses(now)
 	if !now.Before(c.nextProbe) {
 		c.startProbe(now)
 		c.nextProbe = now.Add(c.probeInterval())
--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -426,3 +426,46 @@
 		}
 	}
 }
+
+// A target that falls silent is reported once when its lease ends and once when
+// it is heard of again, with the age of the last proof of its life.
+func TestLapsesAreReported(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	c := newCore(coreConfig{
+		self:  &pb.RouterStatus{Id: "r1", Incarnation: 1, PeerAddr: "10.0.0.1:1"},
+		rng:   rand.New(rand.NewPCG(1, 1)),
+		allow: func(time.Time, budget.Class, int) bool { return true },
+	}, now)
+	announce := func(sequence uint64) {
+		err := c.announce(now, &pb.TargetStatus{Id: "t", Incarnation: 1, Sequence: sequence, Addr: "10.0.0.2:1"}, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	run := func(d time.Duration) []string {
+		var seen []string
+		for end := now.Add(d); now.Before(end); now = now.Add(DefaultProbeInterval) {
+			c.tick(now)
+			for _, e := range c.takeEvents() {
+				if e.what != eventTargetAppeared {
+					seen = append(seen, e.what)
+				}
+				if e.what == eventTargetLapsed && e.age < DefaultTargetLease {
+					t.Errorf("lapsed %v after the last proof", e.age)
+				}
+			}
+		}
+		return seen
+	}
+	announce(1)
+	if got := run(DefaultTargetLease / 2); len(got) > 0 {
+		t.Errorf("events while leased: %v", got)
+	}
+	if got := run(2 * DefaultTargetLease); !slices.Equal(got, []string{eventTargetLapsed}) {
+		t.Errorf("events of a silent target: %v", got)
+	}
+	announce(2)
+	if got := run(DefaultTargetLease / 2); !slices.Equal(got, []string{eventTargetRenewed}) {
+		t.Errorf("events of its return: %v", got)
+	}
+}
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -88,7 +88,7 @@
 		m.write(p)
 	}
 	for _, e := range events {
-		m.log.Info().Str("step", "membership").Str("peer", e.id).Uint64("generation", e.generation).Msg(e.what)
+		m.logEvent(e)
 	}
 	select {
 	case m.wake <- struct{}{}:
@@ -96,6 +96,20 @@
 	}
 }
 
+// logEvent writes one change of the view; a target that is lost from it without
+// having left is a warning.
+func (m *Members) logEvent(e viewEvent) {
+	line := m.log.Info()
+	if e.what == eventTargetLapsed {
+		line = m.log.Warn()
+	}
+	line = line.Str("step", "membership").Str("peer", e.id).Uint64("generation", e.generation)
+	if e.age > 0 {
+		line = line.Dur("proof_age_ms", e.age)
+	}
+	line.Msg(e.what)
+}
+
 func (m *Members) write(p packet) {
 	datagram, err := m.codec.encode(p.msg)
 	if err != nil {
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -46,6 +46,8 @@
 	hash     uint32
 	bucket   int
 	identity uint64
+	// lapsed tells that the end of the lease was noted.
+	lapsed bool
 }
 
 func (e *targetEntry) rehash() {
@@ -204,6 +206,32 @@
 		e.fresh = provenAt
 		e.seen = provenAt
 	}
+	if e.lapsed && c.leased(now, e) {
+		e.lapsed = false
+		c.noteProof(now, e, eventTargetRenewed)
+	}
+}
+
+// noteLapses records the targets whose leases ended since the last call. Those
+// that leave are known to have ended.
+func (c *core) noteLapses(now time.Time) {
+	for _, e := range c.targets {
+		if e.lapsed || e.fresh.IsZero() || e.status.Leaving || c.leased(now, e) {
+			continue
+		}
+		e.lapsed = true
+		c.noteProof(now, e, eventTargetLapsed)
+	}
+}
+
+// noteProof records an event of a target with the age of its last proof of life.
+func (c *core) noteProof(now time.Time, e *targetEntry, what string) {
+	c.events = append(c.events, viewEvent{
+		id:         e.status.Id,
+		generation: e.status.Incarnation,
+		what:       what,
+		age:        now.Sub(e.fresh),
+	})
 }
 
 // targetDelta returns the news of a target, nil if nothing is known of it.
