Announcements: a draining router still takes them; shorter answers, shorter pauses

Four targets at one router were told to announce each 0.98 s; an announcement proves the time of the answer before it, so that proofs are up to 2 s old when they arrive, and 0.5 s of the lease of 2.5 s was left for a move, for a slow machine and for gossip. The draining router also refused the announcement that would have renewed the proof. Ruled out: the scheduler's view, probes that fail, a longer lease (a silent target must get nothing new after 3 s).

Ports of process tests are claimed by blocks that a test process holds (TestRecovery once met a taken port): two processes that look for ports from the same place got the same ones (TestPortsOfTwoProcesses failed on the old way).

--- /dev/null
+++ b/cmd/wigeonwood/ports_test.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+)
+
+// Ports for tests lie below the range from which the system takes the ports of
+// outgoing connections, so that none of those can take one meanwhile. A test
+// process claims them by blocks and holds the first port of each open until it
+// ends: another process that looks for free ports leaves the block alone, also
+// while an instance is down.
+const (
+	firstPort  = 12000
+	lastPort   = 32000
+	blockPorts = 100
+	portBlocks = (lastPort - firstPort) / blockPorts
+)
+
+// ports gives out the ports of one process.
+type ports struct {
+	mu sync.Mutex
+	// block is the next one to try.
+	block int
+	// held are the first ports of the claimed blocks.
+	held []net.Listener
+	// next and end bound what is left of the last claimed block.
+	next, end int
+}
+
+var testPorts = &ports{block: rand.IntN(portBlocks)}
+
+// freeLoopback returns a loopback address whose port is free for TCP and UDP.
+func (p *ports) freeLoopback() (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		for p.next < p.end {
+			addr := fmt.Sprintf("127.0.0.1:%d", p.next)
+			p.next++
+			if tryListen(addr) == nil {
+				return addr, nil
+			}
+		}
+		if err := p.claim(); err != nil {
+			return "", err
+		}
+	}
+}
+
+// claim takes a block that no other process holds.
+func (p *ports) claim() error {
+	for range portBlocks {
+		first := firstPort + p.block*blockPorts
+		p.block = (p.block + 1) % portBlocks
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err != nil {
+			continue
+		}
+		p.held = append(p.held, l)
+		p.next, p.end = first+1, first+blockPorts
+		return nil
+	}
+	return errors.New("no block of ports is free")
+}
+
+// close gives the claimed blocks back.
+func (p *ports) close() {
+	for _, l := range p.held {
+		l.Close()
+	}
+}
+
+func tryListen(addr string) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	u, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return err
+	}
+	return u.Close()
+}
+
+// TestPortsOfTwoProcesses has two processes look for ports from the same place
+// while neither has opened its own yet.
+func TestPortsOfTwoProcesses(t *testing.T) {
+	start := rand.IntN(portBlocks)
+	one, other := &ports{block: start}, &ports{block: start}
+	defer one.close()
+	defer other.close()
+	given := make(map[string]bool)
+	for range 2 * blockPorts {
+		for _, p := range []*ports{one, other} {
+			addr, err := p.freeLoopback()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if given[addr] {
+				t.Fatalf("%s was given out twice", addr)
+			}
+			given[addr] = true
+		}
+	}
+}
--- a/internal/announce/announcer.go
+++ b/internal/announce/announcer.go
@@ -136,6 +136,10 @@
 	if reply.Routers != nil {
 		a.learn(router, reply.Routers)
 	}
+	if reply.Draining {
+		a.turnAwayFrom(router)
+		return retryDelay, nil
+	}
 	if !reply.Listed {
 		return retryDelay / 10, nil
 	}
@@ -180,8 +184,10 @@
 	}
 }
 
-// turnAwayFrom puts a router that failed last.
+// turnAwayFrom puts a router that failed or drains last. Its stamp is forgotten:
+// by the next use it would be about as old as a lease.
 func (a *Announcer) turnAwayFrom(router string) {
+	delete(a.stamps, router)
 	if a.routers[0] == router {
 		a.routers = append(a.routers[1:], router)
 	}
--- a/internal/announce/messages.go
+++ b/internal/announce/messages.go
@@ -42,6 +42,8 @@
 	// Listed is false if the announcement bore no valid stamp: announce again
 	// at once, with the new one.
 	Listed bool `json:"listed"`
+	// Draining says that the router ends soon: announce to another at once.
+	Draining bool `json:"draining,omitempty"`
 }
 
 // CacheEvents are changes of an engine's prefix cache.
--- a/internal/announce/pace.go
+++ b/internal/announce/pace.go
@@ -8,8 +8,8 @@
 const (
 	// replyBytes is about what one answer to an announcement takes, with its
 	// headers, and replyRate the bytes a second that all of them should take.
-	replyBytes = 250
-	replyRate  = 1024
+	replyBytes = 170
+	replyRate  = 1400
 	// maxPaceTargets bounds the targets counted.
 	maxPaceTargets = 4096
 )
