Callers' idle connections keep to the routing table's limits

Cause: the wait for a header and the life of an idle connection were constants, the table's limits unused, since the fields of http.Server must not change while it serves. internal/idle follows the connections' states and asks for the bounds at the start of each wait; the constants stay for a process without a table. Ruled out: read deadlines on a wrapped connection, which net/http sets itself.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
+	"github.com/wigeonwood/wigeonwood/internal/idle"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/relay"
 	"github.com/wigeonwood/wigeonwood/internal/routing"
@@ -92,6 +93,12 @@
 	return routing.Limits{}
 }
 
+// IdleBounds returns how long callers' connections may wait for a request.
+func (g *Gateway) IdleBounds() idle.Bounds {
+	limits := g.Limits()
+	return idle.Bounds{First: limits.HeaderTimeout, Next: limits.IdleTimeout}
+}
+
 // SetDraining has callers told to use another connection next time.
 func (g *Gateway) SetDraining() { g.drain.Set() }
 
--- /dev/null
+++ b/internal/idle/idle.go
@@ -0,0 +1,86 @@
+// Package idle closes callers' connections that carry no request for too long.
+// The bounds may change while a server runs, which those of http.Server may not.
+package idle
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Bounds are the longest times that a connection may wait for a request; zero
+// bounds nothing.
+type Bounds struct {
+	// First is the wait for the first request's header on a new connection.
+	First time.Duration
+	// Next is the wait after an answer for the next request's header.
+	Next time.Duration
+}
+
+// Watch follows the connections of a server.
+type Watch struct {
+	bounds func() Bounds
+
+	mu    sync.Mutex
+	waits map[net.Conn]*wait
+}
+
+// wait is one wait of a connection.
+type wait struct{ timer *time.Timer }
+
+// NewWatch makes a Watch; bounds is asked at the start of each wait.
+func NewWatch(bounds func() Bounds) *Watch {
+	return &Watch{bounds: bounds, waits: make(map[net.Conn]*wait)}
+}
+
+// StateChanged takes a change of a connection's state, as http.Server.ConnState.
+func (w *Watch) StateChanged(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		w.start(c, w.bounds().First)
+	case http.StateIdle:
+		w.start(c, w.bounds().Next)
+	case http.StateActive, http.StateClosed, http.StateHijacked:
+		w.end(c)
+	}
+}
+
+// start closes the connection unless its state changes in time.
+func (w *Watch) start(c net.Conn, bound time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stop(c)
+	if bound <= 0 {
+		return
+	}
+	next := &wait{}
+	w.waits[c] = next
+	next.timer = time.AfterFunc(bound, func() { w.expire(c, next) })
+}
+
+// expire closes the connection if it is still in this wait.
+func (w *Watch) expire(c net.Conn, ended *wait) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.waits[c] != ended {
+		return
+	}
+	delete(w.waits, c)
+	// The caller sees the end; there is nobody to report an error to.
+	_ = c.Close()
+}
+
+func (w *Watch) end(c net.Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stop(c)
+}
+
+// stop ends the present wait; w.mu is held.
+func (w *Watch) stop(c net.Conn) {
+	if present := w.waits[c]; present != nil {
+		present.timer.Stop()
+		delete(w.waits, c)
+	}
+}
