--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -135,8 +135,24 @@
 			return nil, errs.Wrap(ErrUnknownReplica, "admit replica", member.Addr)
 		}
 		learner := &pb.Member{Id: member.Id, Addr: member.Addr, DataCentre: member.DataCentre, Learner: true, JoinIndex: asked}
-		return consensus.NewMembership(append(rest, learner)...), nil
+		next := consensus.NewMembership(append(rest, learner)...)
+		next.Joined = current.Joined
+		if len(rest) == len(current.Members) {
+			next.Joined++
+		}
+		return next, nil
+	}
+}
+
+// withoutMember returns the membership without one member. Its removal makes up
+// for one that joined.
+func withoutMember(current *pb.Membership, id string) *pb.Membership {
+	next := proto.CloneOf(current)
+	next.Members = slices.DeleteFunc(next.Members, func(m *pb.Member) bool { return m.Id == id })
+	if next.Joined > 0 {
+		next.Joined--
 	}
+	return next
 }
 
 // reconcileMembers makes a learner a voter once it has synced all that was
@@ -205,8 +221,7 @@
 		if consensus.FindMember(current, id) == nil {
 			return nil, ErrUnknownReplica
 		}
-		rest := slices.DeleteFunc(slices.Clone(current.Members), func(m *pb.Member) bool { return m.Id == id })
-		next := consensus.NewMembership(rest...)
+		next := withoutMember(current, id)
 		if !n.quorumAlive(next) {
 			return nil, ErrQuorumAtRisk
 		}
--- a/internal/replica/replace.go
+++ b/internal/replica/replace.go
@@ -1,11 +1,9 @@
 package replica
 
 import (
-	"slices"
 	"time"
 
 	"github.com/phuslu/log"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonwood/wigeonwood/internal/consensus"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
@@ -22,23 +20,26 @@
 	rejoinAfterTicks = 100
 )
 
-// replacedVoter returns the voter that another one has taken the place of, nil
-// if there is none: the number of voters is even, so that one has joined beside
-// the odd number there were, and exactly one of them is silent. silence returns
-// for how long a member has been silent.
+// replacedVoter returns a voter that another one has taken the place of, nil if
+// there is none. Voters that joined at new addresses and have not made up for a
+// removal yet are the successors of silent ones, as long as there are no more
+// silent voters than successors: which of them were replaced is not known then.
+// silence returns for how long a member has been silent.
 func replacedVoter(m *pb.Membership, silence func(id string) time.Duration, after time.Duration) *pb.Member {
 	var silent []*pb.Member
-	voters := 0
+	live, successors := 0, int(m.GetJoined())
 	for _, member := range m.GetMembers() {
-		if member.Learner {
-			continue
-		}
-		voters++
-		if silence(member.Id) >= after {
+		switch {
+		case member.Learner:
+			// It may be one of those that joined.
+			successors--
+		case silence(member.Id) >= after:
 			silent = append(silent, member)
+		default:
+			live++
 		}
 	}
-	if voters%2 != 0 || len(silent) != 1 || voters-1 < minVoters {
+	if len(silent) == 0 || len(silent) > successors || live < minVoters {
 		return nil
 	}
 	return silent[0]
@@ -53,8 +54,7 @@
 	if gone == nil {
 		return
 	}
-	next := proto.CloneOf(current)
-	next.Members = slices.DeleteFunc(next.Members, func(m *pb.Member) bool { return m.Id == gone.Id })
+	next := withoutMember(current, gone.Id)
 	if _, _, err := n.core.ProposeMembership(next, n.now().UnixMilli()); err != nil {
 		n.event(log.WarnLevel, "remove replica").Err(err).Str("removed", gone.Id).Msg("a replaced replica was not removed")
 		return
