--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/testkit"
 )
 
 func TestMain(m *testing.M) {
@@ -200,31 +201,20 @@
 			return n >= 2 && !last.IsZero()
 		}
 	}
-	eventually(t, "a proven announcement at the first router", proven(first))
+	testkit.Eventually(t, "a proven announcement at the first router", proven(first))
 	a.CloseClientConnections()
 	a.Close()
-	eventually(t, "a proven announcement at the second router", proven(second))
+	testkit.Eventually(t, "a proven announcement at the second router", proven(second))
 	if err := announcer.Leave(t.Context()); err != nil || len(second.left) != 1 {
 		t.Fatalf("leave: %v, %v", err, second.left)
 	}
-	eventually(t, "an announcement that says it leaves", func() bool {
+	testkit.Eventually(t, "an announcement that says it leaves", func() bool {
 		second.mu.Lock()
 		defer second.mu.Unlock()
 		return second.statuses[len(second.statuses)-1].Leaving
 	})
 }
 
-func eventually(t *testing.T, what string, cond func() bool) {
-	t.Helper()
-	deadline := time.Now().Add(30 * time.Second)
-	for !cond() {
-		if time.Now().After(deadline) {
-			t.Fatalf("not seen: %s", what)
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
 // TestDrainingRouterSendsTargetsElsewhere has a router drain that targets use:
 // it must still take the announcement that is on its way, which proves that they
 // live, and they must be proven at the other one long before that runs out.
@@ -233,14 +223,14 @@
 		leaving := &fakeRouter{}
 		staying := &fakeRouter{}
 		a := announceTo(t, startRouter(t, leaving))
-		eventually(t, "a proven announcement before the drain", func() bool {
+		testkit.Eventually(t, "a proven announcement before the drain", func() bool {
 			n, last := leaving.snapshot()
 			return n >= 2 && !last.IsZero()
 		})
 		before, _ := leaving.snapshot()
 		stayingAddr := startRouter(t, staying).Listener.Addr().String()
 		leaving.drain(stayingAddr)
-		eventually(t, "an announcement while the router drains", func() bool {
+		testkit.Eventually(t, "an announcement while the router drains", func() bool {
 			n, _ := leaving.snapshot()
 			return n > before
 		})
--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -1,7 +1,6 @@
 package limits
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +15,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/testkit"
 	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
@@ -162,36 +162,6 @@
 	return int(held.Load())
 }
 
-// countingDialer counts the bytes of the connections that it opens.
-type countingDialer struct {
-	net.Dialer
-	bytes atomic.Int64
-}
-
-func (d *countingDialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	conn, err := d.Dialer.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, bytes: &d.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	c.bytes.Add(int64(len(p)))
-	return c.Conn.Write(p)
-}
-
 // Even as many renewals as a router makes stay within its budget of 4 KB/s.
 func TestRenewalBytes(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -204,7 +174,7 @@
 	New(Config{Self: "home", View: home, Server: server, Logger: discard()})
 	go func() { _ = server.Serve(listener) }()
 	defer server.Close()
-	wire := &countingDialer{}
+	wire := &testkit.CountingDialer{}
 	calls := transport.NewPool(token, wire, nil)
 	defer calls.Close()
 	view := &fakeView{self: "entry"}
@@ -224,7 +194,7 @@
 			t.Fatal(err)
 		}
 	}
-	each := float64(wire.bytes.Load()) / renewals
+	each := float64(wire.Bytes()) / renewals
 	t.Logf("%.0f bytes for each renewal", each)
 	const budget = 4096
 	if rate := each * renewsPerInterval / renewInterval.Seconds(); rate > budget {
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/testkit"
 )
 
 func quietLogger() *log.Logger {
@@ -40,18 +41,6 @@
 	return m
 }
 
-// eventually waits for a condition; the bound only ends a failing test.
-func eventually(t *testing.T, what string, cond func() bool) {
-	t.Helper()
-	deadline := time.Now().Add(30 * time.Second)
-	for !cond() {
-		if time.Now().After(deadline) {
-			t.Fatalf("not seen: %s", what)
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
 // Three routers over UDP on loopback find each other and pass on a target; a
 // state change, a target's leave and a router's leave reach all.
 func TestRoutersOverUDP(t *testing.T) {
@@ -68,7 +57,7 @@
 			return true
 		}
 	}
-	eventually(t, "three routers everywhere", everywhere(func(m *Members) bool { return len(m.Routers()) == 3 }))
+	testkit.Eventually(t, "three routers everywhere", everywhere(func(m *Members) bool { return len(m.Routers()) == 3 }))
 
 	st := &pb.TargetStatus{Id: "engine-1", Kind: pb.TargetKind_TARGET_KIND_ENGINE, Addr: "127.0.0.1:1", Incarnation: 5, Capacity: 4, Load: &pb.Load{Running: 3}}
 	announce := func() {
@@ -77,17 +66,17 @@
 			t.Fatal(err)
 		}
 	}
-	eventually(t, "the target and its load everywhere", everywhere(func(m *Members) bool {
+	testkit.Eventually(t, "the target and its load everywhere", everywhere(func(m *Members) bool {
 		announce()
 		return m.Target("engine-1").GetLoad().GetRunning() == 3
 	}))
 	all[2].SetState(pb.RouterState_ROUTER_STATE_DRAINING)
 	all[2].TargetLeaves("engine-1", 5)
-	eventually(t, "the leave everywhere", everywhere(func(m *Members) bool {
+	testkit.Eventually(t, "the leave everywhere", everywhere(func(m *Members) bool {
 		target := m.Target("engine-1")
 		return target == nil || target.Leaving
 	}))
-	eventually(t, "the draining state", everywhere(func(m *Members) bool {
+	testkit.Eventually(t, "the draining state", everywhere(func(m *Members) bool {
 		return m.Routers()[2].State == pb.RouterState_ROUTER_STATE_DRAINING
 	}))
 	if err := a.Announce(shallow(st), time.Now()); err == nil {
@@ -97,7 +86,7 @@
 		t.Fatal(err)
 	}
 	all = all[:2]
-	eventually(t, "two routers left", everywhere(func(m *Members) bool { return len(m.Routers()) == 2 }))
+	testkit.Eventually(t, "two routers left", everywhere(func(m *Members) bool { return len(m.Routers()) == 2 }))
 }
 
 func TestOtherTokenIsNotHeard(t *testing.T) {
--- a/internal/scheduler/homes_test.go
+++ b/internal/scheduler/homes_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/placement"
 	"github.com/wigeonwood/wigeonwood/internal/pool"
+	"github.com/wigeonwood/wigeonwood/internal/testkit"
 	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
@@ -24,41 +24,11 @@
 	fleet  *fakeFleet
 	server *transport.Server
 	status *pb.RouterStatus
-	wire   *countingDialer
+	wire   *testkit.CountingDialer
 }
 
 const peerToken = "0123456789abcdef0123456789abcdef"
 
-// countingDialer counts the bytes of the connections that it opens.
-type countingDialer struct {
-	net.Dialer
-	bytes atomic.Int64
-}
-
-func (d *countingDialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	conn, err := d.Dialer.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, bytes: &d.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	c.bytes.Add(int64(len(p)))
-	return c.Conn.Write(p)
-}
-
 // startNodes starts n routers that see each other and the targets.
 func startNodes(t testing.TB, n int, targets ...*pb.TargetStatus) []*node {
 	return startNodesConfirming(t, 200*time.Millisecond, n, targets...)
@@ -74,7 +44,7 @@
 			t.Fatal(err)
 		}
 		f := newFakeFleet(id, targets...)
-		wire := &countingDialer{}
+		wire := &testkit.CountingDialer{}
 		calls := transport.NewPool(peerToken, wire, nil)
 		server := transport.NewServer(peerToken, discard())
 		s := New(Config{
@@ -312,12 +282,12 @@
 	nodes := startNodes(b, 2, engines(4, 50)...)
 	releaseAll(fill(b, nodes, 2))
 	entry := without(nodes, homeOf(nodes))[0]
-	before := entry.wire.bytes.Load()
+	before := entry.wire.Bytes()
 	b.ResetTimer()
 	for i := range b.N {
 		mustAdmit(b, entry.Scheduler, demand("customer-3", fmt.Sprint("chat-", i))).Release(filter.Usage{})
 	}
-	b.ReportMetric(float64(entry.wire.bytes.Load()-before)/float64(b.N), "wire-bytes/op")
+	b.ReportMetric(float64(entry.wire.Bytes()-before)/float64(b.N), "wire-bytes/op")
 }
 
 // Events that reach any router steer the home: a chat goes where an engine
@@ -380,11 +350,11 @@
 	entry := without(nodes, homeOf(nodes))[0]
 	grants := fill(t, []*node{entry}, 20)
 	const confirmations = 10
-	before := entry.wire.bytes.Load()
+	before := entry.wire.Bytes()
 	for range confirmations {
 		entry.sendRelease(entry.group("engines/0"), nil, true)
 	}
-	each := float64(entry.wire.bytes.Load()-before) / confirmations
+	each := float64(entry.wire.Bytes()-before) / confirmations
 	t.Logf("%.0f bytes to confirm %d places", each, len(grants))
 	if rate := each / defaultConfirmInterval.Seconds(); rate > budget/10 {
 		t.Fatalf("%.0f bytes a second for %d places", rate, len(grants))
--- /dev/null
+++ b/internal/testkit/testkit.go
@@ -0,0 +1,62 @@
+// Package testkit holds helpers that tests of several packages use.
+package testkit
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	// eventuallyBound only ends a test that fails.
+	eventuallyBound = 30 * time.Second
+	eventuallyPause = 10 * time.Millisecond
+)
+
+// Eventually waits for a condition and fails the test if it is never met.
+func Eventually(t testing.TB, what string, met func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(eventuallyBound)
+	for !met() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not seen in %v: %s", eventuallyBound, what)
+		}
+		time.Sleep(eventuallyPause)
+	}
+}
+
+// CountingDialer counts the bytes, both ways, of the connections that it opens.
+type CountingDialer struct {
+	net.Dialer
+	bytes atomic.Int64
+}
+
+// Bytes returns the bytes of all connections so far.
+func (d *CountingDialer) Bytes() int64 { return d.bytes.Load() }
+
+// DialContext opens a connection whose bytes are counted.
+func (d *CountingDialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := d.Dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, bytes: &d.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
