Routed instances: explain and the burn report, from the records that the log uses

Ruled out: the whole admin interface there (contracts and orders have no meaning on a routing table); one objective a team (routes differ by a factor of ten).

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -68,13 +68,28 @@
 	r.HandleFunc("/targets", s.targets).Methods(http.MethodGet)
 	r.HandleFunc("/replicas", s.replicas).Methods(http.MethodGet)
 	r.HandleFunc("/replicas", s.changeReplica).Methods(http.MethodPost)
-	r.HandleFunc("/burn", s.burn).Methods(http.MethodGet)
-	r.HandleFunc("/explain/request/{id}", s.explainRequest).Methods(http.MethodGet)
+	s.handleReports(r)
 	r.HandleFunc("/explain/target/{id}", s.explainTarget).Methods(http.MethodGet)
 	r.HandleFunc("/explain/revision/{number}", s.explainRevision).Methods(http.MethodGet)
 	return root
 }
 
+// NewReports makes the part of the admin interface that needs neither contracts
+// nor orders: the burn report and explanations of requests. Of cfg it uses Token,
+// Explain, Burn and Logger.
+func NewReports(cfg Config) http.Handler {
+	s := &server{Config: cfg}
+	root := mux.NewRouter()
+	root.Use(s.authorize)
+	s.handleReports(root.PathPrefix("/admin/v1").Subrouter())
+	return root
+}
+
+func (s *server) handleReports(r *mux.Router) {
+	r.HandleFunc("/burn", s.burn).Methods(http.MethodGet)
+	r.HandleFunc("/explain/request/{id}", s.explainRequest).Methods(http.MethodGet)
+}
+
 func (s *server) authorize(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -159,3 +159,22 @@
 		r.Observe(rec)
 	}
 }
+
+// Requests of routes with a latency objective are held against it, also those
+// without a model; others against their contract's.
+func TestGoalOfTheRoute(t *testing.T) {
+	r := NewRecorder("r1", objective)
+	for _, first := range []time.Duration{100 * time.Millisecond, 140 * time.Millisecond, 300 * time.Millisecond} {
+		r.Observe(&filter.Record{Customer: "a", Service: "s", Goal: 150 * time.Millisecond, Status: 200, Whole: true, FirstToken: first})
+	}
+	r.Observe(&filter.Record{Customer: "a", Service: "s", Goal: 150 * time.Millisecond, Status: 503, Refused: true, FirstToken: time.Millisecond})
+	r.Observe(chat(300 * time.Millisecond))
+	answer, err := r.Answer(t.Context(), &pb.BurnRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := answer.Customers[0].Windows[0]
+	if counts.FirstTokens != 4 || counts.FirstTokensMet != 3 {
+		t.Errorf("%d of %d first tokens met their objective, want 3 of 4", counts.FirstTokensMet, counts.FirstTokens)
+	}
+}
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -103,14 +103,23 @@
 	default:
 		good = false
 	}
-	if rec.Model != "" && rec.FirstToken > 0 {
-		good = c.firstToken(s, rec.FirstToken, objectives) && good
+	if (rec.Model != "" || rec.Goal > 0) && rec.FirstToken > 0 && !rec.Refused {
+		good = c.firstToken(s, rec.FirstToken, latencyGoal(rec, objectives)) && good
 	}
 	if !good {
 		c.blame(rec)
 	}
 }
 
+// latencyGoal returns the longest time to the first token that meets the
+// objective; zero if there is none.
+func latencyGoal(rec *filter.Record, o *pb.Objectives) time.Duration {
+	if rec.Goal > 0 {
+		return rec.Goal
+	}
+	return time.Duration(o.GetFirstTokenMs()) * time.Millisecond
+}
+
 // isCallerFault tells a refusal that coming back unchanged would not mend.
 func isCallerFault(rec *filter.Record) bool {
 	return rec.Refused && rec.Status >= 400 && rec.Status < 500 && rec.Status != http.StatusTooManyRequests
@@ -150,11 +159,11 @@
 }
 
 // firstToken counts a first token and tells whether it met the objective.
-func (c *customer) firstToken(s *slot, took time.Duration, o *pb.Objectives) bool {
+func (c *customer) firstToken(s *slot, took, goal time.Duration) bool {
 	c.rotate()
 	_ = c.current.RecordValue(min(max(took.Microseconds(), histogramLowest), histogramHighest))
 	s.firstTokens++
-	met := o == nil || took <= time.Duration(o.FirstTokenMs)*time.Millisecond
+	met := goal == 0 || took <= goal
 	if met {
 		s.firstTokensMet++
 	}
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -133,11 +133,20 @@
 	}
 }
 
+// firstTokenName names the objective on the first token; without a time of its own
+// it is that of each request's route.
+func firstTokenName(o *pb.Objectives) string {
+	if o.FirstTokenMs == 0 {
+		return "first token within its route's goal"
+	}
+	return "first token within " + (time.Duration(o.FirstTokenMs) * time.Millisecond).String()
+}
+
 func (m *merge) report(name string, o *pb.Objectives) CustomerReport {
 	return CustomerReport{
 		Customer: name,
 		Objectives: []ObjectiveReport{
-			m.objective("first token within "+(time.Duration(o.FirstTokenMs)*time.Millisecond).String(), o.FirstTokenShare, firstTokenBad),
+			m.objective(firstTokenName(o), o.FirstTokenShare, firstTokenBad),
 			m.objective("answered", o.AnsweredShare, unansweredBad),
 			m.objective("not refused", o.NotRefusedShare, refusedBad),
 		},
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -25,6 +25,7 @@
 	fs.StringVar(&o.Settings, "settings", "", "path of the settings file; "+platform.SettingsVariable+" if not given")
 	fs.StringVar(&o.PeerToken, "peer-token", "", "secret shared by the fleet's instances (required)")
 	fs.StringVar(&o.LogLevel, "log-level", "info", "lowest level logged: debug, info, warn or error")
+	fs.StringVar(&o.AdminToken, "admin-token", "", "secret that operators bear to read reports on the metrics port; none are served without one")
 	fs.IntVar(&o.MetricsPort, "metrics-port", 0, "port that serves the metrics at /metrics; 0 for none")
 	cmd.AddCommand(newPlatformCheck())
 	return cmd
@@ -54,6 +55,8 @@
 		return usageError("%s names no settings file", platform.SettingsVariable)
 	case len(o.PeerToken) < minPeerToken:
 		return usageError("--peer-token: a secret of at least %d characters is needed", minPeerToken)
+	case o.AdminToken != "" && len(o.AdminToken) < minAdminToken:
+		return usageError("--admin-token: a secret of at least %d characters is needed", minAdminToken)
 	case o.MetricsPort < 0 || o.MetricsPort > maxPort:
 		return usageError("--metrics-port: %d is not a port", o.MetricsPort)
 	}
@@ -63,5 +66,8 @@
 	return nil
 }
 
-// minPeerToken is the least length of the secret, in characters.
-const minPeerToken = 8
+// Least lengths of the secrets, in characters.
+const (
+	minPeerToken  = 8
+	minAdminToken = 8
+)
--- a/internal/filter/record.go
+++ b/internal/filter/record.go
@@ -21,7 +21,10 @@
 	// Model or Service that the request asked for.
 	Model   string
 	Service string
-	Start   time.Time
+	// Goal is the latency objective of the request's route; zero means that of
+	// the customer's contract.
+	Goal  time.Duration
+	Start time.Time
 	// FirstToken is the time from receipt to the first byte of the answer to
 	// the caller; zero if there was none. Total is the time to its end.
 	FirstToken time.Duration
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -48,10 +48,15 @@
 }
 
 func record(x *filter.Exchange, res result, total time.Duration) *filter.Record {
+	var goal time.Duration
+	if x.Route != nil {
+		goal = x.Route.Goal
+	}
 	return &filter.Record{
 		RequestID:  x.ID,
 		Customer:   teamName(x),
 		Service:    x.Demand.Service,
+		Goal:       goal,
 		Start:      x.Received,
 		FirstToken: res.first,
 		Total:      total,
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -11,11 +11,9 @@
 	"github.com/phuslu/log"
 
 	"github.com/wigeonwood/wigeonwood/internal/budget"
-	"github.com/wigeonwood/wigeonwood/internal/burn"
 	"github.com/wigeonwood/wigeonwood/internal/configlease"
 	"github.com/wigeonwood/wigeonwood/internal/control"
 	"github.com/wigeonwood/wigeonwood/internal/errs"
-	"github.com/wigeonwood/wigeonwood/internal/explain"
 	"github.com/wigeonwood/wigeonwood/internal/limits"
 	"github.com/wigeonwood/wigeonwood/internal/lookup"
 	"github.com/wigeonwood/wigeonwood/internal/member"
@@ -42,9 +40,7 @@
 	scheduler *scheduler.Scheduler
 	limiter   *limits.Limiter
 	entries   *lookup.Handler
-	recorder  *burn.Recorder
-	collector *burn.Collector
-	explains  *explain.Store
+	reports   *reports
 	router    *router.Router
 	admin     *http.Server
 	targets   *http.Server
@@ -200,7 +196,7 @@
 // serve starts all background work and listeners, the peers' one first.
 func (in *Instance) serve() {
 	in.listen("peer", func() error { return in.server.Serve(in.listeners.Peer) })
-	for _, run := range []func(context.Context){in.lease.Run, in.scheduler.Run, in.limiter.Run, in.collector.Run} {
+	for _, run := range []func(context.Context){in.lease.Run, in.scheduler.Run, in.limiter.Run, in.reports.collector.Run} {
 		in.work.Go(func() { run(in.ctx) })
 	}
 	in.serveReplica()
--- a/internal/instance/interfaces.go
+++ b/internal/instance/interfaces.go
@@ -1,19 +1,14 @@
 package instance
 
 import (
-	"context"
 	"net/http"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/admin"
 	"github.com/wigeonwood/wigeonwood/internal/announce"
-	"github.com/wigeonwood/wigeonwood/internal/burn"
-	"github.com/wigeonwood/wigeonwood/internal/explain"
-	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/lookup"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/router"
-	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
 const (
@@ -23,24 +18,8 @@
 	bodyTimeout = 10 * time.Second
 )
 
-// observers passes each finished request on to several observers.
-type observers []filter.Observer
-
-// Observe implements filter.Observer.
-func (o observers) Observe(rec *filter.Record) {
-	for _, each := range o {
-		each.Observe(rec)
-	}
-}
-
 func (in *Instance) startReports() error {
-	in.recorder = burn.NewRecorder(in.cfg.ID, in.objectives)
-	in.collector = burn.NewCollector(in.members, in.pool, in.objectives)
-	in.explains = explain.NewStore()
-	transport.Handle(in.server, burn.Method, in.recorder.Answer)
-	transport.Handle(in.server, explain.Method, func(_ context.Context, req *pb.ExplainRequest) (*pb.ExplainReply, error) {
-		return in.explains.Answer(in.cfg.ID, req), nil
-	})
+	in.reports = newReports(in.cfg.ID, &in.base, in.objectives)
 	return nil
 }
 
@@ -57,7 +36,7 @@
 		Ledger:       in.client,
 		Scheduler:    in.scheduler,
 		Limiter:      in.limiter,
-		Observer:     observers{in.recorder, in.explains},
+		Observer:     in.reports.observer(),
 		Entries:      in.entries,
 		OtherEntries: in.otherEntries,
 		SetDraining:  in.setDraining,
@@ -96,10 +75,8 @@
 		View:    in.members,
 		Lease:   in.lease,
 		Control: in.client,
-		Explain: func(ctx context.Context, id string) (*pb.ExplainReply, []string) {
-			return explain.Find(ctx, in.members, in.pool, id)
-		},
-		Burn:    in.collector.Collect,
+		Explain: in.reports.find,
+		Burn:    in.reports.collector.Collect,
 		Metrics: in.metrics,
 		Logger:  in.logger,
 	}))
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -70,6 +70,7 @@
 	service  *control.Service
 	balancer *balance.Balancer
 	gateway  *gateway.Gateway
+	reports  *reports
 
 	// seeds are the peer addresses to find the others by; they may change.
 	seedsMu sync.Mutex
@@ -88,6 +89,7 @@
 		{"membership", in.startMembers},
 		{"routing table", in.startSync},
 		{"control replica", in.startReplica},
+		{"reports", in.startReports},
 		{"gateway", in.startGateway},
 	}
 	for _, step := range steps {
@@ -113,6 +115,7 @@
 		}
 	})
 	in.work.Go(func() { in.sync.Run(in.ctx) })
+	in.work.Go(func() { in.reports.collector.Run(in.ctx) })
 	if in.balancer != nil {
 		in.work.Go(in.shareInFlight)
 	}
--- a/internal/instance/routed_parts.go
+++ b/internal/instance/routed_parts.go
@@ -137,14 +137,15 @@
 	}
 	in.balancer = balance.New(in.members, in.logHealth)
 	g, err := gateway.New(gateway.Config{
-		Tables:  &in.holder,
-		Picker:  in.balancer,
-		Sends:   balance.NewSends(in.cfg.SendLimits, in.callerRouters),
-		Forward: forward.Config{Dialect: in.cfg.Dialect, Scope: in.scope},
-		Prepare: in.cfg.Prepare,
-		NotRun:  in.cfg.NotRun,
-		Logger:  in.cfg.Logger,
-		Scope:   in.scope,
+		Tables:   &in.holder,
+		Picker:   in.balancer,
+		Sends:    balance.NewSends(in.cfg.SendLimits, in.callerRouters),
+		Forward:  forward.Config{Dialect: in.cfg.Dialect, Scope: in.scope},
+		Prepare:  in.cfg.Prepare,
+		NotRun:   in.cfg.NotRun,
+		Observer: in.reports.observer(),
+		Logger:   in.cfg.Logger,
+		Scope:    in.scope,
 	})
 	in.gateway = g
 	return err
