--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -224,16 +224,6 @@
 	}
 }
 
-// noteProof records an event of a target with the age of its last proof of life.
-func (c *core) noteProof(now time.Time, e *targetEntry, what string) {
-	c.events = append(c.events, viewEvent{
-		id:         e.status.Id,
-		generation: e.status.Incarnation,
-		what:       what,
-		age:        now.Sub(e.fresh),
-	})
-}
-
 // targetDelta returns the news of a target, nil if nothing is known of it.
 func (c *core) targetDelta(id string) *pb.TargetDelta {
 	if e := c.targets[id]; e != nil && !e.status.Leaving {
