Tables: numbers travel with each router's own messages; pushes begin with the delta

No test of routesync existed. Ruled out: numbers as gossip again (they held up news of targets for seconds). Now each message of membership bears the sender's number, some 26 peers a second at each instance, which nobody passes on; a push begins with the delta, and the whole table follows only if the answer says that the delta was of no use.

--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -186,6 +186,7 @@
 	for _, d := range m.Targets {
 		c.mergeTarget(now, d)
 	}
+	c.noteRoutingTable(m.From, m.RoutingTable)
 	switch m.Kind {
 	case pb.GossipKind_GOSSIP_KIND_PING:
 		c.onPing(now, from, m)
@@ -223,7 +224,7 @@
 
 // message starts a message of this router.
 func (c *core) message(kind pb.GossipKind, nonce uint32) *pb.Gossip {
-	return &pb.Gossip{Kind: kind, From: c.self.status.Id, Nonce: nonce}
+	return &pb.Gossip{Kind: kind, From: c.self.status.Id, Nonce: nonce, RoutingTable: c.self.status.RoutingTable}
 }
 
 // newNonce returns a number that no open question uses. It is never zero.
@@ -243,14 +244,37 @@
 	c.publishSelf(func(s *pb.RouterStatus) { s.State = state })
 }
 
-// setRoutingTable publishes that a routing table is in force here. Later numbers
-// are no news: told by each router at each change, they would hold up all else.
+// setRoutingTable tells the number of the routing table in force here. Only the
+// first one is news. Later ones travel in this router's own messages: passed on by
+// all, each change would make a piece of news of each router and hold up the rest.
 func (c *core) setRoutingTable(number uint64) {
-	if c.self.status.RoutingTable == 0 && number > 0 {
+	switch present := c.self.status.RoutingTable; {
+	case number <= present:
+	case present == 0:
 		c.publishSelf(func(s *pb.RouterStatus) { s.RoutingTable = number })
+	default:
+		c.self.status = withRoutingTable(c.self.status, number)
+		c.changes++
 	}
 }
 
+// noteRoutingTable takes the number that a router's own message bears.
+func (c *core) noteRoutingTable(id string, number uint64) {
+	e := c.routers[id]
+	if e == nil || e.state == dead || number <= e.status.RoutingTable {
+		return
+	}
+	e.status = withRoutingTable(e.status, number)
+	c.changes++
+}
+
+// withRoutingTable copies a status, since readers may hold it.
+func withRoutingTable(status *pb.RouterStatus, number uint64) *pb.RouterStatus {
+	next := proto.CloneOf(status)
+	next.RoutingTable = number
+	return next
+}
+
 // publishSelf replaces this router's status; readers may hold the old one.
 func (c *core) publishSelf(change func(*pb.RouterStatus)) {
 	status := proto.CloneOf(c.self.status)
--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -536,3 +536,30 @@
 		}
 	}
 }
+
+// TestTableNumbersReachOthers has all of 92 routers but one get a new table: that
+// one must hear within a second that others have it, from their own messages.
+func TestTableNumbersReachOthers(t *testing.T) {
+	w := newWorld(time.Hour, 1, 92, 10, 4)
+	w.introduce()
+	w.run(3 * time.Second)
+	for number := uint64(1); number <= 5; number++ {
+		missed := w.nodes[int(number)*7]
+		for _, n := range w.nodes {
+			if n != missed {
+				n.core.setRoutingTable(number)
+			}
+		}
+		w.run(time.Second)
+		known := 0
+		for _, r := range missed.core.snapshot(w.now).routers {
+			if r.RoutingTable == number {
+				known++
+			}
+		}
+		if known == 0 {
+			t.Errorf("table %d: a router that missed it knows of nobody who has it", number)
+		}
+		missed.core.setRoutingTable(number)
+	}
+}
--- a/internal/member/routers.go
+++ b/internal/member/routers.go
@@ -124,6 +124,10 @@
 		// Its address is where it is asked for later.
 		e.status = old.status
 	}
+	if old.status.GetIncarnation() == d.Status.Incarnation && old.status.GetRoutingTable() > e.status.RoutingTable {
+		// The number is newer than this status.
+		e.status = withRoutingTable(e.status, old.status.RoutingTable)
+	}
 	c.routers[d.Status.Id] = e
 	e.rehash()
 	c.news.add(routerNews, d.Status.Id)
--- a/internal/routesync/spread.go
+++ b/internal/routesync/spread.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"iter"
+	"slices"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/document"
@@ -27,56 +29,80 @@
 		s.cfg.Logger.Error().Err(err).Str("step", step).Uint64("number", h.number).Msg("a routing table can't be packed")
 		return
 	}
-	copies := pushCopies
-	if len(h.delta) == 0 && len(whole.Document) > largeBytes {
-		copies = 1
+	wholeCopies := pushCopies
+	if len(whole.Document) > largeBytes {
+		wholeCopies = 1
 	}
 	slots := make(chan struct{}, pushesAtOnce)
-	for _, r := range responsible(s.cfg.Members.Self().Id, s.cfg.Members.Routers(), h.number, copies) {
-		msg := whole
-		if len(h.delta) > 0 && r.RoutingTable == h.base {
-			msg = &pb.RoutingTable{Number: h.number, Base: h.base, Delta: h.delta}
-		}
+	for rank, r := range responsible(s.cfg.Members.Self().Id, s.cfg.Members.Routers(), h.number, pushCopies) {
+		messages := h.pushes(whole, rank < wholeCopies)
 		slots <- struct{}{}
 		go func() {
 			defer func() { <-slots }()
-			s.pushTo(ctx, r, msg)
+			s.pushTo(ctx, r, messages)
 		}()
 	}
 }
 
-func (s *Sync) pushTo(ctx context.Context, r *pb.RouterStatus, t *pb.RoutingTable) {
+// pushes returns what is sent to a router until it holds the table: the delta if
+// there is one, then the whole table if this replica is to send that. What is
+// known here of the router's table may be seconds old.
+func (h held) pushes(whole *pb.RoutingTable, sendsWhole bool) []*pb.RoutingTable {
+	var messages []*pb.RoutingTable
+	if len(h.delta) > 0 {
+		messages = append(messages, &pb.RoutingTable{Number: h.number, Base: h.base, Delta: h.delta})
+	}
+	if sendsWhole {
+		messages = append(messages, whole)
+	}
+	return messages
+}
+
+// pushTo sends a router one message after the other until it holds the table.
+func (s *Sync) pushTo(ctx context.Context, r *pb.RouterStatus, messages []*pb.RoutingTable) {
+	for _, t := range messages {
+		if holds, ok := s.callPush(ctx, r, t); !ok || holds >= t.Number {
+			return
+		}
+	}
+}
+
+// callPush makes one push; it returns the number that the router holds after it.
+func (s *Sync) callPush(ctx context.Context, r *pb.RouterStatus, t *pb.RoutingTable) (holds uint64, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := s.cfg.Pool.Call(ctx, r.PeerAddr, methodPush, &pb.RoutingPush{Table: t}, &pb.RoutingAck{})
+	ack := &pb.RoutingAck{}
+	err := s.cfg.Pool.Call(ctx, r.PeerAddr, methodPush, &pb.RoutingPush{Table: t}, ack)
 	if err != nil {
 		s.cfg.Logger.Debug().Err(err).Str("step", step).Str("peer", r.Id).Uint64("number", t.Number).
 			Msg("a routing table was not pushed; the instance fetches it")
 	}
+	return ack.Number, err == nil
 }
 
-// responsible returns the routers without the table for which self is among
-// the first replicas in rendezvous order.
-func responsible(self string, routers []*pb.RouterStatus, number uint64, copies int) []*pb.RouterStatus {
+// responsible yields the routers without the table for which self is among the
+// first replicas in rendezvous order, each with self's place in that order.
+func responsible(self string, routers []*pb.RouterStatus, number uint64, copies int) iter.Seq2[int, *pb.RouterStatus] {
 	var replicas []string
 	for _, r := range routers {
 		if r.Replica {
 			replicas = append(replicas, r.Id)
 		}
 	}
-	var out []*pb.RouterStatus
-	for _, r := range routers {
-		if r.Id == self || r.Replica || r.RoutingTable >= number {
-			continue
-		}
-		ranked := fleet.Rank(r.Id, replicas)
-		for _, id := range ranked[:min(copies, len(ranked))] {
-			if id == self {
-				out = append(out, r)
+	return func(yield func(int, *pb.RouterStatus) bool) {
+		for _, r := range routers {
+			if r.Id == self || r.Replica || r.RoutingTable >= number {
+				continue
+			}
+			rank := slices.Index(fleet.Rank(r.Id, replicas), self)
+			if rank < 0 || rank >= copies {
+				continue
+			}
+			if !yield(rank, r) {
+				return
 			}
 		}
 	}
-	return out
 }
 
 func (s *Sync) handlePush(_ context.Context, req *pb.RoutingPush) (*pb.RoutingAck, error) {
--- /dev/null
+++ b/internal/routesync/spread_test.go
@@ -0,0 +1,142 @@
+package routesync
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wigeonwood/wigeonwood/internal/document"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/routing"
+	"github.com/wigeonwood/wigeonwood/internal/testkit"
+	"github.com/wigeonwood/wigeonwood/internal/transport"
+)
+
+const testToken = "0123456789abcdef0123456789abcdef"
+
+// fakeMembers is a view in which each instance's number is set by the test.
+type fakeMembers struct {
+	self *pb.RouterStatus
+
+	mu     sync.Mutex
+	others []*pb.RouterStatus
+}
+
+func (m *fakeMembers) Self() *pb.RouterStatus         { return m.self }
+func (m *fakeMembers) Targets() []*pb.TargetStatus    { return nil }
+func (m *fakeMembers) Target(string) *pb.TargetStatus { return nil }
+func (m *fakeMembers) SetRoutingTable(uint64)         {}
+func (m *fakeMembers) see(others ...*pb.RouterStatus) { m.mu.Lock(); m.others = others; m.mu.Unlock() }
+func (m *fakeMembers) Routers() []*pb.RouterStatus {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]*pb.RouterStatus{m.self}, m.others...)
+}
+
+// instance is one Sync with real calls.
+type instance struct {
+	*Sync
+	members *fakeMembers
+	wire    *testkit.CountingDialer
+}
+
+func startInstance(t *testing.T, id string, replica bool) *instance {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+	in := &instance{
+		members: &fakeMembers{self: &pb.RouterStatus{Id: id, PeerAddr: listener.Addr().String(), Replica: replica}},
+		wire:    &testkit.CountingDialer{},
+	}
+	pool := transport.NewPool(testToken, in.wire, nil)
+	server := transport.NewServer(testToken, logger)
+	in.Sync = New(Config{
+		Holder: &routing.Holder{}, Members: in.members, Pool: pool, Server: server, Logger: logger, Scope: tally.NoopScope,
+	})
+	go server.Serve(listener)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { in.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		server.Close()
+		pool.Close()
+	})
+	return in
+}
+
+// bigTable is a table of 1,280 routes, of which each number changes one; packed it
+// is far over largeBytes.
+func bigTable(number int) []byte {
+	var text []byte
+	for i := range 1280 {
+		timeout := 1000
+		if i == number {
+			timeout += number
+		}
+		text = fmt.Appendf(text, `{"name":"r-%d","host":"h%d.example","pathPrefix":"/p%d/","timeoutMs":%d},`, i, i%3, i*7919, timeout)
+	}
+	return text
+}
+
+// commit puts a table in force at a replica as its log does.
+func (in *instance) commit(t *testing.T, number, base int) {
+	t.Helper()
+	command := &pb.RoutingTable{Number: uint64(number)}
+	if base > 0 {
+		delta, err := document.Pack(document.Diff(bigTable(base), bigTable(number)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		command.Base, command.Delta = uint64(base), delta
+	}
+	in.Committed(uint64(number), bigTable(number), command)
+	in.holds(t, number)
+}
+
+func (in *instance) holds(t *testing.T, number int) {
+	t.Helper()
+	testkit.Eventually(t, fmt.Sprintf("%s holds table %d", in.members.self.Id, number), func() bool {
+		held, text := in.Present()
+		return held == uint64(number) && string(text) == string(bigTable(number))
+	})
+}
+
+// TestPushSendsDeltas commits tables at a replica that knows only the first number
+// of its router: the router gets each change as a delta, and a whole table where
+// it missed one.
+func TestPushSendsDeltas(t *testing.T) {
+	replica, router := startInstance(t, "replica", true), startInstance(t, "router", false)
+	replica.members.see(&pb.RouterStatus{Id: "router", PeerAddr: router.members.self.PeerAddr, RoutingTable: 1})
+	replica.commit(t, 2, 0)
+	router.holds(t, 2)
+	whole := replica.wire.Bytes()
+	replica.commit(t, 3, 2)
+	router.holds(t, 3)
+	if delta := replica.wire.Bytes() - whole; delta > whole/4 {
+		t.Errorf("a change of one route took %d bytes, the whole table %d", delta, whole)
+	}
+	replica.members.see()
+	replica.commit(t, 4, 3)
+	replica.members.see(&pb.RouterStatus{Id: "router", PeerAddr: router.members.self.PeerAddr, RoutingTable: 1})
+	replica.commit(t, 5, 4)
+	router.holds(t, 5)
+}
+
+// TestMissedPushIsFetched has a router that no replica pushes to hear of a higher
+// number: it fetches that table.
+func TestMissedPushIsFetched(t *testing.T) {
+	replica, router := startInstance(t, "replica", true), startInstance(t, "router", false)
+	replica.commit(t, 7, 0)
+	router.members.see(&pb.RouterStatus{Id: "replica", PeerAddr: replica.members.self.PeerAddr, Replica: true, RoutingTable: 7})
+	router.holds(t, 7)
+}
