--- a/internal/instance/base.go
+++ b/internal/instance/base.go
@@ -66,9 +66,9 @@
 	}
 }
 
-// close ends the parts that were started, in the reverse order of their use,
+// closeBase ends the parts that were started, in the reverse order of their use,
 // once nothing uses them any more.
-func (b *base) close() {
+func (b *base) closeBase() {
 	if b.server != nil {
 		b.server.Close()
 		b.pool.Close()
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -185,5 +185,5 @@
 		in.service.Close()
 		in.node.Close()
 	}
-	in.close()
+	in.closeBase()
 }
--- a/internal/instance/shutdown.go
+++ b/internal/instance/shutdown.go
@@ -45,5 +45,5 @@
 		in.relay.Close()
 	}
 	in.replica.close()
-	in.close()
+	in.closeBase()
 }
