--- a/internal/instance/routed_tables_test.go
+++ b/internal/instance/routed_tables_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +9,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/document"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/testkit"
 )
 
 // logOfTables holds tables as the replicated log does and shows each instance the
@@ -91,19 +90,6 @@
 	}
 }
 
-// tableText is a table of 1,280 routes, of which each version changes one.
-func tableText(version int) []byte {
-	var b strings.Builder
-	for i := range 1280 {
-		timeout := 1000
-		if i == version%1280 {
-			timeout += version
-		}
-		fmt.Fprintf(&b, `{"name":"r-%d","host":"h%d.example","pathPrefix":"/p%d/","timeoutMs":%d},`, i, i%3, i*7919, timeout)
-	}
-	return []byte(b.String())
-}
-
 // TestStormOfTables replays 25 versions within 1.5 s, each sent to one of nine
 // instances, half of them to a second one too, and each third again after the
 // next: only the first goes whole, and the newest is in force at the end. On links
@@ -121,7 +107,7 @@
 			followers.Go(func() { v.follow(ctx) })
 		}
 		put := func(at, version int) {
-			held, err := putTable(ctx, views[at%instances], uint64(version), tableText(version))
+			held, err := putTable(ctx, views[at%instances], uint64(version), testkit.LargeTable(version))
 			if err != nil || held < uint64(version) {
 				t.Errorf("version %d at instance %d: %d held, %v", version, at%instances, held, err)
 			}
@@ -142,7 +128,7 @@
 		puts.Wait()
 		stop()
 		followers.Wait()
-		if log.number != versions || string(log.text) != string(tableText(versions)) {
+		if log.number != versions || string(log.text) != string(testkit.LargeTable(versions)) {
 			t.Errorf("the log holds version %d at the end, want %d", log.number, versions)
 		}
 		if log.whole != 1 {
@@ -154,9 +140,9 @@
 // TestOldTablesReachNoLog sends a table again that is in force, and an older one:
 // both are acknowledged by what is held, and nothing is put.
 func TestOldTablesReachNoLog(t *testing.T) {
-	v := &instanceView{log: &logOfTables{}, number: 7, text: tableText(7)}
+	v := &instanceView{log: &logOfTables{}, number: 7, text: testkit.LargeTable(7)}
 	for _, number := range []uint64{7, 3} {
-		if held, err := putTable(t.Context(), v, number, tableText(int(number))); err != nil || held != 7 {
+		if held, err := putTable(t.Context(), v, number, testkit.LargeTable(int(number))); err != nil || held != 7 {
 			t.Errorf("table %d: %d held, %v, want 7", number, held, err)
 		}
 	}
--- a/internal/routesync/spread_test.go
+++ b/internal/routesync/spread_test.go
@@ -74,32 +74,18 @@
 	return in
 }
 
-// bigTable is a table of 1,280 routes, of which each number changes one; packed it
-// is far over largeBytes.
-func bigTable(number int) []byte {
-	var text []byte
-	for i := range 1280 {
-		timeout := 1000
-		if i == number {
-			timeout += number
-		}
-		text = fmt.Appendf(text, `{"name":"r-%d","host":"h%d.example","pathPrefix":"/p%d/","timeoutMs":%d},`, i, i%3, i*7919, timeout)
-	}
-	return text
-}
-
 // commit puts a table in force at a replica as its log does.
 func (in *instance) commit(t *testing.T, number, base int) {
 	t.Helper()
 	command := &pb.RoutingTable{Number: uint64(number)}
 	if base > 0 {
-		delta, err := document.Pack(document.Diff(bigTable(base), bigTable(number)))
+		delta, err := document.Pack(document.Diff(testkit.LargeTable(base), testkit.LargeTable(number)))
 		if err != nil {
 			t.Fatal(err)
 		}
 		command.Base, command.Delta = uint64(base), delta
 	}
-	in.Committed(uint64(number), bigTable(number), command)
+	in.Committed(uint64(number), testkit.LargeTable(number), command)
 	in.holds(t, number)
 }
 
@@ -107,7 +93,7 @@
 	t.Helper()
 	testkit.Eventually(t, fmt.Sprintf("%s holds table %d", in.members.self.Id, number), func() bool {
 		held, text := in.Present()
-		return held == uint64(number) && string(text) == string(bigTable(number))
+		return held == uint64(number) && string(text) == string(testkit.LargeTable(number))
 	})
 }
 
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -60,3 +61,20 @@
 	c.bytes.Add(int64(len(p)))
 	return c.Conn.Write(p)
 }
+
+// largeTableRoutes is the number of routes of a large routing table.
+const largeTableRoutes = 1280
+
+// LargeTable returns the text of a large routing table, of which each version
+// changes one route.
+func LargeTable(version int) []byte {
+	var text []byte
+	for i := range largeTableRoutes {
+		timeout := 1000
+		if i == version%largeTableRoutes {
+			timeout += version
+		}
+		text = fmt.Appendf(text, `{"name":"r-%d","host":"h%d.example","pathPrefix":"/p%d/","timeoutMs":%d},`, i, i%3, i*7919, timeout)
+	}
+	return text
+}
