Reads of large routing tables are answered by a router

Change: a replica confirms the newest number through a quorum as before and sends a read of 64 KB or more on to a router (307), which answers from the table in force there once it has that number; only committed tables come into force, so the router asks nobody.

--- a/internal/instance/routed_tables.go
+++ b/internal/instance/routed_tables.go
@@ -100,28 +100,5 @@
 	return l.in.client.PutRoutingTable(ctx, t)
 }
 
-var (
-	// ErrTableTooLarge means that a routing table is over the bound of the log.
-	ErrTableTooLarge = errors.New("the routing table is too large")
-	// ErrNoTable means that no routing table was committed yet.
-	ErrNoTable = errors.New("no routing table is in force")
-)
-
-// ReadTable returns the document of the newest committed routing table, as a
-// quorum confirms it. Where this instance holds that table, only its number
-// travels.
-func (in *Routed) ReadTable(ctx context.Context) ([]byte, error) {
-	held, text := in.sync.Present()
-	reply, err := in.client.Query(ctx, &pb.QueryRequest{What: pb.QueryRequest_WHAT_ROUTING_TABLE, Revision: held})
-	if err != nil {
-		return nil, err
-	}
-	switch reply.RoutingTable.GetNumber() {
-	case 0:
-		return nil, ErrNoTable
-	case held:
-		return text, nil
-	default:
-		return document.Unpack(reply.RoutingTable.Document)
-	}
-}
+// ErrTableTooLarge means that a routing table is over the bound of the log.
+var ErrTableTooLarge = errors.New("the routing table is too large")
--- a/internal/instance/routed_tables_test.go
+++ b/internal/instance/routed_tables_test.go
@@ -150,3 +150,30 @@
 		t.Errorf("%d bytes were put", v.log.bytes)
 	}
 }
+
+// TestTableReader has large reads answered by routers that serve, one that has the
+// table if any is known to.
+func TestTableReader(t *testing.T) {
+	router := func(id string, number uint64) *pb.RouterStatus {
+		return &pb.RouterStatus{Id: id, CallerAddr: "10.0.0.1:80", State: pb.RouterState_ROUTER_STATE_SERVING, RoutingTable: number}
+	}
+	replica := router("replica", 9)
+	replica.CallerAddr = ""
+	draining := router("draining", 9)
+	draining.State = pb.RouterState_ROUTER_STATE_DRAINING
+	first := func(int) int { return 0 }
+	for _, c := range []struct {
+		name    string
+		routers []*pb.RouterStatus
+		want    string
+	}{
+		{"none serves", []*pb.RouterStatus{replica, draining}, ""},
+		{"one has the table", []*pb.RouterStatus{replica, draining, router("old", 8), router("new", 9)}, "new"},
+		{"one has a newer table", []*pb.RouterStatus{router("old", 8), router("newer", 10)}, "newer"},
+		{"none has it yet", []*pb.RouterStatus{replica, router("old", 8)}, "old"},
+	} {
+		if got := tableReader(c.routers, 9, first).GetId(); got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
