Requests in flight: sums reach every router, by a tree

The budget refused what was over, always the same routers, as they were sent to in the order of their names: routers of two data centres never heard a sum and placed by their own counts.

Change: sums go down a tree of five routers each (balance.Relays), another order for each collector, at most four steps. No router sends more than 105 KB/s for 170 targets; the budget of routed instances is 128 KB/s.

--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -1,43 +1,20 @@
 package balance
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
-const (
-	// collectors is the number of routers that add up the others' counts. Each
-	// router sends its own to them, and they send the sums to all, so that the
-	// messages grow in proportion to the routers.
-	collectors = 2
-	// countLife is how long a count is taken as present.
-	countLife = 1500 * time.Millisecond
-)
+// countLife is how long a count is taken as present.
+const countLife = 1500 * time.Millisecond
 
 // loadKey identifies one incarnation of a target in counts.
 func loadKey(st *pb.TargetStatus) uint32 {
 	return uint32(fleet.TargetKey(st.Id, st.Incarnation))
 }
 
-// Collectors returns the routers that add up counts, of those that serve
-// callers. All routers with the same view choose the same ones.
-func Collectors(routers []*pb.RouterStatus) []*pb.RouterStatus {
-	var serving []*pb.RouterStatus
-	for _, r := range routers {
-		if r.CallerAddr != "" && r.State == pb.RouterState_ROUTER_STATE_SERVING {
-			serving = append(serving, r)
-		}
-	}
-	slices.SortFunc(serving, func(a, b *pb.RouterStatus) int {
-		return cmp.Or(cmp.Compare(fleet.Score("collector", b.Id), fleet.Score("collector", a.Id)), cmp.Compare(a.Id, b.Id))
-	})
-	return serving[:min(collectors, len(serving))]
-}
-
 // sharedLoads is what a router knows of the others' requests in flight. It
 // answers many routers that each send a few requests to many targets: what one
 // of them sees by itself says little of a target's load.
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -25,7 +25,7 @@
 	shareInterval = 150 * time.Millisecond
 	// routedBytesPerSecond and routedBurstBytes bound the control traffic of a
 	// routed instance.
-	routedBytesPerSecond = 64 << 10
+	routedBytesPerSecond = 128 << 10
 	routedBurstBytes     = 128 << 10
 	// maxEntries is the most addresses in one answer to callers.
 	maxEntries = 64
--- a/internal/instance/routed_loads.go
+++ b/internal/instance/routed_loads.go
@@ -28,12 +28,25 @@
 		told = len(counts) > 0
 		for _, c := range collectors {
 			if c.Id == in.cfg.ID {
-				in.members.SendInFlight(in.callerPeers(), member.InFlight{Counts: in.balancer.Sums(), Totals: true})
+				in.passOn(member.InFlight{Counts: in.balancer.Sums(), Collector: in.cfg.ID})
 			}
 		}
 	}
 }
 
+// passOn tells the routers below this one in the collector's tree.
+func (in *Routed) passOn(totals member.InFlight) {
+	if totals.Steps >= balance.MaxRelaySteps {
+		return
+	}
+	totals.Steps++
+	below := balance.Relays(in.members.Routers(), totals.Collector, in.cfg.ID)
+	if told := in.members.SendInFlight(in.peerAddrs(below), totals); told < len(below) {
+		in.logger.Debug().Str("step", "share loads").Str("peer", totals.Collector).Int("told", told).Int("below", len(below)).
+			Msg("the control budget leaves routers without the requests in flight")
+	}
+}
+
 // nonEmpty has a router without requests say so.
 func nonEmpty(counts map[uint32]int) map[uint32]int {
 	if len(counts) == 0 {
@@ -53,24 +66,14 @@
 	return addrs
 }
 
-// callerPeers returns the peer addresses of the other routers that serve
-// callers.
-func (in *Routed) callerPeers() []string {
-	var addrs []string
-	for _, r := range in.members.Routers() {
-		if r.CallerAddr != "" && r.Id != in.cfg.ID {
-			addrs = append(addrs, r.PeerAddr)
-		}
-	}
-	return addrs
-}
-
+// inFlightTold takes what another router told, and passes a collector's sums on.
 func (in *Routed) inFlightTold(router string, f member.InFlight) {
 	switch {
 	case in.balancer == nil:
-	case f.Totals:
-		in.balancer.TakeTotals(router, f.Counts)
-	default:
+	case f.Collector == "":
 		in.balancer.TakeCounts(router, f.Counts)
+	case f.Collector != in.cfg.ID:
+		in.balancer.TakeTotals(f.Collector, f.Counts)
+		in.passOn(f)
 	}
 }
--- a/internal/member/inflight.go
+++ b/internal/member/inflight.go
@@ -26,8 +26,11 @@
 // InFlight counts requests in flight by target key.
 type InFlight struct {
 	Counts map[uint32]int
-	// Totals tells that the counts are those of all routers.
-	Totals bool
+	// Collector is the router that added up the counts of all; empty if they are
+	// the sender's own.
+	Collector string
+	// Steps is how many routers have passed the counts on, the collector included.
+	Steps uint32
 }
 
 // tellLeaving has the news that a target leaves sent without waiting for probes.
@@ -96,31 +99,46 @@
 	}
 }
 
-// SendInFlight tells some routers, by peer address, of requests in flight. Lost
+// SendInFlight tells routers, by peer address, of requests in flight, one after the
+// other while the budget allows. It returns the number of routers told. Lost
 // messages are made up for by the next ones.
-func (m *Members) SendInFlight(to []string, f InFlight) {
-	keys := slices.Sorted(maps.Keys(f.Counts))
+func (m *Members) SendInFlight(to []string, f InFlight) (told int) {
 	m.do(func(c *core, now time.Time) {
-		for part := range slices.Chunk(keys, maxInFlight) {
-			msg := c.message(pb.GossipKind_GOSSIP_KIND_IN_FLIGHT, c.newNonce())
-			msg.InFlight = &pb.InFlight{Keys: part, Totals: f.Totals}
-			for _, key := range part {
-				msg.InFlight.Counts = append(msg.InFlight.Counts, uint32(f.Counts[key]))
-			}
-			for _, addr := range to {
-				c.send(now, addr, budget.Load, msg)
+		messages := c.inFlightMessages(f)
+		for _, addr := range to {
+			for _, msg := range messages {
+				if !c.send(now, addr, budget.Load, msg) {
+					return
+				}
 			}
+			told++
 		}
 	})
+	return told
+}
+
+// inFlightMessages divides the counts into datagrams.
+func (c *core) inFlightMessages(f InFlight) []*pb.Gossip {
+	var messages []*pb.Gossip
+	for part := range slices.Chunk(slices.Sorted(maps.Keys(f.Counts)), maxInFlight) {
+		msg := c.message(pb.GossipKind_GOSSIP_KIND_IN_FLIGHT, c.newNonce())
+		msg.InFlight = &pb.InFlight{Keys: part, Collector: f.Collector, Steps: f.Steps}
+		for _, key := range part {
+			msg.InFlight.Counts = append(msg.InFlight.Counts, uint32(f.Counts[key]))
+		}
+		messages = append(messages, msg)
+	}
+	return messages
 }
 
 func (m *Members) takeInFlight(msg *pb.Gossip) {
 	if m.onInFlight == nil {
 		return
 	}
-	f := InFlight{Counts: make(map[uint32]int, len(msg.GetInFlight().GetKeys())), Totals: msg.GetInFlight().GetTotals()}
-	for i, key := range msg.GetInFlight().GetKeys() {
-		f.Counts[key] = int(msg.InFlight.Counts[i])
+	in := msg.GetInFlight()
+	f := InFlight{Counts: make(map[uint32]int, len(in.GetKeys())), Collector: in.GetCollector(), Steps: in.GetSteps()}
+	for i, key := range in.GetKeys() {
+		f.Counts[key] = int(in.Counts[i])
 	}
 	m.onInFlight(msg.From, f)
 }
