--- a/internal/instance/routed_parts.go
+++ b/internal/instance/routed_parts.go
@@ -19,7 +19,7 @@
 
 func (in *Routed) startMembers() error {
 	allowed := budget.New(budget.Config{Scope: in.scope, BytesPerSecond: routedBytesPerSecond, BurstBytes: routedBurstBytes})
-	in.server = transport.NewServer(in.cfg.PeerToken, in.cfg.Logger)
+	in.server = transport.NewServer(in.cfg.PeerToken, in.logger)
 	in.server.SetMeter(allowed.Served())
 	in.pool = transport.NewPool(in.cfg.PeerToken, nil, allowed)
 	members, err := member.Start(member.Config{
@@ -36,7 +36,7 @@
 		Conn:       in.listeners.Gossip,
 		Token:      in.cfg.PeerToken,
 		Budget:     allowed,
-		Logger:     in.cfg.Logger,
+		Logger:     in.logger,
 		Scope:      in.scope,
 		Intervals:  member.Intervals{TargetLease: in.cfg.TargetLease},
 		OnInFlight: in.inFlightTold,
@@ -53,13 +53,13 @@
 		Members: in.members,
 		Pool:    in.pool,
 		Server:  in.server,
-		Logger:  in.cfg.Logger,
+		Logger:  in.logger,
 		Scope:   in.scope,
 	})
 	in.client = control.NewClient(control.ClientConfig{
 		Pool:     in.pool,
 		Replicas: in.replicaAddrs,
-		Logger:   in.cfg.Logger,
+		Logger:   in.logger,
 		Scope:    in.scope,
 		Group:    controlGroup,
 	})
@@ -112,7 +112,7 @@
 		Machine:       machine,
 		Server:        in.server,
 		Pool:          in.pool,
-		Logger:        in.cfg.Logger,
+		Logger:        in.logger,
 		Scope:         in.scope,
 	})
 	if err != nil {
@@ -125,7 +125,7 @@
 		Group:  controlGroup,
 		Server: in.server,
 		Pool:   in.pool,
-		Logger: in.cfg.Logger,
+		Logger: in.logger,
 		Scope:  in.scope,
 	})
 	return nil
@@ -144,7 +144,7 @@
 		Prepare:  in.cfg.Prepare,
 		NotRun:   in.cfg.NotRun,
 		Observer: in.reports.observer(),
-		Logger:   in.cfg.Logger,
+		Logger:   in.logger,
 		Scope:    in.scope,
 	})
 	in.gateway = g
@@ -164,7 +164,7 @@
 
 // logHealth tells that a target is avoided, or no longer.
 func (in *Routed) logHealth(c balance.HealthChange) {
-	in.cfg.Logger.Warn().Str("step", "health").Str("peer", c.Target.Id).Str("service", c.Target.Service).
+	in.logger.Warn().Str("step", "health").Str("peer", c.Target.Id).Str("service", c.Target.Service).
 		Bool("avoided", c.Avoided).Float64("failures", c.Failures).Int64("for_ms", c.For.Milliseconds()).
 		Msg("the health of a target changed")
 }
--- a/internal/member/queue.go
+++ b/internal/member/queue.go
@@ -59,8 +59,11 @@
 		items = append(items, item)
 	}
 	slices.SortFunc(items, func(a, b *newsItem) int {
-		if a.urgent != b.urgent {
-			return rank(a) - rank(b)
+		switch {
+		case a.urgent && !b.urgent:
+			return -1
+		case b.urgent && !a.urgent:
+			return 1
 		}
 		if c := cmp.Compare(a.sent, b.sent); c != 0 {
 			return c
@@ -70,13 +73,6 @@
 	return items
 }
 
-func rank(item *newsItem) int {
-	if item.urgent {
-		return 0
-	}
-	return 1
-}
-
 // passed counts one sending of each item and drops those sent often enough.
 func (q *queue) passed(items []*newsItem, limit int) {
 	for _, item := range items {
--- a/internal/routesync/spread.go
+++ b/internal/routesync/spread.go
@@ -4,6 +4,7 @@
 	"context"
 	"iter"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/document"
@@ -16,55 +17,59 @@
 // delta if it changes that one, else whole.
 func (h held) message(holds uint64) (*pb.RoutingTable, error) {
 	if len(h.delta) > 0 && h.base == holds {
-		return &pb.RoutingTable{Number: h.number, Base: h.base, Delta: h.delta}, nil
+		return h.difference(), nil
 	}
+	return h.whole()
+}
+
+func (h held) difference() *pb.RoutingTable {
+	return &pb.RoutingTable{Number: h.number, Base: h.base, Delta: h.delta}
+}
+
+func (h held) whole() (*pb.RoutingTable, error) {
 	packed, err := document.Pack(h.text)
 	return &pb.RoutingTable{Number: h.number, Document: packed}, err
 }
 
 // push hands the table to the routers that this replica is responsible for.
 func (s *Sync) push(ctx context.Context, h held) {
-	whole, err := h.message(h.number)
-	if err != nil {
-		s.cfg.Logger.Error().Err(err).Str("step", step).Uint64("number", h.number).Msg("a routing table can't be packed")
-		return
-	}
-	wholeCopies := pushCopies
-	if len(whole.Document) > largeBytes {
-		wholeCopies = 1
-	}
+	// Most routers take the delta: the whole table is packed for the first that
+	// doesn't.
+	whole := sync.OnceValue(func() *pb.RoutingTable { return s.pack(h) })
 	slots := make(chan struct{}, pushesAtOnce)
 	for rank, r := range responsible(s.cfg.Members.Self().Id, s.cfg.Members.Routers(), h.number, pushCopies) {
-		messages := h.pushes(whole, rank < wholeCopies)
 		slots <- struct{}{}
 		go func() {
 			defer func() { <-slots }()
-			s.pushTo(ctx, r, messages)
+			s.pushTo(ctx, r, h, rank, whole)
 		}()
 	}
 }
 
-// pushes returns what is sent to a router until it holds the table: the delta if
-// there is one, then the whole table if this replica is to send that. What is
-// known here of the router's table may be seconds old.
-func (h held) pushes(whole *pb.RoutingTable, sendsWhole bool) []*pb.RoutingTable {
-	var messages []*pb.RoutingTable
-	if len(h.delta) > 0 {
-		messages = append(messages, &pb.RoutingTable{Number: h.number, Base: h.base, Delta: h.delta})
-	}
-	if sendsWhole {
-		messages = append(messages, whole)
+// pack returns the whole table as a message, nil if it can't be packed.
+func (s *Sync) pack(h held) *pb.RoutingTable {
+	t, err := h.whole()
+	if err != nil {
+		s.cfg.Logger.Error().Err(err).Str("step", step).Uint64("number", h.number).Msg("a routing table can't be packed")
+		return nil
 	}
-	return messages
+	return t
 }
 
-// pushTo sends a router one message after the other until it holds the table.
-func (s *Sync) pushTo(ctx context.Context, r *pb.RouterStatus, messages []*pb.RoutingTable) {
-	for _, t := range messages {
-		if holds, ok := s.callPush(ctx, r, t); !ok || holds >= t.Number {
+// pushTo sends a router the delta if there is one, then the whole table if the
+// router doesn't hold it by then: what is known here of the router's table may be
+// seconds old. A large one is sent by the first replica in the router's order only.
+func (s *Sync) pushTo(ctx context.Context, r *pb.RouterStatus, h held, rank int, whole func() *pb.RoutingTable) {
+	if len(h.delta) > 0 {
+		if holds, ok := s.callPush(ctx, r, h.difference()); !ok || holds >= h.number {
 			return
 		}
 	}
+	t := whole()
+	if t == nil || rank > 0 && len(t.Document) > largeBytes {
+		return
+	}
+	s.callPush(ctx, r, t)
 }
 
 // callPush makes one push; it returns the number that the router holds after it.
