Membership: present targets are listed after changes only; ages of thousands fit

Cause: each probe and each answer sorted all targets and took their digests anew; at 100 instances and 1,000 targets that and the scan for ended leases were most of what membership spends. With over 900 targets their ages did not fit into an answer, and the keyed ones that were sent instead began with the asker's data centre, so that others' leases were never renewed. The table held 2,048 targets.

The table holds 16,384. Tests: TestRenewalsOfManyTargets (before: 1,500 targets, keyed answers), TestPresentTargetsFollowTheTable.

--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -45,6 +45,12 @@
 	leaving    leavingNews
 	syncWanted bool
 
+	// presence holds the present targets.
+	presence presentTargets
+	// lapseDue is when the first lease on a target ends unless it is renewed, or
+	// earlier.
+	lapseDue time.Time
+
 	// changes counts changes that a reader of the view can see.
 	changes uint64
 	out     []packet
--- a/internal/member/loads.go
+++ b/internal/member/loads.go
@@ -16,8 +16,7 @@
 
 // loads returns the newest load reports known here.
 func (c *core) loads(now time.Time) *pb.Loads {
-	list, _ := c.presentTargets(now)
-	list = slices.DeleteFunc(list, func(e *targetEntry) bool { return e.status.Load == nil || !c.leased(now, e) })
+	list := slices.DeleteFunc(slices.Clone(c.presentNow(now).list), func(e *targetEntry) bool { return e.status.Load == nil || !c.leased(now, e) })
 	slices.SortStableFunc(list, func(a, b *targetEntry) int { return b.loadAt.Compare(a.loadAt) })
 	l := &pb.Loads{}
 	for _, e := range list[:min(len(list), maxLoads)] {
--- /dev/null
+++ b/internal/member/present_test.go
@@ -0,0 +1,71 @@
+package member
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRenewalsOfManyTargets has one router answer another about 1,500 targets, of
+// whose ages 400 fit into an answer: within 40 answers the other's leases on all are
+// renewed.
+func TestRenewalsOfManyTargets(t *testing.T) {
+	const targets, room, answers = 1500, 400, 40
+	w := newWorld(0, 1, 2, targets, 3)
+	w.introduce()
+	a, b := w.nodes[0].core, w.nodes[1].core
+	for _, e := range a.targets {
+		a.renew(w.now, e, w.now.Add(-100*time.Millisecond))
+	}
+	for range answers {
+		asked := b.presentNow(w.now)
+		r := a.renewals(w.now, b.self.status.Id, asked.digest, room)
+		if len(r.Keys) > 0 || len(r.Ages) > room {
+			t.Fatalf("%d keys, %d ages in an answer with room for %d", len(r.Keys), len(r.Ages), room)
+		}
+		b.applyRenewals(w.now, r, w.now, asked.list)
+	}
+	missing := 0
+	for _, e := range b.targets {
+		if !b.leased(w.now, e) {
+			missing++
+		}
+	}
+	if missing > 0 {
+		t.Errorf("%d of %d leases were not renewed by %d answers", missing, targets, answers)
+	}
+}
+
+// TestPresentTargetsFollowTheTable compares what is kept with what the table says
+// after each change.
+func TestPresentTargetsFollowTheTable(t *testing.T) {
+	w := newWorld(0, 1, 1, 20, 3)
+	w.introduce()
+	c := w.nodes[0].core
+	check := func(what string) {
+		t.Helper()
+		got, want := c.presentNow(w.now), c.listPresent(w.now)
+		if got.digest != want.digest || got.sums != want.sums || len(got.list) != len(want.list) {
+			t.Errorf("after %s: %d present, digest %x; the table has %d, digest %x", what, len(got.list), got.digest, len(want.list), want.digest)
+		}
+	}
+	check("the start")
+	first := w.targets[0].status
+	c.markLeaving(first.Id, first.Incarnation)
+	check("a target leaves")
+	again := shallow(w.targets[1].status)
+	again.Incarnation++
+	c.describe(w.now, again)
+	check("a target has started again")
+	w.now = w.now.Add(presentFor - time.Second)
+	c.renew(w.now, c.targets[again.Id], w.now)
+	check("one was renewed")
+	w.now = w.now.Add(2 * time.Second)
+	check("the others are long gone")
+	c.renew(w.now, c.targets[w.targets[2].status.Id], w.now)
+	check("one is back")
+	c.removeTarget(c.targets[again.Id])
+	check("one was removed")
+	if n := len(c.presentNow(w.now).list); n != 1 {
+		t.Errorf("%d targets are present at the end, want 1", n)
+	}
+}
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -46,8 +46,8 @@
 	m := c.message(pb.GossipKind_GOSSIP_KIND_PING, nonce)
 	m.WantLoads = c.rounds%loadRounds == 0
 	m.Digest = c.digest(now)
-	var present []*targetEntry
-	present, m.TargetsDigest = c.presentTargets(now)
+	present := c.presentNow(now)
+	m.TargetsDigest = present.digest
 	if target.state == suspect {
 		// It must hear of the suspicion to refute it.
 		m.Routers = append(m.Routers, target.delta())
@@ -59,7 +59,7 @@
 		id:       target.status.Id,
 		sent:     now,
 		deadline: now.Add(c.iv.ProbeTimeout),
-		present:  present,
+		present:  present.list,
 	}
 }
 
--- a/internal/member/renewals.go
+++ b/internal/member/renewals.go
@@ -21,21 +21,6 @@
 	newsRoomBytes = 300
 )
 
-// presentTargets returns the targets that are not long gone, in the order of
-// their keys, and a digest over them. Equal digests mean equal lists. Targets
-// whose lease ended a short while ago are among them, so that views in which
-// only leases differ have equal lists.
-func (c *core) presentTargets(now time.Time) (list []*targetEntry, digest uint64) {
-	for _, e := range c.targets {
-		if c.present(now, e) {
-			list = append(list, e)
-			digest ^= e.identity
-		}
-	}
-	slices.SortFunc(list, func(a, b *targetEntry) int { return cmp.Compare(a.key, b.key) })
-	return list, digest
-}
-
 func leavingBit(st *pb.TargetStatus) uint64 {
 	if st.Leaving {
 		return 1
@@ -43,26 +28,31 @@
 	return 0
 }
 
-// present tells whether the target was heard of lately.
-func (c *core) present(now time.Time, e *targetEntry) bool {
-	return now.Sub(e.seen) < presentFor
-}
-
 // renewals answers an asker whose present targets have the given digest. An
 // asker with the same targets is sent their ages alone.
 func (c *core) renewals(now time.Time, asker string, digest uint64, room int) *pb.Renewals {
-	list, own := c.presentTargets(now)
-	if len(list) == 0 {
+	present := c.presentNow(now)
+	switch {
+	case len(present.list) == 0:
 		return nil
+	case present.digest == digest && room > 0:
+		return c.plainRenewals(now, present.list, room)
+	default:
+		return c.keyedRenewals(now, slices.Clone(present.list), c.dataCentreOf(asker), room/renewalBytes)
 	}
-	if own == digest && len(list) <= room {
-		r := &pb.Renewals{Ages: make([]byte, len(list))}
-		for i, e := range list {
-			r.Ages[i] = ageByte(now, e.fresh)
-		}
-		return r
+}
+
+// plainRenewals lists ages in the order of the targets. Where not all fit, it begins
+// at a random one, so that all are renewed within a few answers.
+func (c *core) plainRenewals(now time.Time, list []*targetEntry, room int) *pb.Renewals {
+	r := &pb.Renewals{Ages: make([]byte, min(room, len(list)))}
+	if len(r.Ages) < len(list) {
+		r.First = uint32(c.rng.IntN(len(list)))
 	}
-	return c.keyedRenewals(now, list, c.dataCentreOf(asker), room/renewalBytes)
+	for i := range r.Ages {
+		r.Ages[i] = ageByte(now, list[(int(r.First)+i)%len(list)].fresh)
+	}
+	return r
 }
 
 // keyedRenewals lists at most limit targets. Those of the asker's data centre
@@ -114,11 +104,11 @@
 		c.applyKeyed(now, r, askedAt)
 		return
 	}
-	if len(r.GetAges()) != len(list) {
+	if len(r.GetAges()) > len(list) {
 		return
 	}
 	for i, age := range r.GetAges() {
-		c.applyAge(now, list[i], age, askedAt)
+		c.applyAge(now, list[(int(r.First)+i)%len(list)], age, askedAt)
 	}
 }
 
@@ -142,7 +132,7 @@
 
 func (c *core) applyAge(now time.Time, e *targetEntry, age byte, askedAt time.Time) {
 	// An entry that was removed since the question was asked stays removed.
-	if age == unprovenAge || c.targets[e.status.Id] != e {
+	if age == unprovenAge || e.removed {
 		return
 	}
 	c.renew(now, e, askedAt.Add(-time.Duration(age)*ageUnit))
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -37,18 +37,13 @@
 // buckets returns the digests of the parts of this view: the routers not
 // known to be dead and the present targets.
 func (c *core) buckets(now time.Time) []uint32 {
-	sums := make([]uint32, numBuckets)
+	sums := slices.Clone(c.presentNow(now).sums[:])
 	sums[c.self.bucket] ^= c.self.hash
 	for _, e := range c.routers {
 		if e.state != dead {
 			sums[e.bucket] ^= e.hash
 		}
 	}
-	for _, e := range c.targets {
-		if c.present(now, e) {
-			sums[e.bucket] ^= e.hash
-		}
-	}
 	return sums
 }
 
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -14,7 +14,7 @@
 
 const (
 	// maxTargets bounds the table of targets.
-	maxTargets = 2048
+	maxTargets = 16384
 	// presentFor is how long after it was last proven alive a target is
 	// compared between views, and can return by a renewal alone.
 	presentFor = 20 * time.Second
@@ -46,8 +46,10 @@
 	hash     uint32
 	bucket   int
 	identity uint64
-	// lapsed tells that the end of the lease was noted.
-	lapsed bool
+	// lapsed tells that the end of the lease was noted, removed that the entry is
+	// no longer in the table.
+	lapsed  bool
+	removed bool
 }
 
 func (e *targetEntry) rehash() {
@@ -146,6 +148,7 @@
 		e.status = next
 		e.described = st.Sequence
 		e.rehash()
+		c.targetsChanged()
 		c.changes++
 		c.news.add(targetNews, st.Id)
 	}
@@ -164,6 +167,7 @@
 	e.rehash()
 	c.targets[st.Id] = e
 	c.byKey[e.key] = e
+	c.targetsChanged()
 	c.history.set(st.Id, st.Incarnation, st.Leaving)
 	c.noteTarget(st.Id, st.Incarnation, eventTargetAppeared)
 	c.changes++
@@ -173,6 +177,8 @@
 func (c *core) removeTarget(e *targetEntry) {
 	delete(c.targets, e.status.Id)
 	delete(c.byKey, e.key)
+	e.removed = true
+	c.targetsChanged()
 	c.changes++
 }
 
@@ -193,6 +199,7 @@
 	next.Leaving = true
 	e.status = next
 	e.rehash()
+	c.targetsChanged()
 	c.changes++
 }
 
@@ -203,8 +210,13 @@
 		if !c.leased(now, e) {
 			c.changes++
 		}
+		if !c.present(now, e) {
+			c.targetsChanged()
+		}
 		e.fresh = provenAt
 		e.seen = provenAt
+		c.presence.until = earliest(c.presence.until, provenAt.Add(presentFor))
+		c.lapseDue = earliest(c.lapseDue, provenAt.Add(c.iv.TargetLease))
 	}
 	if e.lapsed && c.leased(now, e) {
 		e.lapsed = false
@@ -215,12 +227,19 @@
 // noteLapses records the targets whose leases ended since the last call. Those
 // that leave are known to have ended.
 func (c *core) noteLapses(now time.Time) {
+	if now.Before(c.lapseDue) {
+		return
+	}
+	c.lapseDue = now.Add(c.iv.TargetLease)
 	for _, e := range c.targets {
-		if e.lapsed || e.fresh.IsZero() || e.status.Leaving || c.leased(now, e) {
-			continue
+		switch {
+		case e.lapsed || e.fresh.IsZero() || e.status.Leaving:
+		case c.leased(now, e):
+			c.lapseDue = earliest(c.lapseDue, e.fresh.Add(c.iv.TargetLease))
+		default:
+			e.lapsed = true
+			c.noteProof(now, e, eventTargetLapsed)
 		}
-		e.lapsed = true
-		c.noteProof(now, e, eventTargetLapsed)
 	}
 }
 
