Heartbeats beyond twenty a second go to routers; sums are paced by their size

From 30 to 100 machines a replica's heartbeats rise from some 50 to 167 a second and its processor by 3.5% of a core, some 0.3 ms each. With 3,000 targets the sums of requests in flight would take 500 KB/s of a router that passes them on.

Below that nothing changes (12 and 13 a second and replica on the deployments so far).

--- a/internal/balance/collect.go
+++ b/internal/balance/collect.go
@@ -13,8 +13,8 @@
 	// router sends its own to them, and they send the sums to all, so that the
 	// messages grow in proportion to the routers.
 	collectors = 2
-	// relayFanout is the number of routers to which one router passes sums on.
-	relayFanout = 5
+	// RelayFanout is the number of routers to which one router passes sums on.
+	RelayFanout = 5
 	// MaxRelaySteps bounds how often sums are passed on, since routers whose views
 	// differ may pass them round. Three steps reach 155 routers, four 780.
 	MaxRelaySteps = 4
@@ -46,7 +46,7 @@
 		}
 	}
 	rankRouters(collector, tree)
-	// The collector has place 0; the routers below place p begin at p*relayFanout+1.
+	// The collector has place 0; the routers below place p begin at p*RelayFanout+1.
 	place := 0
 	if self != collector {
 		place = 1 + slices.IndexFunc(tree, func(r *pb.RouterStatus) bool { return r.Id == self })
@@ -54,8 +54,8 @@
 			return nil
 		}
 	}
-	first := min(place*relayFanout, len(tree))
-	return tree[first:min(first+relayFanout, len(tree))]
+	first := min(place*RelayFanout, len(tree))
+	return tree[first:min(first+RelayFanout, len(tree))]
 }
 
 // rankRouters sorts routers by rendezvous score for a key, the best first.
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -21,12 +21,12 @@
 )
 
 const (
-	// shareInterval lies between two messages about requests in flight.
-	shareInterval = 150 * time.Millisecond
-	// routedBytesPerSecond and routedBurstBytes bound the control traffic of a
-	// routed instance.
-	routedBytesPerSecond = 128 << 10
-	routedBurstBytes     = 128 << 10
+	// routerBytesPerSecond bounds the control traffic of a router, which may pass on
+	// the sums of all routers, and replicaBytesPerSecond that of another instance.
+	// controlBurstBytes is what either may send at once.
+	routerBytesPerSecond  = 256 << 10
+	replicaBytesPerSecond = 64 << 10
+	controlBurstBytes     = 128 << 10
 	// maxEntries is the most addresses in one answer to callers.
 	maxEntries = 64
 )
@@ -71,6 +71,8 @@
 	balancer *balance.Balancer
 	gateway  *gateway.Gateway
 	reports  *reports
+	// heartbeats meters those that targets send here.
+	heartbeats rateMeter
 
 	// seeds are the peer addresses to find the others by; they may change.
 	seedsMu sync.Mutex
@@ -135,6 +137,11 @@
 	return in.holder.Number() > 0 && in.members.Self().State == pb.RouterState_ROUTER_STATE_SERVING
 }
 
+// Draining tells whether this instance was told to leave.
+func (in *Routed) Draining() bool {
+	return in.members.Self().State == pb.RouterState_ROUTER_STATE_DRAINING
+}
+
 // Entries returns up to maxEntries addresses of routers that serve callers, in
 // random order.
 func (in *Routed) Entries() []string {
--- /dev/null
+++ b/internal/instance/routed_heartbeats.go
@@ -0,0 +1,69 @@
+package instance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// maxHeartbeats is the number of heartbeats a second that a replica answers before
+// it sends targets to routers: at 0.3 ms each, some 8% of a processor of 0.08 cores.
+const maxHeartbeats = 20
+
+// HeartbeatRouter counts one heartbeat of a target in a data centre. If this replica
+// answers more than maxHeartbeats a second, it returns a router to which the target
+// may send its later ones; otherwise nil.
+func (in *Routed) HeartbeatRouter(dataCentre string) *pb.RouterStatus {
+	if in.heartbeats.count(time.Now()) <= maxHeartbeats || in.cfg.CallerAddr != "" {
+		return nil
+	}
+	return heartbeatRouter(in.members.Routers(), dataCentre, rand.IntN)
+}
+
+// heartbeatRouter returns one of the routers that serve callers, one of the data
+// centre if there are any; nil without routers. draw returns a number below its
+// argument. It answers thousands of targets that find a few small replicas.
+func heartbeatRouter(routers []*pb.RouterStatus, dataCentre string, draw func(int) int) *pb.RouterStatus {
+	var serving, near []*pb.RouterStatus
+	for _, r := range routers {
+		if r.CallerAddr == "" || r.State != pb.RouterState_ROUTER_STATE_SERVING {
+			continue
+		}
+		serving = append(serving, r)
+		if r.DataCentre == dataCentre {
+			near = append(near, r)
+		}
+	}
+	if len(near) > 0 {
+		serving = near
+	}
+	if len(serving) == 0 {
+		return nil
+	}
+	return serving[draw(len(serving))]
+}
+
+// rateMeter counts events by the second.
+type rateMeter struct {
+	mu       sync.Mutex
+	second   time.Time
+	current  int
+	previous int
+}
+
+// count takes one event and returns the rate a second: that of the last whole second
+// or the events of the present one, whichever is more.
+func (m *rateMeter) count(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch past := now.Sub(m.second); {
+	case past >= 2*time.Second:
+		m.second, m.previous, m.current = now, 0, 0
+	case past >= time.Second:
+		m.second, m.previous, m.current = m.second.Add(time.Second), m.current, 0
+	}
+	m.current++
+	return max(m.previous, m.current)
+}
--- a/internal/instance/routed_loads.go
+++ b/internal/instance/routed_loads.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/balance"
@@ -8,12 +9,28 @@
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
+const (
+	// shareInterval lies between two messages about requests in flight.
+	shareInterval = 150 * time.Millisecond
+	// sumsBytesPerSecond is what a router may spend on passing on the sums of one
+	// collector. It may be high in the trees of two.
+	sumsBytesPerSecond = routerBytesPerSecond * 3 / 8
+)
+
+// sumsInterval returns the time from one message with the sums of so many targets to
+// the next: shareInterval, or what sumsBytesPerSecond allows.
+func sumsInterval(targets int) time.Duration {
+	bytes := balance.RelayFanout * member.InFlightBytes(targets)
+	return max(shareInterval, time.Duration(bytes)*time.Second/sumsBytesPerSecond)
+}
+
 // shareInFlight tells the collectors what is in flight here and, as one of them,
 // the other routers what is in flight at all.
 func (in *Routed) shareInFlight() {
 	ticker := time.NewTicker(shareInterval)
 	defer ticker.Stop()
 	told := false
+	var sumsDue time.Time
 	for {
 		select {
 		case <-in.ctx.Done():
@@ -26,11 +43,14 @@
 			in.members.SendInFlight(in.peerAddrs(collectors), member.InFlight{Counts: nonEmpty(counts)})
 		}
 		told = len(counts) > 0
-		for _, c := range collectors {
-			if c.Id == in.cfg.ID {
-				in.passOn(member.InFlight{Counts: in.balancer.Sums(), Collector: in.cfg.ID})
-			}
+		now := time.Now()
+		if now.Before(sumsDue) || !slices.ContainsFunc(collectors, func(c *pb.RouterStatus) bool { return c.Id == in.cfg.ID }) {
+			continue
 		}
+		sums := in.balancer.Sums()
+		in.passOn(member.InFlight{Counts: sums, Collector: in.cfg.ID})
+		// Half an interval less, so that the tick at its end is not missed.
+		sumsDue = now.Add(sumsInterval(len(sums)) - shareInterval/2)
 	}
 }
 
--- a/internal/instance/routed_parts.go
+++ b/internal/instance/routed_parts.go
@@ -18,7 +18,11 @@
 )
 
 func (in *Routed) startMembers() error {
-	allowed := budget.New(budget.Config{Scope: in.scope, BytesPerSecond: routedBytesPerSecond, BurstBytes: routedBurstBytes})
+	bytesPerSecond := replicaBytesPerSecond
+	if in.cfg.CallerAddr != "" {
+		bytesPerSecond = routerBytesPerSecond
+	}
+	allowed := budget.New(budget.Config{Scope: in.scope, BytesPerSecond: bytesPerSecond, BurstBytes: controlBurstBytes})
 	in.server = transport.NewServer(in.cfg.PeerToken, in.logger)
 	in.server.SetMeter(allowed.Served())
 	in.pool = transport.NewPool(in.cfg.PeerToken, nil, allowed)
--- a/internal/member/inflight.go
+++ b/internal/member/inflight.go
@@ -21,8 +21,18 @@
 	maxLeaving = 6
 	// maxInFlight bounds the targets in one datagram.
 	maxInFlight = 180
+	// inFlightBytes is what one target takes of it, inFlightOverheadBytes about
+	// what the rest takes with the packet's headers.
+	inFlightBytes         = 5
+	inFlightOverheadBytes = 110
 )
 
+// InFlightBytes is about what it takes to tell one router of so many targets.
+func InFlightBytes(targets int) int {
+	datagrams := (targets + maxInFlight - 1) / maxInFlight
+	return targets*inFlightBytes + datagrams*inFlightOverheadBytes
+}
+
 // InFlight counts requests in flight by target key.
 type InFlight struct {
 	Counts map[uint32]int
