Requests without a prompt: the service's home admits them where counts are too old

In a burst of 1.7 the portal is asked for 110 to 125% of what it serves for 3 s (log of mix); its targets' queues of 24 fill, so each filing waits 125 ms for 30 ms of work and misses its goal of 150 ms, and lookups that fail are sent again on top. Routers draw by counts 150 to 300 ms old.

Change: where no target of the data centre is lightly loaded, a router asks the home of the service, one router for all (package home, pure): the target with the fewest requests, as long as the wait fits into two fifths of the goal; callers that came back late only up to half a target's places beyond those that run; a failed request keeps its place for a while, so that a target that fails at once draws no more. One datagram each way and one at the end. A home that doesn't answer within 25 ms isn't asked for a second and the router's own view decides (package place). A refusal is 'busy', at once, with a time to come back.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -31,6 +31,11 @@
 	Slots int
 	// Exclude are targets that failed this request already.
 	Exclude []string
+	// Goal is the time within which the request should be answered; Overdue tells
+	// that it can't be any more, and Life how long it may last.
+	Goal    time.Duration
+	Overdue bool
+	Life    time.Duration
 }
 
 // Choice is a target with the reasons for it.
@@ -43,6 +48,9 @@
 	Holder *pb.TargetStatus
 	// Others is the number of other targets that could take the request.
 	Others int
+	// Crowded tells that the target was drawn by counts that are older than
+	// requests without a prompt last.
+	Crowded bool
 	// Done gives the place back with the outcome. Only its first call counts.
 	Done func(Outcome)
 }
@@ -93,11 +101,15 @@
 	}
 }
 
-// ErrNoTarget means that no target of the service is known and not excluded.
-var ErrNoTarget = errors.New("no target takes the request now")
+var (
+	// ErrNoTarget means that no target of the service is known and not excluded.
+	ErrNoTarget = errors.New("no target takes the request now")
+	// ErrFull means that each target has as many requests as it serves in time.
+	ErrFull = errors.New("all targets have as many requests as they serve in time")
+)
 
 // Pick chooses a target for r.
-func (b *Balancer) Pick(r Request) (c Choice, err error) {
+func (b *Balancer) Pick(r Request) (Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
@@ -107,9 +119,27 @@
 	if chosen.target == nil {
 		return Choice{}, ErrNoTarget
 	}
+	return b.take(chosen, all), nil
+}
+
+// PickTarget chooses a target that another router named by its key in counts.
+func (b *Balancer) PickTarget(r Request, key uint32) (Choice, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := b.candidates(b.now(), r)
+	for _, c := range all {
+		if loadKey(c.status) == key && c.eligible() {
+			return b.take(placed{target: c, why: "the service's home chose it"}, all), nil
+		}
+	}
+	return Choice{}, ErrNoTarget
+}
+
+// take counts a request at the chosen target.
+func (b *Balancer) take(chosen placed, all []*candidate) Choice {
 	st := chosen.target.status
 	t := b.targets[fleet.TargetKey(st.Id, st.Incarnation)]
-	c = Choice{Target: st, Why: chosen.why, InFlight: chosen.target.inFlight}
+	c := Choice{Target: st, Why: chosen.why, InFlight: chosen.target.inFlight, Crowded: chosen.crowded}
 	if chosen.holder != nil {
 		c.Holder = chosen.holder.status
 	}
@@ -122,7 +152,7 @@
 	t.health.given()
 	ended := false
 	c.Done = func(o Outcome) { b.done(t, st, o, &ended) }
-	return c, nil
+	return c
 }
 
 func (b *Balancer) done(t *target, st *pb.TargetStatus, o Outcome, ended *bool) {
@@ -133,6 +163,12 @@
 	}
 	*ended = true
 	t.inFlight--
+	b.observe(t, st, o)
+}
+
+// observe takes the outcome of a request, and tells if the target is avoided for it
+// or no longer.
+func (b *Balancer) observe(t *target, st *pb.TargetStatus, o Outcome) {
 	before, now := t.health, b.now()
 	t.health.observe(now, o)
 	switch after := &t.health; {
--- a/internal/balance/plain.go
+++ b/internal/balance/plain.go
@@ -32,10 +32,15 @@
 	for _, c := range pool {
 		left -= c.weight()
 		if left < 0 {
-			return placed{target: c, why: "drawn by load"}
+			return drawn(c, pool)
 		}
 	}
-	return placed{target: pool[len(pool)-1], why: "drawn by load"}
+	return drawn(pool[len(pool)-1], pool)
+}
+
+// drawn is a target that was drawn by load from several.
+func drawn(c *candidate, pool []*candidate) placed {
+	return placed{target: c, why: "drawn by load", crowded: len(pool) > 1}
 }
 
 // plainPool returns the eligible targets that are sound, or all eligible ones if
--- a/internal/balance/prompt.go
+++ b/internal/balance/prompt.go
@@ -45,6 +45,8 @@
 	target *candidate
 	holder *candidate
 	why    string
+	// crowded tells that counts too old for the request chose the target.
+	crowded bool
 }
 
 // choosePrompt places a prompt by rendezvous hashing with a bound on each
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -13,9 +14,9 @@
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
-// Picker chooses targets.
+// Picker chooses targets. It fails with balance.ErrNoTarget or balance.ErrFull.
 type Picker interface {
-	Pick(r balance.Request) (balance.Choice, error)
+	Pick(ctx context.Context, r balance.Request) (balance.Choice, error)
 }
 
 // Sends bounds what is sent to targets beyond the first try of each request.
@@ -35,6 +36,8 @@
 	// cached parts of the prompt and may be nil.
 	Prepare func(x *Exchange, target, holder *pb.TargetStatus)
 	Warmup  Warmup
+	// Patience tells callers that come back from those that ask first.
+	Patience *Patience
 }
 
 // Name returns the filter's name in specs.
@@ -54,11 +57,13 @@
 	sent   bool
 	// choice is the target of the present try.
 	choice balance.Choice
+	// overdue tells that the caller has waited for most of the goal elsewhere.
+	overdue bool
 }
 
 // Handle tries targets until one answers.
 func (d *Dispatch) Handle(ctx context.Context, x *Exchange, next Next) error {
-	work := &dispatch{Dispatch: d, x: x, next: next}
+	work := &dispatch{Dispatch: d, x: x, next: next, overdue: d.Patience.waited(x) > x.Route.Goal/2}
 	if err := work.run(ctx); err != nil {
 		return err
 	}
@@ -75,7 +80,7 @@
 		if ctx.Err() != nil {
 			return gone(d.x)
 		}
-		if err := d.pick(); err != nil {
+		if err := d.pick(ctx); err != nil {
 			return err
 		}
 		err := d.try(ctx)
@@ -93,12 +98,15 @@
 }
 
 // pick chooses the next target, or rejects the request.
-func (d *dispatch) pick() error {
-	choice, err := d.Picker.Pick(balance.Request{
+func (d *dispatch) pick(ctx context.Context) error {
+	choice, err := d.Picker.Pick(ctx, balance.Request{
 		Service: d.x.Demand.Service,
 		Key:     PromptKey(d.x.Prompt),
 		Slots:   slots(d.x),
 		Exclude: d.exclude,
+		Goal:    d.x.Route.Goal,
+		Overdue: d.overdue,
+		Life:    time.Until(d.x.Deadline),
 	})
 	if err != nil {
 		return d.noTarget(err)
@@ -134,6 +142,14 @@
 	if d.ran > 0 {
 		return d.unknown("no other target is left")
 	}
+	if errors.Is(err, balance.ErrFull) {
+		return d.x.Reject(Rejection{
+			Code:       "busy",
+			Message:    fmt.Sprintf("service %s: %v", d.x.Demand.Service, err),
+			Step:       StepDispatch,
+			RetryAfter: busyReturn(rand.Float64()),
+		})
+	}
 	return d.x.Reject(Rejection{
 		Code:       "no-target",
 		Message:    fmt.Sprintf("service %s: %v", d.x.Demand.Service, err),
--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -23,7 +23,7 @@
 	outcomes map[string]balance.Outcome
 }
 
-func (p *numberedPicker) Pick(r balance.Request) (balance.Choice, error) {
+func (p *numberedPicker) Pick(_ context.Context, r balance.Request) (balance.Choice, error) {
 	for i := range p.n {
 		id := fmt.Sprint("t", i)
 		excluded := false
--- a/internal/filter/exchange.go
+++ b/internal/filter/exchange.go
@@ -30,8 +30,10 @@
 	Stream bool
 	// Idempotent work may be tried more than once.
 	Idempotent bool
-	// Deadline is the end of the caller's patience; zero if not told.
+	// Deadline is the end of the caller's patience; zero if not told. Patience is
+	// how long the caller said that it waits.
 	Deadline time.Time
+	Patience time.Duration
 	Demand   Demand
 	Revision uint64
 
--- a/internal/filter/warmup.go
+++ b/internal/filter/warmup.go
@@ -30,4 +30,10 @@
 	return wait + time.Duration(draw*float64(returnSpread))
 }
 
+// busyReturn is when callers that all targets are too busy for come back; draw is
+// between 0 and 1.
+func busyReturn(draw float64) time.Duration {
+	return minReturn + time.Duration(draw*float64(returnSpread))
+}
+
 func (w Warmup) retryAfter() time.Duration { return w.RetryAfter(time.Now(), rand.Float64()) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,7 +73,7 @@
 	chain, err := filter.Build(filter.RoutedSpec,
 		&filter.Route{Tables: c.Tables, Warmup: warmup},
 		&filter.Team{Counts: balance.NewTeams()},
-		&filter.Dispatch{Picker: c.Picker, Sends: c.Sends, Prepare: c.Prepare, Warmup: warmup},
+		&filter.Dispatch{Picker: c.Picker, Sends: c.Sends, Prepare: c.Prepare, Warmup: warmup, Patience: filter.NewPatience()},
 		&filter.Forward{
 			Sender:   g.client,
 			Timeouts: func(x *filter.Exchange) filter.Timeouts { return filter.Waits(x, time.Now()) },
--- /dev/null
+++ b/internal/home/home_test.go
@@ -0,0 +1,272 @@
+package home
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// simulation plays requests at targets with places and a queue, as callers send
+// them: a caller that is refused comes back once.
+type simulation struct {
+	now    float64 // seconds
+	events events
+	rng    *rand.Rand
+	// place returns the target for a request, -1 to refuse it, and what to call at
+	// its end.
+	place   func(now float64, overdue bool) (target int, done func(now float64))
+	targets []*simTarget
+
+	asked, inTime, late, lost int
+}
+
+type simTarget struct {
+	running int
+	queue   []func()
+}
+
+type event struct {
+	at float64
+	fn func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// The grown portal: three targets of six places and 24 waiting, 30 ms of work, a
+// goal of 150 ms of which 16 ms are the way to the caller, a deadline of one second.
+const (
+	simPlaces   = 6
+	simQueue    = 24
+	simGoal     = 0.150
+	simWay      = 0.016
+	simDeadline = 1.0
+	simReturn   = 0.33
+	simLength   = 40.0
+	// simCapacity is what the targets serve in a second.
+	simCapacity = 565.0
+)
+
+func (s *simulation) after(d float64, fn func()) { heap.Push(&s.events, event{s.now + d, fn}) }
+
+func (s *simulation) work() float64 {
+	w := 0.030 * math.Exp(s.rng.NormFloat64()*0.47-0.11)
+	if s.rng.Float64() < 0.01 {
+		w *= 5
+	}
+	return w
+}
+
+func (s *simulation) start(t *simTarget, done func()) {
+	t.running++
+	s.after(s.work(), func() {
+		t.running--
+		done()
+		if len(t.queue) > 0 {
+			next := t.queue[0]
+			t.queue = t.queue[1:]
+			next()
+		}
+	})
+}
+
+func (s *simulation) arrive(born float64, again bool) {
+	target, done := s.place(s.now, s.now-born > simGoal/2)
+	if target >= 0 {
+		t := s.targets[target]
+		finish := func() {
+			done(s.now)
+			s.answered(s.now - born + simWay)
+		}
+		if t.running < simPlaces {
+			s.start(t, finish)
+			return
+		}
+		if len(t.queue) < simQueue {
+			t.queue = append(t.queue, func() { s.start(t, finish) })
+			return
+		}
+		done(s.now)
+	}
+	if again {
+		s.lost++
+		return
+	}
+	s.after(simReturn, func() { s.arrive(born, true) })
+}
+
+func (s *simulation) answered(took float64) {
+	switch {
+	case took <= simGoal:
+		s.inTime++
+	case took < simDeadline:
+		s.late++
+	default:
+		s.lost++
+	}
+}
+
+// run plays requests at a rate that changes over time.
+func (s *simulation) run(rate func(at float64) float64) {
+	var next func()
+	next = func() {
+		s.asked++
+		s.arrive(s.now, false)
+		s.after(s.rng.ExpFloat64()/rate(s.now), next)
+	}
+	s.after(0, next)
+	for s.now < simLength {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.fn()
+	}
+}
+
+func newSimulation() *simulation {
+	s := &simulation{rng: rand.New(rand.NewPCG(1, 2))}
+	for range 3 {
+		s.targets = append(s.targets, &simTarget{})
+	}
+	return s
+}
+
+// byHome places by a home.
+func byHome(s *simulation) {
+	h := New()
+	number := uint64(0)
+	clock := func(at float64) time.Time {
+		return time.Unix(1000, 0).Add(time.Duration(at * float64(time.Second)))
+	}
+	all := []Target{{Key: 1, Capacity: simPlaces}, {Key: 2, Capacity: simPlaces}, {Key: 3, Capacity: simPlaces}}
+	s.place = func(now float64, overdue bool) (int, func(float64)) {
+		number++
+		p := Place{Router: "r", Number: number}
+		ask := Ask{Service: "portal", Goal: time.Duration(simGoal * float64(time.Second)), Overdue: overdue, Life: time.Second}
+		key, ok := h.Admit(clock(now), p, ask, all)
+		if !ok {
+			return -1, nil
+		}
+		return int(key) - 1, func(at float64) { h.End(clock(at), p, Served) }
+	}
+}
+
+// TestReplayOverload replays the grown portal under more requests than it serves,
+// for some seconds and for long: of those that it can serve, nine in ten are answered
+// in time. Drawn evenly and never refused by us, a third are.
+func TestReplayOverload(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		rate func(float64) float64
+	}{
+		{"calm", func(float64) float64 { return 350 }},
+		{"nearly full", func(float64) float64 { return 540 }},
+		{"a tenth more than they serve", func(float64) float64 { return 620 }},
+		{"a quarter more", func(float64) float64 { return 700 }},
+		{"a burst of 3 in 8 seconds", func(at float64) float64 {
+			if in := math.Mod(at, 8); in > 3 && in < 6 {
+				return 650
+			}
+			return 350
+		}},
+	} {
+		s := newSimulation()
+		byHome(s)
+		s.run(c.rate)
+		servable := min(float64(s.asked), simCapacity*simLength)
+		t.Logf("%s: %d asked, %d in time, %d late, %d lost", c.name, s.asked, s.inTime, s.late, s.lost)
+		if float64(s.inTime) < 0.9*servable {
+			t.Errorf("%s: %d of %.0f that can be served were answered in time, want nine in ten", c.name, s.inTime, servable)
+		}
+	}
+}
+
+// TestFailingTargetDrawsNoMore replays a target that fails its requests at once:
+// though they are over at once, it must not draw more of them than the others.
+func TestFailingTargetDrawsNoMore(t *testing.T) {
+	h := New()
+	now := time.Unix(1000, 0)
+	all := []Target{{Key: 1, Capacity: 6}, {Key: 2, Capacity: 6}, {Key: 3, Capacity: 6}}
+	got := make(map[uint32]int)
+	var running []Place
+	for i := range 600 {
+		now = now.Add(4 * time.Millisecond)
+		p := Place{Router: "r", Number: uint64(i)}
+		key, ok := h.Admit(now, p, Ask{Service: "s", Goal: 150 * time.Millisecond, Life: time.Second}, all)
+		if !ok {
+			t.Fatal("no target")
+		}
+		got[key]++
+		if key == 1 {
+			h.End(now, p, Failed)
+			continue
+		}
+		running = append(running, p)
+		if len(running) > 8 {
+			h.End(now, running[0], Served)
+			running = running[1:]
+		}
+	}
+	if got[1] > 200 {
+		t.Errorf("requests by target %v: the failing one draws over a third", got)
+	}
+}
+
+// TestPlacesEnd has places given back, asked for twice and never given back.
+func TestPlacesEnd(t *testing.T) {
+	h := New()
+	now := time.Unix(1000, 0)
+	one := []Target{{Key: 7, Capacity: 1}}
+	ask := Ask{Service: "s", Goal: 100 * time.Millisecond, Life: time.Second}
+	p, q := Place{"r", 1}, Place{"r", 2}
+	h.Admit(now, p, ask, one)
+	h.Admit(now, p, ask, one)
+	if n := h.Count(7); n != 1 {
+		t.Errorf("%d requests after the same place was asked for twice, want 1", n)
+	}
+	if key, ok := h.End(now, p, Served); !ok || key != 7 {
+		t.Errorf("end: target %d, %t", key, ok)
+	}
+	if _, ok := h.End(now, p, Served); ok {
+		t.Error("a place was given back twice")
+	}
+	h.Admit(now, q, ask, one)
+	now = now.Add(2 * time.Second)
+	h.Admit(now, p, ask, nil)
+	if n := h.Count(7); n != 0 {
+		t.Errorf("%d requests after the place's life", n)
+	}
+}
+
+// TestOverdueRequestsHoldUpNone admits overdue requests to a short queue only.
+func TestOverdueRequestsHoldUpNone(t *testing.T) {
+	h := New()
+	now := time.Unix(1000, 0)
+	one := []Target{{Key: 7, Capacity: 6}}
+	admitted := func(overdue bool) int {
+		for i := range 100 {
+			p := Place{Router: "r", Number: uint64(h.Count(7) + 1)}
+			if _, ok := h.Admit(now, p, Ask{Service: "s", Goal: 150 * time.Millisecond, Overdue: overdue, Life: time.Second}, one); !ok {
+				return i
+			}
+		}
+		return 100
+	}
+	if n := admitted(true); n != 9 {
+		t.Errorf("%d overdue requests were admitted, want 9", n)
+	}
+	if n := admitted(false); n == 0 {
+		t.Error("overdue requests kept out one that can be in time")
+	}
+}
--- a/internal/instance/routed_parts.go
+++ b/internal/instance/routed_parts.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/gateway"
 	"github.com/wigeonwood/wigeonwood/internal/member"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/place"
 	"github.com/wigeonwood/wigeonwood/internal/replica"
 	"github.com/wigeonwood/wigeonwood/internal/routesync"
 	"github.com/wigeonwood/wigeonwood/internal/state"
@@ -44,6 +45,7 @@
 		Scope:      in.scope,
 		Intervals:  member.Intervals{TargetLease: in.cfg.TargetLease},
 		OnInFlight: in.inFlightTold,
+		OnPlacing:  in.placing,
 	})
 	in.members = members
 	return err
@@ -140,9 +142,10 @@
 		return nil
 	}
 	in.balancer = balance.New(in.members, in.logHealth)
+	in.picker = place.New(place.Config{Self: in.cfg.ID, Members: in.members, Balancer: in.balancer, Logger: in.logger, Scope: in.scope})
 	g, err := gateway.New(gateway.Config{
 		Tables:   &in.holder,
-		Picker:   in.balancer,
+		Picker:   in.picker,
 		Sends:    balance.NewSends(in.cfg.SendLimits, in.callerRouters),
 		Forward:  forward.Config{Dialect: in.cfg.Dialect, Scope: in.scope},
 		Prepare:  in.cfg.Prepare,
@@ -155,6 +158,13 @@
 	return err
 }
 
+// placing takes another router's message about the place of a request.
+func (in *Routed) placing(router, addr string, p *pb.Placing) {
+	if in.picker != nil {
+		in.picker.Take(router, addr, p)
+	}
+}
+
 // callerRouters counts the routers that serve callers.
 func (in *Routed) callerRouters() int {
 	n := 0
--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -64,6 +64,9 @@
 	Logger *log.Logger
 	// OnInFlight is told of other routers' requests in flight; optional.
 	OnInFlight func(router string, f InFlight)
+	// OnPlacing is told of messages about places, with their sender and its peer
+	// address; optional.
+	OnPlacing func(router, addr string, p *pb.Placing)
 	// Scope takes the metrics; nil drops them.
 	Scope     tally.Scope
 	Intervals Intervals
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -35,6 +35,8 @@
 	metrics *metrics
 	// onInFlight may be nil.
 	onInFlight func(router string, f InFlight)
+	// onPlacing may be nil.
+	onPlacing func(router, addr string, p *pb.Placing)
 
 	mu   sync.Mutex
 	core *core
@@ -60,6 +62,7 @@
 		metrics: newMetrics(cfg.Scope),
 
 		onInFlight: cfg.OnInFlight,
+		onPlacing:  cfg.OnPlacing,
 		wake:       make(chan struct{}, 1),
 		stop:       make(chan struct{}),
 	}
@@ -160,11 +163,14 @@
 			m.log.Debug().Err(err).Str("step", "read datagram").Str("peer", from.String()).Msg("a datagram was dropped")
 			continue
 		}
-		if msg.Kind == pb.GossipKind_GOSSIP_KIND_IN_FLIGHT {
+		switch msg.Kind {
+		case pb.GossipKind_GOSSIP_KIND_IN_FLIGHT:
 			m.takeInFlight(msg)
-			continue
+		case pb.GossipKind_GOSSIP_KIND_PLACING:
+			m.takePlacing(msg, from.String())
+		default:
+			m.do(func(c *core, now time.Time) { c.receive(now, from.String(), msg) })
 		}
-		m.do(func(c *core, now time.Time) { c.receive(now, from.String(), msg) })
 	}
 }
 
--- /dev/null
+++ b/internal/place/picker_test.go
@@ -0,0 +1,180 @@
+package place
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wigeonwood/wigeonwood/internal/balance"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// network connects the pickers of a test in memory. It is their membership too.
+type network struct {
+	mu      sync.Mutex
+	routers []*pb.RouterStatus
+	targets []*pb.TargetStatus
+	pickers map[string]*Picker
+	// dead routers answer nothing.
+	dead map[string]bool
+	sent int
+}
+
+// member is the network as one router sees it.
+type member struct {
+	*network
+	self *pb.RouterStatus
+}
+
+func (m *member) Self() *pb.RouterStatus         { return m.self }
+func (m *member) Routers() []*pb.RouterStatus    { return m.routers }
+func (m *member) Targets() []*pb.TargetStatus    { return m.targets }
+func (m *member) Target(string) *pb.TargetStatus { return nil }
+func (m *member) SendPlacing(to string, p *pb.Placing) {
+	m.mu.Lock()
+	m.sent++
+	receiver, dead := m.pickers[to], m.dead[to]
+	m.mu.Unlock()
+	if !dead {
+		go receiver.Take(m.self.Id, m.self.PeerAddr, p)
+	}
+}
+
+const testPlaces = 4
+
+func newNetwork(routers, targets int) *network {
+	n := &network{pickers: make(map[string]*Picker), dead: make(map[string]bool)}
+	for i := range targets {
+		n.targets = append(n.targets, &pb.TargetStatus{Id: fmt.Sprint("t", i), Service: "portal", Capacity: testPlaces, DataCentre: "elsewhere"})
+	}
+	for i := range routers {
+		id := fmt.Sprint("r", i)
+		n.routers = append(n.routers, &pb.RouterStatus{Id: id, PeerAddr: id, CallerAddr: id, DataCentre: "here", State: pb.RouterState_ROUTER_STATE_SERVING})
+	}
+	for _, r := range n.routers {
+		view := &member{network: n, self: r}
+		n.pickers[r.Id] = New(Config{
+			Self: r.Id, Members: view, Balancer: balance.New(view, nil),
+			Logger: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, Scope: tally.NoopScope,
+		})
+	}
+	return n
+}
+
+func (n *network) pick(router int, r balance.Request) (balance.Choice, error) {
+	return n.pickers[n.routers[router].Id].Pick(context.Background(), r)
+}
+
+var request = balance.Request{Service: "portal", Goal: 150 * time.Millisecond, Life: 10 * time.Second}
+
+// TestHomeCountsForAll has many routers send one request each: together they fill the
+// targets evenly, though none knows of the others' requests, and are refused once all
+// have enough.
+func TestHomeCountsForAll(t *testing.T) {
+	const routers, targets = 12, 3
+	n := newNetwork(routers, targets)
+	got := make(map[string]int)
+	var chosen []balance.Choice
+	for i := range routers {
+		c, err := n.pick(i, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[c.Target.Id]++
+		chosen = append(chosen, c)
+	}
+	for id, count := range got {
+		if count != routers/targets {
+			t.Errorf("%d requests at %s, want %d", count, id, routers/targets)
+		}
+	}
+	full := false
+	for i := 0; i < 200 && !full; i++ {
+		c, err := n.pick(i%routers, request)
+		full = errors.Is(err, balance.ErrFull)
+		if err == nil {
+			chosen = append(chosen, c)
+		}
+	}
+	if !full {
+		t.Fatalf("%d requests were admitted to %d places", len(chosen), targets*testPlaces)
+	}
+	for _, c := range chosen {
+		c.Done(balance.Served)
+		c.Done(balance.Served)
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for _, err := n.pick(0, request); err != nil; _, err = n.pick(0, request) {
+		if time.Now().After(deadline) {
+			t.Fatal("places that were given back are not free")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestSilentHome has the home dead: requests wait for it once in a while only, and
+// are placed by each router's own view.
+func TestSilentHome(t *testing.T) {
+	n := newNetwork(3, 3)
+	at := balance.HomeOf(n.routers, "portal")
+	n.dead[at.Id] = true
+	asker := 0
+	for n.routers[asker].Id == at.Id {
+		asker++
+	}
+	start := time.Now()
+	const requests = 50
+	for range requests {
+		c, err := n.pick(asker, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Done(balance.Served)
+	}
+	if took := time.Since(start); took > silence/2 {
+		t.Errorf("%d requests waited %v for a home that is dead", requests, took)
+	}
+	if n.sent > 2 {
+		t.Errorf("%d messages to a home that is dead, want the question and the end of its place", n.sent)
+	}
+}
+
+// TestFewRequestsAskNobody has a target of the own data centre with little to do.
+func TestFewRequestsAskNobody(t *testing.T) {
+	n := newNetwork(3, 3)
+	n.targets[1].DataCentre = "here"
+	for i := range 3 {
+		c, err := n.pick(i, request)
+		if err != nil || c.Target.Id != "t1" {
+			t.Errorf("target %v, %v, want the one of the data centre", c.Target, err)
+		}
+		c.Done(balance.Served)
+	}
+	if n.sent > 0 {
+		t.Errorf("%d messages", n.sent)
+	}
+}
+
+// TestTargetThatOnlyTheHomeKnows is placed by the asker's own view.
+func TestTargetThatOnlyTheHomeKnows(t *testing.T) {
+	n := newNetwork(2, 2)
+	at := balance.HomeOf(n.routers, "portal")
+	asker := n.routers[0]
+	if asker.Id == at.Id {
+		asker = n.routers[1]
+	}
+	other := &network{routers: n.routers, targets: []*pb.TargetStatus{{Id: "x", Service: "portal", Capacity: 4}, {Id: "y", Service: "portal", Capacity: 4}}, pickers: n.pickers, dead: n.dead}
+	view := &member{network: other, self: at}
+	n.pickers[at.Id] = New(Config{Self: at.Id, Members: view, Balancer: balance.New(view, nil), Logger: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, Scope: tally.NoopScope})
+	c, err := n.pickers[asker.Id].Pick(t.Context(), request)
+	if err != nil || c.Target.Id != "t0" && c.Target.Id != "t1" {
+		t.Errorf("target %v, %v", c.Target, err)
+	}
+}
