One selection of serving routers; sharing of loads in short functions

Four places chose among the routers that serve callers by a loop of their own (duplicates showed two of them); shareInFlight held two jobs. No change of what is decided.

--- a/internal/balance/collect.go
+++ b/internal/balance/collect.go
@@ -20,15 +20,21 @@
 	MaxRelaySteps = 4
 )
 
-// Collectors returns the routers that add up counts, of those that serve
-// callers. All routers with the same view choose the same ones.
-func Collectors(routers []*pb.RouterStatus) []*pb.RouterStatus {
+// Serving returns the routers that serve callers and don't leave.
+func Serving(routers []*pb.RouterStatus) []*pb.RouterStatus {
 	var serving []*pb.RouterStatus
 	for _, r := range routers {
 		if r.CallerAddr != "" && r.State == pb.RouterState_ROUTER_STATE_SERVING {
 			serving = append(serving, r)
 		}
 	}
+	return serving
+}
+
+// Collectors returns the routers that add up counts, of those that serve
+// callers. All routers with the same view choose the same ones.
+func Collectors(routers []*pb.RouterStatus) []*pb.RouterStatus {
+	serving := Serving(routers)
 	rankRouters("collector", serving)
 	return serving[:min(collectors, len(serving))]
 }
--- a/internal/balance/home.go
+++ b/internal/balance/home.go
@@ -12,10 +12,7 @@
 func HomeOf(routers []*pb.RouterStatus, service string) *pb.RouterStatus {
 	var best *pb.RouterStatus
 	var most uint64
-	for _, r := range routers {
-		if r.CallerAddr == "" || r.State != pb.RouterState_ROUTER_STATE_SERVING {
-			continue
-		}
+	for _, r := range Serving(routers) {
 		score := fleet.Score(service, r.Id)
 		if best == nil || score > most || score == most && r.Id < best.Id {
 			best, most = r, score
--- a/internal/instance/routed_heartbeats.go
+++ b/internal/instance/routed_heartbeats.go
@@ -26,23 +26,7 @@
 // centre if there are any; nil without routers. draw returns a number below its
 // argument. It answers thousands of targets that find a few small replicas.
 func heartbeatRouter(routers []*pb.RouterStatus, dataCentre string, draw func(int) int) *pb.RouterStatus {
-	var serving, near []*pb.RouterStatus
-	for _, r := range routers {
-		if r.CallerAddr == "" || r.State != pb.RouterState_ROUTER_STATE_SERVING {
-			continue
-		}
-		serving = append(serving, r)
-		if r.DataCentre == dataCentre {
-			near = append(near, r)
-		}
-	}
-	if len(near) > 0 {
-		serving = near
-	}
-	if len(serving) == 0 {
-		return nil
-	}
-	return serving[draw(len(serving))]
+	return oneServing(routers, func(r *pb.RouterStatus) bool { return r.DataCentre == dataCentre }, draw)
 }
 
 // rateMeter counts events by the second.
--- a/internal/instance/routed_loads.go
+++ b/internal/instance/routed_loads.go
@@ -38,22 +38,32 @@
 		case <-ticker.C:
 		}
 		collectors := balance.Collectors(in.members.Routers())
-		counts := in.balancer.OwnCounts()
-		if len(counts) > 0 || told {
-			in.members.SendInFlight(in.peerAddrs(collectors), member.InFlight{Counts: nonEmpty(counts)})
+		told = in.tellOwn(collectors, told)
+		isSelf := func(r *pb.RouterStatus) bool { return r.Id == in.cfg.ID }
+		if now := time.Now(); !now.Before(sumsDue) && slices.ContainsFunc(collectors, isSelf) {
+			sumsDue = now.Add(in.tellSums())
 		}
-		told = len(counts) > 0
-		now := time.Now()
-		if now.Before(sumsDue) || !slices.ContainsFunc(collectors, func(c *pb.RouterStatus) bool { return c.Id == in.cfg.ID }) {
-			continue
-		}
-		sums := in.balancer.Sums()
-		in.passOn(member.InFlight{Counts: sums, Collector: in.cfg.ID})
-		// Half an interval less, so that the tick at its end is not missed.
-		sumsDue = now.Add(sumsInterval(len(sums)) - shareInterval/2)
 	}
 }
 
+// tellOwn tells the collectors of the requests in flight here. Of none it tells only
+// once; told says whether there were any the last time.
+func (in *Routed) tellOwn(collectors []*pb.RouterStatus, told bool) bool {
+	counts := in.balancer.OwnCounts()
+	if len(counts) > 0 || told {
+		in.members.SendInFlight(in.peerAddrs(collectors), member.InFlight{Counts: nonEmpty(counts)})
+	}
+	return len(counts) > 0
+}
+
+// tellSums passes the sums of this collector on and returns when to do so again.
+func (in *Routed) tellSums() time.Duration {
+	sums := in.balancer.Sums()
+	in.passOn(member.InFlight{Counts: sums, Collector: in.cfg.ID})
+	// Half an interval less, so that the tick at its end is not missed.
+	return sumsInterval(len(sums)) - shareInterval/2
+}
+
 // passOn tells the routers below this one in the collector's tree.
 func (in *Routed) passOn(totals member.InFlight) {
 	if totals.Steps >= balance.MaxRelaySteps {
--- a/internal/instance/routed_reads.go
+++ b/internal/instance/routed_reads.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 
+	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/document"
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
@@ -82,21 +84,19 @@
 // table if any is known to; nil without routers. draw returns a number below its
 // argument.
 func tableReader(routers []*pb.RouterStatus, number uint64, draw func(int) int) *pb.RouterStatus {
-	var serving, having []*pb.RouterStatus
-	for _, r := range routers {
-		if r.CallerAddr == "" || r.State != pb.RouterState_ROUTER_STATE_SERVING {
-			continue
-		}
-		serving = append(serving, r)
-		if r.RoutingTable >= number {
-			having = append(having, r)
-		}
-	}
-	if len(having) > 0 {
-		serving = having
+	return oneServing(routers, func(r *pb.RouterStatus) bool { return r.RoutingTable >= number }, draw)
+}
+
+// oneServing draws one of the routers that serve callers, a preferred one if there
+// are any; nil without routers.
+func oneServing(routers []*pb.RouterStatus, preferred func(*pb.RouterStatus) bool, draw func(int) int) *pb.RouterStatus {
+	serving := balance.Serving(routers)
+	best := slices.DeleteFunc(slices.Clone(serving), func(r *pb.RouterStatus) bool { return !preferred(r) })
+	if len(best) == 0 {
+		best = serving
 	}
-	if len(serving) == 0 {
+	if len(best) == 0 {
 		return nil
 	}
-	return serving[draw(len(serving))]
+	return best[draw(len(best))]
 }
