--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -146,11 +147,6 @@
 	return in.holder.Number() > 0 && in.members.Self().State == pb.RouterState_ROUTER_STATE_SERVING
 }
 
-// Draining tells whether this instance was told to leave.
-func (in *Routed) Draining() bool {
-	return in.members.Self().State == pb.RouterState_ROUTER_STATE_DRAINING
-}
-
 // Entries returns up to maxEntries addresses of routers that serve callers, in
 // random order.
 func (in *Routed) Entries() []string {
@@ -164,8 +160,15 @@
 	return addrs[:min(maxEntries, len(addrs))]
 }
 
-// Announce takes a target's own announcement.
+// ErrDraining means that this router was told to leave and takes no announcements.
+var ErrDraining = errors.New("this router drains")
+
+// Announce takes a target's own announcement. It fails with ErrDraining at a router
+// that leaves, whose targets turn to the replicas.
 func (in *Routed) Announce(st *pb.TargetStatus) error {
+	if in.cfg.CallerAddr != "" && in.members.Self().State == pb.RouterState_ROUTER_STATE_DRAINING {
+		return ErrDraining
+	}
 	return in.members.Announce(st, time.Now())
 }
 
