Targets that all choose one router are sent to others

Cause, the second of TestSlopes' two: answers to targets can't be refused, and 9 of 15 targets had chosen one of nine instances, whose answers took 1,524 B/s beside 2,652 within the budget; bound 4,096.

Change: a router whose answers pass their rate even at the longest interval tells as many targets as are too many to use another one ('crowded' in its answer), in the window after it saw them, unless all routers have that many. Test: TestSurplusTargetsAreSentAway.

--- a/internal/announce/announcer.go
+++ b/internal/announce/announcer.go
@@ -136,7 +136,7 @@
 	if reply.Routers != nil {
 		a.learn(router, reply.Routers)
 	}
-	if reply.Draining {
+	if reply.Draining || reply.Crowded {
 		a.turnAwayFrom(router)
 		return retryDelay, nil
 	}
--- a/internal/announce/handler.go
+++ b/internal/announce/handler.go
@@ -155,7 +155,11 @@
 		Listed:          proven && now.Sub(provenAt) < h.Lease,
 		Draining:        state == pb.RouterState_ROUTER_STATE_DRAINING,
 	}
-	if !reply.Listed || reply.Draining || st.Sequence%listEvery == 0 {
+	if !reply.Draining && reply.Listed {
+		known := fleetSize{targets: len(h.View.Targets()), routers: len(h.View.Routers())}
+		reply.Crowded = h.pace.sendsAway(known)
+	}
+	if !reply.Listed || reply.Draining || reply.Crowded || st.Sequence%listEvery == 0 {
 		reply.Routers = h.routersFor(st.DataCentre)
 	}
 	h.reply(w, reply)
--- a/internal/announce/pace.go
+++ b/internal/announce/pace.go
@@ -26,6 +26,8 @@
 	since    time.Time
 	current  map[string]struct{}
 	previous int
+	// surplus targets are to be sent to other routers in this window.
+	surplus int
 }
 
 func newPacer(every, lease time.Duration) *pacer {
@@ -43,6 +45,7 @@
 	defer p.mu.Unlock()
 	if now.Sub(p.since) > p.window {
 		p.previous, p.since = len(p.current), now
+		p.surplus = p.previous - p.most()
 		clear(p.current)
 	}
 	if len(p.current) < maxPaceTargets {
@@ -52,3 +55,24 @@
 	wanted := time.Duration(targets) * replyBytes * time.Second / replyRate
 	return min(max(wanted, p.shortest), p.longest)
 }
+
+// most returns the targets whose answers keep within replyRate at the longest
+// interval.
+func (p *pacer) most() int {
+	return int(replyRate * p.longest / (replyBytes * time.Second))
+}
+
+// fleetSize is the number of targets and routers that are known.
+type fleetSize struct{ targets, routers int }
+
+// sendsAway tells whether a target should use another router. It answers targets
+// that happen to choose the same router; where all routers have that many, they stay.
+func (p *pacer) sendsAway(known fleetSize) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.surplus <= 0 || known.targets >= known.routers*p.most() {
+		return false
+	}
+	p.surplus--
+	return true
+}
--- a/internal/announce/pace_test.go
+++ b/internal/announce/pace_test.go
@@ -81,3 +81,32 @@
 		}
 	}
 }
+
+// TestSurplusTargetsAreSentAway has more targets use one router than its answers
+// have room for: in the next window that many are sent away, unless all routers have
+// as many.
+func TestSurplusTargetsAreSentAway(t *testing.T) {
+	const targets, surplus = 12, 4
+	lease := 2500 * time.Millisecond
+	play := func(known fleetSize) int {
+		p := newPacer(500*time.Millisecond, lease)
+		now := time.Unix(1000, 0)
+		away := 0
+		for range 2 {
+			now = now.Add(lease + time.Millisecond)
+			for i := range targets {
+				p.every(fmt.Sprint("t", i), now)
+				if p.sendsAway(known) {
+					away++
+				}
+			}
+		}
+		return away
+	}
+	if got := play(fleetSize{targets: 15, routers: 9}); got != surplus {
+		t.Errorf("%d targets were sent away, want %d", got, surplus)
+	}
+	if got := play(fleetSize{targets: 1000, routers: 9}); got != 0 {
+		t.Errorf("%d targets were sent away though all routers have as many", got)
+	}
+}
