Homes leave requests without a goal to the targets' queues

Found on rereading: a route whose goal is missing would have been held to one request beyond a target's places. TestNoGoal: 'request 7 was refused' before. No deployment so far has such a route.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -5,6 +5,7 @@
 package home
 
 import (
+	"math"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/invariant"
@@ -38,7 +39,8 @@
 // Ask is what an admission depends on.
 type Ask struct {
 	Service string
-	// Goal is the time within which the request should be answered.
+	// Goal is the time within which the request should be answered; zero for none,
+	// which leaves queues to the targets.
 	Goal time.Duration
 	// Overdue requests can't be answered within their goal any more. They are
 	// admitted only where they hold up no other.
@@ -119,7 +121,10 @@
 
 // limit returns the most requests that a target may have to be given one more.
 func (h *Home) limit(a Ask, capacity int) int {
-	if a.Overdue {
+	switch {
+	case a.Goal == 0:
+		return math.MaxInt
+	case a.Overdue:
 		return capacity + int(overdueShare*float64(capacity))
 	}
 	waiting := waitShare * float64(a.Goal) / float64(h.workOf(a)) * float64(capacity)
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -270,3 +270,16 @@
 		t.Error("overdue requests kept out one that can be in time")
 	}
 }
+
+// TestNoGoal admits requests without a goal however many there are.
+func TestNoGoal(t *testing.T) {
+	h := New()
+	now := time.Unix(1000, 0)
+	one := []Target{{Key: 7, Capacity: 6}}
+	for i := range 100 {
+		ask := Ask{Service: "s", Overdue: i%2 == 0, Life: time.Second}
+		if _, ok := h.Admit(now, Place{Router: "r", Number: uint64(i)}, ask, one); !ok {
+			t.Fatalf("request %d was refused", i)
+		}
+	}
+}
