--- a/internal/instance/routed_parts.go
+++ b/internal/instance/routed_parts.go
@@ -37,18 +37,16 @@
 			State:       pb.RouterState_ROUTER_STATE_SERVING,
 			Replica:     in.cfg.DataDir != "",
 		},
-		Seeds:     in.cfg.Seeds,
-		Conn:      in.listeners.Gossip,
-		Token:     in.cfg.PeerToken,
-		Budget:    allowed,
-		Logger:    in.logger,
-		Scope:     in.scope,
-		Intervals: member.Intervals{TargetLease: in.cfg.TargetLease, Sync: syncInterval, Join: joinInterval},
-
+		Seeds:         in.cfg.Seeds,
+		Conn:          in.listeners.Gossip,
+		Token:         in.cfg.PeerToken,
+		Budget:        allowed,
+		Logger:        in.logger,
+		Scope:         in.scope,
+		Intervals:     member.Intervals{TargetLease: in.cfg.TargetLease, Sync: syncInterval, Join: joinInterval},
 		SyncDatagrams: syncDatagrams,
-
-		OnInFlight: in.inFlightTold,
-		OnPlacing:  in.placing,
+		OnInFlight:    in.inFlightTold,
+		OnPlacing:     in.placing,
 	})
 	in.members = members
 	return err
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -93,27 +93,25 @@
 	self := proto.CloneOf(cfg.self)
 	self.Version = max(1, self.Version)
 	c := &core{
-		iv: cfg.intervals.withDefaults(),
-
+		iv:            cfg.intervals.withDefaults(),
 		syncDatagrams: cmp.Or(cfg.syncDatagrams, DefaultSyncDatagrams),
-
-		rng:       cfg.rng,
-		allow:     cfg.allow,
-		pace:      newPace(cfg.rate),
-		self:      &routerEntry{status: self, generation: self.Incarnation},
-		routers:   make(map[string]*routerEntry),
-		targets:   make(map[string]*targetEntry),
-		byKey:     make(map[uint64]*targetEntry),
-		history:   newHistory(maxHistory),
-		news:      newQueue(),
-		probes:    make(map[uint32]*probe),
-		questions: make(map[uint32]time.Time),
-		nonce:     cfg.rng.Uint32(),
-		lastTick:  now,
-		nextProbe: now,
-		nextSync:  now,
-		nextJoin:  now,
-		nextGC:    now.Add(gcInterval),
+		rng:           cfg.rng,
+		allow:         cfg.allow,
+		pace:          newPace(cfg.rate),
+		self:          &routerEntry{status: self, generation: self.Incarnation},
+		routers:       make(map[string]*routerEntry),
+		targets:       make(map[string]*targetEntry),
+		byKey:         make(map[uint64]*targetEntry),
+		history:       newHistory(maxHistory),
+		news:          newQueue(),
+		probes:        make(map[uint32]*probe),
+		questions:     make(map[uint32]time.Time),
+		nonce:         cfg.rng.Uint32(),
+		lastTick:      now,
+		nextProbe:     now,
+		nextSync:      now,
+		nextJoin:      now,
+		nextGC:        now.Add(gcInterval),
 	}
 	c.setSeeds(cfg.seeds)
 	c.self.rehash()
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -67,15 +67,13 @@
 		stop:       make(chan struct{}),
 	}
 	m.core = newCore(coreConfig{
-		self:      cfg.Self,
-		seeds:     cfg.Seeds,
-		intervals: cfg.Intervals,
-
+		self:          cfg.Self,
+		seeds:         cfg.Seeds,
+		intervals:     cfg.Intervals,
 		syncDatagrams: cfg.SyncDatagrams,
-
-		rng:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		allow: cfg.Budget.AllowAt,
-		rate:  cfg.Budget.Rate(),
+		rng:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		allow:         cfg.Budget.AllowAt,
+		rate:          cfg.Budget.Rate(),
 	}, time.Now())
 	m.done.Go(m.tickLoop)
 	m.done.Go(m.readLoop)
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -156,14 +156,12 @@
 		seeds = append(seeds, s.status.PeerAddr)
 	}
 	n.core = newCore(coreConfig{
-		self:      n.status,
-		seeds:     seeds,
-		intervals: w.intervals,
-
+		self:          n.status,
+		seeds:         seeds,
+		intervals:     w.intervals,
 		syncDatagrams: w.syncDatagrams,
-
-		rng:  rand.New(rand.NewPCG(w.rng.Uint64(), w.rng.Uint64())),
-		rate: n.budget.Rate(),
+		rng:           rand.New(rand.NewPCG(w.rng.Uint64(), w.rng.Uint64())),
+		rate:          n.budget.Rate(),
 		allow: func(now time.Time, class budget.Class, bytes int) bool {
 			return w.now.Before(w.unlimitedUntil) || n.budget.AllowAt(now, class, bytes)
 		},
