One spread of returns; the reason of a choice is given once; an accessor that only tests called is gone

busyReturn stood beside the same formula in Warmup.RetryAfter; PickTarget set a reason that its only caller replaced; Home.Count served tests alone, which read the count themselves now. Behaviour and assertions as before.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -122,14 +122,15 @@
 	return b.take(chosen, all), nil
 }
 
-// PickTarget chooses a target that another router named by its key in counts.
-func (b *Balancer) PickTarget(r Request, key uint32) (Choice, error) {
+// PickTarget chooses a target that another router named by its key in counts, for the
+// reason why.
+func (b *Balancer) PickTarget(r Request, key uint32, why string) (Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	all := b.candidates(b.now(), r)
 	for _, c := range all {
 		if loadKey(c.status) == key && c.eligible() {
-			return b.take(placed{target: c, why: "the service's home chose it"}, all), nil
+			return b.take(placed{target: c, why: why}, all), nil
 		}
 	}
 	return Choice{}, ErrNoTarget
--- a/internal/filter/warmup.go
+++ b/internal/filter/warmup.go
@@ -26,14 +26,17 @@
 
 // RetryAfter is when to come back; draw is between 0 and 1.
 func (w Warmup) RetryAfter(now time.Time, draw float64) time.Duration {
-	wait := max(minReturn, w.Started.Add(warmupTime).Sub(now))
-	return wait + time.Duration(draw*float64(returnSpread))
+	return spreadReturn(w.Started.Add(warmupTime).Sub(now), draw)
+}
+
+// spreadReturn is a time of at least minReturn after which one of many refused callers
+// comes back; draw is between 0 and 1.
+func spreadReturn(wait time.Duration, draw float64) time.Duration {
+	return max(minReturn, wait) + time.Duration(draw*float64(returnSpread))
 }
 
 // busyReturn is when callers that all targets are too busy for come back; draw is
 // between 0 and 1.
-func busyReturn(draw float64) time.Duration {
-	return minReturn + time.Duration(draw*float64(returnSpread))
-}
+func busyReturn(draw float64) time.Duration { return spreadReturn(0, draw) }
 
 func (w Warmup) retryAfter() time.Duration { return w.RetryAfter(time.Now(), rand.Float64()) }
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -195,6 +195,3 @@
 		}
 	}
 }
-
-// Count returns the admitted requests of a target.
-func (h *Home) Count(target uint32) int { return h.counts[target] }
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -232,7 +232,7 @@
 	p, q := Place{"r", 1}, Place{"r", 2}
 	h.Admit(now, p, ask, one)
 	h.Admit(now, p, ask, one)
-	if n := h.Count(7); n != 1 {
+	if n := h.counts[7]; n != 1 {
 		t.Errorf("%d requests after the same place was asked for twice, want 1", n)
 	}
 	if key, ok := h.End(now, p, Served); !ok || key != 7 {
@@ -244,7 +244,7 @@
 	h.Admit(now, q, ask, one)
 	now = now.Add(2 * time.Second)
 	h.Admit(now, p, ask, nil)
-	if n := h.Count(7); n != 0 {
+	if n := h.counts[7]; n != 0 {
 		t.Errorf("%d requests after the place's life", n)
 	}
 }
@@ -256,7 +256,7 @@
 	one := []Target{{Key: 7, Capacity: 6}}
 	admitted := func(overdue bool) int {
 		for i := range 100 {
-			p := Place{Router: "r", Number: uint64(h.Count(7) + 1)}
+			p := Place{Router: "r", Number: uint64(h.counts[7] + 1)}
 			if _, ok := h.Admit(now, p, Ask{Service: "s", Goal: 150 * time.Millisecond, Overdue: overdue, Life: time.Second}, one); !ok {
 				return i
 			}
--- a/internal/place/picker.go
+++ b/internal/place/picker.go
@@ -97,14 +97,13 @@
 		local.Done(balance.Abandoned)
 		return balance.Choice{}, errs.Wrap(balance.ErrFull, step, at.Id)
 	}
-	chosen, err := p.cfg.Balancer.PickTarget(r, answer.Target)
+	chosen, err := p.cfg.Balancer.PickTarget(r, answer.Target, "chosen by the service's home "+at.Id)
 	if err != nil {
 		// The target has left this view; the home hears that it was not used.
 		p.end(at, place, balance.Abandoned)
 		return local, nil
 	}
 	local.Done(balance.Abandoned)
-	chosen.Why = "chosen by the service's home " + at.Id
 	return p.ending(chosen, at, place), nil
 }
 
