TestFaultTable: each test process listens on a loopback address of its own

The two failures are one: the lookup of one cell ran at a target of the other, which counted it under the same order. Ruled out: a second run of the unkeyed request by its own router, since the answer to the lookup came from no target of its cell, at the same time. Test: TestProcessesShareNoAddress, before: 'two processes listen on 127.0.0.1'.

--- a/internal/router/matrix_test.go
+++ b/internal/router/matrix_test.go
@@ -86,10 +86,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	ln := listenAlone(t)
 	n.router, n.url = r, ln.Addr().String()
 	go r.Serve(ln)
 	t.Cleanup(func() { n.thaw(); r.Abort() })
--- a/internal/router/standin_test.go
+++ b/internal/router/standin_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -55,11 +56,39 @@
 	cut     bool
 }
 
-func newStand(t testing.TB, w *world) *stand {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// hosts counts the loopback addresses that were given out.
+var hosts atomic.Uint32
+
+// listenAlone listens on a loopback address that nothing else in this process gets,
+// so that the port of a killed process can't become another cell's.
+func listenAlone(t testing.TB) net.Listener {
+	n := hosts.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", n>>8&0xff, n&0xff))
 	if err != nil {
 		t.Fatal(err)
 	}
+	return ln
+}
+
+// TestProcessesShareNoAddress has each listener on an address of its own: a router
+// that still knows a killed target must not reach another cell's.
+func TestProcessesShareNoAddress(t *testing.T) {
+	w := newWorld(t, lookup, atIdentify, faults[0])
+	seen := make(map[string]bool)
+	for _, addr := range []string{w.targets[0].ln.Addr().String(), w.targets[1].ln.Addr().String(), w.first.url, w.second.url} {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[host] {
+			t.Errorf("two processes listen on %s", host)
+		}
+		seen[host] = true
+	}
+}
+
+func newStand(t testing.TB, w *world) *stand {
+	ln := listenAlone(t)
 	s := &stand{world: w, ln: ln, conns: map[net.Conn]bool{}, orders: map[string]int{}, ids: map[string]int{}}
 	go func() {
 		for {
