The last target of a plain service has a home too

Change: each target that was drawn by load has a home, also a single one. The router's own place is given back before the home's choice is taken, so that a line of the log no longer counts the request among those in flight before it. Tests: TestLastTargetHasAHome (before: '100 of 100 requests were admitted'), TestChoiceCountsOthersOnly (before: 'request 0: 1 in flight before it').

--- a/internal/balance/plain.go
+++ b/internal/balance/plain.go
@@ -32,15 +32,16 @@
 	for _, c := range pool {
 		left -= c.weight()
 		if left < 0 {
-			return drawn(c, pool)
+			return drawn(c)
 		}
 	}
-	return drawn(pool[len(pool)-1], pool)
+	return drawn(pool[len(pool)-1])
 }
 
-// drawn is a target that was drawn by load from several.
-func drawn(c *candidate, pool []*candidate) placed {
-	return placed{target: c, why: "drawn by load", crowded: len(pool) > 1}
+// drawn is a target that was drawn by load. A single one counts as crowded too:
+// after the others have left it is asked for what all served.
+func drawn(c *candidate) placed {
+	return placed{target: c, why: "drawn by load", crowded: true}
 }
 
 // plainPool returns the eligible targets that are sound, or all eligible ones if
--- a/internal/place/picker.go
+++ b/internal/place/picker.go
@@ -89,21 +89,21 @@
 		return local, nil
 	}
 	place, answer := p.ask(ctx, at, r)
-	switch {
-	case answer == nil || answer.Unknown:
+	if answer == nil || answer.Unknown {
 		return local, nil
-	case answer.Full:
+	}
+	// Given back first, so that the choice doesn't count the request itself.
+	local.Done(balance.Abandoned)
+	if answer.Full {
 		p.full.Inc(1)
-		local.Done(balance.Abandoned)
 		return balance.Choice{}, errs.Wrap(balance.ErrFull, step, at.Id)
 	}
 	chosen, err := p.cfg.Balancer.PickTarget(r, answer.Target, "chosen by the service's home "+at.Id)
 	if err != nil {
 		// The target has left this view; the home hears that it was not used.
 		p.end(at, place, balance.Abandoned)
-		return local, nil
+		return p.cfg.Balancer.Pick(r)
 	}
-	local.Done(balance.Abandoned)
 	return p.ending(chosen, at, place), nil
 }
 
--- a/internal/place/picker_test.go
+++ b/internal/place/picker_test.go
@@ -119,6 +119,48 @@
 	}
 }
 
+// TestLastTargetHasAHome has all targets but one leave: what they served is asked of
+// the last one, which must not be given more than it answers in time.
+func TestLastTargetHasAHome(t *testing.T) {
+	n := newNetwork(4, 3)
+	n.targets[0].Leaving, n.targets[1].Leaving = true, true
+	const requests = 100
+	admitted := 0
+	for i := range requests {
+		c, err := n.pick(i%len(n.routers), request)
+		if errors.Is(err, balance.ErrFull) {
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.Target.Id != n.targets[2].Id {
+			t.Fatalf("request %d went to %s, which leaves", i, c.Target.Id)
+		}
+		admitted++
+	}
+	// Two fifths of the goal hold two requests of a fifth of the goal each, behind
+	// the one that runs.
+	if most := 3 * testPlaces; admitted > most {
+		t.Errorf("%d of %d requests were admitted to the last target, want at most %d", admitted, requests, most)
+	}
+}
+
+// TestChoiceCountsOthersOnly has the home name the target that the router had drawn
+// itself: the request is not among those that the target had.
+func TestChoiceCountsOthersOnly(t *testing.T) {
+	n := newNetwork(1, 1)
+	for i := range testPlaces {
+		c, err := n.pick(0, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.InFlight != i {
+			t.Errorf("request %d: %d in flight before it", i, c.InFlight)
+		}
+	}
+}
+
 // TestSilentHome has the home dead: requests wait for it once in a while only, and
 // are placed by each router's own view.
 func TestSilentHome(t *testing.T) {
