--- a/internal/place/picker.go
+++ b/internal/place/picker.go
@@ -21,7 +21,10 @@
 	// answerTimeout is how long a router waits for a home before it goes by its own
 	// view.
 	answerTimeout = 25 * time.Millisecond
-	// silence is how long a home that did not answer is not asked again.
+	// maxMissed is the number of answers in a row that may be missing before the home
+	// counts as silent: a small busy machine is late now and then.
+	maxMissed = 3
+	// silence is how long a silent home is not asked again.
 	silence = time.Second
 	// step names this work in logs.
 	step = "place"
@@ -56,24 +59,32 @@
 	number uint64
 	// answers awaits the home's answer, by place.
 	answers map[uint64]chan *pb.PlaceAnswer
-	// silentUntil is when a home that did not answer may be asked again, by router.
-	silentUntil map[string]time.Time
+	// homes holds what is known of each home, by router.
+	homes map[string]*homeState
 
 	homeMu sync.Mutex
 	home   *home.Home
 }
 
+// homeState is how a home answered lately.
+type homeState struct {
+	// missed counts the answers that were missing since the last one.
+	missed int
+	// silentUntil is when a silent home may be asked again.
+	silentUntil time.Time
+}
+
 // New makes a picker.
 func New(c Config) *Picker {
 	scope := c.Scope.SubScope("place")
 	return &Picker{
-		cfg:         c,
-		asked:       scope.Counter("homes_asked"),
-		silent:      scope.Counter("homes_silent"),
-		full:        scope.Counter("homes_full"),
-		answers:     make(map[uint64]chan *pb.PlaceAnswer),
-		silentUntil: make(map[string]time.Time),
-		home:        home.New(),
+		cfg:     c,
+		asked:   scope.Counter("homes_asked"),
+		silent:  scope.Counter("homes_silent"),
+		full:    scope.Counter("homes_full"),
+		answers: make(map[uint64]chan *pb.PlaceAnswer),
+		homes:   make(map[string]*homeState),
+		home:    home.New(),
 	}
 }
 
@@ -144,7 +155,7 @@
 		return place, answer
 	case <-ctx.Done():
 	case <-timer.C:
-		p.noteSilent(at)
+		p.noteMissed(at)
 	}
 	// The place may have been given.
 	p.end(at, place, balance.Abandoned)
@@ -155,11 +166,8 @@
 func (p *Picker) open(at *pb.RouterStatus) (place uint64, answers chan *pb.PlaceAnswer, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if until, found := p.silentUntil[at.Id]; found {
-		if time.Now().Before(until) {
-			return 0, nil, false
-		}
-		delete(p.silentUntil, at.Id)
+	if s := p.homes[at.Id]; s != nil && time.Now().Before(s.silentUntil) {
+		return 0, nil, false
 	}
 	p.number++
 	answers = make(chan *pb.PlaceAnswer, 1)
@@ -173,15 +181,24 @@
 	p.mu.Unlock()
 }
 
-// noteSilent has a home not asked for a while.
-func (p *Picker) noteSilent(at *pb.RouterStatus) {
+// noteMissed counts an answer that is missing. A home that misses maxMissed in a row
+// isn't asked for a while, and once more then.
+func (p *Picker) noteMissed(at *pb.RouterStatus) {
 	p.silent.Inc(1)
 	p.mu.Lock()
-	_, known := p.silentUntil[at.Id]
-	p.silentUntil[at.Id] = time.Now().Add(silence)
+	s := p.homes[at.Id]
+	if s == nil {
+		s = &homeState{}
+		p.homes[at.Id] = s
+	}
+	s.missed++
+	silent, first := s.missed >= maxMissed, s.missed == maxMissed
+	if silent {
+		s.silentUntil = time.Now().Add(silence)
+	}
 	p.mu.Unlock()
-	if !known {
-		p.cfg.Logger.Warn().Str("step", step).Str("peer", at.Id).Dur("waited_ms", answerTimeout).Dur("for_ms", silence).
+	if first {
+		p.cfg.Logger.Warn().Str("step", step).Str("peer", at.Id).Int("missed", maxMissed).Dur("for_ms", silence).
 			Msg("the home of a service did not answer and is not asked for a while")
 	}
 }
@@ -203,7 +220,7 @@
 		answer := p.admit(place, what.Ask)
 		p.cfg.Members.SendPlacing(addr, &pb.Placing{Place: m.Place, What: &pb.Placing_Answer{Answer: answer}})
 	case *pb.Placing_Answer:
-		p.answered(m.Place, what.Answer)
+		p.answered(router, m.Place, what.Answer)
 	case *pb.Placing_End:
 		outcome := balance.Outcome(what.End.Outcome)
 		if target, ok := p.ended(place, outcome); ok {
@@ -212,9 +229,12 @@
 	}
 }
 
-func (p *Picker) answered(place uint64, answer *pb.PlaceAnswer) {
+// answered hands a home's answer to the request that waits for it. A late one proves
+// that the home is there, too.
+func (p *Picker) answered(router string, place uint64, answer *pb.PlaceAnswer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.homes, router)
 	if answers := p.answers[place]; answers != nil {
 		delete(p.answers, place)
 		answers <- answer
