--- a/internal/router/standin_test.go
+++ b/internal/router/standin_test.go
@@ -63,7 +63,7 @@
 // so that the port of a killed process can't become another cell's.
 func listenAlone(t testing.TB) net.Listener {
 	n := hosts.Add(1)
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", n>>8&0xff, n&0xff))
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.78.%d.%d:0", n>>8&0xff, n&0xff))
 	if err != nil {
 		t.Fatal(err)
 	}
