Membership: a comparison of views brings only what the asker lacks

Cause: an answer brought all entries of the parts in which the views differ. When a fleet starts, nearly all parts differ for long, so that nine of ten entries sent were known; with 100 routers and 1,000 targets the budget of 64 KB/s was full of them, news and ages of targets came late, leases ended and the views differed on. Change: from 64 entries on, a question carries a Bloom filter over what the asker has, 16 bits an entry and 800 bytes at most, with the question's number as its salt. Ruled out: longer between comparisons (a joiner serves nobody before it has its view). Tests: TestStartOfALargeFleet (before: 251,635 of 500,000), TestComparisonBringsWhatIs Missing (before: 350 targets sent where 30 are missing), TestKnownSet.

--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -27,6 +27,8 @@
 	intervals     Intervals
 	syncDatagrams int
 	budget        budget.Config
+	// announceEvery is the time between a target's announcements.
+	announceEvery time.Duration
 	targets       []*simTarget
 	events        events
 	seq           int
@@ -105,6 +107,13 @@
 	}
 	w.maxDelay = usualDelay
 	w.unlimitedUntil = w.now.Add(warmUp)
+	w.announceEvery = announceEvery
+	w.populate(routers, targets, dataCentres)
+	return w
+}
+
+// populate starts routers and targets.
+func (w *world) populate(routers, targets, dataCentres int) {
 	for i := range routers {
 		n := &node{index: i, status: &pb.RouterStatus{
 			Id:          fmt.Sprintf("router-%d", i),
@@ -123,7 +132,6 @@
 	for i := range targets {
 		w.addTarget(i, dataCentres)
 	}
-	return w
 }
 
 func (w *world) addTarget(i, dataCentres int) *simTarget {
@@ -137,7 +145,7 @@
 		Capacity:    32,
 	}}
 	w.targets = append(w.targets, t)
-	w.after(time.Duration(w.rng.Int64N(int64(announceEvery))), func() { w.announceLoop(t) })
+	w.after(time.Duration(w.rng.Int64N(int64(w.announceEvery))), func() { w.announceLoop(t) })
 	return t
 }
 
@@ -254,7 +262,7 @@
 	if !t.running || t.status.Incarnation != life {
 		return
 	}
-	wait := announceEvery
+	wait := w.announceEvery
 	if w.now.Before(t.silentUntil) {
 		w.after(wait, func() { w.announceLife(t, life) })
 		return
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -97,6 +97,7 @@
 	nonce := c.newNonce()
 	m := c.message(pb.GossipKind_GOSSIP_KIND_SYNC, nonce)
 	m.Buckets = c.buckets(now)
+	m.Known = c.known(now, nonce).bits
 	m.Routers = []*pb.RouterDelta{c.self.delta()}
 	if c.send(now, addr, budget.Liveness, m) {
 		c.questions[nonce] = now
@@ -104,7 +105,24 @@
 	}
 }
 
-// onSync answers with the entries of all parts in which the views differ.
+// known returns the entries that buckets covers.
+func (c *core) known(now time.Time, salt uint32) knownSet {
+	targets := c.presentNow(now).list
+	set := newKnownSet(1+len(c.routers)+len(targets), salt)
+	set.add(c.self.hash)
+	for _, e := range c.routers {
+		if e.state != dead {
+			set.add(e.hash)
+		}
+	}
+	for _, e := range targets {
+		set.add(e.hash)
+	}
+	return set
+}
+
+// onSync answers with the entries that the asker doesn't know, of all parts in which
+// the views differ.
 func (c *core) onSync(now time.Time, from string, m *pb.Gossip) {
 	differs := make([]bool, numBuckets)
 	for i, sum := range c.buckets(now) {
@@ -114,8 +132,9 @@
 	if e := c.routers[m.From]; e != nil && e.state == dead {
 		reply.Routers = append(reply.Routers, e.delta())
 	}
-	routers := c.routersIn(differs)
-	targets := c.targetsIn(now, differs)
+	known := knownSet{bits: m.Known, salt: uint64(m.Nonce)}
+	routers := c.routersIn(differs, known)
+	targets := c.targetsIn(now, differs, known)
 	for range c.syncDatagrams {
 		routers = fillRouters(reply, routers)
 		targets = c.fillTargets(now, reply, targets)
@@ -126,12 +145,12 @@
 	}
 }
 
-// routersIn returns the routers of the parts, in random order so that a
-// bounded answer brings others each time.
-func (c *core) routersIn(differs []bool) []*pb.RouterDelta {
+// routersIn returns the routers of the parts that are not known, in random order so
+// that a bounded answer brings others each time.
+func (c *core) routersIn(differs []bool, known knownSet) []*pb.RouterDelta {
 	deltas := []*pb.RouterDelta{}
 	for _, id := range c.sortedRouters() {
-		if e := c.routers[id]; differs[e.bucket] {
+		if e := c.routers[id]; differs[e.bucket] && (e.state == dead || !known.has(e.hash)) {
 			deltas = append(deltas, e.delta())
 		}
 	}
@@ -148,10 +167,12 @@
 	return 0
 }
 
-func (c *core) targetsIn(now time.Time, differs []bool) []*targetEntry {
+// targetsIn returns the present targets of the parts that are not known, in random
+// order.
+func (c *core) targetsIn(now time.Time, differs []bool, known knownSet) []*targetEntry {
 	var entries []*targetEntry
 	for _, e := range c.targets {
-		if differs[e.bucket] && c.present(now, e) {
+		if differs[e.bucket] && c.present(now, e) && !known.has(e.hash) {
 			entries = append(entries, e)
 		}
 	}
