Membership: targets that a comparison brought are not passed on, and news ends after 40 probes

Cause: at a start each of 100 routers passed on each of 1,000 targets seven times, though all had them by comparisons within seconds: 13 KB/s at each router for a minute. Change: a target that came by the answer to a comparison is not news; other news that is not urgent is passed on for 40 probes, 3 s in a fleet of a hundred. That a target leaves is passed on as before. Test: TestStartOfALargeFleet, before: 'router-0 still passes on 1100 pieces of news', with the first half alone 223.

--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -196,8 +196,11 @@
 	for _, d := range m.Routers {
 		c.mergeRouter(now, d)
 	}
+	// What a comparison brings, others find by theirs: a fleet that starts would pass
+	// on thousands of targets that all have by then.
+	spread := m.Kind != pb.GossipKind_GOSSIP_KIND_SYNC_REPLY
 	for _, d := range m.Targets {
-		c.mergeTarget(now, d)
+		c.mergeTarget(now, d, spread)
 	}
 	c.noteRoutingTable(m.From, m.RoutingTable)
 	switch m.Kind {
--- a/internal/member/known_test.go
+++ b/internal/member/known_test.go
@@ -67,14 +67,20 @@
 
 // TestStartOfALargeFleet starts 100 routers at once with 1,000 targets that announce
 // themselves to them: five seconds later no lease ends any more, of those that hold for
-// six announcements.
+// six announcements, and the routers no longer pass on what all know.
 func TestStartOfALargeFleet(t *testing.T) {
-	w := newLargeWorld(100, 1000)
+	const routers, targets = 100, 1000
+	w := newLargeWorld(routers, targets)
 	w.run(5 * time.Second)
 	ages, lapsed := sampleLeases(w, 500*time.Millisecond)
 	if lapsed > 0 {
 		t.Errorf("%d of %d times a target had no lease at a router", lapsed, len(ages)+lapsed)
 	}
+	for _, n := range w.nodes {
+		if news := len(n.core.news.items); news > targets/10 {
+			t.Fatalf("%s still passes on %d pieces of news", n.status.Id, news)
+		}
+	}
 }
 
 // newLargeWorld has the settings of the platform's instances: targets announce
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -34,6 +34,7 @@
 // startProbe pings the next router in this round's random order.
 func (c *core) startProbe(now time.Time) {
 	c.pace.probed()
+	c.news.nextRound()
 	if len(c.probes) >= maxProbes {
 		return
 	}
--- a/internal/member/queue.go
+++ b/internal/member/queue.go
@@ -18,6 +18,10 @@
 	id   string
 }
 
+// newsRounds is the number of probes for which news that is not urgent is passed on, 3 s
+// in a fleet of a hundred: comparisons of views have brought it by then.
+const newsRounds = 40
+
 type newsItem struct {
 	key newsKey
 	// urgent items go before all others.
@@ -25,6 +29,8 @@
 	sent   int
 	// added orders items that were sent equally often, newest first.
 	added uint64
+	// round is that in which the item was added.
+	round int
 }
 
 // queue holds the entries to pass on, each a bounded number of times. It
@@ -33,6 +39,8 @@
 type queue struct {
 	items map[newsKey]*newsItem
 	added uint64
+	// round counts the probes.
+	round int
 }
 
 func newQueue() *queue {
@@ -43,7 +51,7 @@
 func (q *queue) add(kind newsKind, id string) {
 	q.added++
 	key := newsKey{kind: kind, id: id}
-	q.items[key] = &newsItem{key: key, added: q.added}
+	q.items[key] = &newsItem{key: key, added: q.added, round: q.round}
 }
 
 // addUrgent makes an entry news that goes before all that is not urgent.
@@ -52,6 +60,16 @@
 	q.items[newsKey{kind: kind, id: id}].urgent = true
 }
 
+// nextRound drops what was passed on for long enough.
+func (q *queue) nextRound() {
+	q.round++
+	for key, item := range q.items {
+		if !item.urgent && q.round-item.round > newsRounds {
+			delete(q.items, key)
+		}
+	}
+}
+
 // ordered returns the news, the urgent first and then the least passed on.
 func (q *queue) ordered() []*newsItem {
 	items := make([]*newsItem, 0, len(q.items))
--- a/internal/member/slopes_test.go
+++ b/internal/member/slopes_test.go
@@ -75,7 +75,7 @@
 			}
 		}
 		for _, target := range w.targets {
-			n.core.mergeTarget(w.now, &pb.TargetDelta{Status: shallow(target.status)})
+			n.core.mergeTarget(w.now, &pb.TargetDelta{Status: shallow(target.status)}, false)
 		}
 		n.core.news = newQueue()
 	}
@@ -170,7 +170,7 @@
 		withRouters := heapBytes()
 		for i := range entries {
 			t := w.addTarget(i, 1)
-			c.mergeTarget(w.now, &pb.TargetDelta{Status: shallow(t.status)})
+			c.mergeTarget(w.now, &pb.TargetDelta{Status: shallow(t.status)}, false)
 			w.targets, w.events = nil, nil
 		}
 		withTargets := heapBytes()
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -71,7 +71,9 @@
 	if err := c.checkAnnouncement(st); err != nil {
 		return errs.Wrap(err, announceStep, st.Id)
 	}
-	c.describe(now, st)
+	if c.describe(now, st) {
+		c.news.add(targetNews, st.Id)
+	}
 	e := c.targets[st.Id]
 	if e == nil {
 		return errs.New(announceStep, st.Id, fmt.Sprintf("this router already knows %d targets", maxTargets))
@@ -107,8 +109,9 @@
 	return nil
 }
 
-// mergeTarget takes news of a target from another router. It renews no lease.
-func (c *core) mergeTarget(now time.Time, d *pb.TargetDelta) {
+// mergeTarget takes what another router knows of a target, and passes a change on if
+// spread is set. It renews no lease.
+func (c *core) mergeTarget(now time.Time, d *pb.TargetDelta, spread bool) {
 	st := d.Status
 	past, known := c.history.get(st.Id)
 	stale := known && (st.Incarnation < past.incarnation || st.Incarnation == past.incarnation && past.left)
@@ -119,12 +122,15 @@
 		}
 		return
 	}
-	c.describe(now, st)
+	if c.describe(now, st) && spread {
+		c.news.add(targetNews, st.Id)
+	}
 }
 
-// describe takes the status, apart from its load, of an incarnation that is
-// not older than what is known.
-func (c *core) describe(now time.Time, st *pb.TargetStatus) {
+// describe takes the status, apart from its load, of an incarnation that is not older
+// than what is known. It tells whether that changes more than that the target leaves,
+// which is news at once.
+func (c *core) describe(now time.Time, st *pb.TargetStatus) (changed bool) {
 	e := c.targets[st.Id]
 	if e != nil && e.status.Incarnation < st.Incarnation {
 		c.removeTarget(e)
@@ -135,13 +141,13 @@
 		if e == nil && st.Addr != "" {
 			c.addTarget(now, st)
 		}
-		return
+		return false
 	}
 	if e == nil {
-		c.addTarget(now, st)
-		return
+		return c.addTarget(now, st)
 	}
-	if st.Sequence > e.described && !sameDescription(e.status, st) {
+	changed = st.Sequence > e.described && !sameDescription(e.status, st)
+	if changed {
 		next := withoutLoad(st)
 		next.Load = e.status.Load
 		next.Sequence = e.status.Sequence
@@ -150,13 +156,14 @@
 		e.rehash()
 		c.targetsChanged()
 		c.changes++
-		c.news.add(targetNews, st.Id)
 	}
+	return changed
 }
 
-func (c *core) addTarget(now time.Time, st *pb.TargetStatus) {
+// addTarget adds a target; false if there is no room for one more.
+func (c *core) addTarget(now time.Time, st *pb.TargetStatus) bool {
 	if len(c.targets) >= maxTargets {
-		return
+		return false
 	}
 	e := &targetEntry{
 		status:    withoutLoad(st),
@@ -171,7 +178,7 @@
 	c.history.set(st.Id, st.Incarnation, st.Leaving)
 	c.noteTarget(st.Id, st.Incarnation, eventTargetAppeared)
 	c.changes++
-	c.news.add(targetNews, st.Id)
+	return true
 }
 
 func (c *core) removeTarget(e *targetEntry) {
