Cleanup: one start of the control log's replica; callers' patience is asked for requests without a prompt only

The two kinds of instance each set up the replica and the service on it; base does now. An error of a data folder names it on routed instances too.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -63,7 +63,9 @@
 
 // Handle tries targets until one answers.
 func (d *Dispatch) Handle(ctx context.Context, x *Exchange, next Next) error {
-	work := &dispatch{Dispatch: d, x: x, next: next, overdue: d.Patience.waited(x) > x.Route.Goal/2}
+	// Targets are chosen by the goal for requests without a prompt only.
+	overdue := len(x.Prompt) == 0 && d.Patience.waited(x) > x.Route.Goal/2
+	work := &dispatch{Dispatch: d, x: x, next: next, overdue: overdue}
 	if err := work.run(ctx); err != nil {
 		return err
 	}
--- a/internal/instance/base.go
+++ b/internal/instance/base.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -10,7 +11,10 @@
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wigeonwood/wigeonwood/internal/control"
 	"github.com/wigeonwood/wigeonwood/internal/member"
+	"github.com/wigeonwood/wigeonwood/internal/replica"
+	"github.com/wigeonwood/wigeonwood/internal/state"
 	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
 
@@ -80,3 +84,28 @@
 	b.work.Wait()
 	_ = b.closer.Close()
 }
+
+// startLog starts this process's replica of the control log, whose own settings cfg
+// holds, and the service on it.
+func (b *base) startLog(cfg replica.Config, machine *state.Machine) (*replica.Node, *control.Service, error) {
+	cfg.Group = controlGroup
+	cfg.Machine = machine
+	cfg.Server = b.server
+	cfg.Pool = b.pool
+	cfg.Logger = b.logger
+	cfg.Scope = b.scope
+	node, err := replica.Start(b.ctx, cfg)
+	if err != nil {
+		return nil, nil, fmt.Errorf("data folder %s: %w", cfg.Dir, err)
+	}
+	service := control.NewService(control.Config{
+		Log:    node,
+		State:  machine,
+		Group:  controlGroup,
+		Server: b.server,
+		Pool:   b.pool,
+		Logger: b.logger,
+		Scope:  b.scope,
+	})
+	return node, service, nil
+}
--- a/internal/instance/replica.go
+++ b/internal/instance/replica.go
@@ -1,8 +1,6 @@
 package instance
 
 import (
-	"fmt"
-
 	"github.com/wigeonwood/wigeonwood/internal/control"
 	"github.com/wigeonwood/wigeonwood/internal/controller"
 	"github.com/wigeonwood/wigeonwood/internal/replica"
@@ -31,31 +29,16 @@
 		return nil
 	}
 	machine := state.New()
-	node, err := replica.Start(in.ctx, replica.Config{
+	node, service, err := in.startLog(replica.Config{
 		Dir:        in.cfg.DataDir,
 		Addr:       in.cfg.PeerListen,
 		DataCentre: in.cfg.DataCentre,
 		Founders:   in.cfg.Founders,
-		Group:      controlGroup,
-		Machine:    machine,
-		Server:     in.server,
-		Pool:       in.pool,
-		Logger:     in.logger,
-		Scope:      in.scope,
-	})
+	}, machine)
 	if err != nil {
-		return fmt.Errorf("data folder %s: %w", in.cfg.DataDir, err)
+		return err
 	}
-	part := &replicaPart{node: node, state: machine}
-	part.service = control.NewService(control.Config{
-		Log:    node,
-		State:  machine,
-		Group:  controlGroup,
-		Server: in.server,
-		Pool:   in.pool,
-		Logger: in.logger,
-		Scope:  in.scope,
-	})
+	part := &replicaPart{node: node, state: machine, service: service}
 	part.orders = controller.NewOrders(controller.OrdersConfig{
 		Leader:  node,
 		Intents: machine,
--- a/internal/instance/routed_parts.go
+++ b/internal/instance/routed_parts.go
@@ -107,7 +107,7 @@
 	machine := state.New(state.WithRoutingObserver(func(t *state.RoutingTable) {
 		in.sync.Committed(t.Number, t.Document, t.Command)
 	}))
-	node, err := replica.Start(in.ctx, replica.Config{
+	node, service, err := in.startLog(replica.Config{
 		Dir:           in.cfg.DataDir,
 		Addr:          in.cfg.PeerListen,
 		DataCentre:    in.cfg.DataCentre,
@@ -115,26 +115,11 @@
 		JoinOnly:      in.cfg.JoinOnly,
 		OpenAdmission: true,
 		Peers:         in.replicaAddrs,
-		Group:         controlGroup,
-		Machine:       machine,
-		Server:        in.server,
-		Pool:          in.pool,
-		Logger:        in.logger,
-		Scope:         in.scope,
-	})
+	}, machine)
 	if err != nil {
 		return err
 	}
-	in.node = node
-	in.service = control.NewService(control.Config{
-		Log:    node,
-		State:  machine,
-		Group:  controlGroup,
-		Server: in.server,
-		Pool:   in.pool,
-		Logger: in.logger,
-		Scope:  in.scope,
-	})
+	in.node, in.service = node, service
 	return nil
 }
 
