--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -41,6 +41,20 @@
 	return balance.Choice{}, balance.ErrNoTarget
 }
 
+// fillingPicker finds all targets full after some choices.
+type fillingPicker struct {
+	Picker
+	left int
+}
+
+func (p *fillingPicker) Pick(ctx context.Context, r balance.Request) (balance.Choice, error) {
+	if p.left == 0 {
+		return balance.Choice{}, balance.ErrFull
+	}
+	p.left--
+	return p.Picker.Pick(ctx, r)
+}
+
 // allowedSends allows a number of repeated sends.
 type allowedSends struct{ left int }
 
@@ -195,6 +209,41 @@
 	}
 }
 
+// TestBusyRefusalsAreTrue has all targets turn out full after some tries: the refusal
+// says that the request did not run only if none of them may have run it.
+func TestBusyRefusalsAreTrue(t *testing.T) {
+	declined := scriptedTarget{status: http.StatusServiceUnavailable, notRun: true}
+	for name, c := range map[string]struct {
+		tries   []scriptedTarget
+		status  int
+		outcome Outcome
+		code    string
+	}{
+		"at once":       {nil, 503, OutcomeNotRun, "busy"},
+		"declined":      {[]scriptedTarget{declined}, 503, OutcomeNotRun, "busy"},
+		"not connected": {[]scriptedTarget{{unsent: true, err: errNoConn}}, 503, OutcomeNotRun, "busy"},
+		"cut":           {[]scriptedTarget{{err: errCutHere}}, 502, OutcomeUnknown, "target-failed"},
+		"failed":        {[]scriptedTarget{{status: http.StatusInternalServerError}}, 502, OutcomeUnknown, "target-failed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &script{t: t, tries: c.tries}
+			d := &Dispatch{
+				Picker:  &fillingPicker{Picker: &numberedPicker{n: 3, outcomes: make(map[string]balance.Outcome)}, left: len(c.tries)},
+				Sends:   &allowedSends{left: 9},
+				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+			}
+			var r *Rejection
+			err := d.Handle(t.Context(), routedExchange(routing.Idempotent, false), s.next)
+			if !errors.As(err, &r) {
+				t.Fatalf("error %v, want a rejection", err)
+			}
+			if r.Status != c.status || r.Outcome() != c.outcome || r.Code != c.code {
+				t.Errorf("rejected with %d, %s, %s, want %d, %s, %s", r.Status, r.Outcome(), r.Code, c.status, c.outcome, c.code)
+			}
+		})
+	}
+}
+
 // TestTimeOverAfterDeclinedTry ends the caller's time in a try that a target
 // declines: whether the request ran is told by the tries before it.
 func TestTimeOverAfterDeclinedTry(t *testing.T) {
