The homes of which a router knows something are bounded

Read again: an entry of a home that is gone stayed for good. Test: TestHomesAreBounded (before: 2,048 kept).

--- a/internal/place/picker.go
+++ b/internal/place/picker.go
@@ -24,6 +24,9 @@
 	// maxMissed is the number of answers in a row that may be missing before the home
 	// counts as silent: a small busy machine is late now and then.
 	maxMissed = 3
+	// maxHomes bounds the homes of which something is known; with more of them, all
+	// are learned anew.
+	maxHomes = 1024
 	// silence is how long a silent home is not asked again.
 	silence = time.Second
 	// step names this work in logs.
@@ -188,6 +191,9 @@
 	p.mu.Lock()
 	s := p.homes[at.Id]
 	if s == nil {
+		if len(p.homes) >= maxHomes {
+			clear(p.homes)
+		}
 		s = &homeState{}
 		p.homes[at.Id] = s
 	}
--- a/internal/place/picker_test.go
+++ b/internal/place/picker_test.go
@@ -189,6 +189,17 @@
 	}
 }
 
+// TestHomesAreBounded has more homes miss answers than are kept.
+func TestHomesAreBounded(t *testing.T) {
+	p := newNetwork(1, 1).pickers["r0"]
+	for i := range 2 * maxHomes {
+		p.noteMissed(&pb.RouterStatus{Id: fmt.Sprint("gone-", i)})
+	}
+	if n := len(p.homes); n > maxHomes {
+		t.Errorf("%d homes are kept, bound %d", n, maxHomes)
+	}
+}
+
 // TestLateHome has the home miss some answers, but never maxMissed in a row: it is
 // asked for each request.
 func TestLateHome(t *testing.T) {
