Control budget: times that arrive out of order don't give time twice

Callers read the clock before they have the budget's lock; a limiter that is given an earlier time goes back to it and counts the time after it once more. Leases could do that before; since answers to targets are charged, each of them can, from the goroutine of its request. Change: the budget passes on the latest time that it was given. Ruled out: the shares of leases and answers themselves, which take from the same limiter and may leave it in debt: the window's bound holds then.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -89,7 +89,9 @@
 	leases  *rate.Limiter
 	answers *rate.Limiter
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// latest is the latest time that was passed in.
+	latest time.Time
 	window window
 	stats  Stats
 
@@ -166,6 +168,7 @@
 func (b *Budget) AllowAt(now time.Time, c Class, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now = b.inOrderLocked(now)
 	if c < numBudgeted && !b.spendLocked(now, c, n) {
 		b.stats.Refused[c] += int64(n)
 		b.refused[c].Inc(int64(n))
@@ -175,6 +178,16 @@
 	return true
 }
 
+// inOrderLocked returns now or the latest time passed in before, whichever is later.
+// Callers read the clock before it is their turn, and a limiter that is taken back in
+// time counts the time between twice.
+func (b *Budget) inOrderLocked(now time.Time) time.Time {
+	if now.After(b.latest) {
+		b.latest = now
+	}
+	return b.latest
+}
+
 func (b *Budget) spendLocked(now time.Time, c Class, n int) bool {
 	left := b.limiter.TokensAt(now) - float64(n)
 	if left < float64(b.burst*reserved[c]/8) || !b.limiter.AllowN(now, n) {
@@ -193,6 +206,7 @@
 func (b *Budget) ChargeAt(now time.Time, c Class, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now = b.inOrderLocked(now)
 	b.countSentLocked(c, n)
 	switch {
 	case c >= numBudgeted:
@@ -232,9 +246,9 @@
 	if ClassOf(method) != Lease {
 		return true
 	}
-	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.inOrderLocked(time.Now())
 	if b.leases.TokensAt(now) >= float64(n) {
 		return true
 	}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -152,3 +152,25 @@
 		}
 	}
 }
+
+// TestTimesOutOfOrder has bytes charged and allowed by callers that read the clock some
+// milliseconds before it is their turn: the rate must hold, and the invariant with it.
+func TestTimesOutOfOrder(t *testing.T) {
+	const (
+		step   = 20 * time.Millisecond
+		late   = 15 * time.Millisecond
+		packet = 50 // bytes
+		length = 5 * time.Second
+	)
+	b := New(Config{})
+	start := time.Unix(1000, 0)
+	for at := time.Duration(0); at < length; at += step {
+		b.ChargeAt(start.Add(at+late), Announce, packet)
+		for b.AllowAt(start.Add(at), Drain, packet) {
+		}
+	}
+	most := int64(DefaultBytesPerSecond*length.Seconds()) + DefaultBurstBytes
+	if sent := b.Stats().Control() - b.Stats().Excess; sent > most {
+		t.Errorf("%d bytes within the rate in %v, want at most %d", sent, length, most)
+	}
+}
