Membership: keyed renewals take their own list; one set-up for two tests

Read again: targets of groups that differ were copied for a list that had been copied already, and two guards kept out empty lists that the callees take. The leased ones are gathered into a list of their own; what is sent is the same. The table of reserves says why answers to targets don't use theirs.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -56,7 +56,8 @@
 )
 
 // reserved is the share of the burst, in eighths, that a class leaves to the
-// classes above it.
+// classes above it. Answers to targets are charged and never asked for: answerShare
+// bounds them.
 var reserved = [numBudgeted]int{0, 0, 1, 2, 4, 4}
 
 // leaseShare is the part of the rate and the burst that leases may take.
--- a/internal/member/present_test.go
+++ b/internal/member/present_test.go
@@ -7,17 +7,24 @@
 	"github.com/wigeonwood/wigeonwood/internal/budget"
 )
 
+// answererAndAsker returns two routers that know the same targets. The first one has
+// leases on them that are 100 ms old, the second none.
+func answererAndAsker(targets int) (w *world, answerer, asker *core) {
+	w = newWorld(0, 1, 2, targets, 3)
+	w.introduce()
+	answerer, asker = w.nodes[0].core, w.nodes[1].core
+	for _, e := range answerer.targets {
+		answerer.renew(w.now, e, w.now.Add(-100*time.Millisecond))
+	}
+	return w, answerer, asker
+}
+
 // TestRenewalsOfManyTargets has one router answer another about 1,500 targets, of
 // whose ages 400 fit into an answer: within 40 answers the other's leases on all are
 // renewed.
 func TestRenewalsOfManyTargets(t *testing.T) {
 	const targets, room, answers = 1500, 400, 40
-	w := newWorld(0, 1, 2, targets, 3)
-	w.introduce()
-	a, b := w.nodes[0].core, w.nodes[1].core
-	for _, e := range a.targets {
-		a.renew(w.now, e, w.now.Add(-100*time.Millisecond))
-	}
+	w, a, b := answererAndAsker(targets)
 	for range answers {
 		asked := b.presentNow(w.now)
 		r := a.renewals(w.now, b.self.status.Id, asked.digests(), room)
@@ -43,12 +50,7 @@
 // know are renewed.
 func TestRenewalsOfViewsThatDiffer(t *testing.T) {
 	const targets, room, answers = 1000, 800, 40
-	w := newWorld(0, 1, 2, targets, 3)
-	w.introduce()
-	a, b := w.nodes[0].core, w.nodes[1].core
-	for _, e := range a.targets {
-		a.renew(w.now, e, w.now.Add(-100*time.Millisecond))
-	}
+	w, a, b := answererAndAsker(targets)
 	a.removeTarget(a.targets[w.targets[0].status.Id])
 	b.removeTarget(b.targets[w.targets[1].status.Id])
 	for range answers {
--- a/internal/member/renewals.go
+++ b/internal/member/renewals.go
@@ -45,12 +45,8 @@
 	different := inGroups(present.list, allGroups&^equal)
 	keyedRoom := min(len(different)*renewalBytes, max(room-len(same), room/keyedShare))
 	r := &pb.Renewals{}
-	if len(different) > 0 {
-		c.addKeyed(r, now, slices.Clone(different), c.dataCentreOf(asker), keyedRoom/renewalBytes)
-	}
-	if len(same) > 0 {
-		c.addPlain(r, now, same, room-keyedRoom)
-	}
+	c.addKeyed(r, now, different, c.dataCentreOf(asker), keyedRoom/renewalBytes)
+	c.addPlain(r, now, same, room-keyedRoom)
 	if equal != allGroups {
 		r.EqualGroups = equal
 	}
@@ -69,17 +65,23 @@
 	}
 }
 
-// addKeyed lists at most limit targets. Half of the places go to those of the asker's
-// data centre first, the others to any; which fit changes from answer to answer.
+// addKeyed lists at most limit of the targets with a lease. Half of the places go to
+// those of the asker's data centre first, the others to any; which fit changes from
+// answer to answer.
 func (c *core) addKeyed(r *pb.Renewals, now time.Time, list []*targetEntry, dataCentre string, limit int) {
-	list = slices.DeleteFunc(list, func(e *targetEntry) bool { return !c.leased(now, e) })
-	limit = min(max(0, limit), len(list))
-	c.shuffle(list)
-	slices.SortStableFunc(list, func(a, b *targetEntry) int {
+	var leased []*targetEntry
+	for _, e := range list {
+		if c.leased(now, e) {
+			leased = append(leased, e)
+		}
+	}
+	limit = min(max(0, limit), len(leased))
+	c.shuffle(leased)
+	slices.SortStableFunc(leased, func(a, b *targetEntry) int {
 		return cmp.Compare(distance(a, dataCentre), distance(b, dataCentre))
 	})
-	c.shuffle(list[limit/2:])
-	for _, e := range list[:limit] {
+	c.shuffle(leased[limit/2:])
+	for _, e := range leased[:limit] {
 		addRenewal(r, now, e)
 	}
 }
