--- a/internal/announce/pace.go
+++ b/internal/announce/pace.go
@@ -3,15 +3,13 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/wigeonwood/wigeonwood/internal/budget"
 )
 
 const (
 	// replyBytes is about what one answer to an announcement takes, with its
 	// headers, and replyRate the bytes a second that all of them should take.
 	replyBytes = 170
-	replyRate  = budget.AnswerBytesPerSecond
+	replyRate  = 1400
 	// maxPaceTargets bounds the targets counted.
 	maxPaceTargets = 4096
 )
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -68,8 +68,8 @@
 	// answerShare is the part of the rate and the burst that answers to targets
 	// take from the other classes.
 	answerShare = 4
-	// AnswerBytesPerSecond is what answers to targets should keep to: what is beyond
-	// comes on top of the rate.
+	// AnswerBytesPerSecond is what answers to targets take of the default rate: what
+	// is beyond comes on top of it.
 	AnswerBytesPerSecond = DefaultBytesPerSecond / answerShare
 )
 
