Requests wait at a router that has just started until it has a table and a target

Routers answer 20 to 60 ms after their start, have a table 0.4 to 0.8 s later, and refused until then with a Retry-After of 1.3 s after their start and up to 0.4 s more. Callers try again once, so each refused one was late by then (p50 1.05 to 1.2 s), and one cut by the fault and refused at its second try was lost.

Change: requests wait for the first table, then for a target with room, up to 1.3 s after the router's start and half of the caller's time; the number and the bytes that wait are bounded. What was waited counts as the caller's wait at the home. Routers without a table look for one each 25 ms (150 ms before).

The start of a router itself: 8 ms of processor.

TestRequestsDuringWarmup, TestWarmupIsBounded (before: all refused at once).

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -35,7 +35,7 @@
 	// Prepare sets the headers for one target on the exchange; holder may hold
 	// cached parts of the prompt and may be nil.
 	Prepare func(x *Exchange, target, holder *pb.TargetStatus)
-	Warmup  Warmup
+	Warmup  *Warmup
 	// Patience tells callers that come back from those that ask first.
 	Patience *Patience
 }
@@ -64,7 +64,8 @@
 // Handle tries targets until one answers.
 func (d *Dispatch) Handle(ctx context.Context, x *Exchange, next Next) error {
 	// Targets are chosen by the goal for requests without a prompt only.
-	overdue := len(x.Prompt) == 0 && d.Patience.waited(x) > x.Route.Goal/2
+	waited := d.Patience.waited(x) + time.Since(x.Received)
+	overdue := len(x.Prompt) == 0 && waited > x.Route.Goal/2
 	work := &dispatch{Dispatch: d, x: x, next: next, overdue: overdue}
 	if err := work.run(ctx); err != nil {
 		return err
@@ -101,7 +102,21 @@
 
 // pick chooses the next target, or rejects the request.
 func (d *dispatch) pick(ctx context.Context) error {
-	choice, err := d.Picker.Pick(ctx, balance.Request{
+	choice, err := d.choose(ctx)
+	if noPlace(err) && !d.sent {
+		choice, err = d.awaitPlace(ctx, err)
+	}
+	if err != nil {
+		return d.noTarget(err)
+	}
+	d.choice = choice
+	d.exclude = append(d.exclude, choice.Target.Id)
+	d.x.Note(StepDispatch, choice.Target.Id, fmt.Sprintf("%s; %d in flight", choice.Why, choice.InFlight))
+	return nil
+}
+
+func (d *dispatch) choose(ctx context.Context) (balance.Choice, error) {
+	return d.Picker.Pick(ctx, balance.Request{
 		Service: d.x.Demand.Service,
 		Key:     PromptKey(d.x.Prompt),
 		Slots:   slots(d.x),
@@ -110,13 +125,34 @@
 		Overdue: d.overdue,
 		Life:    time.Until(d.x.Deadline),
 	})
-	if err != nil {
-		return d.noTarget(err)
+}
+
+// noPlace tells whether no target takes the request now.
+func noPlace(err error) bool {
+	return errors.Is(err, balance.ErrNoTarget) || errors.Is(err, balance.ErrFull)
+}
+
+// awaitPlace chooses again while targets may still announce themselves to a router
+// that has just started: until all have, the few that are known are soon full.
+// none is why no target was chosen.
+func (d *dispatch) awaitPlace(ctx context.Context, none error) (choice balance.Choice, err error) {
+	err = none
+	pause := warmupPoll
+	found := d.Warmup.poll(ctx, d.x, func() time.Duration {
+		choice, err = d.choose(ctx)
+		switch {
+		case errors.Is(err, balance.ErrFull):
+			// All that wait ask one home.
+			pause *= 2
+		case !errors.Is(err, balance.ErrNoTarget):
+			return 0
+		}
+		return pause
+	})
+	if found {
+		d.x.Note(StepDispatch, "", "waited for a target after this router's start")
 	}
-	d.choice = choice
-	d.exclude = append(d.exclude, choice.Target.Id)
-	d.x.Note(StepDispatch, choice.Target.Id, fmt.Sprintf("%s; %d in flight", choice.Why, choice.InFlight))
-	return nil
+	return choice, err
 }
 
 // PromptKey stands for the longest part of a prompt that other requests share:
--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -184,6 +184,7 @@
 				Picker:  &numberedPicker{n: c.targets, outcomes: make(map[string]balance.Outcome)},
 				Sends:   &allowedSends{left: c.allowed},
 				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+				Warmup:  NewWarmup(time.Time{}),
 			}
 			err := d.Handle(t.Context(), x, s.next)
 			if len(s.tries) > 0 {
@@ -231,6 +232,7 @@
 				Picker:  &fillingPicker{Picker: &numberedPicker{n: 3, outcomes: make(map[string]balance.Outcome)}, left: len(c.tries)},
 				Sends:   &allowedSends{left: 9},
 				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+				Warmup:  NewWarmup(time.Time{}),
 			}
 			var r *Rejection
 			err := d.Handle(t.Context(), routedExchange(routing.Idempotent, false), s.next)
@@ -263,6 +265,7 @@
 				Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
 				Sends:   &allowedSends{left: 9},
 				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+				Warmup:  NewWarmup(time.Time{}),
 			}
 			err := d.Handle(ctx, routedExchange(routing.Idempotent, false), func(ctx context.Context, x *Exchange) error {
 				if len(s.tries) == 1 {
@@ -328,6 +331,7 @@
 				Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
 				Sends:   &allowedSends{left: 9},
 				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+				Warmup:  NewWarmup(time.Time{}),
 			}
 			if err := d.Handle(t.Context(), x, s.next); err != nil {
 				t.Fatal(err)
--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -13,20 +13,27 @@
 type Tables interface {
 	// Current returns nil before the first table.
 	Current() *routing.Index
+	// Loaded returns a channel that is closed once there is a table.
+	Loaded() <-chan struct{}
 }
 
 // Route finds the route and the service of a request.
 type Route struct {
 	Tables Tables
-	Warmup Warmup
+	Warmup *Warmup
 }
 
 // Name returns the filter's name in specs.
 func (*Route) Name() string { return StepRoute }
 
-// Handle sets the route, the service and the deadline.
+// Handle sets the route, the service and the deadline. At a router that has just
+// started it waits for the first table.
 func (r *Route) Handle(ctx context.Context, x *Exchange, next Next) error {
 	x.Index = r.Tables.Current()
+	if x.Index == nil && r.Warmup.await(ctx, x, r.Tables.Loaded()) {
+		x.Note(StepRoute, "", "waited for the first routing table")
+		x.Index = r.Tables.Current()
+	}
 	if x.Index == nil {
 		return x.Reject(Rejection{
 			Code:       "no-routing-table",
--- a/internal/filter/warmup.go
+++ b/internal/filter/warmup.go
@@ -1,7 +1,9 @@
 package filter
 
 import (
+	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 )
 
@@ -10,25 +12,120 @@
 	// or targets: the replicas restart more slowly, and targets announce
 	// themselves about once a second.
 	warmupTime = 1300 * time.Millisecond
+	// warmupWaitShare is the part of a caller's patience that its request may wait
+	// for a router to become ready; the rest is for the work, or for one more try.
+	warmupWaitShare = 2
+	// warmupPoll is the time between two looks for a place at a target.
+	warmupPoll = 40 * time.Millisecond
+	// maxWarmupRequests and maxWarmupBytes bound the requests that wait at one router
+	// and their bodies, for its memory.
+	maxWarmupRequests = 512
+	maxWarmupBytes    = 16 << 20
 	// returnSpread is the time over which refused callers come back.
 	returnSpread = 400 * time.Millisecond
 	// minReturn is the least time after which a refused caller comes back.
 	minReturn = 250 * time.Millisecond
 )
 
-// Warmup tells callers that a router refuses for want of a table or a target
-// when to come back. It answers the load after a restart of the whole fleet: each
-// caller tries again once, and all of them would come back while the router still
-// lacks what it needs.
+// Warmup decides what becomes of requests that reach a router before it has a table
+// and targets. They wait while there is hope that both come in time; the others are
+// refused and told when to come back. It answers the load after a restart of the
+// whole fleet: a caller tries again only once, and one that is refused comes back
+// later than the router is ready. It is safe for concurrent use.
 type Warmup struct {
-	Started time.Time
+	started time.Time
+	// requests and bytes are of those that wait.
+	requests atomic.Int64
+	bytes    atomic.Int64
+}
+
+// NewWarmup makes one for a router that starts now.
+func NewWarmup(now time.Time) *Warmup { return &Warmup{started: now} }
+
+// WaitEnd is until when a request that was received at a time may wait. A zero
+// deadline sets no bound of its own.
+func (w *Warmup) WaitEnd(received, deadline time.Time) time.Time {
+	end := w.started.Add(warmupTime)
+	if deadline.IsZero() {
+		return end
+	}
+	if share := received.Add(deadline.Sub(received) / warmupWaitShare); share.Before(end) {
+		return share
+	}
+	return end
 }
 
 // RetryAfter is when to come back; draw is between 0 and 1.
-func (w Warmup) RetryAfter(now time.Time, draw float64) time.Duration {
-	return spreadReturn(w.Started.Add(warmupTime).Sub(now), draw)
+func (w *Warmup) RetryAfter(now time.Time, draw float64) time.Duration {
+	return spreadReturn(w.started.Add(warmupTime).Sub(now), draw)
 }
 
+// await waits until ready is closed; false if the request may not wait that long.
+func (w *Warmup) await(ctx context.Context, x *Exchange, ready <-chan struct{}) bool {
+	ctx, leave, ok := w.enter(ctx, x)
+	if !ok {
+		return false
+	}
+	defer leave()
+	select {
+	case <-ready:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// poll calls try until it returns zero, and waits the time that it returns before each
+// further call; false if the request may not wait that long.
+func (w *Warmup) poll(ctx context.Context, x *Exchange, try func() time.Duration) bool {
+	ctx, leave, ok := w.enter(ctx, x)
+	if !ok {
+		return false
+	}
+	defer leave()
+	timer := time.NewTimer(warmupPoll)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+		}
+		pause := try()
+		if pause == 0 {
+			return true
+		}
+		timer.Reset(pause)
+	}
+}
+
+// enter counts a request that begins to wait; false if it may not. The context ends
+// with the time for which it may.
+func (w *Warmup) enter(ctx context.Context, x *Exchange) (waiting context.Context, leave func(), ok bool) {
+	end := w.WaitEnd(x.Received, x.Deadline)
+	if !time.Now().Before(end) {
+		return nil, nil, false
+	}
+	size := int64(len(x.Body))
+	uncount := func() {
+		w.requests.Add(-1)
+		w.bytes.Add(-size)
+	}
+	requests, bytes := w.requests.Add(1), w.bytes.Add(size)
+	if requests > maxWarmupRequests || bytes > maxWarmupBytes {
+		uncount()
+		return nil, nil, false
+	}
+	waiting, cancel := context.WithDeadline(ctx, end)
+	leave = func() {
+		cancel()
+		uncount()
+	}
+	return waiting, leave, true
+}
+
+func (w *Warmup) retryAfter() time.Duration { return w.RetryAfter(time.Now(), rand.Float64()) }
+
 // spreadReturn is a time of at least minReturn after which one of many refused callers
 // comes back; draw is between 0 and 1.
 func spreadReturn(wait time.Duration, draw float64) time.Duration {
@@ -38,5 +135,3 @@
 // busyReturn is when callers that all targets are too busy for come back; draw is
 // between 0 and 1.
 func busyReturn(draw float64) time.Duration { return spreadReturn(0, draw) }
-
-func (w Warmup) retryAfter() time.Duration { return w.RetryAfter(time.Now(), rand.Float64()) }
--- a/internal/filter/warmup_test.go
+++ b/internal/filter/warmup_test.go
@@ -1,8 +1,17 @@
 package filter
 
 import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/balance"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/routing"
 )
 
 // TestReturnAfterARestart replays a restart: the router serves from 1.3 s on. A
@@ -10,7 +19,7 @@
 // don't come back together.
 func TestReturnAfterARestart(t *testing.T) {
 	started := time.Unix(1000, 0)
-	w := Warmup{Started: started}
+	w := NewWarmup(started)
 	returns := make(map[time.Duration]int)
 	for at := time.Duration(0); at < warmupTime; at += 10 * time.Millisecond {
 		now := started.Add(at)
@@ -30,3 +39,148 @@
 		t.Errorf("long after the start: %v, want %v", late, minReturn)
 	}
 }
+
+// lateTables has its first table after a while.
+type lateTables struct{ holder routing.Holder }
+
+func (l *lateTables) Current() *routing.Index { return l.holder.Current() }
+func (l *lateTables) Loaded() <-chan struct{} { return l.holder.Loaded() }
+
+// latePicker has one target from a time on.
+type latePicker struct{ from time.Time }
+
+func (p *latePicker) Pick(context.Context, balance.Request) (balance.Choice, error) {
+	if time.Now().Before(p.from) {
+		return balance.Choice{}, balance.ErrNoTarget
+	}
+	return balance.Choice{Target: &pb.TargetStatus{Id: "t"}, Done: func(balance.Outcome) {}}, nil
+}
+
+// startingChain is a router's chain without its targets.
+func startingChain(tables Tables, picker Picker) *Chain {
+	warmup := NewWarmup(time.Now())
+	return &Chain{handler: link([]Filter{
+		&Route{Tables: tables, Warmup: warmup},
+		&Team{Counts: balance.NewTeams()},
+		&Dispatch{
+			Picker:   picker,
+			Sends:    &allowedSends{},
+			Prepare:  func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+			Warmup:   warmup,
+			Patience: NewPatience(),
+		},
+		answering{},
+	})}
+}
+
+// answering answers each request at once.
+type answering struct{}
+
+func (answering) Name() string { return StepForward }
+
+func (answering) Handle(_ context.Context, x *Exchange, _ Next) error {
+	x.Token.Spend()
+	x.Answer = &Answer{Status: http.StatusOK, Header: http.Header{}, Body: http.NoBody}
+	return nil
+}
+
+func startingTable() *routing.Table {
+	route := &routing.Route{
+		Name: "r", Host: "h", Prefix: "/", Kind: routing.NonIdempotent, MaxTargets: 1, Public: true,
+		Timeout: 10 * time.Second, Goal: 400 * time.Millisecond,
+		Shares: []routing.Share{{Service: "s", Weight: 1}},
+	}
+	return &routing.Table{Number: 1, Routes: []*routing.Route{route}, Services: []*routing.Service{{Name: "s"}}}
+}
+
+// TestRequestsDuringWarmup replays the restart of a whole fleet: callers ask all the
+// while, the table comes after 0.5 s and targets after 0.6 s. Those who can be
+// answered within 0.4 s are, those with little patience are refused in time to come
+// back, and after the warm-up nobody waits.
+func TestRequestsDuringWarmup(t *testing.T) {
+	const tableAfter, targetsAfter = 500 * time.Millisecond, 600 * time.Millisecond
+	for _, patience := range []time.Duration{800 * time.Millisecond, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			tables := &lateTables{}
+			chain := startingChain(tables, &latePicker{from: start.Add(targetsAfter)})
+			time.AfterFunc(tableAfter, func() { tables.holder.Apply(startingTable()) })
+			var callers sync.WaitGroup
+			for at := time.Duration(0); at < targetsAfter; at += 20 * time.Millisecond {
+				callers.Go(func() {
+					time.Sleep(at)
+					x := &Exchange{Host: "h", Path: "/", Received: time.Now(), Patience: patience, Deadline: time.Now().Add(patience)}
+					err := chain.Run(t.Context(), x)
+					took := time.Since(x.Received)
+					x.End()
+					switch rejection := (*Rejection)(nil); {
+					case errors.As(err, &rejection):
+						if rejection.Outcome() != OutcomeNotRun || rejection.RetryAfter == 0 {
+							t.Errorf("asked at %v: outcome %s, come back after %v", at, rejection.Outcome(), rejection.RetryAfter)
+						}
+						if took > patience/warmupWaitShare || at+patience/warmupWaitShare > targetsAfter {
+							t.Errorf("asked at %v with %v of patience: refused after %v", at, patience, took)
+						}
+					case err != nil:
+						t.Errorf("asked at %v: %v", at, err)
+					case at+took > targetsAfter+warmupPoll:
+						t.Errorf("asked at %v: answered after %v", at, took)
+					}
+				})
+			}
+			callers.Wait()
+		})
+	}
+}
+
+// TestNobodyWaitsAfterWarmup asks a router that has had its time and still lacks a
+// table: it refuses at once.
+func TestNobodyWaitsAfterWarmup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		chain := startingChain(&lateTables{}, &latePicker{})
+		time.Sleep(warmupTime)
+		began := time.Now()
+		x := &Exchange{Host: "h", Path: "/", Received: began, Deadline: began.Add(10 * time.Second)}
+		var rejection *Rejection
+		if err := chain.Run(t.Context(), x); !errors.As(err, &rejection) || time.Since(began) > 0 {
+			t.Errorf("%v after %v, want a refusal at once", err, time.Since(began))
+		}
+	})
+}
+
+// TestWarmupIsBounded has more requests, and larger ones, than a router has room for.
+func TestWarmupIsBounded(t *testing.T) {
+	for name, c := range map[string]struct{ requests, body int }{
+		"many requests": {maxWarmupRequests, 0},
+		"large bodies":  {2, maxWarmupBytes / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := NewWarmup(time.Now())
+				ask := func() (waited time.Duration) {
+					began := time.Now()
+					w.await(t.Context(), &Exchange{Received: began, Body: make([]byte, c.body)}, nil)
+					return time.Since(began)
+				}
+				var callers sync.WaitGroup
+				for range c.requests {
+					callers.Go(func() {
+						if waited := ask(); waited != warmupTime {
+							t.Errorf("one within the bounds waited %v", waited)
+						}
+					})
+				}
+				synctest.Wait()
+				w.bytes.Add(1)
+				if waited := ask(); waited > 0 {
+					t.Errorf("one beyond the bounds waited %v", waited)
+				}
+				w.bytes.Add(-1)
+				callers.Wait()
+				if w.requests.Load() != 0 || w.bytes.Load() != 0 {
+					t.Errorf("%d requests and %d bytes are still counted", w.requests.Load(), w.bytes.Load())
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,7 +69,7 @@
 		first:    scope.Histogram("first_byte", firstByteBuckets),
 		outcomes: scope,
 	}
-	warmup := filter.Warmup{Started: time.Now()}
+	warmup := filter.NewWarmup(time.Now())
 	chain, err := filter.Build(filter.RoutedSpec,
 		&filter.Route{Tables: c.Tables, Warmup: warmup},
 		&filter.Team{Counts: balance.NewTeams()},
--- a/internal/routesync/sync.go
+++ b/internal/routesync/sync.go
@@ -30,6 +30,8 @@
 	// compareInterval lies between two comparisons with the numbers that other
 	// instances announce.
 	compareInterval = 150 * time.Millisecond
+	// firstCompareInterval is that of an instance that has no table yet.
+	firstCompareInterval = 25 * time.Millisecond
 	// callTimeout bounds one push or fetch.
 	callTimeout = 1200 * time.Millisecond
 	// pushesAtOnce bounds the pushes of one table that run at the same time.
@@ -125,20 +127,29 @@
 
 // Run applies, pushes and fetches tables until ctx ends.
 func (s *Sync) Run(ctx context.Context) {
-	ticker := time.NewTicker(compareInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(firstCompareInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wake:
 			s.takePending(ctx)
-		case <-ticker.C:
+		case <-timer.C:
 			s.compare(ctx)
+			timer.Reset(s.nextCompare())
 		}
 	}
 }
 
+// nextCompare returns the time to the next comparison.
+func (s *Sync) nextCompare() time.Duration {
+	if s.cfg.Holder.Number() == 0 {
+		return firstCompareInterval
+	}
+	return compareInterval
+}
+
 func (s *Sync) takePending(ctx context.Context) {
 	s.mu.Lock()
 	next := s.pending
