Membership: the views of routers and of targets are made apart

Cause: at the start of a fleet of 300 instances and 3,000 targets nothing was served and replicas spent all of their processor.

What HTTP costs is untouched.

TestViewsChangeApart.

--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -60,11 +60,13 @@
 	// earlier.
 	lapseDue time.Time
 
-	// changes counts changes that a reader of the view can see.
-	changes uint64
-	out     []packet
-	events  []viewEvent
-	counts  counts
+	// routerChanges and targetChanges count the changes of routers and of targets that
+	// a reader of the view can see.
+	routerChanges uint64
+	targetChanges uint64
+	out           []packet
+	events        []viewEvent
+	counts        counts
 }
 
 // packet is one datagram to send.
@@ -285,7 +287,7 @@
 		c.publishSelf(func(s *pb.RouterStatus) { s.RoutingTable = number })
 	default:
 		c.self.status = withRoutingTable(c.self.status, number)
-		c.changes++
+		c.routerChanges++
 	}
 }
 
@@ -296,7 +298,7 @@
 		return
 	}
 	e.status = withRoutingTable(e.status, number)
-	c.changes++
+	c.routerChanges++
 }
 
 // withRoutingTable copies a status, since readers may hold it.
@@ -314,7 +316,7 @@
 	c.self.status = status
 	c.self.rehash()
 	c.news.add(routerNews, status.Id)
-	c.changes++
+	c.routerChanges++
 }
 
 // leave tells some peers that this router is gone; it takes no part after.
--- a/internal/member/faults_test.go
+++ b/internal/member/faults_test.go
@@ -67,7 +67,7 @@
 			if !n.running {
 				continue
 			}
-			for _, st := range n.core.snapshot(w.now).targets {
+			for _, st := range n.core.targetView(w.now).targets {
 				checkNewWork(t, w, n, st.Id, st.Incarnation, st.Leaving)
 			}
 		}
@@ -107,11 +107,10 @@
 			continue
 		}
 		var haveRouters, haveTargets []string
-		view := n.core.snapshot(w.now)
-		for _, r := range view.routers {
+		for _, r := range n.core.routerView().routers {
 			haveRouters = append(haveRouters, fmt.Sprint(r.Id, " ", r.Incarnation))
 		}
-		for _, st := range view.targets {
+		for _, st := range n.core.targetView(w.now).targets {
 			if !st.Leaving {
 				haveTargets = append(haveTargets, fmt.Sprint(st.Id, " ", st.Incarnation))
 			}
@@ -265,7 +264,7 @@
 		}
 		runChecked(t, w, newWorkBound+time.Second)
 		for _, n := range w.nodes[:side] {
-			if left := n.core.snapshot(w.now).targets; len(left) > 0 {
+			if left := n.core.targetView(w.now).targets; len(left) > 0 {
 				t.Fatalf("%s still knows %v", n.status.Id, left)
 			}
 		}
@@ -552,7 +551,7 @@
 		}
 		w.run(time.Second)
 		known := 0
-		for _, r := range missed.core.snapshot(w.now).routers {
+		for _, r := range missed.core.routerView().routers {
 			if r.RoutingTable == number {
 				known++
 			}
--- a/internal/member/fuzz_test.go
+++ b/internal/member/fuzz_test.go
@@ -50,7 +50,8 @@
 		for range 3 {
 			c.receive(now, "10.0.0.2:1", m)
 			c.tick(now)
-			c.snapshot(now)
+			c.routerView()
+			c.targetView(now)
 			now = now.Add(time.Second)
 		}
 		for _, p := range c.packets() {
--- a/internal/member/loads.go
+++ b/internal/member/loads.go
@@ -57,7 +57,7 @@
 	}
 	e.status = next
 	e.loadAt = at
-	c.changes++
+	c.targetChanges++
 }
 
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -40,7 +40,9 @@
 
 	mu   sync.Mutex
 	core *core
-	snap *snapshot
+	// routers and targets are what readers were given last.
+	routers *routerView
+	targets *targetView
 
 	// wake tells the timer loop that the next due time may have changed.
 	wake chan struct{}
@@ -272,24 +274,33 @@
 	m.done.Wait()
 }
 
-func (m *Members) view() *snapshot {
+func (m *Members) routerView() *routerView {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.routers.valid(m.core) {
+		m.routers = m.core.routerView()
+	}
+	return m.routers
+}
+
+func (m *Members) targetView() *targetView {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	if !m.snap.valid(m.core, now) {
-		m.snap = m.core.snapshot(now)
+	if !m.targets.valid(m.core, now) {
+		m.targets = m.core.targetView(now)
 	}
-	return m.snap
+	return m.targets
 }
 
 // Self returns this router's own status.
-func (m *Members) Self() *pb.RouterStatus { return m.view().self }
+func (m *Members) Self() *pb.RouterStatus { return m.routerView().self }
 
 // Routers returns the routers believed alive, this one included, by id.
-func (m *Members) Routers() []*pb.RouterStatus { return m.view().routers }
+func (m *Members) Routers() []*pb.RouterStatus { return m.routerView().routers }
 
 // Targets returns the targets whose lease at this router holds, by id.
-func (m *Members) Targets() []*pb.TargetStatus { return m.view().targets }
+func (m *Members) Targets() []*pb.TargetStatus { return m.targetView().targets }
 
 // Target returns one target, or nil if its lease at this router ended.
-func (m *Members) Target(id string) *pb.TargetStatus { return m.view().byID[id] }
+func (m *Members) Target(id string) *pb.TargetStatus { return m.targetView().byID[id] }
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -99,3 +100,32 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// TestViewsChangeApart has many targets announce themselves for the first time, as they
+// do to a replica after the start of a large fleet, which reads the routers at each
+// announcement: a view of the routers is not made anew for a change of a target, nor
+// the other way round.
+func TestViewsChangeApart(t *testing.T) {
+	m := startMember(t, "a")
+	routers := m.routerView()
+	for i := range 100 {
+		st := &pb.TargetStatus{Id: fmt.Sprint("target-", i), Addr: "127.0.0.1:1", Incarnation: 1, Sequence: 1}
+		if err := m.Announce(st, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		if m.routerView() != routers {
+			t.Fatalf("target %d had the routers listed again", i)
+		}
+	}
+	targets := m.targetView()
+	if len(targets.targets) != 100 {
+		t.Errorf("%d targets are listed, want 100", len(targets.targets))
+	}
+	m.SetState(pb.RouterState_ROUTER_STATE_DRAINING)
+	if m.Self().State != pb.RouterState_ROUTER_STATE_DRAINING {
+		t.Error("the changed state is not seen")
+	}
+	if m.targetView() != targets {
+		t.Error("a router's state had the targets listed again")
+	}
+}
--- a/internal/member/routers.go
+++ b/internal/member/routers.go
@@ -131,7 +131,7 @@
 	c.routers[d.Status.Id] = e
 	e.rehash()
 	c.news.add(routerNews, d.Status.Id)
-	c.changes++
+	c.routerChanges++
 	switch {
 	case d.Dead:
 		c.declareDead(now, e, d.Status.State)
@@ -167,7 +167,7 @@
 		c.note(e, eventDead)
 	}
 	c.news.add(routerNews, e.status.Id)
-	c.changes++
+	c.routerChanges++
 }
 
 func (c *core) expireSuspicions(now time.Time) {
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -155,7 +155,7 @@
 		e.described = st.Sequence
 		e.rehash()
 		c.targetsChanged()
-		c.changes++
+		c.targetChanges++
 	}
 	return changed
 }
@@ -177,7 +177,7 @@
 	c.targetsChanged()
 	c.history.set(st.Id, st.Incarnation, st.Leaving)
 	c.noteTarget(st.Id, st.Incarnation, eventTargetAppeared)
-	c.changes++
+	c.targetChanges++
 	return true
 }
 
@@ -186,7 +186,7 @@
 	delete(c.byKey, e.key)
 	e.removed = true
 	c.targetsChanged()
-	c.changes++
+	c.targetChanges++
 }
 
 // markLeaving ends an incarnation for new work, for good.
@@ -207,7 +207,7 @@
 	e.status = next
 	e.rehash()
 	c.targetsChanged()
-	c.changes++
+	c.targetChanges++
 }
 
 // renew takes the proof that the target announced itself at provenAt or later.
@@ -215,7 +215,7 @@
 	invariant.Check(!provenAt.After(now), "target proven in the future", "target", e.status.Id)
 	if provenAt.After(e.fresh) {
 		if !c.leased(now, e) {
-			c.changes++
+			c.targetChanges++
 		}
 		if !c.present(now, e) {
 			c.targetsChanged()
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -9,45 +9,67 @@
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
-// snapshot is the view as readers see it, until the core changes or the first
-// lease in it ends.
-type snapshot struct {
+// routerView is what readers see of the routers, until the core changes one. It is
+// apart from the targets' view: at a start each announcement of thousands of targets
+// changes that, and is answered by what is known of the routers.
+type routerView struct {
 	changes uint64
-	until   time.Time
 	self    *pb.RouterStatus
 	routers []*pb.RouterStatus
-	targets []*pb.TargetStatus
-	byID    map[string]*pb.TargetStatus
 }
 
-// farFuture ends a snapshot without leases.
-const farFuture = 365 * 24 * time.Hour
-
-func (c *core) snapshot(now time.Time) *snapshot {
-	s := &snapshot{
-		changes: c.changes,
-		until:   now.Add(farFuture),
+func (c *core) routerView() *routerView {
+	v := &routerView{
+		changes: c.routerChanges,
 		self:    c.self.status,
 		routers: []*pb.RouterStatus{c.self.status},
-		byID:    make(map[string]*pb.TargetStatus),
 	}
 	for _, e := range c.routers {
 		if e.state != dead {
-			s.routers = append(s.routers, e.status)
+			v.routers = append(v.routers, e.status)
 		}
 	}
+	slices.SortFunc(v.routers, func(a, b *pb.RouterStatus) int { return strings.Compare(a.Id, b.Id) })
+	return v
+}
+
+// valid tells whether readers may still use the view.
+func (v *routerView) valid(c *core) bool { return v != nil && v.changes == c.routerChanges }
+
+// targetView is what readers see of the targets, until the core changes one or the
+// first lease in it ends.
+type targetView struct {
+	changes uint64
+	until   time.Time
+	targets []*pb.TargetStatus
+	byID    map[string]*pb.TargetStatus
+}
+
+// farFuture ends a view without leases.
+const farFuture = 365 * 24 * time.Hour
+
+func (c *core) targetView(now time.Time) *targetView {
+	v := &targetView{
+		changes: c.targetChanges,
+		until:   now.Add(farFuture),
+		byID:    make(map[string]*pb.TargetStatus),
+	}
 	for id, e := range c.targets {
 		if !c.leased(now, e) {
 			continue
 		}
 		c.assertListed(e)
-		s.until = earliest(s.until, e.fresh.Add(c.iv.TargetLease))
-		s.targets = append(s.targets, e.status)
-		s.byID[id] = e.status
+		v.until = earliest(v.until, e.fresh.Add(c.iv.TargetLease))
+		v.targets = append(v.targets, e.status)
+		v.byID[id] = e.status
 	}
-	slices.SortFunc(s.routers, func(a, b *pb.RouterStatus) int { return strings.Compare(a.Id, b.Id) })
-	slices.SortFunc(s.targets, func(a, b *pb.TargetStatus) int { return strings.Compare(a.Id, b.Id) })
-	return s
+	slices.SortFunc(v.targets, func(a, b *pb.TargetStatus) int { return strings.Compare(a.Id, b.Id) })
+	return v
+}
+
+// valid tells whether readers may still use the view.
+func (v *targetView) valid(c *core, now time.Time) bool {
+	return v != nil && v.changes == c.targetChanges && now.Before(v.until)
 }
 
 // assertListed checks that a listed target is the last known incarnation and
@@ -60,8 +82,3 @@
 	returned := e.status.Incarnation < past.incarnation || past.left && !e.status.Leaving
 	invariant.Check(!returned, "ended target returns", "target", e.status.Id, "incarnation", e.status.Incarnation, "known", past.incarnation)
 }
-
-// valid tells whether readers may still use the snapshot.
-func (s *snapshot) valid(c *core, now time.Time) bool {
-	return s != nil && s.changes == c.changes && now.Before(s.until)
-}
