Streams that stall while bytes still come are resumed elsewhere; an event is at most 64 KB

From the users' list of faults elsewhere: stalled streams that send a byte now and then never ended, and bytes without end. Here each byte restarted the wait of a resumable stream, so comments, blank lines or half an event kept it at its target until the deadline; and an event might grow to 1 MB, so a thousand such streams took more than a router has.

Change: progress is an event with more than comments; events are bounded by 64 KB. Slow but sound streams keep their bound.

Ruled out, by reading: heads are bounded at 64 KB and by the wait for the first byte; plain bodies pass through 16 KB at a time and end with the deadline.

TestStalledStreams, TestEndlessEvent (before: 'resumed: false, want true', '1000 streams may hold bytes').

--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/balance"
@@ -378,3 +379,115 @@
 		}
 	}
 }
+
+// tricklingBody sends its events at once, then one piece after each pause without end.
+type tricklingBody struct {
+	events *strings.Reader
+	piece  string
+	pause  time.Duration
+}
+
+func (b *tricklingBody) Read(p []byte) (int, error) {
+	if n, err := b.events.Read(p); err == nil {
+		return n, nil
+	}
+	time.Sleep(b.pause)
+	return copy(p, b.piece), nil
+}
+
+func (*tricklingBody) Close() error { return nil }
+
+// TestStalledStreams has a target send bytes but no event: the stream goes on
+// elsewhere after the longest pause that the route allows. A slow but sound stream is
+// left alone.
+func TestStalledStreams(t *testing.T) {
+	const gapGoal = 500 * time.Millisecond
+	bound := max(streamSilenceGaps*gapGoal, minStreamSilence)
+	for name, c := range map[string]struct {
+		piece   string
+		pause   time.Duration
+		resumed bool
+	}{
+		"comments":           {": wait\n\n", 100 * time.Millisecond, true},
+		"blank lines":        {"\n\n", 100 * time.Millisecond, true},
+		"half an event":      {"x", 100 * time.Millisecond, true},
+		"slow but in bounds": {"data: x\n\n", bound - time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := routedExchange(routing.Stream, true)
+				x.Route.GapGoal = gapGoal
+				x.Deadline = time.Now().Add(time.Minute)
+				s := &script{t: t, tries: []scriptedTarget{{status: 200}, {status: 200, events: events(3, 4)}}}
+				d := &Dispatch{
+					Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
+					Sends:   &allowedSends{left: 9},
+					Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+					Warmup:  NewWarmup(time.Time{}),
+				}
+				next := func(ctx context.Context, x *Exchange) error {
+					first := len(s.lastEvents) == 0
+					err := s.next(ctx, x)
+					if first {
+						x.Answer.Body = &tricklingBody{events: strings.NewReader(events(1, 2)), piece: c.piece, pause: c.pause}
+					}
+					return err
+				}
+				if err := d.Handle(t.Context(), x, next); err != nil {
+					t.Fatal(err)
+				}
+				began := time.Now()
+				got := readFor(x.Answer.Body, 10*time.Second)
+				if resumed := len(s.lastEvents) == 2; resumed != c.resumed {
+					t.Fatalf("resumed: %t, want %t; read %q", resumed, c.resumed, got)
+				}
+				if c.resumed && (!strings.HasSuffix(got, events(3, 4)) || time.Since(began) > bound+c.pause) {
+					t.Errorf("read %q after %v", got, time.Since(began))
+				}
+			})
+		})
+	}
+}
+
+// readFor reads a body until it ends, or for about the time given.
+func readFor(body io.Reader, length time.Duration) string {
+	var all strings.Builder
+	buf := make([]byte, 256)
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		n, err := body.Read(buf)
+		all.Write(buf[:n])
+		if err != nil {
+			break
+		}
+	}
+	return all.String()
+}
+
+// TestEndlessEvent has a thousand targets send bytes without end that make no event:
+// each stream ends once its event is over the bound, which also bounds the memory.
+func TestEndlessEvent(t *testing.T) {
+	const streams, memory = 1000, 96 << 20
+	if streams*maxEventBytes > memory {
+		t.Errorf("%d streams may hold %d bytes, want %d at most", streams, streams*maxEventBytes, memory)
+	}
+	x := routedExchange(routing.Stream, false)
+	x.Deadline = time.Now().Add(time.Minute)
+	work := &dispatch{Dispatch: &Dispatch{}, x: x}
+	work.choice.Target = &pb.TargetStatus{Id: "t"}
+	read := 0
+	stream := newEventStream(t.Context(), work, io.NopCloser(endless{&read}))
+	if _, err := io.ReadAll(stream); err == nil || read > maxEventBytes+eventReadBytes {
+		t.Errorf("%d bytes were read, error %v", read, err)
+	}
+}
+
+// endless sends one byte value without end.
+type endless struct{ read *int }
+
+func (e endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	*e.read += len(p)
+	return len(p), nil
+}
--- a/internal/filter/events.go
+++ b/internal/filter/events.go
@@ -19,8 +19,9 @@
 	// at least minStreamSilence, is how long a resumable stream may be silent.
 	streamSilenceGaps = 4
 	minStreamSilence  = 1500 * time.Millisecond
-	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event: a thousand streams that end none fit in the
+	// memory of a small router.
+	maxEventBytes = 64 << 10
 	// eventReadBytes is the most that is read at a time.
 	eventReadBytes = 8 << 10
 )
@@ -28,6 +29,9 @@
 // errOrder means that a resumed stream did not go on where it was cut.
 var errOrder = errors.New("the resumed stream does not go on after the last event")
 
+// errStalled means that a target sent bytes, but no event, for longer than allowed.
+var errStalled = errors.New("the stream sent no event in time")
+
 // eventStream passes whole events on. A stream that ends early is resumed at
 // another target after the last whole event, where the route permits it.
 type eventStream struct {
@@ -44,11 +48,26 @@
 	// passed tells that an event was read, resumed that the order is checked.
 	passed  bool
 	resumed bool
-	err     error
+	// progress is when the present target last sent an event, or was asked. Pieces of
+	// an event and comments are no progress.
+	progress time.Time
+	// maxPause is the longest time without progress.
+	maxPause time.Duration
+	err      error
 }
 
 func newEventStream(ctx context.Context, work *dispatch, body io.ReadCloser) *eventStream {
-	return &eventStream{ctx: ctx, work: work, body: body, buf: make([]byte, eventReadBytes), lastID: work.x.LastEvent}
+	s := &eventStream{ctx: ctx, work: work, buf: make([]byte, eventReadBytes), lastID: work.x.LastEvent}
+	s.begin(body)
+	return s
+}
+
+// begin reads on from a target's answer.
+func (s *eventStream) begin(body io.ReadCloser) {
+	now := time.Now()
+	s.body = body
+	s.progress = now
+	s.maxPause = Waits(s.work.x, now).BetweenBytes
 }
 
 // Read returns whole events.
@@ -75,7 +94,11 @@
 		s.split()
 	}
 	switch {
-	case s.err != nil || err == nil:
+	case s.err != nil:
+	case err == nil:
+		if time.Since(s.progress) > s.maxPause {
+			s.cut(errs.Wrap(errStalled, StepDispatch, s.work.choice.Target.Id))
+		}
 	case errors.Is(err, io.EOF):
 		// What follows the last whole event belongs to the body as well.
 		s.ready = append(s.ready, s.partial...)
@@ -101,6 +124,9 @@
 			s.err = errs.Wrap(errOrder, StepDispatch, s.work.choice.Target.Id)
 			return
 		}
+		if !isComment(event) {
+			s.progress = time.Now()
+		}
 		s.ready = append(s.ready, event...)
 		s.partial = s.partial[len(event):]
 	}
@@ -128,6 +154,16 @@
 	return true
 }
 
+// isComment tells whether all lines of an event are comments or empty.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if text := bytes.TrimSpace(line); len(text) > 0 && text[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the event's id field, "" without one.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
@@ -164,5 +200,5 @@
 	}
 	// Without an event so far, the stream begins anew.
 	s.resumed = s.passed
-	s.body = next.Body
+	s.begin(next.Body)
 }
