What targets say of themselves in answers is heeded: that they leave, and for how long they want nothing

A target that leaves says so in all its answers, and one that turns a request away with 503 may say for how long it wants nothing from that router; neither was read.

Change: the platform folder reads both into filter.Hints, dispatch hands them on, the balancer keeps the target out of all choices, the last resort included, and the membership spreads that it leaves as news (not told to each directly: many routers find out at the same moment). Where all targets of a service want nothing, callers are refused at once ('targets-paused') with the time of the first.

Ruled out: a probe or a trial request to a paused target.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -84,6 +84,10 @@
 	inFlight int
 	health   health
 	seen     time.Time
+	// pausedUntil is until when the target wants no requests from this router, and
+	// leaving tells that it said in an answer that it leaves.
+	pausedUntil time.Time
+	leaving     bool
 }
 
 // New makes a balancer over the targets of view; onHealth may be nil.
@@ -117,7 +121,7 @@
 	all := b.candidates(now, r)
 	chosen := b.choose(r, all)
 	if chosen.target == nil {
-		return Choice{}, ErrNoTarget
+		return Choice{}, none(all)
 	}
 	return b.take(chosen, all), nil
 }
@@ -195,7 +199,8 @@
 			mean:     max(float64(t.inFlight), b.shared.mean(now, loadKey(st))),
 			capacity: capacity(st, r.Slots),
 			sound:    t.health.available(now),
-			leaving:  st.Leaving,
+			leaving:  st.Leaving || t.leaving,
+			paused:   t.pausedUntil.Sub(now),
 			excluded: slices.Contains(r.Exclude, st.Id),
 		})
 	}
--- a/internal/balance/prompt.go
+++ b/internal/balance/prompt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
@@ -35,9 +36,12 @@
 	sound    bool
 	leaving  bool
 	excluded bool
+	// paused is how much longer the target wants no requests from this router; it
+	// does if that is zero or less.
+	paused time.Duration
 }
 
-func (c *candidate) eligible() bool { return !c.leaving && !c.excluded }
+func (c *candidate) eligible() bool { return !c.leaving && !c.excluded && c.paused <= 0 }
 
 // placed is the target for a request and the one to copy cached parts of its
 // prompt from; nil where there is none.
--- a/internal/filter/answer.go
+++ b/internal/filter/answer.go
@@ -23,4 +23,6 @@
 	Replayed bool
 	// NotRun tells that the target declares not to have run the request.
 	NotRun bool
+	// Hints are what the target says of itself.
+	Hints Hints
 }
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -35,7 +35,9 @@
 	// Prepare sets the headers for one target on the exchange; holder may hold
 	// cached parts of the prompt and may be nil.
 	Prepare func(x *Exchange, target, holder *pb.TargetStatus)
-	Warmup  *Warmup
+	// Heed takes what a target said of itself in the answer to a request; may be nil.
+	Heed   func(target *pb.TargetStatus, requestID string, h Hints)
+	Warmup *Warmup
 	// Patience tells callers that come back from those that ask first.
 	Patience *Patience
 }
@@ -188,6 +190,14 @@
 			RetryAfter: busyReturn(rand.Float64()),
 		})
 	}
+	if paused := (*balance.PausedError)(nil); errors.As(err, &paused) {
+		return d.x.Reject(Rejection{
+			Code:       "targets-paused",
+			Message:    fmt.Sprintf("service %s: %v", d.x.Demand.Service, err),
+			Step:       StepDispatch,
+			RetryAfter: spreadReturn(paused.For, rand.Float64()),
+		})
+	}
 	return d.x.Reject(Rejection{
 		Code:       "no-target",
 		Message:    fmt.Sprintf("service %s: %v", d.x.Demand.Service, err),
@@ -236,6 +246,7 @@
 // judge takes an answer, or drops it if another target may do better.
 func (d *dispatch) judge(c balance.Choice) error {
 	a := d.x.Answer
+	d.heed(c.Target, a)
 	switch {
 	case a.NotRun:
 		d.drop()
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -31,6 +31,8 @@
 	// NotRun tells whether an answer declares that the request did not run; nil
 	// if targets never do.
 	NotRun func(status int, h http.Header) bool
+	// Hints returns what an answer says of its target; nil if targets say nothing.
+	Hints func(status int, h http.Header) Hints
 }
 
 // Name returns the filter's name in specs.
@@ -59,6 +61,9 @@
 	if f.NotRun != nil {
 		x.Answer.NotRun = f.NotRun(a.Status, a.Header)
 	}
+	if f.Hints != nil {
+		x.Answer.Hints = f.Hints(a.Status, a.Header)
+	}
 	return next(ctx, x)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,9 @@
 	Prepare func(x *filter.Exchange, target, holder *pb.TargetStatus)
 	// NotRun tells whether an answer declares that its request did not run.
 	NotRun func(status int, h http.Header) bool
+	// Hints returns what an answer says of its target, and Heed takes it.
+	Hints func(status int, h http.Header) filter.Hints
+	Heed  func(target *pb.TargetStatus, requestID string, h filter.Hints)
 	// Observer takes the records of finished requests; may be nil.
 	Observer filter.Observer
 	Logger   *log.Logger
@@ -73,11 +76,12 @@
 	chain, err := filter.Build(filter.RoutedSpec,
 		&filter.Route{Tables: c.Tables, Warmup: warmup},
 		&filter.Team{Counts: balance.NewTeams()},
-		&filter.Dispatch{Picker: c.Picker, Sends: c.Sends, Prepare: c.Prepare, Warmup: warmup, Patience: filter.NewPatience()},
+		&filter.Dispatch{Picker: c.Picker, Sends: c.Sends, Prepare: c.Prepare, Heed: c.Heed, Warmup: warmup, Patience: filter.NewPatience()},
 		&filter.Forward{
 			Sender:   g.client,
 			Timeouts: func(x *filter.Exchange) filter.Timeouts { return filter.Waits(x, time.Now()) },
 			NotRun:   c.NotRun,
+			Hints:    c.Hints,
 		},
 	)
 	g.chain = chain
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -59,11 +59,12 @@
 	// TargetLease is how long a target is listed without news of it.
 	TargetLease time.Duration
 	SendLimits  balance.SendLimits
-	// Decode reads routing tables; Dialect, Prepare and NotRun speak to targets.
+	// Decode reads routing tables; Dialect, Prepare, NotRun and Hints speak to targets.
 	Decode  routesync.Decode
 	Dialect *forward.Dialect
 	Prepare func(x *filter.Exchange, target, holder *pb.TargetStatus)
 	NotRun  func(status int, h http.Header) bool
+	Hints   func(status int, h http.Header) filter.Hints
 	Logger  *log.Logger
 }
 
--- a/internal/instance/routed_parts.go
+++ b/internal/instance/routed_parts.go
@@ -7,6 +7,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/budget"
 	"github.com/wigeonwood/wigeonwood/internal/control"
+	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
 	"github.com/wigeonwood/wigeonwood/internal/gateway"
 	"github.com/wigeonwood/wigeonwood/internal/member"
@@ -137,6 +138,8 @@
 		Forward:  forward.Config{Dialect: in.cfg.Dialect, Scope: in.scope},
 		Prepare:  in.cfg.Prepare,
 		NotRun:   in.cfg.NotRun,
+		Hints:    in.cfg.Hints,
+		Heed:     in.heed,
 		Observer: in.reports.observer(),
 		Logger:   in.logger,
 		Scope:    in.scope,
@@ -163,6 +166,20 @@
 	return n
 }
 
+// heed takes what a target said of itself in the answer to a request. That it leaves
+// is final, and all hear of it.
+func (in *Routed) heed(target *pb.TargetStatus, requestID string, h filter.Hints) {
+	changed := in.balancer.Pause(target, h.Pause)
+	if h.Leaving && in.balancer.Leave(target) {
+		changed = true
+		in.members.NoteLeaving(target.Id, target.Incarnation)
+	}
+	if changed {
+		in.logger.Info().Str("step", "heed").Str("peer", target.Id).Uint64("incarnation", target.Incarnation).Str("request_id", requestID).
+			Bool("leaving", h.Leaving).Int64("pause_ms", h.Pause.Milliseconds()).Msg("a target wants no more requests")
+	}
+}
+
 // logHealth tells that a target is avoided, or no longer.
 func (in *Routed) logHealth(c balance.HealthChange) {
 	in.logger.Warn().Str("step", "health").Str("peer", c.Target.Id).Str("service", c.Target.Service).
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -212,6 +212,14 @@
 	})
 }
 
+// NoteLeaving ends an incarnation of a target for new work, for good. Others hear of it
+// as news: many routers may find out at the same time.
+func (m *Members) NoteLeaving(id string, incarnation uint64) {
+	m.do(func(c *core, now time.Time) {
+		c.describe(now, &pb.TargetStatus{Id: id, Incarnation: incarnation, Leaving: true})
+	})
+}
+
 // TargetGone ends the known incarnation of a target for new work, for good. It
 // returns false if none is known.
 func (m *Members) TargetGone(id string) bool {
