Whole tables are handed out one after another, and a busy instance names another

The table has 275 KB, some 30 KB packed. Each replica packed it anew for each router (20 ms on 0.08 cores) and sent it to up to eight at once over 3 Mbit/s, so that all got it late and none could pass it on meanwhile.

Change: a table is packed once. One over 8 KB is sent when the one before is through, by the rates 256 KB/s (replica) and 768 KB/s (router); until then the instance answers a fetch by naming one that it handed the table to. A router without a table that was turned away asks again after 150 ms, not 25.

Ruled out: the election (0.3 s after the third replica); targets' heartbeats come later than the table there, too, and bind now.

TestTableReachesAStartingFleet, TestHandout, TestLargeTableReachesRouters.

--- /dev/null
+++ b/internal/routesync/handout_test.go
@@ -0,0 +1,149 @@
+package routesync
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/testkit"
+)
+
+// TestTableReachesAStartingFleet replays the start of 291 routers that ask nine
+// replicas for a table of 32 KB, over links of 3 and 10 Mbit/s that all senders of an
+// instance share: all have it within two of the three seconds after which such a fleet
+// must serve again. Without bounds on what is sent at once, 224 have it after ten.
+func TestTableReachesAStartingFleet(t *testing.T) {
+	const (
+		replicas, routers = 9, 291
+		tableBytes        = 32 << 10
+		replicaLink       = 3_000_000 / 8
+		routerLink        = 10_000_000 / 8
+		tick              = 5 * time.Millisecond
+		bound             = 2 * time.Second
+	)
+	type instance struct {
+		handout
+		has bool
+		// link is in bytes a second; sending are the bytes left for each receiver.
+		link    int
+		rate    int
+		sending map[int]int
+		// askAt is when it asks next.
+		askAt time.Time
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	start := time.Unix(1000, 0)
+	all := make([]*instance, replicas+routers)
+	for i := range all {
+		all[i] = &instance{link: routerLink, rate: routerHandout, sending: make(map[int]int), askAt: start}
+		if i < replicas {
+			all[i] = &instance{link: replicaLink, rate: replicaHandout, sending: make(map[int]int), has: true}
+		}
+	}
+	ask := func(now time.Time, asker int) {
+		all[asker].askAt = now.Add(compareInterval)
+		at := rng.IntN(replicas)
+		for range maxFetchHops {
+			to := all[at]
+			if !to.has {
+				return
+			}
+			if through, ok := to.allow(now, tableBytes, to.rate); ok {
+				to.sending[asker] = tableBytes
+				to.gave(receiver{addr: fmt.Sprint(asker), from: through})
+				all[asker].askAt = now.Add(callTimeout)
+				return
+			}
+			other := to.other(now, fmt.Sprint(asker), rng.IntN)
+			if other == "" {
+				return
+			}
+			fmt.Sscan(other, &at)
+		}
+	}
+	complete := 0
+	now := start
+	for ; complete < routers && now.Before(start.Add(10*time.Second)); now = now.Add(tick) {
+		for i := replicas; i < len(all); i++ {
+			if !all[i].has && !now.Before(all[i].askAt) {
+				ask(now, i)
+			}
+		}
+		for _, sender := range all {
+			share := int(float64(sender.link)*tick.Seconds()) / max(1, len(sender.sending))
+			for to := range sender.sending {
+				if sender.sending[to] -= share; sender.sending[to] <= 0 {
+					delete(sender.sending, to)
+					all[to].has = true
+					complete++
+				}
+			}
+		}
+	}
+	if took := now.Sub(start); complete < routers || took > bound {
+		t.Errorf("%d of %d routers have the table after %v, want all within %v", complete, routers, took, bound)
+	}
+}
+
+// TestLargeTableReachesRouters has six routers fetch a large table at about the same
+// moment from the one replica that they know: each has it, from there or from another.
+func TestLargeTableReachesRouters(t *testing.T) {
+	replica := startInstance(t, "replica", true)
+	replica.commit(t, 7, 0)
+	at := &pb.RouterStatus{Id: "replica", PeerAddr: replica.members.self.PeerAddr, Replica: true, RoutingTable: 7}
+	var routers []*instance
+	for i := range 6 {
+		router := startInstance(t, fmt.Sprint("router-", i), false)
+		router.members.see(at)
+		routers = append(routers, router)
+	}
+	for _, r := range routers {
+		r.holds(t, 7)
+	}
+	packed, err := held{text: testkit.LargeTable(7)}.pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(packed.Document) <= largeBytes {
+		t.Fatalf("the table of the test has %d bytes packed, want more than %d", len(packed.Document), largeBytes)
+	}
+}
+
+func TestHandout(t *testing.T) {
+	start := time.Unix(1000, 0)
+	first := func(int) int { return 0 }
+	h := handout{}
+	through, ok := h.allow(start, 1000, 1000)
+	if !ok || !through.Equal(start.Add(time.Second)) {
+		t.Errorf("the first table: %v, through at %v", ok, through)
+	}
+	if _, ok := h.allow(start.Add(999*time.Millisecond), 1, 1000); ok {
+		t.Error("a second table is sent before the first is through")
+	}
+	h.gave(receiver{addr: "a", from: through})
+	for _, c := range []struct {
+		now   time.Time
+		asker string
+		want  string
+	}{
+		{start, "b", ""},
+		{through, "a", ""},
+		{through, "b", "a"},
+	} {
+		if got := h.other(c.now, c.asker, first); got != c.want {
+			t.Errorf("asked by %s at %v: %q, want %q", c.asker, c.now.Sub(start), got, c.want)
+		}
+	}
+	for i := range 2 * maxReceivers {
+		h.gave(receiver{addr: fmt.Sprint(i % (maxReceivers + 1)), from: start})
+	}
+	if len(h.receivers) != maxReceivers {
+		t.Errorf("%d receivers are remembered, want %d", len(h.receivers), maxReceivers)
+	}
+	h.begin()
+	if got := h.other(through, "b", first); got != "" {
+		t.Errorf("after a new table: %q", got)
+	}
+}
--- a/internal/routesync/spread.go
+++ b/internal/routesync/spread.go
@@ -4,7 +4,6 @@
 	"context"
 	"iter"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/document"
@@ -19,57 +18,54 @@
 	if len(h.delta) > 0 && h.base == holds {
 		return h.difference(), nil
 	}
-	return h.whole()
+	return h.packed()
 }
 
 func (h held) difference() *pb.RoutingTable {
 	return &pb.RoutingTable{Number: h.number, Base: h.base, Delta: h.delta}
 }
 
-func (h held) whole() (*pb.RoutingTable, error) {
+func (h held) pack() (*pb.RoutingTable, error) {
 	packed, err := document.Pack(h.text)
 	return &pb.RoutingTable{Number: h.number, Document: packed}, err
 }
 
 // push hands the table to the routers that this replica is responsible for.
 func (s *Sync) push(ctx context.Context, h held) {
-	// Most routers take the delta: the whole table is packed for the first that
-	// doesn't.
-	whole := sync.OnceValue(func() *pb.RoutingTable { return s.pack(h) })
 	slots := make(chan struct{}, pushesAtOnce)
 	for rank, r := range responsible(s.cfg.Members.Self().Id, s.cfg.Members.Routers(), h.number, pushCopies) {
 		slots <- struct{}{}
 		go func() {
 			defer func() { <-slots }()
-			s.pushTo(ctx, r, h, rank, whole)
+			s.pushTo(ctx, r, h, rank)
 		}()
 	}
 }
 
-// pack returns the whole table as a message, nil if it can't be packed.
-func (s *Sync) pack(h held) *pb.RoutingTable {
-	t, err := h.whole()
-	if err != nil {
-		s.cfg.Logger.Error().Err(err).Str("step", step).Uint64("number", h.number).Msg("a routing table can't be packed")
-		return nil
-	}
-	return t
-}
-
 // pushTo sends a router the delta if there is one, then the whole table if the
 // router doesn't hold it by then: what is known here of the router's table may be
-// seconds old. A large one is sent by the first replica in the router's order only.
-func (s *Sync) pushTo(ctx context.Context, r *pb.RouterStatus, h held, rank int, whole func() *pb.RoutingTable) {
+// seconds old. A large one is sent by the first replica in the router's order only, as
+// long as the hand-out allows it; the router fetches it elsewhere if not.
+func (s *Sync) pushTo(ctx context.Context, r *pb.RouterStatus, h held, rank int) {
 	if len(h.delta) > 0 {
 		if holds, ok := s.callPush(ctx, r, h.difference()); !ok || holds >= h.number {
 			return
 		}
 	}
-	t := whole()
-	if t == nil || rank > 0 && len(t.Document) > largeBytes {
+	t, err := h.packed()
+	if err != nil {
+		s.cfg.Logger.Error().Err(err).Str("step", step).Uint64("number", h.number).Msg("a routing table can't be packed")
+		return
+	}
+	if rank > 0 && len(t.Document) > largeBytes {
 		return
 	}
-	s.callPush(ctx, r, t)
+	if _, ok := s.mayHandOut(t); !ok {
+		return
+	}
+	if _, ok := s.callPush(ctx, r, t); ok {
+		s.handedOut(t.Number, receiver{addr: r.PeerAddr, from: time.Now()})
+	}
 }
 
 // callPush makes one push; it returns the number that the router holds after it.
@@ -123,28 +119,51 @@
 		return &pb.RoutingReply{}, nil
 	}
 	t, err := h.message(req.Above)
-	return &pb.RoutingReply{Table: t}, err
+	if err != nil {
+		return nil, err
+	}
+	through, ok := s.mayHandOut(t)
+	if !ok {
+		return &pb.RoutingReply{Instead: s.otherReceiver(req.From)}, nil
+	}
+	s.handedOut(t.Number, receiver{addr: req.From, from: through})
+	return &pb.RoutingReply{Table: t}, nil
 }
 
-// compare fetches the table from an instance that announces the highest number,
-// if it is above the own one.
-func (s *Sync) compare(ctx context.Context) {
+// compare fetches the table from an instance that announces the highest number, if it
+// is above the own one, or from one that it names instead. It tells whether any was
+// asked.
+func (s *Sync) compare(ctx context.Context) (asked bool) {
 	own := s.cfg.Holder.Number()
 	best := ahead(s.cfg.Members.Routers(), own)
 	if best == nil {
-		return
+		return false
+	}
+	at := best.PeerAddr
+	for range maxFetchHops {
+		reply, err := s.fetch(ctx, at, own)
+		switch {
+		case err != nil:
+			s.cfg.Logger.Warn().Err(errs.Wrap(err, step, at)).Str("step", step).Str("peer", at).Uint64("number", best.RoutingTable).
+				Msg("a newer routing table was not fetched")
+			return true
+		case reply.Table != nil:
+			s.take(reply.Table, at)
+			return true
+		case reply.Instead == "" || reply.Instead == s.cfg.Members.Self().PeerAddr:
+			return true
+		}
+		at = reply.Instead
 	}
+	return true
+}
+
+func (s *Sync) fetch(ctx context.Context, at string, above uint64) (*pb.RoutingReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply := &pb.RoutingReply{}
-	if err := s.cfg.Pool.Call(ctx, best.PeerAddr, methodFetch, &pb.RoutingFetch{Above: own}, reply); err != nil {
-		s.cfg.Logger.Warn().Err(errs.Wrap(err, step, best.Id)).Str("step", step).Str("peer", best.Id).Uint64("number", best.RoutingTable).
-			Msg("a newer routing table was not fetched")
-		return
-	}
-	if reply.Table != nil {
-		s.take(reply.Table, best.Id)
-	}
+	err := s.cfg.Pool.Call(ctx, at, methodFetch, &pb.RoutingFetch{Above: above, From: s.cfg.Members.Self().PeerAddr}, reply)
+	return reply, err
 }
 
 // ahead returns one of the instances with the highest number above own, or nil.
--- a/internal/routesync/sync.go
+++ b/internal/routesync/sync.go
@@ -77,6 +77,8 @@
 
 	mu   sync.Mutex
 	held held
+	// handout bounds what is sent as whole tables.
+	handout handout
 	// wake is signalled when replicated state brings a table.
 	wake    chan struct{}
 	pending *held
@@ -90,6 +92,8 @@
 	// empty if the table came whole.
 	base  uint64
 	delta []byte
+	// packed makes the whole table as a message, once.
+	packed func() (*pb.RoutingTable, error)
 }
 
 // New registers the methods on cfg.Server, which must not serve yet.
@@ -136,15 +140,16 @@
 		case <-s.wake:
 			s.takePending(ctx)
 		case <-timer.C:
-			s.compare(ctx)
-			timer.Reset(s.nextCompare())
+			asked := s.compare(ctx)
+			timer.Reset(s.nextCompare(asked))
 		}
 	}
 }
 
-// nextCompare returns the time to the next comparison.
-func (s *Sync) nextCompare() time.Duration {
-	if s.cfg.Holder.Number() == 0 {
+// nextCompare returns the time to the next comparison; asked tells that another
+// instance was asked for a table.
+func (s *Sync) nextCompare(asked bool) time.Duration {
+	if !asked && s.cfg.Holder.Number() == 0 {
 		return firstCompareInterval
 	}
 	return compareInterval
@@ -162,11 +167,14 @@
 	if !s.apply(*next, s.cfg.Members.Self().Id) {
 		return
 	}
-	if next.base != before {
+	s.mu.Lock()
+	present := s.held
+	s.mu.Unlock()
+	if present.base != before {
 		// A table was skipped here; the delta is of no use to most others.
-		next.delta = nil
+		present.delta = nil
 	}
-	s.push(ctx, *next)
+	s.push(ctx, present)
 }
 
 // apply puts a table in force here and announces it; false if it was not new.
@@ -189,8 +197,10 @@
 		table = decoded
 	}
 	s.cfg.Holder.Apply(table)
+	next.packed = sync.OnceValues(next.pack)
 	s.mu.Lock()
 	s.held = next
+	s.handout.begin()
 	s.mu.Unlock()
 	s.applied.Inc(1)
 	s.cfg.Members.SetRoutingTable(next.number)
