--- a/cmd/wigeonwood/ports_test.go
+++ b/cmd/wigeonwood/ports_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
+	"os/exec"
 	"sync"
+	"syscall"
 	"testing"
 )
 
@@ -75,7 +78,11 @@
 	}
 }
 
+// tryListen tells whether a port is free. No process is started meanwhile: between its
+// fork and its exec it would hold a copy of the socket, and with it the port.
 func tryListen(addr string) error {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
@@ -109,3 +116,42 @@
 		}
 	}
 }
+
+// TestPortsBesideStartingProcesses looks for ports while other processes are started: a
+// process that is about to start holds copies of all open sockets for a moment, so that
+// a port that was only tried could still be taken.
+func TestPortsBesideStartingProcesses(t *testing.T) {
+	const starters, tries = 4, 1500
+	p := &ports{block: rand.IntN(portBlocks)}
+	defer p.close()
+	stop := make(chan struct{})
+	var starting sync.WaitGroup
+	for range starters {
+		starting.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					if err := exec.Command(os.Args[0], "-test.list=^$").Run(); err != nil {
+						t.Error(err)
+						return
+					}
+				}
+			}
+		})
+	}
+	for range tries {
+		addr, err := p.freeLoopback()
+		if err != nil {
+			t.Error(err)
+			break
+		}
+		if err := tryListen(addr); err != nil {
+			t.Errorf("a port that was free: %v", err)
+			break
+		}
+	}
+	close(stop)
+	starting.Wait()
+}
--- a/internal/member/slopes_test.go
+++ b/internal/member/slopes_test.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"strings"
+
 	"fmt"
 	"runtime"
 	"slices"
@@ -186,3 +188,32 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// BenchmarkSteadyBytes counts what a router sends a second in a fleet of the platform's
+// settings that has settled: by kind of message, and to other data centres.
+func BenchmarkSteadyBytes(b *testing.B) {
+	const settle, length = 8 * time.Second, 3 * time.Second
+	for _, size := range []struct{ routers, targets int }{{30, 300}, {100, 1000}, {300, 3000}} {
+		b.Run(fmt.Sprintf("routers=%d/targets=%d", size.routers, size.targets), func(b *testing.B) {
+			for b.Loop() {
+				w := newLargeWorld(size.routers, size.targets)
+				w.run(settle)
+				byKind := make(map[pb.GossipKind]int)
+				across := 0
+				w.onTransmit = func(from *node, p packet) {
+					bytes := proto.Size(p.msg) + headerBytes + packetOverheadBytes
+					byKind[p.msg.Kind] += bytes
+					if to := w.byAddr[p.to]; to != nil && to.status.DataCentre != from.status.DataCentre {
+						across += bytes
+					}
+				}
+				w.run(length)
+				perRouter := func(bytes int) float64 { return float64(bytes) / length.Seconds() / float64(size.routers) }
+				for kind, bytes := range byKind {
+					b.ReportMetric(perRouter(bytes), strings.TrimPrefix(kind.String(), "GOSSIP_KIND_")+"-B/s")
+				}
+				b.ReportMetric(perRouter(across), "across-B/s")
+			}
+		})
+	}
+}
