Targets that fail a part of their requests are used before callers are refused

All four targets of the plain service fail part of their requests and are avoided in turn (over 200 changes of health each); the home saw one or two sound ones and refused 827 calls as busy while the others would have served about half of theirs.

Change: where the sound targets have all that they serve in time, the home admits to those that are reached and failed at most seven of ten lately, and refuses only then.

Ruled out: using all targets alike once most fail: two of three that fail would get two thirds of what the sound one could serve alone.

TestFailingTargetsBeforeRefusals (before: 'requests by target map[t3:12]').

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -199,6 +199,7 @@
 			mean:     max(float64(t.inFlight), b.shared.mean(now, loadKey(st))),
 			capacity: capacity(st, r.Slots),
 			sound:    t.health.available(now),
+			partly:   t.health.servesInPart(),
 			leaving:  st.Leaving || t.leaving,
 			paused:   t.pausedUntil.Sub(now),
 			excluded: slices.Contains(r.Exclude, st.Id),
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -7,6 +7,9 @@
 	failWeight = 0.2
 	// ejectShare is the failure share from which a target is ejected.
 	ejectShare = 0.45
+	// partlyShare is the failure share up to which an ejected target still serves
+	// enough to be better than a refusal.
+	partlyShare = 0.7
 	// minEjection and maxEjection bound how long an ejected target is avoided.
 	minEjection = 700 * time.Millisecond
 	maxEjection = 5 * time.Second
@@ -41,6 +44,8 @@
 	// trial tells that a request is under way to find out whether an ejected
 	// target has recovered.
 	trial bool
+	// unreachable tells that the last failure was one to reach the target.
+	unreachable bool
 }
 
 // observe takes an outcome at now.
@@ -51,6 +56,7 @@
 	case Served:
 		h.failures -= failWeight * h.failures
 		h.trial = false
+		h.unreachable = false
 		if h.failures < ejectShare {
 			h.ejections = 0
 			h.until = time.Time{}
@@ -58,9 +64,11 @@
 	case Busy:
 		h.trial = false
 	case Unreachable:
+		h.unreachable = true
 		h.failures = max(h.failures+failWeight*(1-h.failures), ejectShare)
 		h.eject(now)
 	case Broken:
+		h.unreachable = false
 		h.failures += failWeight * (1 - h.failures)
 		if h.failures >= ejectShare {
 			h.eject(now)
@@ -86,6 +94,9 @@
 	return !now.Before(h.until) && !h.trial
 }
 
+// servesInPart tells whether the target is reached and serves some of its requests.
+func (h *health) servesInPart() bool { return !h.unreachable && h.failures < partlyShare }
+
 // given notes that a request was given to the target.
 func (h *health) given() {
 	if h.ejections > 0 {
--- a/internal/balance/home.go
+++ b/internal/balance/home.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"slices"
+
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/home"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
@@ -22,16 +24,29 @@
 }
 
 // Open lists the targets that can take a request without a prompt, the sound ones if
-// there are any, in random order.
-func (b *Balancer) Open(r Request) []home.Target {
+// there are any, in random order. Failing are other ones that serve some of their
+// requests, for the time in which the first have all that they serve.
+func (b *Balancer) Open(r Request) (open, failing []home.Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var open []home.Target
-	for _, c := range plainPool(b.candidates(b.now(), r)) {
-		open = append(open, home.Target{Key: loadKey(c.status), Capacity: c.capacity})
+	all := b.candidates(b.now(), r)
+	pool := plainPool(all)
+	for _, c := range all {
+		t := home.Target{Key: loadKey(c.status), Capacity: c.capacity}
+		switch {
+		case slices.Contains(pool, c):
+			open = append(open, t)
+		case c.eligible() && c.partly:
+			failing = append(failing, t)
+		}
 	}
-	b.rng.Shuffle(len(open), func(i, j int) { open[i], open[j] = open[j], open[i] })
-	return open
+	b.shuffle(open)
+	b.shuffle(failing)
+	return open, failing
+}
+
+func (b *Balancer) shuffle(targets []home.Target) {
+	b.rng.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 }
 
 // Observe takes the outcome of another router's request at a target. A home hears of
--- a/internal/balance/prompt.go
+++ b/internal/balance/prompt.go
@@ -31,9 +31,10 @@
 	// are more.
 	mean     float64
 	capacity int
-	// sound tells that the target served its last requests; leaving that it
-	// takes no new ones; excluded that it failed this request.
+	// sound tells that the target served its last requests, partly that it serves some;
+	// leaving that it takes no new ones; excluded that it failed this request.
 	sound    bool
+	partly   bool
 	leaving  bool
 	excluded bool
 	// paused is how much longer the target wants no requests from this router; it
--- a/internal/place/picker.go
+++ b/internal/place/picker.go
@@ -249,7 +249,7 @@
 
 // admit answers as the home.
 func (p *Picker) admit(place home.Place, m *pb.PlaceAsk) *pb.PlaceAnswer {
-	open := p.cfg.Balancer.Open(balance.Request{Service: m.Service, Exclude: m.Exclude})
+	open, failing := p.cfg.Balancer.Open(balance.Request{Service: m.Service, Exclude: m.Exclude})
 	if len(open) == 0 {
 		return &pb.PlaceAnswer{Unknown: true}
 	}
@@ -261,7 +261,12 @@
 	}
 	p.homeMu.Lock()
 	defer p.homeMu.Unlock()
-	target, ok := p.home.Admit(time.Now(), place, ask, open)
+	now := time.Now()
+	target, ok := p.home.Admit(now, place, ask, open)
+	if !ok {
+		// Half a chance is better for the caller than a refusal.
+		target, ok = p.home.Admit(now, place, ask, failing)
+	}
 	return &pb.PlaceAnswer{Target: target, Full: !ok}
 }
 
--- a/internal/place/picker_test.go
+++ b/internal/place/picker_test.go
@@ -261,3 +261,59 @@
 		t.Errorf("target %v, %v", c.Target, err)
 	}
 }
+
+// failAt has a target give outcomes to requests that may go nowhere else.
+func (n *network) failAt(t *testing.T, target string, outcomes ...balance.Outcome) {
+	t.Helper()
+	only := request
+	for _, other := range n.targets {
+		if other.Id != target {
+			only.Exclude = append(only.Exclude, other.Id)
+		}
+	}
+	for _, o := range outcomes {
+		c, err := n.pick(0, only)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Done(o)
+	}
+}
+
+// TestFailingTargetsBeforeRefusals has more requests than the one sound target of a
+// service serves in time, while others fail: those that serve a part of their requests
+// are used before anybody is refused, those that serve none or can't be reached are
+// not.
+func TestFailingTargetsBeforeRefusals(t *testing.T) {
+	n := newNetwork(1, 4)
+	broken := balance.Broken
+	n.failAt(t, "t0", broken, broken, broken)
+	n.failAt(t, "t1", broken, broken, broken, broken, broken, broken, broken, broken, broken, broken)
+	n.failAt(t, "t2", balance.Unreachable)
+	// The places of failed requests are held for a while.
+	time.Sleep(request.Goal)
+	got := make(map[string]int)
+	soundFull := false
+	for {
+		c, err := n.pick(0, request)
+		if errors.Is(err, balance.ErrFull) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[c.Target.Id]++
+		if c.Target.Id == "t0" && !soundFull {
+			soundFull = true
+			if got["t3"] < testPlaces {
+				t.Errorf("a failing target is used with %d requests at the sound one", got["t3"])
+			}
+		}
+		if got[c.Target.Id] > 100 {
+			t.Fatal("nobody is refused")
+		}
+	}
+	if got["t0"] == 0 || got["t1"] > 0 || got["t2"] > 0 {
+		t.Errorf("requests by target %v: want some at t0, which fails in part, none at t1 and t2", got)
+	}
+}
