--- a/internal/filter/warmup.go
+++ b/internal/filter/warmup.go
@@ -42,9 +42,9 @@
 // NewWarmup makes one for a router that starts now.
 func NewWarmup(now time.Time) *Warmup { return &Warmup{started: now} }
 
-// WaitEnd is until when a request that was received at a time may wait. A zero
+// waitEnd is until when a request that was received at a time may wait. A zero
 // deadline sets no bound of its own.
-func (w *Warmup) WaitEnd(received, deadline time.Time) time.Time {
+func (w *Warmup) waitEnd(received, deadline time.Time) time.Time {
 	end := w.started.Add(warmupTime)
 	if deadline.IsZero() {
 		return end
@@ -102,7 +102,7 @@
 // enter counts a request that begins to wait; false if it may not. The context ends
 // with the time for which it may.
 func (w *Warmup) enter(ctx context.Context, x *Exchange) (waiting context.Context, leave func(), ok bool) {
-	end := w.WaitEnd(x.Received, x.Deadline)
+	end := w.waitEnd(x.Received, x.Deadline)
 	if !time.Now().Before(end) {
 		return nil, nil, false
 	}
