--- a/internal/instance/heartbeat_bench_test.go
+++ b/internal/instance/heartbeat_bench_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+
 	"github.com/wigeonwood/wigeonwood/internal/budget"
 	"github.com/wigeonwood/wigeonwood/internal/member"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
