Membership: only a router that knows no other answers a comparison by one of its own

Since each instance that was asked by an unknown one compared views at once, with all instances that join; a fleet that starts pays for that in its first seconds.

Change: only an instance that knows nobody does so, which is the case that it was for (TestRestartWithLateSeeds passes as before).

--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -205,8 +205,9 @@
 	if c.left || m.From == c.self.status.Id {
 		return
 	}
-	if m.Kind == pb.GossipKind_GOSSIP_KIND_SYNC {
-		c.noticeSender(m.From)
+	if m.Kind == pb.GossipKind_GOSSIP_KIND_SYNC && len(c.routers) == 0 {
+		// The first one that it hears of: it has all to learn.
+		c.syncWanted = true
 	}
 	for _, d := range m.Routers {
 		c.mergeRouter(now, d)
