TestFaultTable: the router waits long for targets where none is silent

All rows had 80 ms as the router's bound on a silent target, which the request must not use up before the fault strikes.

Rows with a frozen, late or cut peer keep 80 ms; the others have 4 s. No check is changed.

--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -1,5 +1,7 @@
 package router
 
+import "time"
+
 // fault is one row of the table.
 type fault struct {
 	name   string
@@ -8,6 +10,9 @@
 	leaves bool
 	// cannot says why a cell can't occur, "" if it can.
 	cannot func(k kind, s step) string
+	// wait is the router's bound on a silent target. It is long where nothing is
+	// silent, so that a busy machine doesn't end the request before its step.
+	wait time.Duration
 }
 
 func atTarget(_ kind, s step) string {
@@ -27,17 +32,17 @@
 func always(kind, step) string { return "" }
 
 var faults = []fault{
-	{"router-killed", func(w *world) { w.first.kill() }, true, always},
-	{"router-frozen", func(w *world) { w.first.freeze() }, true, always},
-	{"router-cut", func(w *world) { w.first.partition() }, false, always},
-	{"target-killed", func(w *world) { w.targets[0].kill() }, false, always},
-	{"target-frozen", func(w *world) { w.targets[0].freeze() }, false, always},
-	{"target-closing", func(w *world) { w.targets[0].shut() }, false, always},
-	{"target-late", func(w *world) { w.targets[0].set(func() { w.targets[0].late = 2 * tryWait }) }, false, atTarget},
-	{"target-crossed", func(w *world) { w.targets[0].set(func() { w.targets[0].crossed = true }) }, false, beforeAnswer},
-	{"target-cuts-body", func(w *world) { w.targets[0].set(func() { w.targets[0].cut = true }) }, false, atTarget},
-	{"connection-silent", func(w *world) { w.first.silence() }, false, always},
-	{"leader-changes", func(w *world) { w.changes.Store(1) }, false, always},
+	{"router-killed", func(w *world) { w.first.kill() }, true, always, soundWait},
+	{"router-frozen", func(w *world) { w.first.freeze() }, true, always, tryWait},
+	{"router-cut", func(w *world) { w.first.partition() }, false, always, tryWait},
+	{"target-killed", func(w *world) { w.targets[0].kill() }, false, always, soundWait},
+	{"target-frozen", func(w *world) { w.targets[0].freeze() }, false, always, tryWait},
+	{"target-closing", func(w *world) { w.targets[0].shut() }, false, always, soundWait},
+	{"target-late", func(w *world) { w.targets[0].set(func() { w.targets[0].late = 2 * tryWait }) }, false, atTarget, tryWait},
+	{"target-crossed", func(w *world) { w.targets[0].set(func() { w.targets[0].crossed = true }) }, false, beforeAnswer, soundWait},
+	{"target-cuts-body", func(w *world) { w.targets[0].set(func() { w.targets[0].cut = true }) }, false, atTarget, soundWait},
+	{"connection-silent", func(w *world) { w.first.silence() }, false, always, tryWait},
+	{"leader-changes", func(w *world) { w.changes.Store(1) }, false, always, soundWait},
 	{"caller-resends", func(w *world) {
 		r := w.send(w.second, w.kind, "order")
 		w.mu.Lock()
@@ -48,12 +53,12 @@
 			return "without a key it is another request"
 		}
 		return ""
-	}},
+	}, soundWait},
 	{"caller-leaves", func(w *world) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.caller.Close()
-	}, false, always},
+	}, false, always, soundWait},
 }
 
 // cannotOccur says why no fault strikes a request of this kind at this step.
--- a/internal/router/matrix_test.go
+++ b/internal/router/matrix_test.go
@@ -21,6 +21,8 @@
 const (
 	// tryWait is the router's bound on a silent target in the table.
 	tryWait = 80 * time.Millisecond
+	// soundWait is that bound where no target is silent.
+	soundWait = 4 * time.Second
 	// callBound is far more than any call may take, also on a busy machine.
 	callBound = 20 * time.Second
 	// patience is how long the caller of a frozen router waits.
@@ -58,7 +60,7 @@
 func (w *world) takeLeaderChange() bool { return w.changes.Add(-1) >= 0 }
 
 func newWorld(t testing.TB, k kind, at step, f fault) *world {
-	return newWorldWaiting(t, k, at, f, tryWait)
+	return newWorldWaiting(t, k, at, f, f.wait)
 }
 
 func newWorldWaiting(t testing.TB, k kind, at step, f fault, wait time.Duration) *world {
