--- a/internal/balance/prompt.go
+++ b/internal/balance/prompt.go
@@ -37,8 +37,8 @@
 	partly   bool
 	leaving  bool
 	excluded bool
-	// paused is how much longer the target wants no requests from this router; it
-	// does if that is zero or less.
+	// paused is how much longer the target wants no requests from this router; zero or
+	// less if it takes them.
 	paused time.Duration
 }
 
