TestPortsBesideStartingProcesses: one process is started before it counts

The first start of a process in a process has the standard library try a clone for its own purposes, which takes no ForkLock; its child holds copies of the sockets for a moment, too.

The other tests choose their ports before they start a process.

--- a/cmd/wigeonwood/ports_test.go
+++ b/cmd/wigeonwood/ports_test.go
@@ -122,6 +122,11 @@
 // a port that was only tried could still be taken.
 func TestPortsBesideStartingProcesses(t *testing.T) {
 	const starters, tries = 4, 1500
+	// At the first start of a process the standard library tries a clone that
+	// ForkLock doesn't cover.
+	if err := exec.Command(os.Args[0], "-test.list=^$").Run(); err != nil {
+		t.Fatal(err)
+	}
 	p := &ports{block: rand.IntN(portBlocks)}
 	defer p.close()
 	stop := make(chan struct{})
