A router that has just started refuses what its table lacks for a while only

Change: within the time in which requests may wait for a table, a request without a route or with an unknown key is refused with 503 and told when to come back; after it, finally. TestUnknownAtASettlingRouter failed first (404 and 401 at once).

--- a/internal/filter/route.go
+++ b/internal/filter/route.go
@@ -45,7 +45,7 @@
 	x.Revision = x.Index.Table.Number
 	x.Route = x.Index.Match(x.Host, x.Path)
 	if x.Route == nil {
-		return x.Reject(Rejection{
+		return r.Warmup.rejectUnknown(x, Rejection{
 			Status:  http.StatusNotFound,
 			Code:    "no-route",
 			Message: "no route matches the host and path",
--- a/internal/filter/team.go
+++ b/internal/filter/team.go
@@ -10,6 +10,7 @@
 // Team finds the team that holds the caller's key and ranks the request.
 type Team struct {
 	Counts *balance.Teams
+	Warmup *Warmup
 }
 
 // Name returns the filter's name in specs.
@@ -23,7 +24,7 @@
 	}
 	x.Team = x.Index.Team(x.Bearer)
 	if x.Team == nil && !x.Route.Public {
-		return x.Reject(Rejection{
+		return t.Warmup.rejectUnknown(x, Rejection{
 			Status:  http.StatusUnauthorized,
 			Code:    "unknown-key",
 			Message: "no team holds this key",
--- a/internal/filter/warmup.go
+++ b/internal/filter/warmup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync/atomic"
 	"time"
 )
@@ -55,6 +56,20 @@
 	return end
 }
 
+// settling tells whether this router has started so lately that its table may lack what
+// others have: replicas that have just started too know all but the last changes.
+func (w *Warmup) settling(now time.Time) bool { return now.Before(w.started.Add(warmupTime)) }
+
+// rejectUnknown refuses a request that the table in force does not allow. A router that
+// settles can't tell, so its refusal is not final.
+func (w *Warmup) rejectUnknown(x *Exchange, r Rejection) *Rejection {
+	if w.settling(time.Now()) {
+		r.Status = http.StatusServiceUnavailable
+		r.RetryAfter = w.retryAfter()
+	}
+	return x.Reject(r)
+}
+
 // RetryAfter is when to come back; draw is between 0 and 1.
 func (w *Warmup) RetryAfter(now time.Time, draw float64) time.Duration {
 	return spreadReturn(w.started.Add(warmupTime).Sub(now), draw)
--- a/internal/filter/warmup_test.go
+++ b/internal/filter/warmup_test.go
@@ -61,7 +61,7 @@
 	warmup := NewWarmup(time.Now())
 	return &Chain{handler: link([]Filter{
 		&Route{Tables: tables, Warmup: warmup},
-		&Team{Counts: balance.NewTeams()},
+		&Team{Counts: balance.NewTeams(), Warmup: warmup},
 		&Dispatch{
 			Picker:   picker,
 			Sends:    &allowedSends{},
@@ -184,3 +184,45 @@
 		})
 	}
 }
+
+// TestUnknownAtASettlingRouter asks for a route and with a key that the first table after
+// a start doesn't have. Until the router has settled, its refusal tells when to come back;
+// then it is final.
+func TestUnknownAtASettlingRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tables := &lateTables{}
+		table := startingTable()
+		table.Routes[0].Public = false
+		table.Teams = []*routing.Team{{Name: "team", Keys: []string{"key"}}}
+		tables.holder.Apply(table)
+		chain := startingChain(tables, &latePicker{})
+		ask := func(host, key string) *Rejection {
+			x := &Exchange{Host: host, Path: "/", Bearer: key, Received: time.Now(), Deadline: time.Now().Add(3 * time.Second)}
+			defer x.End()
+			var rejection *Rejection
+			if err := chain.Run(t.Context(), x); err != nil && !errors.As(err, &rejection) {
+				t.Error(err)
+			}
+			return rejection
+		}
+		if r := ask("h", "key"); r != nil {
+			t.Errorf("a request that the table allows is refused: %v", r)
+		}
+		for _, settled := range []bool{false, true} {
+			for _, c := range []struct {
+				host, key string
+				final     int
+			}{{"other", "key", http.StatusNotFound}, {"h", "other", http.StatusUnauthorized}} {
+				want := c.final
+				if !settled {
+					want = http.StatusServiceUnavailable
+				}
+				r := ask(c.host, c.key)
+				if r == nil || r.Status != want || (r.RetryAfter > 0) == settled || r.Outcome() != OutcomeNotRun {
+					t.Errorf("settled %t, host %q, key %q: %+v, want status %d", settled, c.host, c.key, r, want)
+				}
+			}
+			time.Sleep(warmupTime)
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,7 +75,7 @@
 	warmup := filter.NewWarmup(time.Now())
 	chain, err := filter.Build(filter.RoutedSpec,
 		&filter.Route{Tables: c.Tables, Warmup: warmup},
-		&filter.Team{Counts: balance.NewTeams()},
+		&filter.Team{Counts: balance.NewTeams(), Warmup: warmup},
 		&filter.Dispatch{Picker: c.Picker, Sends: c.Sends, Prepare: c.Prepare, Heed: c.Heed, Warmup: warmup, Patience: filter.NewPatience()},
 		&filter.Forward{
 			Sender:   g.client,
