Replicas remember targets over a start of the whole fleet

Cause: after the return targets announce themselves once in 1.2 s, the first at a replica 0.5 s after power, the last at all routers 1.0 s after; until then requests wait, or go to the few that are known, which hold none of their prompts.

Ruled out before (docs/design/load.md): to ask remembered targets for their health costs replicas more than it brings. Here nobody is asked: a request names the target that may run it, so another one at its address declines.

Change: replicas keep the targets that serve in the file of the peers' (package remembered, before peerfile), looked at every 2 s, and list them for 2 s after a start unless they announce themselves. Ages in renewals reach 5.5 s, so that routers take such a lease over. TestTargetsAreKnownAfterAReturn and its neighbours failed first.

--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -136,7 +136,7 @@
 		in.work.Go(in.shareInFlight)
 	}
 	if in.node != nil {
-		in.work.Go(in.rememberPeers)
+		in.work.Go(in.remember)
 		in.work.Go(func() {
 			select {
 			case <-in.ctx.Done():
--- /dev/null
+++ b/internal/instance/routed_remembered.go
@@ -0,0 +1,133 @@
+package instance
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/journal"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/remembered"
+)
+
+const (
+	// rememberedDir is the folder, in a replica's data folder, of what it remembers of
+	// the fleet.
+	rememberedDir = "remembered"
+	// rememberInterval is the time between two looks for changes of it. The first comes
+	// after a start of the fleet is over.
+	rememberInterval = 2 * time.Second
+	// rememberStep names this work in logs.
+	rememberStep = "remember the fleet"
+)
+
+// rememberedPeers returns the peer addresses that this replica knew before its start;
+// none at an instance without a data folder. Without them it joins by the seeds.
+func (in *Routed) rememberedPeers() []string {
+	if in.cfg.DataDir == "" {
+		return nil
+	}
+	addrs, damaged, err := remembered.LoadPeers(in.rememberedPath())
+	if err != nil || damaged > 0 {
+		in.logger.Warn().Err(err).Str("step", rememberStep).Int("known", len(addrs)).Int("damaged", damaged).
+			Msg("some addresses of other instances are lost; the seeds stand in for them")
+	}
+	return slices.DeleteFunc(addrs, func(addr string) bool { return addr == in.cfg.PeerListen })
+}
+
+// rememberedTargets returns the targets that this replica knew before its start; none at
+// an instance without a data folder.
+func (in *Routed) rememberedTargets() []*pb.TargetStatus {
+	if in.cfg.DataDir == "" {
+		return nil
+	}
+	targets, err := remembered.LoadTargets(in.rememberedPath())
+	if err != nil {
+		in.logger.Warn().Err(err).Str("step", rememberStep).
+			Msg("the targets known before the start are lost; they are used once they announce themselves")
+		return nil
+	}
+	in.logger.Info().Str("step", rememberStep).Int("targets", len(targets)).Msg("targets known before the start are listed")
+	return targets
+}
+
+// remember keeps the peer addresses of the others and the targets until the instance
+// ends.
+func (in *Routed) remember() {
+	ticker := time.NewTicker(rememberInterval)
+	defer ticker.Stop()
+	var peers, targets kept
+	for {
+		select {
+		case <-in.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		// The membership lists routers and targets by id, so equal views give equal texts.
+		addrs := in.peerAddrs(in.members.Routers())
+		peers.save(in.logger, strings.Join(addrs, "\n"), len(addrs), func() error { return in.keepPeers(addrs) })
+		serving := servingTargets(in.members.Targets())
+		targets.save(in.logger, identities(serving), len(serving), func() error { return in.keepTargets(serving) })
+	}
+}
+
+// kept is the text that stands for what was kept last.
+type kept struct{ text string }
+
+// save calls write unless there is nothing to keep or what the text stands for is kept.
+func (k *kept) save(logger *log.Logger, text string, known int, write func() error) {
+	if known == 0 || text == k.text {
+		return
+	}
+	if err := write(); err != nil {
+		logger.Warn().Err(err).Str("step", rememberStep).Int("known", known).Msg("what is known of the fleet was not kept")
+		return
+	}
+	k.text = text
+}
+
+func (in *Routed) keepPeers(addrs []string) error {
+	folder, err := journal.NewDirFS(in.rememberedPath())
+	if err != nil {
+		return err
+	}
+	return remembered.SavePeers(folder, addrs)
+}
+
+func (in *Routed) keepTargets(targets []*pb.TargetStatus) error {
+	folder, err := journal.NewDirFS(in.rememberedPath())
+	if err != nil {
+		return err
+	}
+	return remembered.SaveTargets(folder, targets)
+}
+
+// servingTargets returns copies, without the load, of the targets that don't leave.
+func servingTargets(targets []*pb.TargetStatus) []*pb.TargetStatus {
+	var serving []*pb.TargetStatus
+	for _, st := range targets {
+		if st.Leaving {
+			continue
+		}
+		st = proto.CloneOf(st)
+		st.Load = nil
+		serving = append(serving, st)
+	}
+	return serving
+}
+
+// identities names the incarnation and address of each target.
+func identities(targets []*pb.TargetStatus) string {
+	var text strings.Builder
+	for _, st := range targets {
+		fmt.Fprintf(&text, "%s %d %s\n", st.Id, st.Incarnation, st.Addr)
+	}
+	return text.String()
+}
+
+func (in *Routed) rememberedPath() string { return filepath.Join(in.cfg.DataDir, rememberedDir) }
--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -69,6 +69,8 @@
 	// Remembered are peer addresses at which routers were before this start. They are
 	// told of this router at once.
 	Remembered []string
+	// RememberedTargets are targets that were known before this start.
+	RememberedTargets []*pb.TargetStatus
 	// Conn receives datagrams at Self's peer address. Close closes it.
 	Conn net.PacketConn
 	// Token authenticates datagrams within the fleet.
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -89,6 +89,8 @@
 	seeds      []string
 	remembered []string
 	intervals  Intervals
+	// targets are those known before this start.
+	targets []*pb.TargetStatus
 	// syncDatagrams bounds the answer to one sync; zero means the default.
 	syncDatagrams int
 	rng           *rand.Rand
@@ -127,6 +129,7 @@
 	c.rng.Shuffle(len(c.remembered), func(i, j int) { c.remembered[i], c.remembered[j] = c.remembered[j], c.remembered[i] })
 	c.self.rehash()
 	c.news.add(routerNews, self.Id)
+	c.rememberTargets(now, cfg.targets)
 	return c
 }
 
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -72,6 +72,7 @@
 		self:          cfg.Self,
 		seeds:         cfg.Seeds,
 		remembered:    cfg.Remembered,
+		targets:       cfg.RememberedTargets,
 		intervals:     cfg.Intervals,
 		syncDatagrams: cfg.SyncDatagrams,
 		rng:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- /dev/null
+++ b/internal/member/remembered_test.go
@@ -0,0 +1,143 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+// restartWithTargets ends all nodes of a world that has run and starts them again; the
+// first three remember the others and the targets.
+func restartWithTargets(w *world) {
+	var addrs []string
+	var targets []*pb.TargetStatus
+	for _, n := range w.nodes {
+		addrs = append(addrs, n.status.PeerAddr)
+	}
+	for _, t := range w.targets {
+		targets = append(targets, withoutLoad(t.status))
+	}
+	w.remembered = make(map[int][]string)
+	w.rememberedTargets = make(map[int][]*pb.TargetStatus)
+	for _, n := range w.nodes[:3] {
+		w.remembered[n.index] = addrs
+		w.rememberedTargets[n.index] = targets
+	}
+	for _, n := range w.nodes {
+		w.start(n)
+	}
+}
+
+// known counts the targets that a node lists as leased.
+func known(w *world, n *node) int {
+	count := 0
+	for _, e := range n.core.targets {
+		if n.core.leased(w.now, e) && !e.status.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// TestTargetsAreKnownAfterAReturn has all instances return at once while the targets
+// announce themselves once in 1.2 s: all instances list all targets within 200 ms.
+func TestTargetsAreKnownAfterAReturn(t *testing.T) {
+	const (
+		routers, targets = 12, 90
+		bound            = 200 * time.Millisecond
+	)
+	w := newWorld(time.Hour, 3, routers, targets, 3)
+	w.intervals = Intervals{TargetLease: 7200 * time.Millisecond, Sync: 200 * time.Millisecond, Join: 100 * time.Millisecond}
+	w.syncDatagrams = 16
+	w.announceEvery = 1200 * time.Millisecond
+	w.run(3 * time.Second)
+	restartWithTargets(w)
+	for _, each := range w.targets {
+		each.silentUntil = w.now.Add(bound)
+	}
+	w.run(bound)
+	for _, n := range w.nodes {
+		if got := known(w, n); got != targets {
+			t.Errorf("%s lists %d of %d targets after %v", n.status.Id, got, targets, bound)
+		}
+	}
+}
+
+// TestRememberedTargetsThatAreGone has targets end while all instances are down: without
+// news of them they are listed for rememberedLease and no longer. One that announces its
+// next start, or that it leaves, is listed by that alone.
+func TestRememberedTargetsThatAreGone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	status := func(id string) *pb.TargetStatus {
+		return &pb.TargetStatus{Id: id, Incarnation: 5, Sequence: 9, Addr: "10.0.0.1:80", Service: "s"}
+	}
+	w := newWorld(time.Hour, 1, 1, 0, 1)
+	n := w.nodes[0]
+	w.now = now
+	w.rememberedTargets = map[int][]*pb.TargetStatus{0: {status("silent"), status("returns"), status("leaves"), status("again")}}
+	w.intervals = Intervals{TargetLease: 7200 * time.Millisecond}
+	w.start(n)
+	if got := known(w, n); got != 4 {
+		t.Fatalf("%d of 4 targets are listed at the start", got)
+	}
+	w.run(time.Second)
+	renewed, left, next := status("returns"), status("leaves"), status("again")
+	renewed.Sequence++
+	left.Sequence++
+	left.Leaving = true
+	next.Incarnation++
+	for _, st := range []*pb.TargetStatus{renewed, left, next} {
+		if err := n.core.announce(w.now, st, w.now); err != nil {
+			t.Error(err)
+		}
+	}
+	if got := known(w, n); got != 3 {
+		t.Errorf("%d targets are listed, want all but the one that leaves", got)
+	}
+	w.run(rememberedLease)
+	if got := known(w, n); got != 2 {
+		t.Errorf("%d targets are listed after %v, want the two that announced themselves", got, rememberedLease)
+	}
+}
+
+// TestRememberedTargetsThatLeft has one instance return to others that have heard that a
+// target left: it learns so at once.
+func TestRememberedTargetsThatLeft(t *testing.T) {
+	w := newWorld(time.Hour, 5, 6, 4, 1)
+	w.run(3 * time.Second)
+	returning, left := w.nodes[0], w.targets[0]
+	remembered := []*pb.TargetStatus{withoutLoad(left.status)}
+	w.leave(left)
+	w.run(time.Second)
+	w.end(left)
+	w.remembered = map[int][]string{0: {w.nodes[1].status.PeerAddr}}
+	w.rememberedTargets = map[int][]*pb.TargetStatus{0: remembered}
+	w.start(returning)
+	w.run(200 * time.Millisecond)
+	for _, n := range w.nodes {
+		if e := n.core.targets[left.status.Id]; e != nil && !e.status.Leaving {
+			t.Errorf("%s lists a target that left", n.status.Id)
+		}
+	}
+}
+
+// TestAgesAreNeverUnderstated encodes ages up to beyond what a byte expresses.
+func TestAgesAreNeverUnderstated(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for age := time.Duration(0); age < 8*time.Second; age += 3 * time.Millisecond {
+		b := ageByte(now, now.Add(-age))
+		if b == unprovenAge {
+			if age <= 5500*time.Millisecond {
+				t.Fatalf("%v can't be expressed", age)
+			}
+			continue
+		}
+		if got := ageOf(b); got < age || got-age >= coarseAgeUnit || age <= fineAges*ageUnit && got-age >= ageUnit {
+			t.Fatalf("%v became %v", age, got)
+		}
+	}
+	if b := ageByte(now, time.Time{}); b != unprovenAge {
+		t.Errorf("a target that was never proven has the age %d", b)
+	}
+}
--- a/internal/member/renewals.go
+++ b/internal/member/renewals.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// ageUnit is the unit of the ages in renewals.
-	ageUnit = 10 * time.Millisecond
-	// unprovenAge stands for an age that the unit can't express.
+	// ageUnit is the unit of ages in renewals up to fineAges, coarseAgeUnit that of what
+	// is beyond them: the default lease is counted in fine units.
+	ageUnit       = 10 * time.Millisecond
+	fineAges      = 251
+	coarseAgeUnit = time.Second
+	// unprovenAge stands for an age that the units can't express.
 	unprovenAge = 255
 	// renewalBytes is what one keyed renewal takes at most.
 	renewalBytes = 8 + 1 + 2
@@ -111,8 +114,19 @@
 	if at.IsZero() {
 		return unprovenAge
 	}
-	units := (now.Sub(at) + ageUnit - 1) / ageUnit
-	return byte(min(max(0, units), unprovenAge))
+	age := max(0, now.Sub(at))
+	if units := roundedUp(age, ageUnit); units <= fineAges {
+		return byte(units)
+	}
+	return byte(min(fineAges+roundedUp(age-fineAges*ageUnit, coarseAgeUnit), unprovenAge))
+}
+
+func roundedUp(d, unit time.Duration) time.Duration { return (d + unit - 1) / unit }
+
+// ageOf reverses ageByte.
+func ageOf(b byte) time.Duration {
+	fine, coarse := min(time.Duration(b), fineAges), max(0, time.Duration(b)-fineAges)
+	return fine*ageUnit + coarse*coarseAgeUnit
 }
 
 // applyRenewals renews leases by the answer to a question asked at askedAt.
@@ -161,7 +175,7 @@
 	if age == unprovenAge || e.removed {
 		return
 	}
-	if provenAt := askedAt.Add(-time.Duration(age) * ageUnit); provenAt.After(e.fresh) {
+	if provenAt := askedAt.Add(-ageOf(age)); provenAt.After(e.fresh) {
 		c.renew(now, e, provenAt)
 	}
 }
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -29,6 +29,8 @@
 	budget        budget.Config
 	// remembered holds the addresses that nodes know from before they start.
 	remembered map[int][]string
+	// rememberedTargets holds the targets that they know from then.
+	rememberedTargets map[int][]*pb.TargetStatus
 	// announceEvery is the time between a target's announcements.
 	announceEvery time.Duration
 	targets       []*simTarget
@@ -171,6 +173,7 @@
 		self:          n.status,
 		seeds:         seeds,
 		remembered:    w.remembered[n.index],
+		targets:       w.rememberedTargets[n.index],
 		intervals:     w.intervals,
 		syncDatagrams: w.syncDatagrams,
 		rng:           rand.New(rand.NewPCG(w.rng.Uint64(), w.rng.Uint64())),
--- a/internal/peerfile/peerfile_test.go
+++ b/internal/remembered/peers_test.go
@@ -1,4 +1,4 @@
-package peerfile
+package remembered
 
 import (
 	"errors"
@@ -23,14 +23,14 @@
 
 func TestSavedAddressesAreLoaded(t *testing.T) {
 	dir, fs := folder(t)
-	if addrs, damaged, err := Load(dir); len(addrs) > 0 || damaged > 0 || err != nil {
+	if addrs, damaged, err := LoadPeers(dir); len(addrs) > 0 || damaged > 0 || err != nil {
 		t.Errorf("an empty folder gives %v, %d damaged, %v", addrs, damaged, err)
 	}
 	for _, want := range [][]string{{"10.0.0.1:7000", "10.0.0.2:7000"}, {"10.0.0.3:7000"}} {
-		if err := Save(fs, want); err != nil {
+		if err := SavePeers(fs, want); err != nil {
 			t.Fatal(err)
 		}
-		if got, damaged, err := Load(dir); !slices.Equal(got, want) || damaged > 0 || err != nil {
+		if got, damaged, err := LoadPeers(dir); !slices.Equal(got, want) || damaged > 0 || err != nil {
 			t.Errorf("loaded %v, %d damaged, %v, want %v", got, damaged, err, want)
 		}
 	}
@@ -50,10 +50,10 @@
 		"1.1.1.1:1\n" + strings.Repeat("x", 1<<20): {[]string{"1.1.1.1:1"}, 1},
 	} {
 		dir, _ := folder(t)
-		if err := os.WriteFile(filepath.Join(dir, name), []byte(content), 0o600); err != nil {
+		if err := os.WriteFile(filepath.Join(dir, peersName), []byte(content), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if got, damaged, err := Load(dir); !slices.Equal(got, want.addrs) || damaged != want.damaged || err != nil {
+		if got, damaged, err := LoadPeers(dir); !slices.Equal(got, want.addrs) || damaged != want.damaged || err != nil {
 			t.Errorf("%.40q: loaded %v, %d damaged, %v, want %v, %d", content, got, damaged, err, want.addrs, want.damaged)
 		}
 	}
@@ -76,26 +76,26 @@
 func TestFullDiskKeepsTheOldAddresses(t *testing.T) {
 	dir, fs := folder(t)
 	old := []string{"10.0.0.1:7000"}
-	if err := Save(fs, old); err != nil {
+	if err := SavePeers(fs, old); err != nil {
 		t.Fatal(err)
 	}
-	if err := Save(fullDisk{fs}, []string{"10.0.0.2:7000"}); !errors.Is(err, errFull) {
+	if err := SavePeers(fullDisk{fs}, []string{"10.0.0.2:7000"}); !errors.Is(err, errFull) {
 		t.Errorf("error %v, want %v", err, errFull)
 	}
-	if got, _, err := Load(dir); !slices.Equal(got, old) || err != nil {
+	if got, _, err := LoadPeers(dir); !slices.Equal(got, old) || err != nil {
 		t.Errorf("loaded %v, %v, want %v", got, err, old)
 	}
 }
 
-func FuzzLoad(f *testing.F) {
+func FuzzLoadPeers(f *testing.F) {
 	f.Add([]byte("10.0.0.1:7000\n"))
 	f.Add([]byte("\x00\n["))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		dir := t.TempDir()
-		if err := os.WriteFile(filepath.Join(dir, name), data, 0o600); err != nil {
+		if err := os.WriteFile(filepath.Join(dir, peersName), data, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if addrs, _, err := Load(dir); err != nil || len(addrs) > maxAddrs {
+		if addrs, _, err := LoadPeers(dir); err != nil || len(addrs) > maxAddrs {
 			t.Errorf("%d addresses, %v", len(addrs), err)
 		}
 	})
--- /dev/null
+++ b/internal/remembered/targets.go
@@ -0,0 +1,83 @@
+package remembered
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/wigeonwood/wigeonwood/internal/journal"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+const (
+	// targetsName is the file with a checksum, then the targets' statuses, each behind
+	// its length.
+	targetsName = "targets"
+	// maxTargets bounds the targets that are kept and read.
+	maxTargets = 16384
+	// checksumBytes is the length of the checksum over the rest of the file.
+	checksumBytes = 8
+)
+
+// ErrDamaged means that a file is not as it was written.
+var ErrDamaged = errors.New("the file is damaged")
+
+// LoadTargets returns the targets kept in a folder: none if there is no file. It fails
+// with ErrDamaged if the file is not whole.
+func LoadTargets(dir string) ([]*pb.TargetStatus, error) {
+	data, err := read(dir, targetsName)
+	if err == nil && data != nil {
+		var targets []*pb.TargetStatus
+		if targets, err = decodeTargets(data); err == nil {
+			return targets, nil
+		}
+	}
+	if err != nil {
+		return nil, fmt.Errorf("reading the targets: %w", err)
+	}
+	return nil, nil
+}
+
+func decodeTargets(data []byte) ([]*pb.TargetStatus, error) {
+	if len(data) < checksumBytes {
+		return nil, ErrDamaged
+	}
+	body := data[checksumBytes:]
+	if binary.BigEndian.Uint64(data) != xxhash.Sum64(body) {
+		return nil, ErrDamaged
+	}
+	var targets []*pb.TargetStatus
+	for in := bytes.NewReader(body); len(targets) < maxTargets; {
+		st := &pb.TargetStatus{}
+		err := protodelim.UnmarshalFrom(in, st)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, errors.Join(ErrDamaged, err)
+		}
+		targets = append(targets, st)
+	}
+	return targets, nil
+}
+
+// SaveTargets replaces the targets kept in a folder. The old ones stay if it fails.
+func SaveTargets(folder journal.FS, targets []*pb.TargetStatus) error {
+	body := bytes.NewBuffer(make([]byte, checksumBytes))
+	for _, st := range targets[:min(maxTargets, len(targets))] {
+		if _, err := protodelim.MarshalTo(body, st); err != nil {
+			return fmt.Errorf("keeping the targets: %w", err)
+		}
+	}
+	data := body.Bytes()
+	binary.BigEndian.PutUint64(data, xxhash.Sum64(data[checksumBytes:]))
+	if err := write(folder, targetsName, data); err != nil {
+		return fmt.Errorf("keeping the targets: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/remembered/targets_test.go
@@ -0,0 +1,92 @@
+package remembered
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
+)
+
+func someTargets(n int) []*pb.TargetStatus {
+	var targets []*pb.TargetStatus
+	for i := range n {
+		targets = append(targets, &pb.TargetStatus{
+			Id: fmt.Sprintf("t%d", i), Addr: fmt.Sprintf("10.0.0.%d:80", i), Service: "s", Incarnation: 7, Sequence: uint64(i), Capacity: 64,
+		})
+	}
+	return targets
+}
+
+func TestSavedTargetsAreLoaded(t *testing.T) {
+	dir, fs := folder(t)
+	if got, err := LoadTargets(dir); len(got) > 0 || err != nil {
+		t.Errorf("an empty folder gives %v, %v", got, err)
+	}
+	for _, n := range []int{3, 1, 0} {
+		want := someTargets(n)
+		if err := SaveTargets(fs, want); err != nil {
+			t.Fatal(err)
+		}
+		got, err := LoadTargets(dir)
+		if err != nil || len(got) != n {
+			t.Fatalf("loaded %v, %v, want %d targets", got, err, n)
+		}
+		for i := range want {
+			if !proto.Equal(got[i], want[i]) {
+				t.Errorf("loaded %v, want %v", got[i], want[i])
+			}
+		}
+	}
+}
+
+// TestDamagedTargets loads what a loss of power may leave: none of it is used.
+func TestDamagedTargets(t *testing.T) {
+	dir, fs := folder(t)
+	if err := SaveTargets(fs, someTargets(3)); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, targetsName)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := range whole {
+		torn := append([]byte(nil), whole...)
+		torn[at] ^= 1
+		for _, data := range [][]byte{whole[:at], torn} {
+			if err := os.WriteFile(path, data, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if got, err := LoadTargets(dir); !errors.Is(err, ErrDamaged) || got != nil {
+				t.Fatalf("damaged at byte %d: loaded %v, %v", at, got, err)
+			}
+		}
+	}
+}
+
+func TestFullDiskKeepsTheOldTargets(t *testing.T) {
+	dir, fs := folder(t)
+	if err := SaveTargets(fs, someTargets(2)); err != nil {
+		t.Fatal(err)
+	}
+	if err := SaveTargets(fullDisk{fs}, someTargets(3)); !errors.Is(err, errFull) {
+		t.Errorf("error %v, want %v", err, errFull)
+	}
+	if got, err := LoadTargets(dir); len(got) != 2 || err != nil {
+		t.Errorf("loaded %v, %v, want two targets", got, err)
+	}
+}
+
+func FuzzLoadTargets(f *testing.F) {
+	f.Add([]byte("0123456789"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if targets, err := decodeTargets(data); err == nil && len(targets) > maxTargets {
+			t.Errorf("%d targets", len(targets))
+		}
+	})
+}
