report losses: who was hit, since when and why, from log lines

The request line names the route's goal now; the command adds up refused, failed, cut and late requests by second, service, step and cause, from files or standard input, as a table or JSON lines. Requests whose router died leave no line and are not counted.

--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -15,7 +15,7 @@
 	o := &operator{}
 	cmd := &cobra.Command{Use: "report", Short: "Reports over the whole fleet"}
 	o.addFlags(cmd)
-	cmd.AddCommand(newReportBurn(o))
+	cmd.AddCommand(newReportBurn(o), newReportLosses())
 	return cmd
 }
 
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -101,7 +101,7 @@
 		Str("service", x.Demand.Service).Str("team", teamName(x)).Str("peer", targetID(x)).
 		Int("tries", x.Tries).Uint64("routing_table", x.Revision)
 	if x.Route != nil {
-		e.Str("route", x.Route.Name)
+		e.Str("route", x.Route.Name).Int64("goal_ms", x.Route.Goal.Milliseconds())
 	}
 	for _, r := range x.Reasons() {
 		e.Str("why_"+r.Step, r.Target+" "+r.Text)
