--- a/internal/filter/fakes_test.go
+++ b/internal/filter/fakes_test.go
@@ -50,12 +50,17 @@
 	}
 }
 
-func (f *fake) Self() *pb.RouterStatus           { return &pb.RouterStatus{Id: "r1"} }
-func (f *fake) Routers() []*pb.RouterStatus      { return nil }
-func (f *fake) Targets() []*pb.TargetStatus      { return f.targets }
-func (f *fake) Target(string) *pb.TargetStatus   { return nil }
-func (f *fake) Intent(string) *pb.TargetIntent   { return nil }
-func (f *fake) Lease() (uint64, time.Time, bool) { return 3, time.Now().Add(time.Minute), !f.unleased }
+func (f *fake) Self() *pb.RouterStatus         { return &pb.RouterStatus{Id: "r1"} }
+func (f *fake) Routers() []*pb.RouterStatus    { return nil }
+func (f *fake) Targets() []*pb.TargetStatus    { return f.targets }
+func (f *fake) Target(string) *pb.TargetStatus { return nil }
+func (f *fake) Intent(string) *pb.TargetIntent { return nil }
+func (f *fake) Lease() (uint64, time.Time, bool) {
+	if f.unleased {
+		return 3, time.Now().Add(-time.Minute), false
+	}
+	return 3, time.Now().Add(time.Minute), true
+}
 func (f *fake) entries(customer string) []string { return []string{"10.0.0.2:80 for " + customer} }
 
 func (f *fake) ContractByKey(sum [32]byte) (*pb.Contract, bool) {
--- /dev/null
+++ b/internal/filter/lease_test.go
@@ -0,0 +1,84 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// renewedLease ends at one time and is held again from another; zero for never.
+type renewedLease struct {
+	*fake
+	ends, from time.Time
+}
+
+func (l *renewedLease) Lease() (uint64, time.Time, bool) {
+	now := time.Now()
+	if !l.from.IsZero() && !now.Before(l.from) {
+		return 4, now.Add(time.Minute), true
+	}
+	return 3, l.ends, now.Before(l.ends)
+}
+
+// TestRequestsAroundARenewal has a lease end and be renewed later, or never, while
+// requests come: those within a second of its end wait for the renewal and no longer, the
+// others are refused at once, and nobody is served without a lease.
+func TestRequestsAroundARenewal(t *testing.T) {
+	for name, c := range map[string]struct {
+		// gap is the time without a lease, zero for ever.
+		gap    time.Duration
+		gaveUp bool
+	}{
+		"renewed in time": {gap: 600 * time.Millisecond},
+		"renewed late":    {gap: 2 * time.Second},
+		"never renewed":   {},
+		"given up":        {gap: 600 * time.Millisecond, gaveUp: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				view := &renewedLease{fake: newFake(), ends: start}
+				if c.gap > 0 {
+					view.from = start.Add(c.gap)
+				}
+				if c.gaveUp {
+					view.ends = time.Time{}
+				}
+				lease := &Lease{Config: view}
+				var callers sync.WaitGroup
+				for at := time.Duration(0); at < 3*time.Second; at += 50 * time.Millisecond {
+					callers.Go(func() {
+						time.Sleep(at)
+						asked := time.Now()
+						served := false
+						err := lease.Handle(t.Context(), &Exchange{Received: asked}, func(context.Context, *Exchange) error {
+							served = true
+							return nil
+						})
+						took := time.Since(asked)
+						held := c.gap > 0 && at+took >= c.gap
+						wait := !c.gaveUp && at < renewalTime
+						var refusal *Rejection
+						switch {
+						case served && !held:
+							t.Errorf("asked at %v: served without a lease", at)
+						case !served && (!errors.As(err, &refusal) || refusal.Outcome() != OutcomeNotRun):
+							t.Errorf("asked at %v: %v", at, err)
+						case took > renewalTime || !wait && took > 0:
+							t.Errorf("asked at %v: held for %v", at, took)
+						case !served && wait && c.gap > 0 && c.gap <= renewalTime:
+							t.Errorf("asked at %v: refused, though the lease was renewed at %v", at, c.gap)
+						}
+					})
+				}
+				callers.Wait()
+				if lease.waiting.Load() != 0 {
+					t.Errorf("%d requests are still counted", lease.waiting.Load())
+				}
+			})
+		})
+	}
+}
