Membership: replicas greet briefly and space whole answers; routers that have the view tell others

Leases on remembered targets could not be passed on 0.3 s after the replica's start: their age was beyond what a renewal expresses (TestReturnOfManyRouters stood still at 42 of 62 routers).

Change: replicas tell remembered peers of themselves alone, 24 at a time, and compare views with two; a replica answers those who know little whole three times at once and then each 50 ms, others by a few routers that had a whole answer, without looking at its view; targets remembered from before are listed for 4 s.

--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -20,7 +20,9 @@
 	seeds []string
 	// remembered are peer addresses from before this start, until they are told of it.
 	remembered []string
-	rng        *rand.Rand
+	// greeted counts those that were told.
+	greeted int
+	rng     *rand.Rand
 	// allow spends budget for one packet, or refuses it.
 	allow func(now time.Time, class budget.Class, bytes int) bool
 
@@ -54,6 +56,12 @@
 	// differedAt is when an answer last showed a view that differs from this one.
 	differedAt time.Time
 
+	// joins spaces whole answers; toldWhole tells that this router had one, nextNamed is
+	// when it may ask one that was named again.
+	joins     joins
+	toldWhole bool
+	nextNamed time.Time
+
 	// presence holds the present targets.
 	presence presentTargets
 	// lapseDue is when the first lease on a target ends unless it is renewed, or
@@ -208,7 +216,7 @@
 	if c.left || m.From == c.self.status.Id {
 		return
 	}
-	if m.Kind == pb.GossipKind_GOSSIP_KIND_SYNC && len(c.routers) == 0 {
+	if len(c.routers) == 0 {
 		// The first one that it hears of: it has all to learn.
 		c.syncWanted = true
 	}
--- a/internal/member/remembered.go
+++ b/internal/member/remembered.go
@@ -7,8 +7,9 @@
 )
 
 // rememberedLease is how long a target that was known before this start is listed
-// without news of it: somewhat more than the time between two announcements.
-const rememberedLease = 2 * time.Second
+// without news of it. Others take over what is left of it: the routers of a large fleet join
+// within two seconds, and targets announce themselves about once a second.
+const rememberedLease = 4 * time.Second
 
 // rememberTargets lists the targets that were known before this start. It answers the
 // return of a whole fleet, in which nobody else knows any. It is no news to others: they
--- a/internal/member/remembered_test.go
+++ b/internal/member/remembered_test.go
@@ -4,12 +4,13 @@
 	"testing"
 	"time"
 
+	"github.com/wigeonwood/wigeonwood/internal/budget"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
 // restartWithTargets ends all nodes of a world that has run and starts them again; the
-// first three remember the others and the targets.
-func restartWithTargets(w *world) {
+// first ones remember the others and the targets.
+func restartWithTargets(w *world, remembering int) {
 	var addrs []string
 	var targets []*pb.TargetStatus
 	for _, n := range w.nodes {
@@ -20,7 +21,7 @@
 	}
 	w.remembered = make(map[int][]string)
 	w.rememberedTargets = make(map[int][]*pb.TargetStatus)
-	for _, n := range w.nodes[:3] {
+	for _, n := range w.nodes[:remembering] {
 		w.remembered[n.index] = addrs
 		w.rememberedTargets[n.index] = targets
 	}
@@ -52,7 +53,7 @@
 	w.syncDatagrams = 16
 	w.announceEvery = 1200 * time.Millisecond
 	w.run(3 * time.Second)
-	restartWithTargets(w)
+	restartWithTargets(w, 3)
 	for _, each := range w.targets {
 		each.silentUntil = w.now.Add(bound)
 	}
@@ -141,3 +142,44 @@
 		t.Errorf("a target that was never proven has the age %d", b)
 	}
 }
+
+// TestReturnOfManyRouters has 62 routers and nine replicas return at once, of which a
+// replica takes 2 ms for each message and a router a third of that: all routers list all
+// targets 350 ms later, though replicas alone knew any.
+func TestReturnOfManyRouters(t *testing.T) {
+	const (
+		replicas, routers, targets = 9, 62, 94
+		bound                      = 350 * time.Millisecond
+	)
+	for seed := range uint64(4) {
+		w := newWorld(0, seed, 0, 0, 3)
+		w.intervals = Intervals{TargetLease: 7200 * time.Millisecond, Sync: 200 * time.Millisecond, Join: 100 * time.Millisecond}
+		w.syncDatagrams = 16
+		w.budget = budget.Config{BytesPerSecond: 64 << 10, BurstBytes: 128 << 10}
+		w.announceEvery = 1200 * time.Millisecond
+		w.populate(replicas+routers, targets, 3)
+		for i, n := range w.nodes {
+			n.status.Replica = i < replicas
+		}
+		restartWithTargets(w, replicas)
+		w.cost = func(n *node) time.Duration {
+			if n.status.Replica {
+				return 2 * time.Millisecond
+			}
+			return 700 * time.Microsecond
+		}
+		for _, each := range w.targets {
+			each.silentUntil = w.now.Add(bound)
+		}
+		w.run(bound)
+		late := 0
+		for _, n := range w.nodes[replicas:] {
+			if known(w, n) < targets {
+				late++
+			}
+		}
+		if late > 0 {
+			t.Errorf("seed %d: %d of %d routers lack targets after %v", seed, late, routers, bound)
+		}
+	}
+}
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -42,6 +42,9 @@
 	// maxDelay bounds a datagram's time on its way.
 	maxDelay time.Duration
 	messages int
+	// cost is the time that a node works on one message that it takes or sends; nil for
+	// none. What arrives meanwhile waits.
+	cost func(n *node) time.Duration
 	// unlimitedUntil is when the budgets begin to bind; a view is built up
 	// quickly before.
 	unlimitedUntil time.Time
@@ -61,6 +64,8 @@
 	// cutOff tells that the node reaches no other node and no target.
 	cutOff bool
 	inbox  []func()
+	// busyUntil is when it is through with its work.
+	busyUntil time.Time
 }
 
 type simTarget struct {
@@ -190,6 +195,10 @@
 	if !n.running || n.core != life {
 		return
 	}
+	if wait := n.busyUntil.Sub(w.now); wait > 0 {
+		w.after(wait, func() { w.tickLoop(n, life) })
+		return
+	}
 	if !n.frozen {
 		life.tick(w.now)
 		w.flush(n)
@@ -208,10 +217,29 @@
 		n.inbox = append(n.inbox, fn)
 		return
 	}
+	if wait := n.busyUntil.Sub(w.now); wait > 0 {
+		w.after(wait, func() { w.deliver(n, life, fn) })
+		return
+	}
+	w.work(n, 1)
 	fn()
 	w.flush(n)
 }
 
+// work has a node work on messages.
+func (w *world) work(n *node, messages int) {
+	if w.cost != nil {
+		n.busyUntil = maxTime(n.busyUntil, w.now).Add(time.Duration(messages) * w.cost(n))
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (w *world) thaw(n *node) {
 	n.frozen = false
 	waiting := n.inbox
@@ -222,7 +250,9 @@
 }
 
 func (w *world) flush(n *node) {
-	for _, p := range n.core.packets() {
+	packets := n.core.packets()
+	w.work(n, len(packets))
+	for _, p := range packets {
 		w.transmit(n, p)
 	}
 	n.core.takeEvents()
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -22,8 +22,10 @@
 	questionTimeout = 2 * time.Second
 	// rejoinInterval is the time between tries to reach lost routers.
 	rejoinInterval = 3 * time.Second
-	// greetFanout is the number of remembered routers that are told of a start at once.
-	greetFanout = 8
+	// greetFanout is the number of remembered routers that are told of a start at once,
+	// firstQuestions of how many the view is compared with then.
+	greetFanout    = 24
+	firstQuestions = 2
 )
 
 func bucketOf(id string) int { return int(hashOf(id) % numBuckets) }
@@ -60,12 +62,23 @@
 
 // greet tells some of the remembered routers of this start, in the order of a shuffle.
 // It answers the return of a whole fleet: its routers find a replica that has just
-// started without waiting for the seeds, which may start last.
+// started without waiting for the seeds, which may start last and which all others ask.
+// A message without the view costs little, and those who know nobody ask by themselves.
 func (c *core) greet(now time.Time) {
 	for range min(greetFanout, len(c.remembered)) {
-		if !c.askSync(now, c.remembered[0]) {
+		addr := c.remembered[0]
+		sent := false
+		if c.greeted < firstQuestions {
+			sent = c.askSync(now, addr)
+		} else {
+			hello := c.message(pb.GossipKind_GOSSIP_KIND_UPDATE, c.newNonce())
+			hello.Routers = []*pb.RouterDelta{c.self.delta()}
+			sent = c.send(now, addr, budget.Liveness, hello)
+		}
+		if !sent {
 			return
 		}
+		c.greeted++
 		c.remembered = c.remembered[1:]
 	}
 }
@@ -73,14 +86,11 @@
 // rejoin asks one address at which no living router is known: a seed, or a
 // router that died and may be back on the other side of a cut that ended.
 func (c *core) rejoin(now time.Time) {
-	known := make(map[string]bool)
+	known := c.knownAddrs()
 	var lost []string
 	for _, id := range c.sortedRouters() {
 		e := c.routers[id]
-		addr := e.status.PeerAddr
-		if e.state != dead {
-			known[addr] = true
-		} else if addr != "" && e.status.State != pb.RouterState_ROUTER_STATE_GONE {
+		if addr := e.status.PeerAddr; e.state == dead && addr != "" && e.status.State != pb.RouterState_ROUTER_STATE_GONE {
 			lost = append(lost, addr)
 		}
 	}
@@ -91,6 +101,17 @@
 	}
 }
 
+// knownAddrs returns the peer addresses of the routers not known to be dead.
+func (c *core) knownAddrs() map[string]bool {
+	known := make(map[string]bool, len(c.routers))
+	for _, e := range c.routers {
+		if e.state != dead {
+			known[e.status.PeerAddr] = true
+		}
+	}
+	return known
+}
+
 func (c *core) syncWithRandom(now time.Time) {
 	c.syncWanted = false
 	c.nextSync = now.Add(c.iv.Sync)
@@ -142,6 +163,14 @@
 // onSync answers with the entries that the asker doesn't know, of all parts in which
 // the views differ.
 func (c *core) onSync(now time.Time, from string, m *pb.Gossip) {
+	joins := len(m.Known) == 0 && len(c.presentNow(now).list) >= largeAnswer
+	if joins && c.self.status.Replica && !c.joins.allow(now) {
+		c.nameOthers(now, from, m)
+		return
+	}
+	if joins {
+		c.joins.tell(now, m.From)
+	}
 	differs := make([]bool, numBuckets)
 	for i, sum := range c.buckets(now) {
 		differs[i] = i >= len(m.Buckets) || m.Buckets[i] != sum
@@ -237,6 +266,12 @@
 		return
 	}
 	c.applyRenewals(now, m.Renewals, asked, nil)
+	if len(m.Targets) > 0 {
+		c.toldWhole = true
+	}
+	if !c.toldWhole && len(m.Routers) <= 1+namedPeers {
+		c.askNamed(now, m)
+	}
 }
 
 // collect removes entries that are past their retention.
