Placement: the bound on a target's load counts unknown successors in place of a lower factor

Change: one factor and one slack; the mean counts one successor for each target that leaves. One of twelve leaving lowers the bound by a thirteenth, a third of them by a quarter. The test's case of 98 leaving targets holds as it was.

--- a/internal/balance/prompt.go
+++ b/internal/balance/prompt.go
@@ -16,10 +16,6 @@
 	// takes more of an engine than a longer batch.
 	promptLoadFactor = 1.7
 	promptLoadSlack  = 2
-	// replacingFactor and replacingSlack apply while targets leave: their
-	// successors, some of them not known yet, are part of the mean as well.
-	replacingFactor = 1.5
-	replacingSlack  = 1
 )
 
 // candidate is one target that may be chosen.
@@ -92,9 +88,10 @@
 func rankOf(ranked []*candidate, c *candidate) int { return slices.Index(ranked, c) }
 
 // promptLimit returns the most requests in flight that a target may have to be
-// given one more: a multiple of the mean over all targets, those that leave
-// included, since the platform counts them. It is never below what the staying
-// ones have to carry in the mean.
+// given one more: a multiple of the mean over all targets, those that leave and
+// their successors included, since the platform counts both. A successor starts
+// before its predecessor leaves and may not be known yet. The bound is never below
+// what the staying ones have to carry in the mean.
 func promptLimit(all []*candidate) int {
 	total, staying, stayingTotal := 1, 0, 1
 	for _, c := range all {
@@ -107,13 +104,10 @@
 	if staying == 0 {
 		return 0
 	}
-	factor, slack := promptLoadFactor, promptLoadSlack
-	if staying < len(all) {
-		factor, slack = replacingFactor, replacingSlack
-	}
-	bound := factor * float64(total) / float64(len(all))
+	successors := len(all) - staying
+	bound := promptLoadFactor * float64(total) / float64(len(all)+successors)
 	least := float64(stayingTotal) / float64(staying)
-	return int(max(bound, least)) + slack
+	return int(max(bound, least)) + promptLoadSlack
 }
 
 // firstHolder returns the highest ranked other target that can be copied from.
