--- a/internal/instance/routed_remembered.go
+++ b/internal/instance/routed_remembered.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wigeonwood/wigeonwood/internal/journal"
@@ -70,41 +69,34 @@
 		}
 		// The membership lists routers and targets by id, so equal views give equal texts.
 		addrs := in.peerAddrs(in.members.Routers())
-		peers.save(in.logger, strings.Join(addrs, "\n"), len(addrs), func() error { return in.keepPeers(addrs) })
+		peers.save(in, strings.Join(addrs, "\n"), len(addrs), func(f journal.FS) error { return remembered.SavePeers(f, addrs) })
 		serving := servingTargets(in.members.Targets())
-		targets.save(in.logger, identities(serving), len(serving), func() error { return in.keepTargets(serving) })
+		targets.save(in, identities(serving), len(serving), func(f journal.FS) error { return remembered.SaveTargets(f, serving) })
 	}
 }
 
 // kept is the text that stands for what was kept last.
 type kept struct{ text string }
 
-// save calls write unless there is nothing to keep or what the text stands for is kept.
-func (k *kept) save(logger *log.Logger, text string, known int, write func() error) {
+// save calls write unless nothing is known or what the text stands for is kept already.
+func (k *kept) save(in *Routed, text string, known int, write func(journal.FS) error) {
 	if known == 0 || text == k.text {
 		return
 	}
-	if err := write(); err != nil {
-		logger.Warn().Err(err).Str("step", rememberStep).Int("known", known).Msg("what is known of the fleet was not kept")
+	if err := in.keep(write); err != nil {
+		in.logger.Warn().Err(err).Str("step", rememberStep).Int("known", known).Msg("what is known of the fleet was not kept")
 		return
 	}
 	k.text = text
 }
 
-func (in *Routed) keepPeers(addrs []string) error {
+// keep saves to the folder of what is remembered.
+func (in *Routed) keep(save func(journal.FS) error) error {
 	folder, err := journal.NewDirFS(in.rememberedPath())
 	if err != nil {
 		return err
 	}
-	return remembered.SavePeers(folder, addrs)
-}
-
-func (in *Routed) keepTargets(targets []*pb.TargetStatus) error {
-	folder, err := journal.NewDirFS(in.rememberedPath())
-	if err != nil {
-		return err
-	}
-	return remembered.SaveTargets(folder, targets)
+	return save(folder)
 }
 
 // servingTargets returns copies, without the load, of the targets that don't leave.
--- a/internal/member/joins.go
+++ b/internal/member/joins.go
@@ -29,7 +29,7 @@
 // all routers compare their empty views with a few small replicas. Those that have the
 // view by then tell the others.
 type joins struct {
-	// due is when the answers so far are paid for.
+	// due is when all answers so far have had their interval.
 	due time.Time
 	// told are the peers that had a whole answer, the newest last.
 	told []toldPeer
@@ -64,18 +64,17 @@
 // nameOthers answers a comparison by the routers that had a whole answer a moment ago.
 // It looks at no part of the view, so that a replica can answer many.
 func (c *core) nameOthers(now time.Time, asker string, m *pb.Gossip) {
-	reply := c.message(pb.GossipKind_GOSSIP_KIND_SYNC_REPLY, m.Nonce)
-	reply.Routers = []*pb.RouterDelta{c.self.delta()}
-	first := c.rng.IntN(maxToldPeers)
+	reply := c.syncReply(m)
+	reply.Routers = append(reply.Routers, c.self.delta())
+	first, named := c.rng.IntN(maxToldPeers), 0
 	for i := range c.joins.told {
 		p := c.joins.told[(first+i)%len(c.joins.told)]
 		e := c.routers[p.id]
-		if e == nil || e.state != alive || e.status.Replica || p.id == m.From || now.Sub(p.at) < toldAfter {
+		if e == nil || e.state != alive || e.status.Replica || p.id == m.From || now.Sub(p.at) < toldAfter || named == namedPeers {
 			continue
 		}
-		if reply.Routers = append(reply.Routers, e.delta()); len(reply.Routers) > namedPeers {
-			break
-		}
+		reply.Routers = append(reply.Routers, e.delta())
+		named++
 	}
 	c.send(now, asker, budget.Liveness, reply)
 }
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -175,10 +175,7 @@
 	for i, sum := range c.buckets(now) {
 		differs[i] = i >= len(m.Buckets) || m.Buckets[i] != sum
 	}
-	reply := c.message(pb.GossipKind_GOSSIP_KIND_SYNC_REPLY, m.Nonce)
-	if e := c.routers[m.From]; e != nil && e.state == dead {
-		reply.Routers = append(reply.Routers, e.delta())
-	}
+	reply := c.syncReply(m)
 	known := knownSet{bits: m.Known, salt: uint64(m.Nonce)}
 	routers := c.routersIn(differs, known)
 	targets := c.targetsIn(now, differs, known)
@@ -192,6 +189,15 @@
 	}
 }
 
+// syncReply begins the answer to a comparison. It tells the asker if it is believed dead.
+func (c *core) syncReply(m *pb.Gossip) *pb.Gossip {
+	reply := c.message(pb.GossipKind_GOSSIP_KIND_SYNC_REPLY, m.Nonce)
+	if e := c.routers[m.From]; e != nil && e.state == dead {
+		reply.Routers = append(reply.Routers, e.delta())
+	}
+	return reply
+}
+
 // routersIn returns the routers of the parts that are not known, in random order so
 // that a bounded answer brings others each time.
 func (c *core) routersIn(differs []bool, known knownSet) []*pb.RouterDelta {
