--- a/internal/member/joins.go
+++ b/internal/member/joins.go
@@ -17,7 +17,7 @@
 	// largeAnswer is the number of targets from which on the answer to one who knows few
 	// is spaced.
 	largeAnswer = 24
-	// maxToldPeers bounds the peers that are remembered as having had a whole answer.
+	// maxToldPeers bounds the peers that are remembered as having been answered whole.
 	maxToldPeers = 16
 	// toldAfter is how long after a whole answer was sent its receiver has read it.
 	toldAfter = 20 * time.Millisecond
@@ -25,9 +25,9 @@
 	namedPeers = 4
 )
 
-// joins spaces the whole answers of a replica. It answers the return of a large fleet:
-// all routers compare their empty views with a few small replicas. Those that have the
-// view by then tell the others.
+// joins spaces the whole answers of a replica to routers that know little. It answers the
+// return of a large fleet: all routers compare their empty views with a few small
+// replicas, and those that were answered can answer the others.
 type joins struct {
 	// due is when all answers so far have had their interval.
 	due time.Time
@@ -52,8 +52,8 @@
 	return true
 }
 
-// tell remembers a peer that has a whole answer.
-func (j *joins) tell(now time.Time, id string) {
+// answered remembers a peer that was sent a whole answer.
+func (j *joins) answered(now time.Time, id string) {
 	j.told = slices.DeleteFunc(j.told, func(p toldPeer) bool { return p.id == id })
 	j.told = append(j.told, toldPeer{id: id, at: now})
 	if len(j.told) > maxToldPeers {
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -163,13 +163,13 @@
 // onSync answers with the entries that the asker doesn't know, of all parts in which
 // the views differ.
 func (c *core) onSync(now time.Time, from string, m *pb.Gossip) {
-	joins := len(m.Known) == 0 && len(c.presentNow(now).list) >= largeAnswer
-	if joins && c.self.status.Replica && !c.joins.allow(now) {
-		c.nameOthers(now, from, m)
-		return
-	}
-	if joins {
-		c.joins.tell(now, m.From)
+	knowsLittle := len(m.Known) == 0
+	if knowsLittle && len(c.presentNow(now).list) >= largeAnswer {
+		if c.self.status.Replica && !c.joins.allow(now) {
+			c.nameOthers(now, from, m)
+			return
+		}
+		c.joins.answered(now, m.From)
 	}
 	differs := make([]bool, numBuckets)
 	for i, sum := range c.buckets(now) {
