--- a/internal/instance/routed_remembered.go
+++ b/internal/instance/routed_remembered.go
@@ -71,7 +71,7 @@
 		addrs := in.peerAddrs(in.members.Routers())
 		peers.save(in, strings.Join(addrs, "\n"), len(addrs), func(f journal.FS) error { return remembered.SavePeers(f, addrs) })
 		serving := servingTargets(in.members.Targets())
-		targets.save(in, identities(serving), len(serving), func(f journal.FS) error { return remembered.SaveTargets(f, serving) })
+		targets.save(in, identities(serving), len(serving), func(f journal.FS) error { return remembered.SaveTargets(f, withoutLoads(serving)) })
 	}
 }
 
@@ -99,18 +99,20 @@
 	return save(folder)
 }
 
-// servingTargets returns copies, without the load, of the targets that don't leave.
+// servingTargets returns the targets that don't leave.
 func servingTargets(targets []*pb.TargetStatus) []*pb.TargetStatus {
-	var serving []*pb.TargetStatus
-	for _, st := range targets {
-		if st.Leaving {
-			continue
-		}
-		st = proto.CloneOf(st)
-		st.Load = nil
-		serving = append(serving, st)
+	leaves := func(st *pb.TargetStatus) bool { return st.Leaving }
+	return slices.DeleteFunc(slices.Clone(targets), leaves)
+}
+
+// withoutLoads copies targets without their load, which is out of date after a start.
+func withoutLoads(targets []*pb.TargetStatus) []*pb.TargetStatus {
+	copies := make([]*pb.TargetStatus, len(targets))
+	for i, st := range targets {
+		copies[i] = proto.CloneOf(st)
+		copies[i].Load = nil
 	}
-	return serving
+	return copies
 }
 
 // identities names the incarnation and address of each target.
--- a/internal/remembered/targets.go
+++ b/internal/remembered/targets.go
@@ -31,16 +31,17 @@
 // with ErrDamaged if the file is not whole.
 func LoadTargets(dir string) ([]*pb.TargetStatus, error) {
 	data, err := read(dir, targetsName)
-	if err == nil && data != nil {
-		var targets []*pb.TargetStatus
-		if targets, err = decodeTargets(data); err == nil {
-			return targets, nil
-		}
+	if err != nil {
+		return nil, fmt.Errorf("reading the targets: %w", err)
 	}
+	if data == nil {
+		return nil, nil
+	}
+	targets, err := decodeTargets(data)
 	if err != nil {
 		return nil, fmt.Errorf("reading the targets: %w", err)
 	}
-	return nil, nil
+	return targets, nil
 }
 
 func decodeTargets(data []byte) ([]*pb.TargetStatus, error) {
--- a/internal/routesync/spread_test.go
+++ b/internal/routesync/spread_test.go
@@ -129,3 +129,21 @@
 	router.members.see(&pb.RouterStatus{Id: "replica", PeerAddr: replica.members.self.PeerAddr, Replica: true, RoutingTable: 7})
 	router.holds(t, 7)
 }
+
+// TestCommittedTakesNewerTablesOnly has the log show tables again and out of order: those
+// that come into force are 3 and 5, each once.
+func TestCommittedTakesNewerTablesOnly(t *testing.T) {
+	s := &Sync{wake: make(chan struct{}, 1)}
+	var taken []uint64
+	for _, number := range []uint64{3, 2, 3, 5, 5, 4} {
+		s.Committed(number, nil, &pb.RoutingTable{Number: number})
+		select {
+		case <-s.wake:
+			taken = append(taken, s.pending.number)
+		default:
+		}
+	}
+	if len(taken) != 2 || taken[0] != 3 || taken[1] != 5 {
+		t.Errorf("tables %v are taken", taken)
+	}
+}
