Request log line: the parts of the prompt

Change: the line of a finished request lists the ids of its prompt's parts, at most 256 bytes. No decision changes.

--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
 	"github.com/wigeonwood/wigeonwood/internal/relay"
 )
@@ -32,3 +33,18 @@
 		}
 	}
 }
+
+// TestPromptText checks that the log line of a request lists the parts of its prompt in
+// order, and that a prompt with many parts cannot make the line unbounded.
+func TestPromptText(t *testing.T) {
+	if got := promptText([]filter.PromptPart{{ID: "a", Tokens: 1}, {ID: "b", Tokens: 2}}); got != "a,b" {
+		t.Errorf("%q, want the two ids in order", got)
+	}
+	long := make([]filter.PromptPart, 1000)
+	for i := range long {
+		long[i].ID = "0123456789abcdef"
+	}
+	if got := promptText(long); len(got) > 2*maxLoggedPrompt {
+		t.Errorf("%d bytes for %d parts", len(got), len(long))
+	}
+}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"time"
 
 	"github.com/phuslu/log"
@@ -109,6 +110,9 @@
 	if x.Route != nil {
 		e.Str("route", x.Route.Name).Int64("goal_ms", x.Route.Goal.Milliseconds())
 	}
+	if len(x.Prompt) > 0 {
+		e.Str("prompt", promptText(x.Prompt))
+	}
 	for _, r := range x.Reasons() {
 		e.Str("why_"+r.Step, r.Target+" "+r.Text)
 	}
@@ -117,3 +121,23 @@
 	}
 	e.Msg("request finished")
 }
+
+// maxLoggedPrompt bounds the part ids in a log line, in bytes.
+const maxLoggedPrompt = 256
+
+// promptText returns the ids of a prompt's parts in order, separated by commas, up to
+// maxLoggedPrompt bytes.
+func promptText(parts []filter.PromptPart) string {
+	var text strings.Builder
+	for i, p := range parts {
+		if text.Len()+len(p.ID) > maxLoggedPrompt {
+			text.WriteString(",...")
+			break
+		}
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		text.WriteString(p.ID)
+	}
+	return text.String()
+}
