Streams: a response that ends inside an event was broken off

Cause: a caller received part of a stream as a complete one. An answer may have neither a length nor chunks and end with its connection; the router took any such end for the end of the stream, appended the part of the event that had arrived, and marked the caller's answer as complete. An engine that closes its connection before its first event gave an empty complete answer. Change: a stream that ends inside an event, or without framing before its first event, is treated like one that was cut: resumed at another engine if the route permits it, otherwise the caller's connection is cut. Other answers without framing stay complete unless reset.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -83,7 +83,7 @@
 	}
 	if x.Stream && isEventStream(x.Answer.Header.Get("Content-Type")) {
 		x.Answer.Events = true
-		x.Answer.Body = newEventStream(ctx, work, x.Answer.Body)
+		x.Answer.Body = newEventStream(ctx, work, x.Answer)
 	}
 	return nil
 }
--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -321,6 +321,20 @@
 			{status: 200, events: events(1, 3), cut: errCutHere},
 			{status: 500},
 		}, events(1, 3), false, "3"},
+		"ends inside an event": {true, []scriptedTarget{
+			{status: 200, events: events(1, 3) + "id: 4\nda"},
+			{status: 200, events: events(4, 6)},
+		}, events(1, 6), true, "3"},
+		"ends inside an event, not resumable": {false, []scriptedTarget{{status: 200, events: events(1, 3) + "id: 4\n"}}, events(1, 3), false, ""},
+		"ends without framing before any event": {true, []scriptedTarget{
+			{status: 200},
+			{status: 200, events: events(1, 4)},
+		}, events(1, 4), true, ""},
+		"resumed, then ends without framing before any event": {true, []scriptedTarget{
+			{status: 200, events: events(1, 3), cut: errCutHere},
+			{status: 200},
+		}, events(1, 3), false, "3"},
+		"a blank line after the last event": {true, []scriptedTarget{{status: 200, events: events(1, 3) + "\n"}}, events(1, 3) + "\n", true, ""},
 		"cut again": {true, []scriptedTarget{
 			{status: 200, events: events(1, 2), cut: errCutHere},
 			{status: 200, events: events(3, 4), cut: errCutHere},
@@ -478,7 +492,7 @@
 	work := &dispatch{Dispatch: &Dispatch{}, x: x}
 	work.choice.Target = &pb.TargetStatus{Id: "t"}
 	read := 0
-	stream := newEventStream(t.Context(), work, io.NopCloser(endless{&read}))
+	stream := newEventStream(t.Context(), work, &Answer{Body: io.NopCloser(endless{&read})})
 	if _, err := io.ReadAll(stream); err == nil || read > maxEventBytes+eventReadBytes {
 		t.Errorf("%d bytes were read, error %v", read, err)
 	}
--- a/internal/filter/events.go
+++ b/internal/filter/events.go
@@ -12,6 +12,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/errs"
+	"github.com/wigeonwood/wigeonwood/internal/forward"
 )
 
 const (
@@ -40,6 +41,10 @@
 	ctx  context.Context
 	work *dispatch
 	body io.ReadCloser
+	// framed is set if the current target marks the end of its response, sawEventHere
+	// once it has sent an event or a comment.
+	framed       bool
+	sawEventHere bool
 	// complete holds complete events that were not passed on yet, partial the beginning
 	// of the next event.
 	complete []byte
@@ -62,16 +67,18 @@
 	err      error
 }
 
-func newEventStream(ctx context.Context, work *dispatch, body io.ReadCloser) *eventStream {
+func newEventStream(ctx context.Context, work *dispatch, a *Answer) *eventStream {
 	s := &eventStream{ctx: ctx, work: work, buf: make([]byte, eventReadBytes), lastID: work.x.LastEvent}
-	s.readFrom(body)
+	s.readFrom(a)
 	return s
 }
 
-// readFrom makes body the target response that the stream reads.
-func (s *eventStream) readFrom(body io.ReadCloser) {
+// readFrom makes the body of a the target response that the stream reads.
+func (s *eventStream) readFrom(a *Answer) {
 	now := time.Now()
-	s.body = body
+	s.body = a.Body
+	s.framed = a.Framed
+	s.sawEventHere = false
 	s.progress = now
 	s.maxPause = TryTimeouts(s.work.x, now).BetweenBytes
 }
@@ -107,15 +114,33 @@
 			s.resumeOrFail(errs.Wrap(errStalled, StepDispatch, s.work.choice.Target.Id))
 		}
 	case errors.Is(err, io.EOF):
-		// What follows the last complete event belongs to the body as well.
+		s.end()
+	default:
+		s.resumeOrFail(err)
+	}
+}
+
+// end ends the stream after the target has ended its response. A response that ends inside
+// an event was broken off, and so was one without framing and without any event: the target
+// closed the connection before it had begun.
+func (s *eventStream) end() {
+	switch {
+	case len(bytes.TrimSpace(s.partial)) > 0:
+		s.resumeOrFail(s.brokenOff("the stream ended inside an event"))
+	case !s.framed && !s.sawEventHere:
+		s.resumeOrFail(s.brokenOff("the stream ended before its first event, without framing"))
+	default:
+		// Blank lines after the last event belong to the body as well.
 		s.complete = append(s.complete, s.partial...)
 		s.partial = nil
 		s.err = io.EOF
-	default:
-		s.resumeOrFail(err)
 	}
 }
 
+func (s *eventStream) brokenOff(text string) error {
+	return errs.Wrap(fmt.Errorf("%w: %s", forward.ErrTruncated, text), StepDispatch, s.work.choice.Target.Id)
+}
+
 // eventEnd is the blank line after each event.
 var eventEnd = []byte("\n\n")
 
@@ -146,6 +171,7 @@
 // stream skipped or repeated an event.
 func (s *eventStream) recordID(event []byte) bool {
 	s.sawEvent = true
+	s.sawEventHere = true
 	id := eventID(event)
 	if id == "" {
 		return true
@@ -207,5 +233,5 @@
 	}
 	// If no event was read so far, the stream starts from its beginning.
 	s.resumed = s.sawEvent
-	s.readFrom(next.Body)
+	s.readFrom(next)
 }
--- a/internal/filter/quarantine_test.go
+++ b/internal/filter/quarantine_test.go
@@ -104,6 +104,7 @@
 		status int
 		notRun bool
 		plain  bool
+		framed bool
 		body   string
 		cut    error
 		want   []quarantine.Outcome
@@ -123,6 +124,9 @@
 		"silent after the header":          {status: 200, cut: forward.ErrSilent},
 		"one event in all":                 {status: 200, body: first, want: []quarantine.Outcome{answered}},
 		"unframed, without an event":       {status: 200, want: []quarantine.Outcome{interrupted}},
+		"framed, without an event":         {status: 200, framed: true, want: []quarantine.Outcome{answered}},
+		"ends inside an event after lines": {status: 200, framed: true, body: first + "id: 2\n", want: []quarantine.Outcome{interrupted}},
+		"ends with a further blank line":   {status: 200, body: first + "\n", want: []quarantine.Outcome{answered}},
 		"unframed, ends inside an event":   {status: 200, body: first + second[:4], want: []quarantine.Outcome{interrupted}},
 		"no stream, complete":              {status: 200, plain: true, body: "text", want: []quarantine.Outcome{answered}},
 		"no stream, cut":                   {status: 200, plain: true, body: "te", cut: forward.ErrTruncated, want: []quarantine.Outcome{interrupted}},
@@ -136,7 +140,7 @@
 					if c.err != nil {
 						return errs.Wrap(c.err, StepForward, "t")
 					}
-					x.Answer = &Answer{Status: c.status, NotRun: c.notRun, Events: !c.plain, Body: &cutBody{data: strings.NewReader(c.body), err: c.cut}}
+					x.Answer = &Answer{Status: c.status, NotRun: c.notRun, Events: !c.plain, Framed: c.framed, Body: &cutBody{data: strings.NewReader(c.body), err: c.cut}}
 					return nil
 				})
 				if !errors.Is(err, c.err) {
--- a/internal/filter/trial.go
+++ b/internal/filter/trial.go
@@ -44,7 +44,7 @@
 	if a.NotRun || a.Status < http.StatusOK || a.Status >= http.StatusMultipleChoices {
 		return nil
 	}
-	a.Body = &trialBody{ReadCloser: a.Body, events: a.Events, report: report}
+	a.Body = &trialBody{ReadCloser: a.Body, events: a.Events, framed: a.Framed, report: report}
 	return nil
 }
 
@@ -54,7 +54,11 @@
 	// events is set if the body is a stream of events, seen counts them.
 	events bool
 	seen   int
-	// tail holds the last bytes read, in which the end of an event may have begun.
+	// framed is set if the target marks the end of the body.
+	framed bool
+	// inside is set if the body continues after the last event, and tail holds its last
+	// bytes, in which the end of an event may have begun.
+	inside bool
 	tail   []byte
 	report func(quarantine.Outcome)
 	done   bool
@@ -70,7 +74,7 @@
 	switch {
 	case b.events && b.seen >= answeredEvents:
 		b.finish(quarantine.Answered)
-	case errors.Is(err, io.EOF) && b.events && (b.seen == 0 || len(b.tail) > 0):
+	case errors.Is(err, io.EOF) && b.events && (b.inside || b.seen == 0 && !b.framed):
 		b.finish(quarantine.Interrupted)
 	case errors.Is(err, io.EOF):
 		b.finish(quarantine.Answered)
@@ -86,8 +90,7 @@
 	b.report(o)
 }
 
-// count counts the ends of events in what was read. It keeps the bytes after the last one,
-// or as many of them as an end can span.
+// count counts the ends of events in what was read.
 func (b *trialBody) count(read []byte) {
 	if !b.events {
 		return
@@ -96,6 +99,8 @@
 	b.seen += bytes.Count(text, eventEnd)
 	if i := bytes.LastIndex(text, eventEnd); i >= 0 {
 		text = text[i+len(eventEnd):]
+		b.inside = false
 	}
+	b.inside = b.inside || len(bytes.TrimSpace(text)) > 0
 	b.tail = bytes.Clone(text[max(0, len(text)-len(eventEnd)+1):])
 }
