Operators list and lift the holds on parts of prompts

Cause: with the quarantine, callers receive prompt-held, and operators need to see which part is held, since when and on what evidence, and to end a wrong hold at once. Change: GET /admin/v1/quarantine and POST /admin/v1/quarantine/lift at every router, the commands 'quarantine list' and 'quarantine lift PART', the pages for operators. A lift is spread to all routers and discards the evidence.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -55,6 +55,9 @@
 	// Burn returns the burn-rate report of one customer, or of all customers if
 	// customer is empty.
 	Burn func(ctx context.Context, customer string) *burn.Report
+	// Quarantine lists and lifts holds on parts of prompts; nil at an instance that
+	// has none.
+	Quarantine Quarantine
 	// Metrics serves /metrics.
 	Metrics http.Handler
 	Logger  *log.Logger
@@ -85,13 +88,16 @@
 }
 
 // NewReportsHandler returns the handler of the part of the admin interface that
-// needs neither contracts nor orders: the burn-rate report and the explanations of
-// requests. It uses only the fields Token, Explain and Burn of cfg.
+// needs neither contracts nor orders: the burn-rate report, the explanations of
+// requests, and the holds on parts of prompts. It uses only the fields Token, Explain, Burn
+// and Quarantine of cfg.
 func NewReportsHandler(cfg Config) http.Handler {
 	s := &server{Config: cfg}
 	root := mux.NewRouter()
 	root.Use(s.authorize)
-	s.registerReports(root.PathPrefix("/admin/v1").Subrouter())
+	r := root.PathPrefix("/admin/v1").Subrouter()
+	s.registerReports(r)
+	s.registerQuarantine(r)
 	return root
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -146,6 +146,7 @@
 		newStatus(),
 		newExplain(),
 		newReport(),
+		newQuarantine(),
 		newVersion(),
 	)
 	return root
--- a/internal/instance/routed_reports.go
+++ b/internal/instance/routed_reports.go
@@ -34,13 +34,17 @@
 	return nil
 }
 
-// Reports returns the handler of the burn report and of the explanations of finished
-// requests. It serves only operators that send the token.
+// Reports returns the handler of the burn report, of the explanations of finished requests
+// and of the holds on parts of prompts. It serves only operators that send the token.
 func (in *Routed) Reports(token string) http.Handler {
-	return admin.NewReportsHandler(admin.Config{
+	cfg := admin.Config{
 		Token:   token,
 		Explain: in.reports.findRequest,
 		Burn:    in.reports.aggregator.Collect,
 		Logger:  in.logger,
-	})
+	}
+	if in.guard != nil {
+		cfg.Quarantine = in.guard
+	}
+	return admin.NewReportsHandler(cfg)
 }
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -135,15 +135,29 @@
 	})
 }
 
-// Holds returns the holds in force, by part.
-func (g *Guard) Holds() []*Hold {
+// HeldParts returns the holds in force, by part.
+func (g *Guard) HeldParts() *pb.HeldParts {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.detector.Holds(time.Now())
+	held := &pb.HeldParts{Router: g.cfg.Self}
+	for _, h := range g.detector.Holds(time.Now()) {
+		held.Parts = append(held.Parts, &pb.HeldPart{
+			Part:           h.Part,
+			SinceMs:        h.Since.Milliseconds(),
+			LeftMs:         h.Left.Milliseconds(),
+			DecidedBy:      h.By,
+			Strikes:        uint32(h.Strikes),
+			Crashes:        uint32(h.Crashes),
+			LastCrashMs:    h.LastCrash.Milliseconds(),
+			AnsweredBefore: h.AnsweredBefore,
+		})
+	}
+	return held
 }
 
-// Lift ends the hold on a part at all routers. It reports whether the part was held here.
-func (g *Guard) Lift(part string) bool {
+// LiftPart ends the hold on a part at all routers. It reports whether the part was held
+// here.
+func (g *Guard) LiftPart(part string) bool {
 	lifted := false
 	g.do(func(d *Detector, now time.Time) { lifted = d.Lift(now, part) })
 	return lifted
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -207,7 +207,7 @@
 			f.requests.Wait()
 		},
 		"by an operator": func(f *simFleet) {
-			if !f.routers[5].guard.Lift("sound") {
+			if !f.routers[5].guard.LiftPart("sound") {
 				f.t.Error("the part was not held at the router that was asked to lift it")
 			}
 		},
--- a/internal/quarantine/simfleet_test.go
+++ b/internal/quarantine/simfleet_test.go
@@ -267,7 +267,7 @@
 // heldAt returns the parts that a router holds.
 func (f *simFleet) heldAt(r *router) []string {
 	var parts []string
-	for _, h := range r.guard.Holds() {
+	for _, h := range r.guard.HeldParts().Parts {
 		parts = append(parts, h.Part)
 	}
 	return parts
