--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -89,12 +89,7 @@
 
 // do runs fn on the core, then sends the packets and logs the events that result.
 func (m *Members) do(fn func(c *core, now time.Time)) {
-	m.mu.Lock()
-	fn(m.core, time.Now())
-	out := m.core.drainPackets()
-	events := m.core.drainEvents()
-	m.metrics.update(m.core)
-	m.mu.Unlock()
+	out, events := m.run(fn)
 	for _, p := range out {
 		m.write(p)
 	}
@@ -107,6 +102,17 @@
 	}
 }
 
+// run runs fn on the core and returns what results. The lock is released in any case: a
+// panic in the handler of a caller's request is recovered by the HTTP server.
+func (m *Members) run(fn func(c *core, now time.Time)) (out []packet, events []viewEvent) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fn(m.core, time.Now())
+	out, events = m.core.drainPackets(), m.core.drainEvents()
+	m.metrics.update(m.core)
+	return out, events
+}
+
 // logEvent logs one change of the view. The event that the lease of a target expired is
 // logged as a warning; it is recorded only for targets that are not leaving.
 func (m *Members) logEvent(e viewEvent) {
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -130,3 +131,33 @@
 		t.Error("a router's state caused the view of the targets to be rebuilt")
 	}
 }
+
+// TestOversizedMessageKeepsTheMembership guards against a request that ends the membership of
+// its router: a slot request names the targets that failed the request, and with many long
+// ids it exceeds a datagram.
+func TestOversizedMessageKeepsTheMembership(t *testing.T) {
+	m := startMember(t, "r1")
+	ask := &pb.PlaceAsk{Service: "s"}
+	for range 20 {
+		ask.Exclude = append(ask.Exclude, strings.Repeat("x", 128))
+	}
+	func() {
+		// The HTTP server recovers a panic in the handler of a request.
+		defer func() {
+			if p := recover(); p != nil {
+				t.Errorf("the request ended with a panic: %v", p)
+			}
+		}()
+		m.SendPlacing("127.0.0.1:9", &pb.Placing{Place: 1, What: &pb.Placing_Ask{Ask: ask}})
+	}()
+	done := make(chan int)
+	go func() { done <- len(m.Routers()) }()
+	select {
+	case n := <-done:
+		if n != 1 {
+			t.Errorf("%d routers, want this one", n)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the membership is locked")
+	}
+}
