--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -111,9 +111,10 @@
 		return causes
 	}
 	counts := make([]int, len(parts))
+	holding := d.holding()
 	for i, part := range parts {
 		if r := d.records[partKey(part)]; r != nil {
-			counts[i] = r.counted(d.explains(r))
+			counts[i] = r.counted(explains(holding, r))
 		}
 	}
 	var causes []string
@@ -197,25 +198,34 @@
 		)
 	})
 	rate := d.baseline.rate(now)
+	held := d.holding()
 	for _, r := range candidates {
-		explained := d.explains(r)
-		counted, first := r.counted(explained), r.firstCounted(explained)
-		if counted < minCrashes || now.Sub(first) < settleTime {
-			continue
-		}
-		required := requiredCrashes(max(rate, r.failureRate), !r.lastAnswered.IsZero())
-		if len(r.crashes) < maxCrashes {
-			required += d.otherCrashes(r, first, explained) / otherCrashesPerCrash
-		}
-		if counted < required {
+		if !d.suffices(now, r, rate, held) {
 			continue
 		}
+		held = append(held, r)
 		r.hold = hold{since: now, renewed: now, until: now.Add(holdTime(1)), strikes: 1, by: d.self}
 		d.touch(now, r)
 		d.addEvent(now, Held, r)
 	}
 }
 
+// suffices reports whether the evidence against r suffices to hold it, given the failure
+// rate of requests and the held parts.
+func (d *Detector) suffices(now time.Time, r *record, rate float64, held []*record) bool {
+	explained := explains(held, r)
+	counted, first := r.counted(explained), r.firstCounted(explained)
+	required := requiredCrashes(max(rate, r.failureRate), !r.lastAnswered.IsZero())
+	if counted < required || now.Sub(first) < settleTime {
+		return false
+	}
+	if len(r.crashes) == maxCrashes {
+		// The crashes of a frequent part that are no longer kept are not those of others.
+		return true
+	}
+	return counted >= required+d.otherCrashes(r, first, explained)/otherCrashesPerCrash
+}
+
 // otherCrashes returns the number of engines that ended since a time under requests without
 // r's part, and that no held part explains.
 func (d *Detector) otherCrashes(r *record, since time.Time, explained func(target uint64) bool) int {
@@ -244,18 +254,25 @@
 	}
 }
 
-// explains returns a function that reports whether the end of a target is explained by a
-// held part other than r's. Of two parts with equally many crashes, neither explains those
-// of the other, because the evidence does not tell them apart.
-func (d *Detector) explains(r *record) func(target uint64) bool {
+// holding returns the records of the held parts.
+func (d *Detector) holding() []*record {
 	var held []*record
-	for _, other := range d.records {
-		if other != r && other.held() && len(other.crashes) > len(r.crashes) {
-			held = append(held, other)
+	for _, r := range d.records {
+		if r.held() {
+			held = append(held, r)
 		}
 	}
+	return held
+}
+
+// explains returns a function that reports whether the end of a target is explained by a
+// held part other than r's. Of two parts with equally many crashes, neither explains those
+// of the other, because the evidence does not tell them apart.
+func explains(held []*record, r *record) func(target uint64) bool {
 	return func(target uint64) bool {
-		return slices.ContainsFunc(held, func(other *record) bool { return other.has(target) })
+		return slices.ContainsFunc(held, func(other *record) bool {
+			return other != r && len(other.crashes) > len(r.crashes) && other.has(target)
+		})
 	}
 }
 
@@ -264,9 +281,10 @@
 	if len(d.records) == 0 {
 		return false
 	}
+	holding := d.holding()
 	return slices.ContainsFunc(parts, func(part string) bool {
 		r := d.records[partKey(part)]
-		return r != nil && (r.held() || r.counted(d.explains(r)) >= suspectCrashes)
+		return r != nil && (r.held() || r.counted(explains(holding, r)) >= suspectCrashes)
 	})
 }
 
