Quarantine: an unreadable part id no longer ends the exchange of evidence

Cause: found while looking for other places where one request can end what others need. A caller may send a part id that is not valid UTF-8. Protobuf can't encode it, and the whole message with the evidence on other parts would be dropped at each try. Change: such an id is replaced by its hash, as one that is too long. Evidence: TestUnreadablePartKeepsUpdates; before, proto.Marshal failed on the message.

--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -251,3 +251,17 @@
 		d.Digest(start)
 	})
 }
+
+// TestUnreadablePartKeepsUpdates guards against one request that ends the exchange of all
+// evidence: an id that is not valid UTF-8 cannot be sent in a message.
+func TestUnreadablePartKeepsUpdates(t *testing.T) {
+	d := NewDetector("r")
+	crashIn(d, start, 1, "\xff\xfe", "readable")
+	updates := d.Updates(start)
+	if len(updates) != 2 {
+		t.Fatalf("%d updates, want two", len(updates))
+	}
+	if _, err := proto.Marshal(&pb.Quarantine{Records: updates}); err != nil {
+		t.Errorf("the message can't be encoded: %v", err)
+	}
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
 )
@@ -14,8 +15,8 @@
 	maxCrashes = 16
 	// maxRecords bounds the parts with evidence.
 	maxRecords = 1024
-	// maxPartBytes bounds the ids that are kept as they are. Longer ones are replaced by
-	// their hash.
+	// maxPartBytes bounds the ids that are kept as they are. Longer ones, and those that
+	// are not valid UTF-8 and so can't be sent, are replaced by their hash.
 	maxPartBytes = 64
 	// evidenceRetention is how long evidence against a part that is not held is kept
 	// after its last change, holdRetention how long an expired hold is kept.
@@ -25,7 +26,7 @@
 
 // partKey returns the id under which a part is known.
 func partKey(part string) string {
-	if len(part) <= maxPartBytes {
+	if len(part) <= maxPartBytes && utf8.ValidString(part) {
 		return part
 	}
 	return fmt.Sprintf("hash-%016x", fleet.Hash(part))
