Membership: a target's id that is not valid UTF-8 is refused

Cause: found while looking for other places where one request can end what others need. One heartbeat to /api/instances/%ff was accepted. Protobuf can't encode its id, so each datagram that carried the target, with its probes and all other updates, was dropped by the replica that had accepted it: routers learned of no target, and callers were refused.

--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"time"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/proto"
 
@@ -93,6 +94,10 @@
 }
 
 func (c *core) checkAnnouncement(st *pb.TargetStatus) error {
+	// A string that protobuf can't encode would end each datagram that carries it.
+	if !utf8.ValidString(st.Id) || !utf8.ValidString(st.Service) || !utf8.ValidString(st.DataCentre) || !utf8.ValidString(st.Addr) {
+		return fmt.Errorf("a name in the status of target %q is not valid UTF-8", st.Id)
+	}
 	past, known := c.history.get(st.Id)
 	if !known {
 		return nil
