Callers' chat ids and keys that are not valid UTF-8 are refused

Cause: found while looking for other places where one request can end what others need. Both become strings of messages between instances, which protobuf can't encode. A chat id can share its message with those of other callers; a key would make its claim fail. Change: 400 with bad-chat-id or bad-key, as for other malformed ids. Evidence: two cases of TestBadInput failed before: the request was passed to the scheduler. That other callers were harmed is suspected, not shown.

--- a/internal/router/badinput_test.go
+++ b/internal/router/badinput_test.go
@@ -38,6 +38,8 @@
 		{"priority", post(plainChat, "X-Priority: urgent"), 400, "bad-priority"},
 		{"timeout", post(plainChat, "X-Timeout-Ms: soon"), 400, "bad-timeout"},
 		{"chat id", post(plainChat, "X-Chat-Id: "+strings.Repeat("c", 129)), 400, "bad-chat-id"},
+		{"unreadable chat id", post(plainChat, "X-Chat-Id: \xff\xfe"), 400, "bad-chat-id"},
+		{"unreadable key", "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\nIdempotency-Key: \xff\r\nContent-Length: 0\r\n\r\n", 400, "bad-key"},
 		{"body too large", post(strings.Repeat("x", 101)), 413, "body-too-large"},
 		{"no key before the body", "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nslow", 401, "no-key"},
 		{"chunks too large", "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", 101) + "\r\n0\r\n\r\n", 413, "body-too-large"},
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"unicode/utf8"
 
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 )
@@ -139,6 +140,9 @@
 	if len(id) > maxChatIDBytes {
 		return invalid(x, http.StatusBadRequest, "bad-chat-id", fmt.Sprintf("%s is longer than %d bytes", headerChatID, maxChatIDBytes))
 	}
+	if !utf8.ValidString(id) {
+		return invalid(x, http.StatusBadRequest, "bad-chat-id", headerChatID+" is not valid UTF-8")
+	}
 	if id != "" {
 		x.Demand.Chat = "id:" + id
 		return nil
--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 )
@@ -108,6 +109,9 @@
 	if len(values) > 1 || values[0] == "" {
 		return invalid(x, http.StatusBadRequest, "bad-key", headerKey+" is empty or given more than once")
 	}
+	if !utf8.ValidString(values[0]) {
+		return invalid(x, http.StatusBadRequest, "bad-key", headerKey+" is not valid UTF-8")
+	}
 	x.Key = values[0]
 	return nil
 }
