Quarantine: the decisions in a file of their own

Change: decide.go holds when a part is held and which crashes count towards it. No behaviour changes. Evidence: the tests of the package pass unchanged.

--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -7,29 +7,9 @@
 )
 
 const (
-	// minCrashes is the minimum number of crashes for which a part is held. More are
-	// required while many requests fail, see requiredCrashes.
-	minCrashes = 3
-	// answeredBeforeCrashes is the number of further crashes that are required if the
-	// part was answered at some time before. It decides between a part that crashes
-	// engines and one that only occurs together with it.
-	answeredBeforeCrashes = 2
 	// suspectCrashes is the number of crashes from which on a request with the part is
 	// not repeated at another engine.
 	suspectCrashes = 2
-	// answerGrace is the time after an answer for which crashes are no evidence. It
-	// spares the routers updates on the parts that most requests have.
-	answerGrace = 2 * time.Second
-	// causeMargin is the number of crashes by which the evidence against one part must
-	// exceed that against another part of the same prompt to explain the next crash.
-	causeMargin = 2
-	// otherCrashesPerCrash is the number of engines that end under requests without the
-	// part for which one more crash is required: engines that end anyway weaken the
-	// evidence against each part.
-	otherCrashesPerCrash = 4
-	// settleTime is the minimum time from the first crash that counts to the decision,
-	// in which answers at other routers can refute the evidence.
-	settleTime = 800 * time.Millisecond
 	// firstHold is the duration of the first hold on a part. It doubles with each probe
 	// that crashes an engine, up to maxHold.
 	firstHold = 30 * time.Second
@@ -99,33 +79,6 @@
 	}
 }
 
-// likelyCauses returns the parts that may have caused a crash: those with nearly as much
-// evidence as the one with the most, and only held ones if there are any. Without this,
-// frequent crashes by one part become evidence against all parts in the same prompts.
-func (d *Detector) likelyCauses(parts []string) []string {
-	if held := d.heldAmong(parts); len(held) > 0 {
-		causes := make([]string, 0, len(held))
-		for _, r := range held {
-			causes = append(causes, r.part)
-		}
-		return causes
-	}
-	counts := make([]int, len(parts))
-	holding := d.holding()
-	for i, part := range parts {
-		if r := d.records[partKey(part)]; r != nil {
-			counts[i] = r.counted(explains(holding, r))
-		}
-	}
-	var causes []string
-	for i, part := range parts {
-		if counts[i]+causeMargin > slices.Max(counts) {
-			causes = append(causes, part)
-		}
-	}
-	return causes
-}
-
 func (d *Detector) observeAnswer(now time.Time, part string) {
 	key := partKey(part)
 	d.answered.put(now, key)
@@ -178,104 +131,6 @@
 	return min(maxHold, firstHold<<min(max(strikes, 1)-1, maxDoublings))
 }
 
-// Tick holds the parts whose evidence suffices, and forgets what is out of date. It must be
-// called several times a second.
-func (d *Detector) Tick(now time.Time) {
-	d.collectGarbage(now)
-	var candidates []*record
-	for _, r := range d.records {
-		if !r.held() && len(r.crashes) >= minCrashes {
-			candidates = append(candidates, r)
-		}
-	}
-	// A part that was never answered is decided on first, because its hold may explain
-	// the crashes of the others.
-	slices.SortFunc(candidates, func(x, y *record) int {
-		return cmp.Or(
-			compareBool(!x.lastAnswered.IsZero(), !y.lastAnswered.IsZero()),
-			cmp.Compare(len(y.crashes), len(x.crashes)),
-			cmp.Compare(x.part, y.part),
-		)
-	})
-	rate := d.baseline.rate(now)
-	held := d.holding()
-	for _, r := range candidates {
-		if !d.suffices(now, r, rate, held) {
-			continue
-		}
-		held = append(held, r)
-		r.hold = hold{since: now, renewed: now, until: now.Add(holdTime(1)), strikes: 1, by: d.self}
-		d.touch(now, r)
-		d.addEvent(now, Held, r)
-	}
-}
-
-// suffices reports whether the evidence against r suffices to hold it, given the failure
-// rate of requests and the held parts.
-func (d *Detector) suffices(now time.Time, r *record, rate float64, held []*record) bool {
-	explained := explains(held, r)
-	counted, first := r.counted(explained), r.firstCounted(explained)
-	required := requiredCrashes(max(rate, r.failureRate), !r.lastAnswered.IsZero())
-	if counted < required || now.Sub(first) < settleTime {
-		return false
-	}
-	if len(r.crashes) == maxCrashes {
-		// The crashes of a frequent part that are no longer kept are not those of others.
-		return true
-	}
-	return counted >= required+d.otherCrashes(r, first, explained)/otherCrashesPerCrash
-}
-
-// otherCrashes returns the number of engines that ended since a time under requests without
-// r's part, and that no held part explains.
-func (d *Detector) otherCrashes(r *record, since time.Time, explained func(target uint64) bool) int {
-	others := make(map[uint64]bool)
-	for _, other := range d.records {
-		if other == r || other.held() {
-			continue
-		}
-		for _, c := range other.crashes {
-			if !c.at.Before(since) && !explained(c.target) && !r.has(c.target) {
-				others[c.target] = true
-			}
-		}
-	}
-	return len(others)
-}
-
-func compareBool(x, y bool) int {
-	switch {
-	case x == y:
-		return 0
-	case y:
-		return -1
-	default:
-		return 1
-	}
-}
-
-// holding returns the records of the held parts.
-func (d *Detector) holding() []*record {
-	var held []*record
-	for _, r := range d.records {
-		if r.held() {
-			held = append(held, r)
-		}
-	}
-	return held
-}
-
-// explains returns a function that reports whether the end of a target is explained by a
-// held part other than r's. Of two parts with equally many crashes, neither explains those
-// of the other, because the evidence does not tell them apart.
-func explains(held []*record, r *record) func(target uint64) bool {
-	return func(target uint64) bool {
-		return slices.ContainsFunc(held, func(other *record) bool {
-			return other != r && len(other.crashes) > len(r.crashes) && other.has(target)
-		})
-	}
-}
-
 // suspected reports whether one of the parts is held or has suspectCrashes.
 func (d *Detector) suspected(parts []string) bool {
 	if len(d.records) == 0 {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// answerGrace is the time after an answer for which crashes are no evidence. It
+	// spares the routers updates on the parts that most requests have.
+	answerGrace = 2 * time.Second
 	// maxCrashes bounds the crashes that are kept for one part.
 	maxCrashes = 16
 	// maxRecords bounds the parts with evidence.
