Quarantine: decisions of routers with long names are accepted

Cause: found while reading the change. A router ignored the records that name a router with an id of more than 64 bytes, the bound of part ids: its decisions would have stayed its own. Change: the bound of router ids is 255 bytes; the largest record still fits in one message. Evidence: TestHoldOfRouterWithLongName failed before.

--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -265,3 +266,25 @@
 		t.Errorf("the message can't be encoded: %v", err)
 	}
 }
+
+// TestHoldOfRouterWithLongName checks that a decision of a router with a long id is accepted,
+// and that the largest record fits in one message.
+func TestHoldOfRouterWithLongName(t *testing.T) {
+	long := strings.Repeat("n", maxRouterBytes)
+	d := NewDetector(long)
+	part := strings.Repeat("p", maxPartBytes)
+	now := start
+	for i := range 2 * maxCrashes {
+		now = now.Add(200 * time.Millisecond)
+		crashIn(d, now, 1<<63+uint64(i), part)
+	}
+	d.Tick(now)
+	updates := d.Updates(now)
+	if len(updates) != 1 {
+		t.Fatalf("%d updates, want one", len(updates))
+	}
+	other := NewDetector("r")
+	if !other.Merge(now, updates[0]) || other.Admit(now, []string{part}, never) == nil {
+		t.Errorf("the decision of %s was not accepted", long)
+	}
+}
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -18,6 +18,8 @@
 	updateRounds = 3
 	// maxUpdateBytes bounds the records in one message.
 	maxUpdateBytes = 1100
+	// maxRouterBytes bounds the id of the router that decided.
+	maxRouterBytes = 255
 	// sameTime is the difference up to which two times are taken for the same event.
 	// Ages from other routers are late by the network latency.
 	sameTime = 500 * time.Millisecond
@@ -169,7 +171,7 @@
 func validRecord(m *pb.PartRecord) bool {
 	return m.GetPart() != "" && len(m.Part) <= maxPartBytes &&
 		len(m.CrashedTargets) == len(m.CrashAgesMs) && len(m.CrashedTargets) == len(m.SentAgesMs) && len(m.CrashedTargets) <= maxCrashes &&
-		len(m.GetHold().GetRouter()) <= maxPartBytes
+		len(m.GetHold().GetRouter()) <= maxRouterBytes
 }
 
 func (r *record) mergeCrashes(now time.Time, m *pb.PartRecord) (changed bool) {
