Quarantine: an update on some part does not end the request for decisions

Cause: a router that starts requests the decisions of two others until one replies. It took any message for the reply, also an update on a part that had just changed, and then sent requests with held parts until a digest reached it, seconds later. Change: replies are marked, and only a marked one ends the requests.

--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -66,7 +66,8 @@
 
 	mu       sync.Mutex
 	detector *Detector
-	// synced is set once another router has sent its decisions.
+	// synced is set once another router has replied with its decisions. Updates on parts
+	// that changed do not contain all decisions.
 	synced bool
 }
 
@@ -167,7 +168,7 @@
 func (g *Guard) Handle(router, addr string, q *pb.Quarantine) {
 	var reply []*pb.Quarantine
 	g.do(func(d *Detector, now time.Time) {
-		g.synced = true
+		g.synced = g.synced || q.Reply
 		d.MergeCounts(now, router, q.Trials, q.Failures)
 		for _, r := range q.Records {
 			if !d.Merge(now, r) {
@@ -196,7 +197,7 @@
 		for _, r := range records {
 			seen[r.Part] = true
 		}
-		messages = append(messages, &pb.Quarantine{Records: records})
+		messages = append(messages, &pb.Quarantine{Records: records, Reply: true})
 	}
 	return messages
 }
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
 const (
@@ -243,3 +245,18 @@
 		}
 	})
 }
+
+// TestUpdatesDoNotEndRequests guards against a router that starts during an outbreak, takes
+// the first update on some part for the decisions of the fleet, and sends requests with a
+// part that all others hold.
+func TestUpdatesDoNotEndRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 12, 5)
+		holdWrongly(f, "held")
+		f.start(f.routers[2])
+		f.routers[2].guard.Handle("router-000", f.routers[0].status.PeerAddr, &pb.Quarantine{Records: []*pb.PartRecord{{Part: "other"}}})
+		time.Sleep(requestInterval + 2*roundInterval)
+		synctest.Wait()
+		f.wantHeld("held")
+	})
+}
