Quarantine: crashes under a part no longer hide it where there are few other requests

Cause: the crashes that a part requires grow with the share of interrupted requests, and the crashes under the part itself were in that share. With few other requests it rose to a tenth, a sixth crash was required, and the part was not held after the fifth. Change: the share is computed without the crashes under the part. The accepted probability of a false hold falls from 1e-5 to 1e-6, since the share of a sound part falls as well.

--- a/internal/quarantine/baseline.go
+++ b/internal/quarantine/baseline.go
@@ -18,7 +18,7 @@
 	maxPeerTrials = 1_000_000
 	// falseHold is the accepted probability that a sound part fails as often in a row
 	// as is required for a hold.
-	falseHold = 1e-5
+	falseHold = 1e-6
 )
 
 // baseline estimates the probability that an engine ends under a sound request, from the
@@ -77,14 +77,18 @@
 	b.peers[router] = peerCounts{counts: c, at: now}
 }
 
-// rate returns the failure rate over the last one to two windows.
-func (b *baseline) rate(now time.Time) float64 {
-	sum := b.own(now).plus(counts{priorTrials, priorFailures})
+// rate returns the failure rate over the last one to two windows, apart from the given
+// number of failures. These are the crashes under the part that the rate is compared with:
+// where there are few requests, they would raise the rate and so hide the part.
+func (b *baseline) rate(now time.Time, apart int) float64 {
+	sum := b.own(now)
 	for _, p := range b.peers {
 		if now.Sub(p.at) < 2*baselineWindow {
 			sum = sum.plus(p.counts)
 		}
 	}
+	apart = min(apart, sum.failures)
+	sum = sum.plus(counts{priorTrials - apart, priorFailures - apart})
 	return float64(sum.failures) / float64(sum.trials)
 }
 
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -45,10 +45,9 @@
 			cmp.Compare(x.part, y.part),
 		)
 	})
-	rate := d.baseline.rate(now)
 	held := d.holding()
 	for _, r := range candidates {
-		if !d.suffices(now, r, rate, held) {
+		if !d.suffices(now, r, held) {
 			continue
 		}
 		held = append(held, r)
@@ -59,11 +58,12 @@
 }
 
 // suffices reports whether the evidence against r suffices to hold it, given the failure
-// rate of requests and the held parts.
-func (d *Detector) suffices(now time.Time, r *record, rate float64, held []*record) bool {
+// rate of other requests and the held parts.
+func (d *Detector) suffices(now time.Time, r *record, held []*record) bool {
 	explained := explains(held, r)
 	counted, first := r.counted(explained), r.firstCounted(explained)
-	required := requiredCrashes(max(rate, r.failureRate), !r.lastAnswered.IsZero())
+	rate := max(d.baseline.rate(now, len(r.crashes)), r.failureRate)
+	required := requiredCrashes(rate, !r.lastAnswered.IsZero())
 	if counted < required || now.Sub(first) < settleTime {
 		return false
 	}
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -113,7 +113,7 @@
 	r.lastAnswered = answered
 	if r.addCrash(c) {
 		d.touch(now, r)
-		r.failureRate = max(r.failureRate, d.baseline.rate(now))
+		r.failureRate = max(r.failureRate, d.baseline.rate(now, len(r.crashes)))
 	}
 	if r.held() && !now.Before(r.hold.until) {
 		r.hold.strikes++
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -67,6 +67,13 @@
 				crashIn(d, second(float64(i)/5), uint64(i), "p")
 			}
 		}, true},
+		"few other requests": {func(d *Detector) {
+			// The crashes under the part are the only failures that there are.
+			for i := range 5 {
+				crashIn(d, second(float64(i)/5), uint64(i), "p")
+			}
+			d.MergeCounts(second(0.9), "r2", 4, 2)
+		}, true},
 		"most requests fail": {func(d *Detector) {
 			for i := range 400 {
 				crashIn(d, second(float64(i)/400), uint64(100+i), fmt.Sprint("other-", i))
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -135,7 +135,7 @@
 	wasHeld := r.held()
 	changed := r.mergeCrashes(now, m)
 	if changed {
-		r.failureRate = max(r.failureRate, d.baseline.rate(now))
+		r.failureRate = max(r.failureRate, d.baseline.rate(now, len(r.crashes)))
 	}
 	changed = r.mergeHold(now, m.Hold) || changed
 	changed = r.mergeAnswer(now, m, d.answered.get(m.Part)) || changed
