--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
@@ -102,18 +103,14 @@
 func (g *Guard) rank(part string) int {
 	self := fleet.Score(part, g.cfg.Self)
 	rank := 0
-	for _, r := range g.cfg.Routers() {
-		if serves(r) && r.Id != g.cfg.Self && fleet.Score(part, r.Id) > self {
+	for _, r := range balance.ServingRouters(g.cfg.Routers()) {
+		if r.Id != g.cfg.Self && fleet.Score(part, r.Id) > self {
 			rank++
 		}
 	}
 	return rank
 }
 
-func serves(r *pb.RouterStatus) bool {
-	return r.CallerAddr != "" && r.State == pb.RouterState_ROUTER_STATE_SERVING
-}
-
 // MayRepeat reports whether a request whose prompt has these parts may be sent to another
 // engine after one has failed it.
 func (g *Guard) MayRepeat(parts []string) bool {
