Request log line: responses that end with their connection are named

Cause: the log line of a request does not tell a response with a length or chunks from one that ends when its connection closes. Change: a reason of step forward for each try whose response has neither, and the counter forward.unframed_answers. No decision changes. Evidence: go test of forward, filter and of the operations page passes.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -49,6 +49,9 @@
 	if err != nil {
 		return err
 	}
+	if !a.Framed {
+		x.AddReason(StepForward, r.Target, "the response has neither a length nor chunks and ends with its connection")
+	}
 	x.Answer = &Answer{
 		Status:  a.Status,
 		Header:  a.Header,
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -82,6 +82,7 @@
 	mismatched tally.Counter
 	silent     tally.Counter
 	truncated  tally.Counter
+	unframed   tally.Counter
 }
 
 // New creates a Client.
@@ -109,6 +110,7 @@
 		mismatched: scope.Counter("crossed_answers"),
 		silent:     scope.Counter("silent_targets"),
 		truncated:  scope.Counter("cut_answers"),
+		unframed:   scope.Counter("unframed_answers"),
 	}
 }
 
@@ -164,6 +166,9 @@
 		c.countFailure(err)
 		return nil, errs.Wrap(err, Step, r.Target)
 	}
+	if !resp.Framed {
+		c.unframed.Inc(1)
+	}
 	return resp, nil
 }
 
