Answers: a connection that a crash closed is not the end of an answer

Cause: callers got status 200 and the end of a complete answer from an engine that had crashed. A response without a length and chunks ends when its connection closes; the router took each orderly close for the end, unless it fell inside an event. A crash between two events, or inside a plain answer, closes the connection in the same way. Change: when such a response ends, the router opens a connection to its target. If the target refuses it, does not answer within 500 ms or closes it within 20 ms, the answer was broken off: a stream is resumed if its route permits that, and the caller's connection is cut otherwise. Events are passed on before that; only the end waits. Responses with a length or chunks are not affected. Ruled out: the number of events in the target's stamp or from the token count (neither is said to hold that), resuming each such stream (a retry for each), an HTTP request as the check (it may need a slot). A target that ends at once after a complete answer without framing is taken for crashed: its caller is cut. A target that breaks off such an answer between two events and serves on is not detected.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -77,6 +77,7 @@
 type Client struct {
 	keepAlive  *http.Transport
 	singleUse  *http.Transport
+	dial       func(ctx context.Context, network, addr string) (net.Conn, error)
 	dialect    *Dialect
 	echoCache  echoCache
 	mismatched tally.Counter
@@ -106,6 +107,7 @@
 	return &Client{
 		keepAlive:  newTransport(c, false),
 		singleUse:  newTransport(c, true),
+		dial:       c.Dial,
 		dialect:    c.Dialect,
 		mismatched: scope.Counter("crossed_answers"),
 		silent:     scope.Counter("silent_targets"),
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -20,7 +20,8 @@
 	// Length is the declared length of the body, or -1 if it is unknown.
 	Length int64
 	// Framed is set if the response marks the end of its body. Otherwise the body
-	// ends when the connection closes, and a truncated body cannot be detected.
+	// ends when the connection closes. It counts as truncated if the target accepts no
+	// connections after that; a truncation by a target that serves on cannot be detected.
 	Framed bool
 
 	httpResp *http.Response
@@ -33,7 +34,9 @@
 	betweenBytes time.Duration
 	target       string
 	countFailure func(error)
-	dialect      *Dialect
+	// confirmEnd checks the end of a body without framing.
+	confirmEnd func(ctx context.Context) error
+	dialect    *Dialect
 }
 
 func newResponse(ctx context.Context, cancel context.CancelCauseFunc, w *watchdog, httpResp *http.Response, r *Request, c *Client) *Response {
@@ -50,6 +53,7 @@
 		betweenBytes: r.BetweenBytes,
 		target:       r.Target,
 		countFailure: c.countFailure,
+		confirmEnd:   func(ctx context.Context) error { return c.confirmEnd(ctx, r.Addr) },
 		dialect:      c.dialect,
 	}
 }
@@ -84,14 +88,28 @@
 	n, err := r.httpResp.Body.Read(p)
 	r.watchdog.stop()
 	r.nextTimeout = r.betweenBytes
-	if err == nil || errors.Is(err, io.EOF) {
-		return n, err
+	if err == nil {
+		return n, nil
+	}
+	if errors.Is(err, io.EOF) {
+		err = r.checkEnd()
+		if err == nil {
+			return n, io.EOF
+		}
 	}
 	err = classify(err, context.Cause(r.ctx), true)
 	r.countFailure(err)
 	return n, errs.Wrap(err, Step, r.target)
 }
 
+// checkEnd returns an error if the end of the body is not the end of the response.
+func (r *Response) checkEnd() error {
+	if r.Framed {
+		return nil
+	}
+	return r.confirmEnd(r.ctx)
+}
+
 // Trailer returns the trailers without hop-by-hop and reserved ones. They are
 // complete once Read has returned io.EOF.
 func (r *Response) Trailer() http.Header {
