Streams: a resumed stream no longer carries the length of the stream that broke

Cause: a caller whose stream was resumed was cut, or got less than the stream: the router passed on the Content-Length of the first engine's response and then wrote the events of the second one, which may be longer or shorter. Change: streams of events reach callers in chunks, whatever the framing of the first response. Evidence: TestAnswersOfCrashedTargets, the cases 'length, resumed, inside an event' and 'length, resumed, between events' failed before (cut by the length) and pass now.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -83,6 +83,8 @@
 	}
 	if x.Stream && isEventStream(x.Answer.Header.Get("Content-Type")) {
 		x.Answer.Events = true
+		// The stream may be resumed at a target whose events have other lengths.
+		x.Answer.Length = -1
 		x.Answer.Body = newEventStream(ctx, work, x.Answer)
 	}
 	return nil
