Answers without a length and chunks reach callers without them too

Cause: callers were told more than the router knew. For each answer that ends with its connection the router wrote a length or a last chunk, which say that the answer is complete; a target that breaks off such an answer between two events, or in a plain body, and serves on cannot be told from one that is done. Change: such an answer ends with the caller's connection too. One that is known to be broken off resets this connection, because its orderly end would look like the end of the answer.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -22,6 +22,10 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(x.Deadline.Add(writeGrace))
 	relay.SetHeader(w.Header(), x.Answer)
 	g.drain.SetConnectionClose(w.Header())
+	framed := x.Answer.Framed
+	if !framed {
+		relay.SetUnframed(w.Header())
+	}
 	w.WriteHeader(x.Answer.Status)
 	last := time.Now()
 	body := relay.Body{
@@ -43,9 +47,20 @@
 	g.finish(x, res)
 	x.Answer.Body.Close()
 	x.End()
+	if !framed {
+		g.resetCaller(w, x.ID)
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetCaller resets the caller's connection.
+func (g *Gateway) resetCaller(w http.ResponseWriter, requestID string) {
+	if err := relay.Reset(w); err != nil {
+		g.cfg.Logger.Warn().Str("step", relay.Step).Str("request_id", requestID).Err(err).
+			Msg("the caller's connection could not be reset; its end may look like the end of the answer")
+	}
+}
+
 // abandonSilence is the pause in a response after which the target counts as failed if
 // the caller leaves.
 const abandonSilence = 1500 * time.Millisecond
