Request log line: the fingerprint of requests that were cut or refused

Change: lines of level warn carry a hash of host, method, path and query, team and body. No decision changes. Answered requests are not hashed.

--- a/internal/filter/exchange.go
+++ b/internal/filter/exchange.go
@@ -76,6 +76,8 @@
 	// claimed is set once the ledger has granted the claim, which permits one dispatch
 	// of this request.
 	claimed bool
+	// fingerprint is the result of Fingerprint once it was called.
+	fingerprint string
 
 	mu      sync.Mutex
 	reasons []Reason
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -113,6 +113,9 @@
 	if len(x.Prompt) > 0 {
 		e.Str("prompt", promptText(x.Prompt))
 	}
+	if level == log.WarnLevel && x.Route != nil {
+		e.Str("fingerprint", x.Fingerprint())
+	}
 	for _, r := range x.Reasons() {
 		e.Str("why_"+r.Step, r.Target+" "+r.Text)
 	}
