Quarantine: a request that crashes engines is withheld

Cause: callers saw streams cut and status 502 while one request crashed engine after engine. Callers and routers repeated it; nothing connected its attempts, and none of its parts told it from sound requests. Class: a query of death whose signature is the whole request. Change: the quarantine keeps evidence against requests as against parts, under the hash of host, method, path, team and body. Every kind of request takes part, with a prompt or not. - One crash of a request goes to two routers by rendezvous hashing, because an engine that ends leaves as many such requests as it had; from two crashes on the record spreads to all. - Against a part, crashes under one request count once, so one request blames no part. - The failure rate that evidence is compared with leaves out the requests that failed at the engines that the request itself ended; routers send their failures by engine for that. - Requests without a prompt have a failure rate of their own. - Records of single crashes yield to all others in memory and bytes. Bodies are hashed only while there is evidence against some request. - Operators list, find and lift them as parts: the key begins with request-. Refusals have the code request-held. Older builds pass the records on and may decide, but go on sending the request. The simulated callers repeat interrupted sound requests now. Drafts of the tests have different bodies, as requests that share a part do.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -287,12 +287,12 @@
 	d.x.Answer = nil
 }
 
-// repeatable reports whether the request may run at another target. A request whose prompt
-// is suspected of crashing targets is not repeated.
+// repeatable reports whether the request may run at another target. A request that is
+// suspected of crashing targets, by itself or by its prompt, is not repeated.
 func (d *dispatch) repeatable() bool {
 	if !d.x.Idempotent {
 		return false
 	}
-	parts := sharedParts(d.x.Prompt)
+	parts := guardedParts(d.x, d.Guard)
 	return len(parts) == 0 || d.Guard.MayRepeat(parts)
 }
--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -183,6 +183,7 @@
 			x := routedExchange(c.kind, false)
 			s := &script{t: t, tries: c.tries}
 			d := &Dispatch{
+				Guard:   &fakeGuard{},
 				Picker:  &numberedPicker{n: c.targets, outcomes: make(map[string]balance.Outcome)},
 				Retries: &fixedRetries{left: c.allowed},
 				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
@@ -231,6 +232,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := &script{t: t, tries: c.tries}
 			d := &Dispatch{
+				Guard:   &fakeGuard{},
 				Picker:  &limitedPicker{Picker: &numberedPicker{n: 3, outcomes: make(map[string]balance.Outcome)}, left: len(c.tries)},
 				Retries: &fixedRetries{left: 9},
 				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
@@ -264,6 +266,7 @@
 			defer leave()
 			s := &script{t: t, tries: c.tries}
 			d := &Dispatch{
+				Guard:   &fakeGuard{},
 				Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
 				Retries: &fixedRetries{left: 9},
 				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
@@ -344,6 +347,7 @@
 			x := routedExchange(routing.Stream, c.resumable)
 			s := &script{t: t, tries: c.tries}
 			d := &Dispatch{
+				Guard:   &fakeGuard{},
 				Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
 				Retries: &fixedRetries{left: 9},
 				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
@@ -436,6 +440,7 @@
 				x.Deadline = time.Now().Add(time.Minute)
 				s := &script{t: t, tries: []scriptedTarget{{status: 200}, {status: 200, events: events(3, 4)}}}
 				d := &Dispatch{
+					Guard:   &fakeGuard{},
 					Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
 					Retries: &fixedRetries{left: 9},
 					Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -8,11 +8,15 @@
 	"github.com/wigeonwood/wigeonwood/internal/quarantine"
 )
 
-// PartGuard withholds requests with parts of prompts that crash targets. quarantine.Guard
-// implements it.
+// PartGuard withholds requests that crash targets, by themselves or by a part of their
+// prompt. quarantine.Guard implements it. The parts of a request are the ids of its shared
+// parts and its quarantine.RequestKey.
 type PartGuard interface {
-	// Admit returns nil if a request whose prompt has these parts may be sent, and the
-	// hold on one of its parts otherwise.
+	// TracksRequests reports whether there is evidence against any request. If there is
+	// none, only Observe needs the keys of requests, and only of interrupted ones.
+	TracksRequests() bool
+	// Admit returns nil if a request with these parts may be sent, and the hold on one of
+	// them otherwise.
 	Admit(parts []string) *quarantine.Hold
 	// MayRepeat reports whether such a request may be sent to another target after one
 	// has failed it.
@@ -21,27 +25,27 @@
 	Observe(requestID string, target *pb.TargetStatus, parts []string, sent time.Time, o quarantine.Outcome)
 }
 
-// Quarantine rejects requests with a part of a prompt that is held because it crashes
+// Quarantine rejects requests that are held because they, or a part of their prompt, crash
 // targets.
 type Quarantine struct {
 	Guard PartGuard
 }
 
-// minHeldRetryAfter is the minimum Retry-After of a request with a held part.
+// minHeldRetryAfter is the minimum Retry-After of a held request.
 const minHeldRetryAfter = time.Second
 
 // Name returns the filter's name in specs.
 func (*Quarantine) Name() string { return StepQuarantine }
 
-// Handle rejects the request if one of its parts is held.
+// Handle rejects the request if it or one of its parts is held.
 func (q *Quarantine) Handle(ctx context.Context, x *Exchange, next Next) error {
-	parts := sharedParts(x.Prompt)
+	parts := guardedParts(x, q.Guard)
 	if len(parts) == 0 {
 		return next(ctx, x)
 	}
 	if h := q.Guard.Admit(parts); h != nil {
 		return x.Reject(Rejection{
-			Code:       "prompt-held",
+			Code:       heldCode(h),
 			Message:    h.String(),
 			Step:       StepQuarantine,
 			RetryAfter: max(h.Left, minHeldRetryAfter),
@@ -50,15 +54,40 @@
 	return next(ctx, x)
 }
 
+func heldCode(h *quarantine.Hold) string {
+	if h.IsRequest() {
+		return "request-held"
+	}
+	return "prompt-held"
+}
+
+// guardedParts returns what the guard knows the request by. The key of the request, which
+// takes a hash of the body, is left out while the guard needs none.
+func guardedParts(x *Exchange, guard PartGuard) []string {
+	if guard.TracksRequests() {
+		return allParts(x)
+	}
+	return sharedParts(x.Prompt)
+}
+
+// allParts returns the ids of the request's shared parts and its key.
+func allParts(x *Exchange) []string {
+	parts := sharedParts(x.Prompt)
+	return append(parts, quarantine.RequestKey(x.Fingerprint(), len(parts) > 0))
+}
+
 // sharedParts returns the ids of the parts that other requests may share: all but the last
-// one, which belongs to a single request or session.
+// one, which belongs to a single request or session. Ids that look like the key of a request
+// are left out.
 func sharedParts(prompt []PromptPart) []string {
 	if len(prompt) < 2 {
 		return nil
 	}
 	parts := make([]string, 0, len(prompt)-1)
 	for _, p := range prompt[:len(prompt)-1] {
-		parts = append(parts, p.ID)
+		if !quarantine.IsRequestKey(p.ID) {
+			parts = append(parts, p.ID)
+		}
 	}
 	return parts
 }
--- a/internal/filter/quarantine_test.go
+++ b/internal/filter/quarantine_test.go
@@ -24,9 +24,12 @@
 	left     time.Duration
 	suspect  string
 	asked    [][]string
+	tracks   bool
 	observed []quarantine.Outcome
 }
 
+func (g *fakeGuard) TracksRequests() bool { return g.tracks }
+
 func (g *fakeGuard) Admit(parts []string) *quarantine.Hold {
 	g.asked = append(g.asked, parts)
 	for _, p := range parts {
@@ -94,6 +97,25 @@
 	}
 }
 
+// TestQuarantineRejectsHeldRequests checks that a request that is held by its fingerprint is
+// rejected whether it has a prompt or not, and that no body is hashed without evidence.
+func TestQuarantineRejectsHeldRequests(t *testing.T) {
+	for _, p := range [][]PromptPart{nil, prompt("own"), prompt("first", "own")} {
+		for _, tracks := range []bool{true, false} {
+			x := &Exchange{Prompt: p, Body: []byte("body")}
+			key := quarantine.RequestKey((&Exchange{Body: []byte("body")}).Fingerprint(), len(p) > 1)
+			err := (&Quarantine{Guard: &fakeGuard{held: key, tracks: tracks}}).Handle(t.Context(), x, func(context.Context, *Exchange) error { return nil })
+			var r *Rejection
+			if rejected := errors.As(err, &r); rejected != tracks || rejected && (r.Code != "request-held" || r.Outcome() != OutcomeNotRun) {
+				t.Errorf("prompt %v, evidence %t: %v", p, tracks, err)
+			}
+			if hashed := x.fingerprint != ""; hashed != tracks {
+				t.Errorf("evidence %t: the body was hashed: %t", tracks, hashed)
+			}
+		}
+	}
+}
+
 // TestTrialObserves checks which tries count as answered and which as interrupted by a
 // target that ended.
 func TestTrialObserves(t *testing.T) {
--- a/internal/filter/trial.go
+++ b/internal/filter/trial.go
@@ -12,8 +12,8 @@
 	"github.com/wigeonwood/wigeonwood/internal/quarantine"
 )
 
-// Trial reports to the quarantine whether a target answers each try of a request with a
-// prompt, or ends before that.
+// Trial reports to the quarantine whether a target answers each try of a request, or ends
+// before that.
 type Trial struct {
 	Guard PartGuard
 }
@@ -28,12 +28,14 @@
 // Handle passes the try on and observes its result. Refusals, failures with a status and
 // silence say nothing about the prompt.
 func (t *Trial) Handle(ctx context.Context, x *Exchange, next Next) error {
-	parts := sharedParts(x.Prompt)
-	if len(parts) == 0 {
-		return next(ctx, x)
-	}
 	target, sent := x.Grant.Target, time.Now()
-	report := func(o quarantine.Outcome) { t.Guard.Observe(x.ID, target, parts, sent, o) }
+	report := func(o quarantine.Outcome) {
+		parts := guardedParts(x, t.Guard)
+		if o == quarantine.Interrupted {
+			parts = allParts(x)
+		}
+		t.Guard.Observe(x.ID, target, parts, sent, o)
+	}
 	if err := next(ctx, x); err != nil {
 		if errors.Is(err, forward.ErrTruncated) {
 			report(quarantine.Interrupted)
--- a/internal/filter/warmup_test.go
+++ b/internal/filter/warmup_test.go
@@ -64,6 +64,7 @@
 		&Route{Tables: tables, Warmup: warmup},
 		&Team{SurgeDetector: balance.NewSurgeDetector(), Warmup: warmup},
 		&Dispatch{
+			Guard:      &fakeGuard{},
 			Picker:     picker,
 			Retries:    &fixedRetries{},
 			Prepare:    func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
--- a/internal/quarantine/baseline.go
+++ b/internal/quarantine/baseline.go
@@ -14,8 +14,10 @@
 	priorTrials   = 40
 	priorFailures = 1
 	// maxPeers bounds the routers whose counts are kept, maxPeerTrials their counts.
-	maxPeers      = 64
-	maxPeerTrials = 1_000_000
+	maxPeers = 64
+	// maxFailedTargets bounds the targets of one window whose failures are kept apart.
+	maxFailedTargets = 256
+	maxPeerTrials    = 1_000_000
 	// falseHold is the accepted probability that a sound part fails as often in a row
 	// as is required for a hold.
 	falseHold = 1e-6
@@ -25,10 +27,16 @@
 // requests of this router and from the counts that others send.
 type baseline struct {
 	began             time.Time
-	current, previous counts
+	current, previous window
 	peers             map[string]peerCounts
 }
 
+// window holds the counts of one window, and the failures at each target that ended.
+type window struct {
+	counts
+	failuresAt map[uint64]int
+}
+
 type counts struct{ trials, failures int }
 
 func (c counts) plus(other counts) counts {
@@ -38,27 +46,38 @@
 // peerCounts are the counts that another router sent.
 type peerCounts struct {
 	counts
-	at time.Time
+	failuresAt map[uint64]int
+	at         time.Time
+}
+
+// addAnswer counts a request that was answered.
+func (b *baseline) addAnswer(now time.Time) {
+	b.advance(now)
+	b.current.trials++
 }
 
-// add counts a request.
-func (b *baseline) add(now time.Time, failed bool) {
+// addFailure counts a request under which a target ended.
+func (b *baseline) addFailure(now time.Time, target uint64) {
 	b.advance(now)
 	b.current.trials++
-	if failed {
-		b.current.failures++
+	b.current.failures++
+	if b.current.failuresAt == nil {
+		b.current.failuresAt = make(map[uint64]int)
+	}
+	if _, known := b.current.failuresAt[target]; known || len(b.current.failuresAt) < maxFailedTargets {
+		b.current.failuresAt[target]++
 	}
 }
 
 // own returns the counts of this router over the last one to two windows.
 func (b *baseline) own(now time.Time) counts {
 	b.advance(now)
-	return b.current.plus(b.previous)
+	return b.current.plus(b.previous.counts)
 }
 
 // merge replaces the counts of another router. If maxPeers are known, those that were
 // received first are replaced.
-func (b *baseline) merge(now time.Time, router string, c counts) {
+func (b *baseline) merge(now time.Time, router string, c counts, failuresAt map[uint64]int) {
 	if c.trials < 0 || c.failures < 0 || c.failures > c.trials || c.trials > maxPeerTrials {
 		return
 	}
@@ -74,7 +93,7 @@
 		}
 		delete(b.peers, oldest)
 	}
-	b.peers[router] = peerCounts{counts: c, at: now}
+	b.peers[router] = peerCounts{counts: c, failuresAt: failuresAt, at: now}
 }
 
 // rate returns the failure rate over the last one to two windows, apart from the given
@@ -82,14 +101,47 @@
 // where there are few requests, they would raise the rate and so hide the part.
 func (b *baseline) rate(now time.Time, apart int) float64 {
 	sum := b.own(now)
-	for _, p := range b.peers {
-		if now.Sub(p.at) < 2*baselineWindow {
-			sum = sum.plus(p.counts)
+	for p := range b.freshPeers(now) {
+		sum = sum.plus(p.counts)
+	}
+	return sum.rate(min(apart, sum.failures))
+}
+
+// freshPeers yields the counts of other routers that belong to the present windows.
+func (b *baseline) freshPeers(now time.Time) func(yield func(peerCounts) bool) {
+	return func(yield func(peerCounts) bool) {
+		for _, p := range b.peers {
+			if now.Sub(p.at) < 2*baselineWindow && !yield(p) {
+				return
+			}
 		}
 	}
-	apart = min(apart, sum.failures)
-	sum = sum.plus(counts{priorTrials - apart, priorFailures - apart})
-	return float64(sum.failures) / float64(sum.trials)
+}
+
+// rateWithout returns the failure rate over the last one to two windows without the requests
+// that failed at the targets that ended under one request. That request may have ended them,
+// and each had many requests: as failures, they would hide it. The failure that stands for
+// earlier requests is left out too.
+func (b *baseline) rateWithout(now time.Time, crashes []crash) float64 {
+	sum, apart := b.own(now), priorFailures
+	for _, c := range crashes {
+		apart += b.current.failuresAt[c.target] + b.previous.failuresAt[c.target]
+	}
+	for p := range b.freshPeers(now) {
+		sum = sum.plus(p.counts)
+		for _, c := range crashes {
+			apart += p.failuresAt[c.target]
+		}
+	}
+	return sum.rate(apart)
+}
+
+// rate returns the failure rate apart from the given number of failures.
+func (c counts) rate(apart int) float64 {
+	c = c.plus(counts{priorTrials, priorFailures})
+	apart = min(apart, c.failures)
+	c = c.plus(counts{-apart, -apart})
+	return float64(c.failures) / float64(c.trials)
 }
 
 func (b *baseline) advance(now time.Time) {
@@ -99,9 +151,9 @@
 	case elapsed < 2*baselineWindow:
 		b.previous = b.current
 	default:
-		b.previous = counts{}
+		b.previous = window{}
 	}
-	b.current = counts{}
+	b.current = window{}
 	b.began = now
 }
 
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -21,6 +21,9 @@
 	// part for which one more crash is required: engines that end anyway weaken the
 	// evidence against each part.
 	otherCrashesPerCrash = 4
+	// maxRequestMargin bounds these further crashes for requests: with minCrashes, they
+	// are more than the tries of a sound request by its router and its caller.
+	maxRequestMargin = 2
 	// settleTime is the minimum time from the first crash that counts to the decision,
 	// in which answers at other routers can refute the evidence.
 	settleTime = 800 * time.Millisecond
@@ -62,7 +65,7 @@
 func (d *Detector) suffices(now time.Time, r *record, held []*record) bool {
 	explained := explains(held, r)
 	counted, first := r.counted(explained), r.firstCounted(explained)
-	rate := max(d.baseline.rate(now, len(r.crashes)), r.failureRate)
+	rate := max(d.rate(now, r), r.failureRate)
 	required := requiredCrashes(rate, !r.lastAnswered.IsZero())
 	if counted < required || now.Sub(first) < settleTime {
 		return false
@@ -71,19 +74,48 @@
 		// The crashes of a frequent part that are no longer kept are not those of others.
 		return true
 	}
-	return counted >= required+d.otherCrashes(r, first, explained)/otherCrashesPerCrash
+	margin := d.otherCrashes(r, first, explained) / otherCrashesPerCrash
+	if r.isRequest() {
+		margin = min(margin, maxRequestMargin)
+	}
+	return counted >= required+margin
+}
+
+// requestRateDecay is the factor by which a further crash lowers the failure rate that is
+// remembered for a request: its callers give up a sound one after a few.
+const requestRateDecay = 0.8
+
+// raiseFailureRate remembers the present failure rate for a record with a new crash, if it is
+// higher than before.
+func (d *Detector) raiseFailureRate(now time.Time, r *record) {
+	if r.isRequest() {
+		r.failureRate *= requestRateDecay
+	}
+	r.failureRate = max(r.failureRate, d.rate(now, r))
+}
+
+// rate returns the failure rate of requests that the evidence against r is compared with.
+func (d *Detector) rate(now time.Time, r *record) float64 {
+	switch {
+	case r.isPlainRequest():
+		return d.plain.rateWithout(now, r.crashes)
+	case r.isRequest():
+		return d.baseline.rateWithout(now, r.crashes)
+	default:
+		return d.baseline.rate(now, len(r.crashes))
+	}
 }
 
 // otherCrashes returns the number of engines that ended since a time under requests without
 // r's part, and that no held part explains.
-func (d *Detector) otherCrashes(r *record, since time.Time, explained func(target uint64) bool) int {
+func (d *Detector) otherCrashes(r *record, since time.Time, explained func(c crash) bool) int {
 	others := make(map[uint64]bool)
 	for _, other := range d.records {
 		if other == r || other.held() {
 			continue
 		}
 		for _, c := range other.crashes {
-			if !c.at.Before(since) && !explained(c.target) && !r.has(c.target) {
+			if !c.at.Before(since) && !explained(c) && !r.has(c.target) {
 				others[c.target] = true
 			}
 		}
@@ -113,20 +145,27 @@
 	return held
 }
 
-// explains returns a function that reports whether the end of a target is explained by a
-// held part other than r's. Of two parts with equally many crashes, neither explains those
-// of the other, because the evidence does not tell them apart.
-func explains(held []*record, r *record) func(target uint64) bool {
-	return func(target uint64) bool {
+// explains returns a function that reports whether a crash is explained by a held part or
+// request other than r's. Of two with equally many crashes, neither explains those of the
+// other, because the evidence does not tell them apart.
+func explains(held []*record, r *record) func(c crash) bool {
+	return func(c crash) bool {
 		return slices.ContainsFunc(held, func(other *record) bool {
-			return other != r && len(other.crashes) > len(r.crashes) && other.has(target)
+			return other != r && (len(other.crashes) > len(r.crashes) && other.has(c.target) || r.isRequest() && other.mayHaveDropped(c))
 		})
 	}
 }
 
+// mayHaveDropped reports whether the crash may be one of those under the part that are no
+// longer kept.
+func (r *record) mayHaveDropped(c crash) bool {
+	return len(r.crashes) == maxCrashes && c.at.Before(r.crashes[0].at)
+}
+
 // likelyCauses returns the parts that may have caused a crash: those with nearly as much
-// evidence as the one with the most, and only held ones if there are any. Without this,
-// frequent crashes by one part become evidence against all parts in the same prompts.
+// evidence as the one with the most and the request itself, and only held ones if there are
+// any. Without this, frequent crashes by one part become evidence against all parts in the
+// same prompts.
 func (d *Detector) likelyCauses(parts []string) []string {
 	if held := d.heldAmong(parts); len(held) > 0 {
 		causes := make([]string, 0, len(held))
@@ -144,7 +183,7 @@
 	}
 	var causes []string
 	for i, part := range parts {
-		if counts[i]+causeMargin > slices.Max(counts) {
+		if IsRequestKey(part) || counts[i]+causeMargin > slices.Max(counts) {
 			causes = append(causes, part)
 		}
 	}
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/fleet"
 )
 
 const (
@@ -35,7 +37,8 @@
 
 // Trial is the result of one request at one engine.
 type Trial struct {
-	// Parts are the ids of the prompt's parts that other requests may share.
+	// Parts are the ids of the prompt's parts that other requests may share, and the
+	// request's own RequestKey, which may be absent from answered ones.
 	Parts []string
 	// Target is the engine's fleet.TargetKey.
 	Target  uint64
@@ -50,7 +53,11 @@
 	self     string
 	records  map[string]*record
 	answered *recency
+	// baseline is that of requests with shared parts of a prompt, plain that of others.
 	baseline baseline
+	plain    baseline
+	// requests is the number of records of requests.
+	requests int
 	events   []Event
 	// digestFrom is the part after which the next digest starts.
 	digestFrom string
@@ -64,24 +71,32 @@
 // Observe records the result of a request.
 func (d *Detector) Observe(now time.Time, t Trial) {
 	parts := t.Parts[:min(len(t.Parts), maxParts)]
+	request := requestOf(parts)
+	base := &d.baseline
+	if len(parts) == 0 || len(parts) == 1 && request != "" {
+		base = &d.plain
+	}
 	if t.Outcome == Answered {
-		d.baseline.add(now, false)
+		base.addAnswer(now)
 		for _, part := range parts {
 			d.observeAnswer(now, part)
 		}
 		return
 	}
 	if !d.suspected(parts) {
-		d.baseline.add(now, true)
+		base.addFailure(now, t.Target)
 	}
+	c := crash{target: t.Target, sent: t.Sent, at: now, request: fleet.Hash(request)}
 	for _, part := range d.likelyCauses(parts) {
-		d.observeCrash(now, part, crash{target: t.Target, sent: t.Sent, at: now})
+		d.observeCrash(now, part, c)
 	}
 }
 
 func (d *Detector) observeAnswer(now time.Time, part string) {
 	key := partKey(part)
-	d.answered.put(now, key)
+	if !IsRequestKey(key) {
+		d.answered.put(now, key)
+	}
 	r := d.records[key]
 	if r == nil {
 		return
@@ -113,7 +128,7 @@
 	r.lastAnswered = answered
 	if r.addCrash(c) {
 		d.touch(now, r)
-		r.failureRate = max(r.failureRate, d.baseline.rate(now, len(r.crashes)))
+		d.raiseFailureRate(now, r)
 	}
 	if r.held() && !now.Before(r.hold.until) {
 		r.hold.strikes++
@@ -139,7 +154,7 @@
 	holding := d.holding()
 	return slices.ContainsFunc(parts, func(part string) bool {
 		r := d.records[partKey(part)]
-		return r != nil && (r.held() || r.counted(explains(holding, r)) >= suspectCrashes)
+		return r != nil && (r.held() || r.countedRepeats(explains(holding, r)) >= suspectCrashes)
 	})
 }
 
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -72,7 +72,7 @@
 			for i := range 5 {
 				crashIn(d, second(float64(i)/5), uint64(i), "p")
 			}
-			d.MergeCounts(second(0.9), "r2", 4, 2)
+			d.MergeCounts(second(0.9), "r2", &pb.Quarantine{Trials: 4, Failures: 2})
 		}, true},
 		"most requests fail": {func(d *Detector) {
 			for i := range 400 {
@@ -295,3 +295,79 @@
 		t.Errorf("the decision of %s was not accepted", long)
 	}
 }
+
+// TestRequestIsHeldAndNotItsParts guards against a sound part that is held because one request
+// with it crashes engines, also where no other request with the part is answered.
+func TestRequestIsHeldAndNotItsParts(t *testing.T) {
+	d := NewDetector("r")
+	bad := RequestKey("deadly", true)
+	now := start
+	for i := range 6 {
+		now = now.Add(300 * time.Millisecond)
+		crashIn(d, now, uint64(i), "rare", bad)
+		d.Tick(now)
+	}
+	if h := d.Admit(now, []string{"rare", bad}, never); h == nil || !h.IsRequest() {
+		t.Errorf("the request is not held: %v", h)
+	}
+	if h := d.Admit(now, []string{"rare", RequestKey("other", true)}, never); h != nil {
+		t.Errorf("another request with the part is refused: %v", h)
+	}
+}
+
+// TestPartIsHeldWhereCallersRepeat guards against a part that crashes engines and is hidden by
+// the requests with it, which callers send again until each of them is held.
+func TestPartIsHeldWhereCallersRepeat(t *testing.T) {
+	d := NewDetector("r")
+	now := start
+	for i := range 12 {
+		now = now.Add(300 * time.Millisecond)
+		crashIn(d, now, uint64(i), "bad", RequestKey(fmt.Sprint(i/3), true))
+		d.Tick(now)
+	}
+	if h := d.Admit(now, []string{"bad", RequestKey("new", true)}, never); h == nil || h.IsRequest() {
+		t.Errorf("the part is not held: %v", h)
+	}
+}
+
+// TestRequestWithAnAnswerIsNotHeld guards against a sound request that is polled, and held
+// because engines ended under some of its attempts.
+func TestRequestWithAnAnswerIsNotHeld(t *testing.T) {
+	d := NewDetector("r")
+	polled := RequestKey("polled", false)
+	now := start
+	for i := range 12 {
+		now = now.Add(300 * time.Millisecond)
+		crashIn(d, now, uint64(i), polled)
+		if i%2 == 1 {
+			d.Observe(now, Trial{Parts: []string{polled}, Target: 99, Sent: now, Outcome: Answered})
+		}
+		d.Tick(now)
+		if h := d.Admit(now, []string{polled}, never); h != nil {
+			t.Fatalf("held after %d crashes: %v", i+1, h)
+		}
+	}
+}
+
+// TestManyInterruptedRequestsKeepEvidence checks that requests which met one crash, of which an
+// engine leaves many, do not displace the evidence against parts and other requests.
+func TestManyInterruptedRequestsKeepEvidence(t *testing.T) {
+	d := NewDetector("r")
+	bad := RequestKey("deadly", true)
+	for i := range 2 {
+		now := start.Add(time.Duration(i) * 300 * time.Millisecond)
+		crashIn(d, now, uint64(i), "part")
+		crashIn(d, now, uint64(10+i), bad)
+	}
+	for i := range 3 * maxRecords {
+		crashIn(d, start.Add(time.Second), uint64(100+i), RequestKey(fmt.Sprint(i), false))
+	}
+	if len(d.records) > maxRecords || d.requests > maxRecords {
+		t.Errorf("%d records, %d of them of requests, at most %d may be kept", len(d.records), d.requests, maxRecords)
+	}
+	for _, key := range []string{"part", bad} {
+		if d.MayRepeat([]string{key}) {
+			t.Errorf("the evidence against %s is lost", key)
+		}
+	}
+}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -1,8 +1,10 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +38,8 @@
 	// messageOverhead is the size of a message without its records: datagram headers,
 	// signature and the sender's id.
 	messageOverhead = 100
+	// requestCollectors is the number of routers that collect the first crash of a request.
+	requestCollectors = 2
 	// maxReplyMessages bounds the reply to a request for decisions.
 	maxReplyMessages = 4
 )
@@ -111,6 +115,14 @@
 	return rank
 }
 
+// TracksRequests reports whether there is evidence against any request. If there is none, the
+// keys of requests need not be passed to Admit, MayRepeat, and Observe of answers.
+func (g *Guard) TracksRequests() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.detector.TracksRequests()
+}
+
 // MayRepeat reports whether a request whose prompt has these parts may be sent to another
 // engine after one has failed it.
 func (g *Guard) MayRepeat(parts []string) bool {
@@ -166,7 +178,7 @@
 	var reply []*pb.Quarantine
 	g.do(func(d *Detector, now time.Time) {
 		g.synced = g.synced || q.Reply
-		d.MergeCounts(now, router, q.Trials, q.Failures)
+		d.MergeCounts(now, router, q)
 		for _, r := range q.Records {
 			if !d.Merge(now, r) {
 				g.cfg.Logger.Warn().Str("step", step).Str("peer", router).Str("part", r.GetPart()).Msg("a record with invalid fields was ignored")
@@ -260,6 +272,44 @@
 		}
 	})
 	g.send(g.randomPeers(updateFanout), records)
+	g.sendSingles()
+}
+
+// sendSingles sends the evidence against requests that met one crash to the routers that
+// collect it: those are few, because an engine that ends leaves many such requests.
+func (g *Guard) sendSingles() {
+	var records []*pb.PartRecord
+	g.do(func(d *Detector, now time.Time) {
+		// The updates of the next round must not wait for these.
+		if g.limiter.TokensAt(now) >= (updateFanout+requestCollectors)*(maxUpdateBytes+messageOverhead) {
+			records = d.Singles(now)
+		}
+	})
+	byRouter := make(map[string][]*pb.PartRecord)
+	for _, r := range records {
+		for _, addr := range g.collectors(r.Part) {
+			byRouter[addr] = append(byRouter[addr], r)
+		}
+	}
+	for addr, batch := range byRouter {
+		g.send([]string{addr}, batch)
+	}
+}
+
+// collectors returns the peer addresses of the first requestCollectors serving routers by
+// rendezvous hashing of a request's key, without this router.
+func (g *Guard) collectors(key string) []string {
+	routers := balance.ServingRouters(g.cfg.Routers())
+	routers = slices.SortedFunc(slices.Values(routers), func(x, y *pb.RouterStatus) int {
+		return cmp.Compare(fleet.Score(key, y.Id), fleet.Score(key, x.Id))
+	})
+	var addrs []string
+	for _, r := range routers[:min(len(routers), requestCollectors)] {
+		if r.Id != g.cfg.Self {
+			addrs = append(addrs, r.PeerAddr)
+		}
+	}
+	return addrs
 }
 
 func (g *Guard) sendDigest() {
@@ -289,7 +339,7 @@
 	}
 	m := &pb.Quarantine{Records: records}
 	g.mu.Lock()
-	m.Trials, m.Failures = g.detector.Counts(time.Now())
+	g.detector.SetCounts(time.Now(), m)
 	g.mu.Unlock()
 	if g.limiter.AllowN(time.Now(), len(to)*(proto.Size(m)+messageOverhead)) {
 		g.cfg.Send(to, m)
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -16,6 +16,8 @@
 	contact      = 3 * time.Second
 	contactLarge = 5 * time.Second
 	laterAllowed = 3
+	// crashesAllowed is the number of crashes after which contact begins.
+	crashesAllowed = 5
 	// controlBytesPerSecond is the budget of all control traffic of a daemon, averaged
 	// over controlWindow seconds.
 	controlBytesPerSecond = 4096
@@ -47,7 +49,7 @@
 				f.traffic(15*time.Second, c.sound, map[string]float64{"bad": c.bad})
 				f.requests.Wait()
 				f.wantHeld("bad")
-				if n := f.later(c.contact); n > laterAllowed {
+				if n := f.later(crashesAllowed, c.contact); n > laterAllowed {
 					t.Errorf("%d requests reached engines %v after the fifth crash, at most %d may", n, c.contact, laterAllowed)
 				}
 				if f.refused > f.answered/100 {
@@ -63,16 +65,63 @@
 	}
 }
 
-// TestSeveralCrashingParts guards against parts that hide each other: three at once, one of
-// them rare, must be told apart from each other and from the sound parts in their prompts.
-func TestSeveralCrashingParts(t *testing.T) {
+// TestCrashingRequestAcrossRouters guards against a request that each of many routers meets
+// once in a while, with parts that sound requests have as well: the evidence must add up, with
+// few bytes although each engine that ends interrupts many sound requests.
+func TestCrashingRequestAcrossRouters(t *testing.T) {
+	// crashesAllowed is the platform's number for requests.
+	const crashesAllowed = 3
+	for _, c := range []struct {
+		routers, engines int
+		sound, bad       float64
+		loss             float64
+		contact          time.Duration
+	}{
+		{2, 6, 40, 1, 0, contact},
+		{6, 12, 80, 1, 0, contact},
+		{6, 12, 80, 0.3, 0.05, contact},
+		{6, 12, 80, 5, 0.05, contact},
+		{60, 60, 300, 2, 0.02, contact},
+		{300, 160, 600, 1, 0.02, contactLarge},
+		{300, 160, 600, 8, 0.02, contactLarge},
+	} {
+		for _, shared := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d routers, %g a second, shared parts %t", c.routers, c.bad, shared), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, c.routers, c.engines, 7)
+					f.loss = c.loss
+					bad := RequestKey("deadly", shared)
+					f.traffic(5*time.Second, c.sound, nil)
+					f.traffic(20*time.Second, c.sound, map[string]float64{bad: c.bad})
+					f.requests.Wait()
+					f.wantHeld(bad)
+					if n := f.later(crashesAllowed, c.contact); n > laterAllowed {
+						t.Errorf("the request reached engines %d times %v after the third crash, at most %d may", n, c.contact, laterAllowed)
+					}
+					if f.refused > 0 {
+						t.Errorf("%d sound requests were refused, %d answered", f.refused, f.answered)
+					}
+					bytes := f.maxBytesPerSecond(controlWindow)
+					if bytes > controlBytesPerSecond {
+						t.Errorf("a router sent %.0f bytes a second over %d s, over %d", bytes, controlWindow, controlBytesPerSecond)
+					}
+					t.Logf("%d crashes, %d sound requests answered, %d interrupted; %.0f B/s", len(f.crashes), f.answered, f.interrupted, bytes)
+				})
+			})
+		}
+	}
+}
+
+// TestCrashingRequestsBesideCrashingParts guards against requests and parts that hide each
+// other: two requests and two parts crash engines at the same time.
+func TestCrashingRequestsBesideCrashingParts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6, 12, 3)
+		first, second := RequestKey("deadly-1", true), RequestKey("deadly-2", false)
 		f.traffic(3*time.Second, 80, nil)
-		f.traffic(50*time.Second, 80, map[string]float64{"bad-1": 1.5, "bad-2": 0.7, "rare": 0.15})
+		f.traffic(40*time.Second, 80, map[string]float64{"bad-1": 1, "bad-2": 0.5, first: 1, second: 0.5})
 		f.requests.Wait()
-		// The holds of the first two may have been probed, but not lifted.
-		f.wantHeld("bad-1", "bad-2", "rare")
+		f.wantHeld("bad-1", "bad-2", first, second)
 		if f.refused > f.answered/50 {
 			t.Errorf("%d sound requests were refused, %d answered", f.refused, f.answered)
 		}
@@ -80,6 +129,69 @@
 	})
 }
 
+// TestHeldRequestSurvives checks that a request stays held at routers that restart, on both
+// sides of a partition and beside routers of an older build, and that an operator can lift it.
+func TestHeldRequestSurvives(t *testing.T) {
+	bad := RequestKey("deadly", true)
+	for name, disturb := range map[string]func(f *simFleet){
+		"restart": func(f *simFleet) { f.start(f.routers[4]) },
+		"partition": func(f *simFleet) {
+			f.cut = func(from, to *router) bool { return (from.status.Id < "router-010") != (to.status.Id < "router-010") }
+			f.traffic(4*time.Second, 150, map[string]float64{bad: 3})
+		},
+		"older builds": func(f *simFleet) {
+			for _, r := range f.routers[10:] {
+				r.stop()
+				r.old = true
+			}
+			f.traffic(4*time.Second, 150, map[string]float64{bad: 3})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 20, 40, 5)
+				f.traffic(3*time.Second, 150, nil)
+				f.traffic(8*time.Second, 150, map[string]float64{bad: 3})
+				f.requests.Wait()
+				f.wantHeld(bad)
+				disturb(f)
+				time.Sleep(time.Second)
+				f.requests.Wait()
+				f.wantHeld(bad)
+				f.cut = nil
+				time.Sleep(4 * time.Second)
+				if !f.routers[4].guard.LiftPart(bad) {
+					t.Error("the request was not held at the router that was asked to lift it")
+				}
+				time.Sleep(4 * time.Second)
+				synctest.Wait()
+				f.wantHeld()
+			})
+		})
+	}
+}
+
+// TestSeveralCrashingParts guards against parts that hide each other: three at once, one of
+// them rare, must be told apart from each other and from the sound parts in their prompts.
+func TestSeveralCrashingParts(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 6, 12, seed)
+				f.traffic(3*time.Second, 80, nil)
+				f.traffic(80*time.Second, 80, map[string]float64{"bad-1": 1.5, "bad-2": 0.7, "rare": 0.15})
+				f.requests.Wait()
+				// The holds of the first two may have been probed, but not lifted.
+				f.wantHeld("bad-1", "bad-2", "rare")
+				if f.refused > f.answered/50 {
+					t.Errorf("%d sound requests were refused, %d answered", f.refused, f.answered)
+				}
+				t.Logf("%d crashes, %d sound requests answered, %d refused", len(f.crashes), f.answered, f.refused)
+			})
+		})
+	}
+}
+
 // TestFailuresOfManyEnginesBlameNoPart guards against a verdict on a sound part when
 // engines crash by themselves: all at once, one after the other, or at random moments.
 func TestFailuresOfManyEnginesBlameNoPart(t *testing.T) {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -40,8 +40,13 @@
 	target uint64
 	sent   time.Time
 	at     time.Time
+	// request is the hash of the request's key, noRequest if it is unknown.
+	request uint64
 }
 
+// noRequest is the hash of the key of a request that is unknown.
+var noRequest = fleet.Hash("")
+
 // hold is a decision to withhold the requests with a part. It is in force if strikes is
 // above zero and record.held.
 type hold struct {
@@ -94,7 +99,7 @@
 
 // counted returns the number of crashes that are evidence against the part. explained, if
 // not nil, reports whether another part explains the end of a target.
-func (r *record) counted(explained func(target uint64) bool) int {
+func (r *record) counted(explained func(c crash) bool) int {
 	n := 0
 	for range r.evidence(explained) {
 		n++
@@ -102,23 +107,51 @@
 	return n
 }
 
+// countedRepeats is counted with all crashes by the same request.
+func (r *record) countedRepeats(explained func(c crash) bool) int {
+	n := 0
+	for range r.crashesInTurn(explained) {
+		n++
+	}
+	return n
+}
+
 // firstCounted returns the time of the first crash that counts, zero if none does.
-func (r *record) firstCounted(explained func(target uint64) bool) time.Time {
+func (r *record) firstCounted(explained func(c crash) bool) time.Time {
 	for c := range r.evidence(explained) {
 		return c.at
 	}
 	return time.Time{}
 }
 
-// evidence yields the crashes that count, in order of time. A crash counts only if its
-// request was sent after the crash before it: a failure of many engines at once ends all
-// requests in flight and is one crash.
-func (r *record) evidence(explained func(target uint64) bool) func(yield func(crash) bool) {
+// evidence yields the crashes that count, in order of time. Against a part, those by one
+// request count once: the request itself may crash engines.
+func (r *record) evidence(explained func(c crash) bool) func(yield func(crash) bool) {
+	return func(yield func(crash) bool) {
+		var requests []uint64
+		for c := range r.crashesInTurn(explained) {
+			if !r.isRequest() && c.request != noRequest {
+				if slices.Contains(requests, c.request) {
+					continue
+				}
+				requests = append(requests, c.request)
+			}
+			if !yield(c) {
+				return
+			}
+		}
+	}
+}
+
+// crashesInTurn yields the crashes after the last answer, in order of time. A crash counts
+// only if its request was sent after the crash before it: a failure of many engines at once
+// ends all requests in flight and is one crash.
+func (r *record) crashesInTurn(explained func(c crash) bool) func(yield func(crash) bool) {
 	return func(yield func(crash) bool) {
 		from := r.evidenceFrom()
 		var last time.Time
 		for _, c := range r.crashes {
-			if !c.at.After(from) || c.sent.Before(last) || explained != nil && explained(c.target) {
+			if !c.at.After(from) || c.sent.Before(last) || explained != nil && explained(c) {
 				continue
 			}
 			last = c.at
@@ -167,14 +200,21 @@
 	AnsweredBefore bool
 }
 
+// IsRequest reports whether a request is held, and not a part.
+func (h *Hold) IsRequest() bool { return IsRequestKey(h.Part) }
+
 // String describes the hold and its evidence in one line.
 func (h *Hold) String() string {
 	answered := "never answered"
 	if h.AnsweredBefore {
 		answered = "answered before these crashes only"
 	}
-	return fmt.Sprintf("part %s is held for %v by %s after %d engines ended under it, the last %v ago; %s; %d decisions",
-		h.Part, h.Since.Round(time.Millisecond), h.By, h.Crashes, h.LastCrash.Round(time.Millisecond), answered, h.Strikes)
+	subject := "part " + h.Part
+	if h.IsRequest() {
+		subject = h.Part
+	}
+	return fmt.Sprintf("%s is held for %v by %s after %d engines ended under it, the last %v ago; %s; %d decisions",
+		subject, h.Since.Round(time.Millisecond), h.By, h.Crashes, h.LastCrash.Round(time.Millisecond), answered, h.Strikes)
 }
 
 func (r *record) describe(now time.Time) *Hold {
@@ -194,31 +234,41 @@
 }
 
 // addRecord adds an empty record. If the table is full, it replaces the one that changed
-// least recently, one that is not held if there is any.
+// least recently: of a request that met one crash, else one that is not held, if there is any.
 func (d *Detector) addRecord(now time.Time, key string) *record {
 	if len(d.records) >= maxRecords {
 		var oldest *record
 		for _, r := range d.records {
-			if oldest == nil || cmp.Or(compareBool(r.held(), oldest.held()), r.changed.Compare(oldest.changed)) < 0 {
+			if oldest == nil || cmp.Or(compareBool(r.held(), oldest.held()), compareBool(!r.isSingle(), !oldest.isSingle()), r.changed.Compare(oldest.changed)) < 0 {
 				oldest = r
 			}
 		}
-		delete(d.records, oldest.part)
+		d.removeRecord(oldest)
 	}
 	r := &record{part: key, lastAnswered: d.answered.get(key), changed: now}
 	d.records[key] = r
+	if r.isRequest() {
+		d.requests++
+	}
 	return r
 }
 
+func (d *Detector) removeRecord(r *record) {
+	delete(d.records, r.part)
+	if r.isRequest() {
+		d.requests--
+	}
+}
+
 // collectGarbage removes records that no longer matter.
 func (d *Detector) collectGarbage(now time.Time) {
-	for key, r := range d.records {
+	for _, r := range d.records {
 		expired := now.Sub(r.changed) > evidenceRetention
 		if r.held() {
 			expired = now.Sub(r.hold.until) > holdRetention
 		}
 		if expired {
-			delete(d.records, key)
+			d.removeRecord(r)
 		}
 	}
 }
--- a/internal/quarantine/simfleet_test.go
+++ b/internal/quarantine/simfleet_test.go
@@ -52,6 +52,8 @@
 	arrivals []time.Time
 	// answered, refused and interrupted count the sound requests.
 	answered, refused, interrupted int
+	// sent is the number of requests with a key of their own.
+	sent int
 }
 
 type router struct {
@@ -133,8 +135,15 @@
 	}
 }
 
+// soundRetries is how often an interrupted sound request is sent again, through a random
+// router: once by its router and once by its caller.
+const soundRetries = 2
+
 // request sends one request through a router to an engine that is up.
-func (f *simFleet) request(r *router, parts ...string) {
+func (f *simFleet) request(r *router, parts ...string) { f.try(r, soundRetries, parts) }
+
+// try sends a request. If it is sound and interrupted, it is sent again retries times.
+func (f *simFleet) try(r *router, retries int, parts []string) {
 	f.mu.Lock()
 	var up []*engine
 	for _, e := range f.engines {
@@ -165,6 +174,9 @@
 		select {
 		case <-crashed:
 			f.observe(r, id, parts, sent, Interrupted, bad)
+			if !bad && retries > 0 {
+				f.try(f.randomRouter(), retries-1, parts)
+			}
 		case <-time.After(start):
 			if bad {
 				f.crash(e, id)
@@ -233,8 +245,25 @@
 	return []string{fmt.Sprint("first-", f.rng.IntN(3)), fmt.Sprint("doc-", doc)}
 }
 
-// traffic sends sound requests, and requests with each of the given parts, at these rates
-// a second for a time.
+// ownKey returns the key of a request that is like no other.
+func (f *simFleet) ownKey() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent++
+	return RequestKey(fmt.Sprint(f.sent), true)
+}
+
+// badPrompt returns the sound parts, and the request's own key, that accompany a bad part. A
+// bad request is always the same, with the same parts.
+func (f *simFleet) badPrompt(part string) []string {
+	if IsRequestKey(part) {
+		return []string{"first-0", "doc-299"}
+	}
+	return append(f.soundPrompt(), f.ownKey())
+}
+
+// traffic sends sound requests, and requests with each of the given parts or request keys, at
+// these rates a second for a time.
 func (f *simFleet) traffic(length time.Duration, sound float64, bad map[string]float64) {
 	const tick = 10 * time.Millisecond
 	for part := range bad {
@@ -242,11 +271,11 @@
 	}
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(tick) {
 		for range f.arrivalsIn(tick, sound) {
-			f.request(f.randomRouter(), f.soundPrompt()...)
+			f.request(f.randomRouter(), append(f.soundPrompt(), f.ownKey())...)
 		}
 		for part, perSecond := range bad {
 			for range f.arrivalsIn(tick, perSecond) {
-				f.request(f.randomRouter(), append(f.soundPrompt(), part)...)
+				f.request(f.randomRouter(), append(f.badPrompt(part), part)...)
 			}
 		}
 	}
@@ -285,12 +314,11 @@
 	}
 }
 
-// later returns the number of bad requests that were sent later than a time after the fifth
-// crash.
-func (f *simFleet) later(after time.Duration) int {
+// later returns the number of bad requests that were sent later than a time after the last
+// of the allowed crashes.
+func (f *simFleet) later(crashesAllowed int, after time.Duration) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	const crashesAllowed = 5
 	if len(f.crashes) < crashesAllowed {
 		return 0
 	}
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,6 +19,11 @@
 	updateRounds = 3
 	// maxUpdateBytes bounds the records in one message.
 	maxUpdateBytes = 1100
+	// maxSingles bounds the records of single crashes that are sent in one round.
+	maxSingles = 12
+	// maxSentTargets bounds the targets whose failures are sent with the counts. If more
+	// targets fail, the failure rate counts in favour of each request.
+	maxSentTargets = 8
 	// maxRouterBytes bounds the id of the router that decided.
 	maxRouterBytes = 255
 	// sameTime is the difference up to which two times are taken for the same event.
@@ -38,7 +44,7 @@
 func (d *Detector) Updates(now time.Time) []*pb.PartRecord {
 	var due []*record
 	for _, r := range d.records {
-		if r.sends > 0 {
+		if r.sends > 0 && !r.isSingle() {
 			due = append(due, r)
 		}
 	}
@@ -57,6 +63,26 @@
 	return messages
 }
 
+// Singles returns the records of requests that met one crash, each once after a change, up to
+// maxSingles of the latest. They go to the routers that collect the evidence against them.
+func (d *Detector) Singles(now time.Time) []*pb.PartRecord {
+	var due []*record
+	for _, r := range d.records {
+		if r.sends > 0 && r.isSingle() {
+			due = append(due, r)
+		}
+	}
+	slices.SortFunc(due, func(x, y *record) int {
+		return cmp.Or(y.changed.Compare(x.changed), cmp.Compare(x.part, y.part))
+	})
+	var messages []*pb.PartRecord
+	for _, r := range due[:min(len(due), maxSingles)] {
+		r.sends = 0
+		messages = append(messages, r.encode(now))
+	}
+	return messages
+}
+
 // Digest returns records with a decision, up to maxUpdateBytes. Successive calls go through
 // all of them in turn.
 func (d *Detector) Digest(now time.Time) []*pb.PartRecord {
@@ -98,6 +124,9 @@
 		m.CrashedTargets = append(m.CrashedTargets, c.target)
 		m.CrashAgesMs = append(m.CrashAgesMs, ageMs(now, c.at))
 		m.SentAgesMs = append(m.SentAgesMs, ageMs(now, c.sent))
+		if !r.isRequest() {
+			m.CrashedRequests = append(m.CrashedRequests, c.request)
+		}
 	}
 	if r.hold.strikes > 0 {
 		m.Hold = &pb.PartHold{
@@ -135,7 +164,7 @@
 	wasHeld := r.held()
 	changed := r.mergeCrashes(now, m)
 	if changed {
-		r.failureRate = max(r.failureRate, d.baseline.rate(now, len(r.crashes)))
+		d.raiseFailureRate(now, r)
 	}
 	changed = r.mergeHold(now, m.Hold) || changed
 	changed = r.mergeAnswer(now, m, d.answered.get(m.Part)) || changed
@@ -158,25 +187,52 @@
 }
 
 // MergeCounts applies another router's counts of requests and of those that failed.
-func (d *Detector) MergeCounts(now time.Time, router string, trials, failures uint32) {
-	d.baseline.merge(now, router, counts{int(trials), int(failures)})
+func (d *Detector) MergeCounts(now time.Time, router string, m *pb.Quarantine) {
+	if len(m.FailedTargets) != len(m.FailuresAtTargets) || len(m.FailedTargets) > maxSentTargets {
+		return
+	}
+	failuresAt := make(map[uint64]int, len(m.FailedTargets))
+	for i, target := range m.FailedTargets {
+		failuresAt[target] = int(min(m.FailuresAtTargets[i], maxPeerTrials))
+	}
+	d.baseline.merge(now, router, counts{int(m.Trials), int(m.Failures)}, failuresAt)
+	d.plain.merge(now, router, counts{int(m.PlainTrials), int(m.PlainFailures)}, failuresAt)
 }
 
-// Counts returns this router's counts of requests and of those that failed.
-func (d *Detector) Counts(now time.Time) (trials, failures uint32) {
-	c := d.baseline.own(now)
-	return uint32(c.trials), uint32(c.failures)
+// SetCounts sets this router's counts of requests and of those that failed in a message.
+func (d *Detector) SetCounts(now time.Time, m *pb.Quarantine) {
+	shared, plain := d.baseline.own(now), d.plain.own(now)
+	m.Trials, m.Failures = uint32(shared.trials), uint32(shared.failures)
+	m.PlainTrials, m.PlainFailures = uint32(plain.trials), uint32(plain.failures)
+	failuresAt := make(map[uint64]int)
+	for _, w := range []window{d.baseline.current, d.baseline.previous, d.plain.current, d.plain.previous} {
+		for target, n := range w.failuresAt {
+			failuresAt[target] += n
+		}
+	}
+	targets := slices.SortedFunc(maps.Keys(failuresAt), func(x, y uint64) int {
+		return cmp.Or(cmp.Compare(failuresAt[y], failuresAt[x]), cmp.Compare(x, y))
+	})
+	for _, target := range targets[:min(len(targets), maxSentTargets)] {
+		m.FailedTargets = append(m.FailedTargets, target)
+		m.FailuresAtTargets = append(m.FailuresAtTargets, uint32(failuresAt[target]))
+	}
 }
 
 func validRecord(m *pb.PartRecord) bool {
 	return m.GetPart() != "" && len(m.Part) <= maxPartBytes &&
 		len(m.CrashedTargets) == len(m.CrashAgesMs) && len(m.CrashedTargets) == len(m.SentAgesMs) && len(m.CrashedTargets) <= maxCrashes &&
+		(len(m.CrashedRequests) == 0 || len(m.CrashedRequests) == len(m.CrashedTargets)) &&
 		len(m.GetHold().GetRouter()) <= maxRouterBytes
 }
 
 func (r *record) mergeCrashes(now time.Time, m *pb.PartRecord) (changed bool) {
 	for i, target := range m.CrashedTargets {
-		added := r.addCrash(crash{target: target, sent: timeAt(now, &m.SentAgesMs[i]), at: timeAt(now, &m.CrashAgesMs[i])})
+		c := crash{target: target, sent: timeAt(now, &m.SentAgesMs[i]), at: timeAt(now, &m.CrashAgesMs[i]), request: noRequest}
+		if len(m.CrashedRequests) > 0 {
+			c.request = m.CrashedRequests[i]
+		}
+		added := r.addCrash(c)
 		changed = changed || added
 	}
 	return changed
