--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -17,7 +17,7 @@
 	o := &operatorFlags{}
 	cmd := &cobra.Command{
 		Use:   "quarantine",
-		Short: "List and lift the holds on parts of prompts that crash engines",
+		Short: "List and lift the holds on requests and parts of prompts that crash engines",
 	}
 	o.addFlags(cmd)
 	cmd.AddCommand(newQuarantineList(o), newQuarantineLift(o))
@@ -27,7 +27,7 @@
 func newQuarantineList(o *operatorFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:   "list",
-		Short: "Print the parts that a router holds, since when and on what evidence",
+		Short: "Print the parts and requests that a router holds, since when and on what evidence",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			held := &pb.HeldParts{}
@@ -39,8 +39,8 @@
 func newQuarantineLift(o *operatorFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:   "lift PART",
-		Short: "End the hold on a part at all routers",
-		Long: "End the hold on a part at all routers. The evidence against the part is discarded;\n" +
+		Short: "End the hold on a part or request at all routers",
+		Long: "End the hold on a part or request at all routers. The evidence against it is discarded;\n" +
 			"if it crashes engines again, it is held again.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
