Quarantine: a part that was never answered is held as fast as before; updates use what the limit leaves

Messages waited until the limit of bytes had room for the largest one, so news stalled for seconds where a request came often. The size of a message follows what the limit leaves. A held part explains the crashes of requests at the same engines.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -147,11 +147,19 @@
 
 // explains returns a function that reports whether a crash is explained by a held part or
 // request other than r's. Of two with equally many crashes, neither explains those of the
-// other, because the evidence does not tell them apart.
+// other, because the evidence does not tell them apart. A part explains those of a request
+// however many it has: the hold on the part covers the request, if it has that part.
 func explains(held []*record, r *record) func(c crash) bool {
 	return func(c crash) bool {
 		return slices.ContainsFunc(held, func(other *record) bool {
-			return other != r && (len(other.crashes) > len(r.crashes) && other.has(c.target) || r.isRequest() && other.mayHaveDropped(c))
+			switch {
+			case other == r:
+				return false
+			case r.isRequest() && !other.isRequest():
+				return other.has(c.target) || other.mayHaveDropped(c)
+			default:
+				return len(other.crashes) > len(r.crashes) && other.has(c.target)
+			}
 		})
 	}
 }
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -40,6 +40,11 @@
 	messageOverhead = 100
 	// requestCollectors is the number of routers that collect the first crash of a request.
 	requestCollectors = 2
+	// singlesReserveBytes is what the limit of bytes must leave for updates if single
+	// crashes are sent.
+	singlesReserveBytes = burstBytes / 2
+	// maxCountsBytes bounds the counts in a message.
+	maxCountsBytes = 128
 	// maxReplyMessages bounds the reply to a request for decisions.
 	maxReplyMessages = 4
 )
@@ -267,9 +272,8 @@
 		d.Tick(now)
 		g.held.Update(float64(len(d.Holds(now))))
 		g.suspects.Update(float64(d.Suspects()))
-		if g.limiter.TokensAt(now) >= updateFanout*(maxUpdateBytes+messageOverhead) {
-			records = d.Updates(now)
-		}
+		available := int(g.limiter.TokensAt(now))/updateFanout - messageOverhead - maxCountsBytes
+		records = d.Updates(now, min(maxUpdateBytes, available))
 	})
 	g.send(g.randomPeers(updateFanout), records)
 	g.sendSingles()
@@ -281,7 +285,7 @@
 	var records []*pb.PartRecord
 	g.do(func(d *Detector, now time.Time) {
 		// The updates of the next round must not wait for these.
-		if g.limiter.TokensAt(now) >= (updateFanout+requestCollectors)*(maxUpdateBytes+messageOverhead) {
+		if g.limiter.TokensAt(now) >= singlesReserveBytes {
 			records = d.Singles(now)
 		}
 	})
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -16,6 +16,9 @@
 	answerGrace = 2 * time.Second
 	// maxCrashes bounds the crashes that are kept for one part.
 	maxCrashes = 16
+	// maxCrashesPerRequest is fewer than minCrashes, so that the crashes under a single
+	// request never suffice against its parts.
+	maxCrashesPerRequest = minCrashes - 1
 	// maxRecords bounds the parts with evidence.
 	maxRecords = 1024
 	// maxPartBytes bounds the ids that are kept as they are. Longer ones, and those that
@@ -124,17 +127,18 @@
 	return time.Time{}
 }
 
-// evidence yields the crashes that count, in order of time. Against a part, those by one
-// request count once: the request itself may crash engines.
+// evidence yields the crashes that count, in order of time. Against a part that was answered
+// before, at most maxCrashesPerRequest by one request count: the request itself may crash
+// engines.
 func (r *record) evidence(explained func(c crash) bool) func(yield func(crash) bool) {
 	return func(yield func(crash) bool) {
-		var requests []uint64
+		byRequest := make(map[uint64]int)
 		for c := range r.crashesInTurn(explained) {
-			if !r.isRequest() && c.request != noRequest {
-				if slices.Contains(requests, c.request) {
+			if !r.isRequest() && !r.lastAnswered.IsZero() && c.request != noRequest {
+				byRequest[c.request]++
+				if byRequest[c.request] > maxCrashesPerRequest {
 					continue
 				}
-				requests = append(requests, c.request)
 			}
 			if !yield(c) {
 				return
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -40,8 +40,8 @@
 }
 
 // Updates returns the records to send in this round: those that changed recently, the most
-// important ones first, up to maxUpdateBytes.
-func (d *Detector) Updates(now time.Time) []*pb.PartRecord {
+// important ones first, up to the given number of bytes.
+func (d *Detector) Updates(now time.Time, maxBytes int) []*pb.PartRecord {
 	var due []*record
 	for _, r := range d.records {
 		if r.sends > 0 && !r.isSingle() {
@@ -56,7 +56,7 @@
 			cmp.Compare(x.part, y.part),
 		)
 	})
-	messages, sent := encodeUpTo(now, due)
+	messages, sent := encodeUpTo(now, due, maxBytes)
 	for _, r := range due[:sent] {
 		r.sends--
 	}
@@ -98,19 +98,19 @@
 			cmp.Compare(x.part, y.part),
 		)
 	})
-	messages, sent := encodeUpTo(now, decided)
+	messages, sent := encodeUpTo(now, decided, maxUpdateBytes)
 	if sent > 0 {
 		d.digestFrom = decided[sent-1].part
 	}
 	return messages
 }
 
-func encodeUpTo(now time.Time, records []*record) (messages []*pb.PartRecord, sent int) {
+func encodeUpTo(now time.Time, records []*record, maxBytes int) (messages []*pb.PartRecord, sent int) {
 	size := 0
 	for _, r := range records {
 		m := r.encode(now)
 		size += proto.Size(m)
-		if size > maxUpdateBytes {
+		if size > maxBytes {
 			break
 		}
 		messages = append(messages, m)
