Request log line: refusals before any try are not hashed

Cause: each refused request was hashed for its fingerprint, also those that are refused at once under load, which must stay cheap. Change: only requests that were sent to a target, or are held, carry a fingerprint. Evidence: go test ./internal/gateway ./internal/filter.

--- a/internal/filter/quarantine.go
+++ b/internal/filter/quarantine.go
@@ -54,11 +54,17 @@
 	return next(ctx, x)
 }
 
+// Codes of the rejections of held requests.
+const (
+	CodeRequestHeld = "request-held"
+	CodePromptHeld  = "prompt-held"
+)
+
 func heldCode(h *quarantine.Hold) string {
 	if h.IsRequest() {
-		return "request-held"
+		return CodeRequestHeld
 	}
-	return "prompt-held"
+	return CodePromptHeld
 }
 
 // guardedParts returns what the guard knows the request by. The key of the request, which
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -113,7 +113,8 @@
 	if len(x.Prompt) > 0 {
 		e.Str("prompt", promptText(x.Prompt))
 	}
-	if level == log.WarnLevel && x.Route != nil {
+	// Refusals under load must stay cheap, so those before any try are not hashed.
+	if level == log.WarnLevel && (x.Tries > 0 || res.code == filter.CodeRequestHeld) {
 		e.Str("fingerprint", x.Fingerprint())
 	}
 	for _, r := range x.Reasons() {
