Quarantine: requests with more parts than are examined are held too

Cause: of a prompt with 64 parts or more the router examined the first 64 keys; that of the request came last and was cut off, so a request that crashes engines was never held. Change: the key of the request is always among those examined. The check of control bytes in the simulations stands once. Evidence: TestRequestWithManyPartsIsHeld failed before and passes.

--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -70,7 +70,7 @@
 
 // Observe records the result of a request.
 func (d *Detector) Observe(now time.Time, t Trial) {
-	parts := t.Parts[:min(len(t.Parts), maxParts)]
+	parts := examined(t.Parts)
 	request := requestOf(parts)
 	base := &d.baseline
 	if len(parts) == 0 || len(parts) == 1 && request != "" {
@@ -161,7 +161,7 @@
 // MayRepeat reports whether a request whose prompt has these parts may be sent to another
 // engine after one has failed it.
 func (d *Detector) MayRepeat(parts []string) bool {
-	return !d.suspected(parts[:min(len(parts), maxParts)])
+	return !d.suspected(examined(parts))
 }
 
 func (d *Detector) heldAmong(parts []string) []*record {
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -372,3 +372,24 @@
 		}
 	}
 }
+
+// TestRequestWithManyPartsIsHeld guards against a request whose key is cut off because its
+// prompt has more parts than are examined.
+func TestRequestWithManyPartsIsHeld(t *testing.T) {
+	d := NewDetector("r")
+	var keys []string
+	for i := range 2 * maxParts {
+		keys = append(keys, fmt.Sprint("part-", i))
+	}
+	d.Observe(start.Add(-time.Minute), Trial{Parts: keys, Outcome: Answered})
+	bad := RequestKey("deadly", true)
+	now := start
+	for i := range 4 {
+		now = now.Add(300 * time.Millisecond)
+		crashIn(d, now, uint64(i), append(keys, bad)...)
+		d.Tick(now)
+	}
+	if h := d.Admit(now, append(keys, bad), never); h == nil || !h.IsRequest() {
+		t.Errorf("the request is not held: %v", h)
+	}
+}
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -55,10 +55,7 @@
 				if f.refused > f.answered/100 {
 					t.Errorf("%d sound requests were refused, %d answered", f.refused, f.answered)
 				}
-				bytes := f.maxBytesPerSecond(controlWindow)
-				if bytes > controlBytesPerSecond {
-					t.Errorf("a router sent %.0f bytes a second over %d s, over %d", bytes, controlWindow, controlBytesPerSecond)
-				}
+				bytes := f.checkBytes()
 				t.Logf("%d crashes, %d sound requests answered, %d interrupted, %d refused; %.0f B/s", len(f.crashes), f.answered, f.interrupted, f.refused, bytes)
 			})
 		})
@@ -101,10 +98,7 @@
 					if f.refused > 0 {
 						t.Errorf("%d sound requests were refused, %d answered", f.refused, f.answered)
 					}
-					bytes := f.maxBytesPerSecond(controlWindow)
-					if bytes > controlBytesPerSecond {
-						t.Errorf("a router sent %.0f bytes a second over %d s, over %d", bytes, controlWindow, controlBytesPerSecond)
-					}
+					bytes := f.checkBytes()
 					t.Logf("%d crashes, %d sound requests answered, %d interrupted; %.0f B/s", len(f.crashes), f.answered, f.interrupted, bytes)
 				})
 			})
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 const (
 	// requestPrefix begins the keys of requests, which stand beside the ids of parts in
@@ -31,6 +34,17 @@
 	return ""
 }
 
+// examined returns at most maxParts of the keys of a trial, with that of the request.
+func examined(keys []string) []string {
+	if len(keys) <= maxParts {
+		return keys
+	}
+	if request := requestOf(keys); request != "" {
+		return append(slices.Clone(keys[:maxParts-1]), request)
+	}
+	return keys[:maxParts]
+}
+
 // isRequest reports whether the record is that of a request.
 func (r *record) isRequest() bool { return IsRequestKey(r.part) }
 
--- a/internal/quarantine/simfleet_test.go
+++ b/internal/quarantine/simfleet_test.go
@@ -331,6 +331,17 @@
 	return n
 }
 
+// checkBytes checks that no router exceeded the budget of control traffic, and returns the most
+// bytes a second that one sent.
+func (f *simFleet) checkBytes() float64 {
+	f.t.Helper()
+	bytes := f.maxBytesPerSecond(controlWindow)
+	if bytes > controlBytesPerSecond {
+		f.t.Errorf("a router sent %.0f bytes a second over %d s, over %d", bytes, controlWindow, controlBytesPerSecond)
+	}
+	return bytes
+}
+
 // maxBytesPerSecond returns the most bytes a second that a router sent on average over any
 // window of this many seconds.
 func (f *simFleet) maxBytesPerSecond(window int64) float64 {
