--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -1,6 +1,7 @@
 // Package quarantine protects engines against queries of death: requests that crash each
 // engine that begins to answer them. It finds the part of a prompt that such requests have
-// in common, and withholds the requests with that part.
+// in common, or the single request that comes again, and withholds the requests with that
+// part or key. Both are called parts in this package, and a key is told by its prefix.
 //
 // A Detector decides. It has no clock, does no I/O and starts no goroutine. Its evidence
 // against a part are engines that ended before a request with the part was answered. A
