Request log line: each repeated send names what allowed or denied it; counters of both

Cause: the line of a request said that the limit of repeated sends was reached, but not by which figures, and nothing when a repeat was allowed. The hypotheses of the incident retries-beyond-limit differ in just these: the number of routers by which the slack is divided, and the repeats that a router has counted since its start.

Change: AllowRetry returns its inputs, which become a reason of the request; counters gateway.retries_allowed and gateway.retries_denied. No decision changes.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -265,7 +265,7 @@
 	alive := routers
 	all := make([]*RetryBudget, routers)
 	for i := range all {
-		all[i] = NewRetryBudget(limits, func() int { return alive })
+		all[i] = NewRetryBudget(limits, func() int { return alive }, nil)
 		all[i].now = func() time.Time { return clock }
 	}
 	rng := rand.New(rand.NewPCG(3, 3))
@@ -281,7 +281,7 @@
 			for range rng.IntN(6) {
 				all[i].RecordRequest("s")
 				now.first++
-				if all[i].AllowRetry("s") {
+				if all[i].AllowRetry("s").Allowed {
 					now.retries++
 				}
 			}
--- a/internal/balance/retry_budget.go
+++ b/internal/balance/retry_budget.go
@@ -1,8 +1,11 @@
 package balance
 
 import (
+	"fmt"
 	"sync"
 	"time"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // windowBuckets is the number of buckets into which a sliding window is divided.
@@ -37,13 +40,34 @@
 	routers func() int
 	now     func() time.Time
 
+	allowed tally.Counter
+	denied  tally.Counter
+
 	mu       sync.Mutex
 	services map[string]*retryWindow
 }
 
-// NewRetryBudget returns a budget without counted requests.
-func NewRetryBudget(l RetryLimits, routers func() int) *RetryBudget {
-	return &RetryBudget{limits: l, routers: routers, now: time.Now, services: make(map[string]*retryWindow)}
+// RetryDecision says whether one more send is allowed.
+type RetryDecision struct {
+	Allowed bool
+	// Inputs describes what decided, for the log line of the request.
+	Inputs string
+}
+
+// NewRetryBudget returns a budget without counted requests. A nil scope discards the
+// metrics.
+func NewRetryBudget(l RetryLimits, routers func() int, scope tally.Scope) *RetryBudget {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	return &RetryBudget{
+		limits:   l,
+		routers:  routers,
+		now:      time.Now,
+		allowed:  scope.Counter("retries_allowed"),
+		denied:   scope.Counter("retries_denied"),
+		services: make(map[string]*retryWindow),
+	}
 }
 
 // RecordRequest counts a request at its first attempt.
@@ -53,18 +77,25 @@
 	b.window(service).bucket().requests++
 }
 
-// AllowRetry reports whether another retry is within the limits, and counts it if so.
-func (b *RetryBudget) AllowRetry(service string) bool {
+// AllowRetry decides whether another retry is within the limits, and counts it if so.
+func (b *RetryBudget) AllowRetry(service string) RetryDecision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service)
 	first, retries := w.sums()
-	slack := usableSlack * b.limits.Slack / float64(max(1, b.routers()))
-	if float64(retries+1) > usableRatio*b.limits.Ratio*float64(first)+slack {
-		return false
+	routers := max(1, b.routers())
+	limit := usableRatio*b.limits.Ratio*float64(first) + usableSlack*b.limits.Slack/float64(routers)
+	d := RetryDecision{
+		Allowed: float64(retries+1) <= limit,
+		Inputs:  fmt.Sprintf("%d retries of at most %.1f in the window, with %d requests and %d routers", retries, limit, first, routers),
+	}
+	if !d.Allowed {
+		b.denied.Inc(1)
+		return d
 	}
+	b.allowed.Inc(1)
 	w.bucket().retries++
-	return true
+	return d
 }
 
 // window returns the service's window, advanced to the present time.
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -25,9 +25,9 @@
 type RetryLimiter interface {
 	// RecordRequest counts the first send of a request to a service.
 	RecordRequest(service string)
-	// AllowRetry reports whether one more send to the service is allowed, and counts it if
+	// AllowRetry decides whether one more send to the service is allowed, and counts it if
 	// so.
-	AllowRetry(service string) bool
+	AllowRetry(service string) balance.RetryDecision
 }
 
 // Dispatch sends a request to a target. After a failure it tries other targets, if the
--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -61,9 +61,9 @@
 type fixedRetries struct{ left int }
 
 func (s *fixedRetries) RecordRequest(string) {}
-func (s *fixedRetries) AllowRetry(string) bool {
+func (s *fixedRetries) AllowRetry(string) balance.RetryDecision {
 	s.left--
-	return s.left >= 0
+	return balance.RetryDecision{Allowed: s.left >= 0}
 }
 
 // scriptedTarget is the response to one try.
--- a/internal/filter/retry.go
+++ b/internal/filter/retry.go
@@ -69,9 +69,11 @@
 // allowRepeat reports whether the retry limit of the service allows one more send, and
 // counts it if so.
 func (d *dispatch) allowRepeat() bool {
-	if d.Retries.AllowRetry(d.x.Demand.Service) {
-		return true
+	decision := d.Retries.AllowRetry(d.x.Demand.Service)
+	text := "sent again: "
+	if !decision.Allowed {
+		text = "the limit of repeated sends to the service is reached: "
 	}
-	d.x.AddReason(StepDispatch, "", "the limit of repeated sends to the service is reached")
-	return false
+	d.x.AddReason(StepDispatch, "", text+decision.Inputs)
+	return decision.Allowed
 }
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -147,7 +147,7 @@
 		Tables:   &in.activeTable,
 		Picker:   in.picker,
 		Guard:    in.guard,
-		Retries:  balance.NewRetryBudget(in.cfg.RetryLimits, in.countCallerRouters),
+		Retries:  balance.NewRetryBudget(in.cfg.RetryLimits, in.countCallerRouters, in.scope.SubScope("gateway")),
 		Forward:  forward.Config{Dialect: in.cfg.Dialect, Scope: in.scope},
 		Prepare:  in.cfg.Prepare,
 		NotRun:   in.cfg.NotRun,
