Retries are earned by requests, not divided among the routers that a router sees

Cause: each router took a part of the slack by the number of routers that it saw at the moment, which is small behind a cut, and kept its window in memory, which a restart empties. A router killed in a storm sent its whole allowance twice.

Change: a token bucket per service and router that starts empty. A request earns 0.65 of the ratio; the bucket holds at most 1 plus 0.35 of the ratio times the requests of the last window. Summed over all routers this is within the ratio, and the slack covers one retry per router, whatever the routers know of each other and however often they restart (docs/design/allowances.md). The number of routers is no longer an input.

TestEachArrivalBeyondTheFirstIsAllowed checks that declined, failed, lost and resumed sends are counted; it fails in trials that leave out one of them.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -265,7 +265,7 @@
 	alive := routers
 	all := make([]*RetryBudget, routers)
 	for i := range all {
-		all[i] = NewRetryBudget(limits, func() int { return alive }, nil)
+		all[i] = NewRetryBudget(limits, nil)
 		all[i].now = func() time.Time { return clock }
 	}
 	rng := rand.New(rand.NewPCG(3, 3))
--- a/internal/balance/retry_budget.go
+++ b/internal/balance/retry_budget.go
@@ -8,43 +8,49 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// windowBuckets is the number of buckets into which a sliding window is divided.
-const windowBuckets = 10
-
-// RetryLimits limits the retries to one service, summed over all routers: in any sliding
-// window there are at most Ratio times the requests plus Slack.
+// RetryLimits limits the retries to one service, summed over all routers: in any window
+// there are at most Ratio times the requests plus Slack.
 type RetryLimits struct {
 	// Ratio is the number of retries allowed per request.
 	Ratio float64
 	// Slack is the number of retries allowed in addition, independent of the number of
-	// requests.
+	// requests. It must be at least reservePerRouter times the number of routers.
 	Slack float64
-	// Window is the length of the sliding window.
+	// Window is the length of the window.
 	Window time.Duration
 }
 
-// usableRatio is the fraction of Ratio that the routers use. The rest is a margin,
-// because the windows of the routers and the window in which the platform checks the
-// limit do not start at the same time.
-const usableRatio = 0.85
-
-// usableSlack is the fraction of Slack that the routers divide among themselves. The
-// rest is a margin, because routers may disagree on the number of routers.
-const usableSlack = 0.6
+const (
+	// reservePerRouter is the number of retries, beyond those for its recent requests,
+	// that a router may have saved. It lets a router with few requests save a whole retry.
+	reservePerRouter = 1
+	// savedShare is the part of Ratio that a router may save for later: its bucket holds at
+	// most this part of what the requests of the last window allow. The routers earn the
+	// rest of Ratio with each request.
+	savedShare = 0.35
+)
 
-// RetryBudget counts this router's requests and retries by service and limits the
-// retries to this router's part of RetryLimits. It is safe for concurrent use.
+// RetryBudget limits the retries of this router so that the routers together stay within
+// RetryLimits, although they do not communicate. Each service has a token bucket, which
+// starts empty. In any window all routers together spend at most what they had saved at its
+// beginning, and what they earn in it:
+//
+//   - saved: savedShare of Ratio times the requests of the window before, plus
+//     reservePerRouter for each router, which the slack covers;
+//   - earned: the rest of Ratio times the requests of the window.
+//
+// It does not matter which router serves a request, how many routers there are, or whether
+// they reach each other. A router that restarts has nothing saved. It is safe for concurrent
+// use.
 type RetryBudget struct {
 	limits RetryLimits
-	// routers returns the number of routers among which Slack is divided.
-	routers func() int
-	now     func() time.Time
+	now    func() time.Time
 
 	allowed tally.Counter
 	denied  tally.Counter
 
 	mu       sync.Mutex
-	services map[string]*retryWindow
+	services map[string]*retryBucket
 }
 
 // RetryDecision says whether one more send is allowed.
@@ -56,17 +62,16 @@
 
 // NewRetryBudget returns a budget without counted requests. A nil scope discards the
 // metrics.
-func NewRetryBudget(l RetryLimits, routers func() int, scope tally.Scope) *RetryBudget {
+func NewRetryBudget(l RetryLimits, scope tally.Scope) *RetryBudget {
 	if scope == nil {
 		scope = tally.NoopScope
 	}
 	return &RetryBudget{
 		limits:   l,
-		routers:  routers,
 		now:      time.Now,
 		allowed:  scope.Counter("retries_allowed"),
 		denied:   scope.Counter("retries_denied"),
-		services: make(map[string]*retryWindow),
+		services: make(map[string]*retryBucket),
 	}
 }
 
@@ -74,76 +79,84 @@
 func (b *RetryBudget) RecordRequest(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(service).bucket().requests++
+	k := b.bucket(service)
+	k.requests.add(1)
+	k.tokens += (1 - savedShare) * b.limits.Ratio
 }
 
 // AllowRetry decides whether another retry is within the limits, and counts it if so.
 func (b *RetryBudget) AllowRetry(service string) RetryDecision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(service)
-	first, retries := w.sums()
-	routers := max(1, b.routers())
-	limit := usableRatio*b.limits.Ratio*float64(first) + usableSlack*b.limits.Slack/float64(routers)
+	k := b.bucket(service)
 	d := RetryDecision{
-		Allowed: float64(retries+1) <= limit,
-		Inputs:  fmt.Sprintf("%d retries of at most %.1f in the window, with %d requests and %d routers", retries, limit, first, routers),
+		Allowed: k.tokens >= 1,
+		Inputs:  fmt.Sprintf("%.1f of at most %.1f retries saved, after %d requests in the window", k.tokens, k.depth(b.limits), k.requests.sum()),
 	}
 	if !d.Allowed {
 		b.denied.Inc(1)
 		return d
 	}
 	b.allowed.Inc(1)
-	w.bucket().retries++
+	k.tokens--
 	return d
 }
 
-// window returns the service's window, advanced to the present time.
-func (b *RetryBudget) window(service string) *retryWindow {
-	w := b.services[service]
-	if w == nil {
-		w = &retryWindow{}
-		b.services[service] = w
+// bucket returns the service's bucket at the present time.
+func (b *RetryBudget) bucket(service string) *retryBucket {
+	k := b.services[service]
+	if k == nil {
+		k = &retryBucket{}
+		b.services[service] = k
 	}
-	w.advance(b.now(), b.limits.Window/windowBuckets)
-	return w
+	k.requests.advance(b.now(), b.limits.Window/windowBuckets)
+	k.tokens = min(k.tokens, k.depth(b.limits))
+	return k
 }
 
-// retryWindow counts requests and retries in the buckets of a sliding window.
-type retryWindow struct {
-	// buckets is a ring with one bucket more than a window has, so that it covers a
-	// full window even while the current bucket has just started.
-	buckets     [windowBuckets + 1]retryCounts
-	current     int
-	bucketStart time.Time
+// retryBucket is the token bucket for the retries to one service.
+type retryBucket struct {
+	tokens float64
+	// requests counts this router's requests to the service.
+	requests windowCount
 }
 
-type retryCounts struct {
-	requests int
-	retries  int
+// depth returns the largest number of tokens that may be saved.
+func (k *retryBucket) depth(l RetryLimits) float64 {
+	return reservePerRouter + savedShare*l.Ratio*float64(k.requests.sum())
+}
+
+// windowBuckets is the number of buckets into which a sliding window is divided.
+const windowBuckets = 10
+
+// windowCount counts events in a sliding window. The current bucket is not full, so the
+// count covers the window less at most the length of one bucket.
+type windowCount struct {
+	buckets     [windowBuckets]int
+	current     int
+	bucketStart time.Time
 }
 
-// bucket returns the current bucket.
-func (w *retryWindow) bucket() *retryCounts { return &w.buckets[w.current] }
+// add counts n events now.
+func (w *windowCount) add(n int) { w.buckets[w.current] += n }
 
 // advance starts the buckets that are due at now; each covers the given length of time.
-func (w *retryWindow) advance(now time.Time, length time.Duration) {
-	if w.bucketStart.IsZero() || now.Sub(w.bucketStart) > time.Duration(len(w.buckets))*length {
-		*w = retryWindow{bucketStart: now}
+func (w *windowCount) advance(now time.Time, length time.Duration) {
+	if w.bucketStart.IsZero() || now.Sub(w.bucketStart) > windowBuckets*length {
+		*w = windowCount{bucketStart: now}
 		return
 	}
 	for now.Sub(w.bucketStart) >= length {
 		w.bucketStart = w.bucketStart.Add(length)
-		w.current = (w.current + 1) % len(w.buckets)
-		w.buckets[w.current] = retryCounts{}
+		w.current = (w.current + 1) % windowBuckets
+		w.buckets[w.current] = 0
 	}
 }
 
-// sums returns the requests and retries of all buckets.
-func (w *retryWindow) sums() (first, retries int) {
-	for _, p := range w.buckets {
-		first += p.requests
-		retries += p.retries
+// sum returns the number of events in the window.
+func (w *windowCount) sum() (n int) {
+	for _, c := range w.buckets {
+		n += c
 	}
-	return first, retries
+	return n
 }
--- a/internal/balance/retry_fleet_test.go
+++ b/internal/balance/retry_fleet_test.go
@@ -66,7 +66,7 @@
 
 // start starts a router with a budget that has counted nothing.
 func (f *retryFleet) start(r *retryRouter) {
-	b := NewRetryBudget(f.limits, func() int { return r.sees }, nil)
+	b := NewRetryBudget(f.limits, nil)
 	b.now = func() time.Time { return f.clock }
 	r.budget, r.running = b, true
 }
--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
@@ -513,3 +515,74 @@
 	*e.read += len(p)
 	return len(p), nil
 }
+
+// countedRetries allows a number of repeated sends and counts them.
+type countedRetries struct{ requests, allowed, left int }
+
+func (c *countedRetries) RecordRequest(string) { c.requests++ }
+func (c *countedRetries) AllowRetry(string) balance.RetryDecision {
+	if c.left == 0 {
+		return balance.RetryDecision{}
+	}
+	c.left--
+	c.allowed++
+	return balance.RetryDecision{Allowed: true}
+}
+
+// TestEachArrivalBeyondTheFirstIsAllowed guards against sends that the retry limit does not
+// count: after declined, failed, lost and cut tries, and when a stream is resumed. Tries that
+// reach no target are not counted.
+func TestEachArrivalBeyondTheFirstIsAllowed(t *testing.T) {
+	kinds := []struct {
+		kind      routing.Kind
+		resumable bool
+	}{{routing.Idempotent, false}, {routing.NonIdempotent, false}, {routing.Stream, false}, {routing.Stream, true}}
+	rapid.Check(t, func(rt *rapid.T) {
+		kind := rapid.SampledFrom(kinds).Draw(rt, "kind")
+		retries := &countedRetries{left: rapid.IntRange(0, 4).Draw(rt, "left")}
+		arrivals, event := 0, 0
+		d := &Dispatch{
+			Guard:   &fakeGuard{},
+			Picker:  &numberedPicker{n: 6, outcomes: make(map[string]balance.Outcome)},
+			Retries: retries,
+			Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+			Warmup:  NewWarmup(time.Time{}),
+		}
+		x := routedExchange(kind.kind, kind.resumable)
+		x.Route.MaxTargets = rapid.IntRange(1, 4).Draw(rt, "targets")
+		try := func(_ context.Context, x *Exchange) error {
+			how := rapid.SampledFrom([]string{"answers", "declines", "fails", "is cut", "can't be reached", "closed the idle connection", "stops in the stream"}).Draw(rt, "target")
+			if how == "can't be reached" {
+				return errs.Wrap(errNoConn, "forward", x.Grant.Target.Id)
+			}
+			arrivals++
+			x.Token.Spend()
+			x.Answer = &Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Framed: true}
+			body := &cutBody{data: strings.NewReader(events(event+1, event+2))}
+			x.Answer.Body = body
+			switch how {
+			case "declines":
+				x.Answer.Status, x.Answer.NotRun = http.StatusServiceUnavailable, true
+			case "fails":
+				x.Answer.Status = http.StatusInternalServerError
+			case "is cut":
+				return errs.Wrap(errCutHere, "forward", x.Grant.Target.Id)
+			case "closed the idle connection":
+				return errs.Wrap(fmt.Errorf("%w: %w", errCutHere, forward.ErrReusedConnection), "forward", x.Grant.Target.Id)
+			case "stops in the stream":
+				body.err = errCutHere
+				event += 2
+			}
+			return nil
+		}
+		if err := d.Handle(t.Context(), x, try); err == nil {
+			_, _ = io.ReadAll(x.Answer.Body)
+		}
+		if arrivals > 0 && retries.requests != 1 {
+			rt.Errorf("the request was counted %d times, want once", retries.requests)
+		}
+		if arrivals-1 > retries.allowed {
+			rt.Errorf("%d arrivals at targets, and only %d were allowed beyond the first", arrivals, retries.allowed)
+		}
+	})
+}
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -147,7 +147,7 @@
 		Tables:   &in.activeTable,
 		Picker:   in.picker,
 		Guard:    in.guard,
-		Retries:  balance.NewRetryBudget(in.cfg.RetryLimits, in.countCallerRouters, in.scope.SubScope("gateway")),
+		Retries:  balance.NewRetryBudget(in.cfg.RetryLimits, in.scope.SubScope("gateway")),
 		Forward:  forward.Config{Dialect: in.cfg.Dialect, Scope: in.scope},
 		Prepare:  in.cfg.Prepare,
 		NotRun:   in.cfg.NotRun,
@@ -178,18 +178,6 @@
 	}
 }
 
-// countCallerRouters returns the number of routers with a caller address. The retry budget
-// is divided by this number.
-func (in *Routed) countCallerRouters() int {
-	n := 0
-	for _, r := range in.members.Routers() {
-		if r.CallerAddr != "" {
-			n++
-		}
-	}
-	return n
-}
-
 // applyHints applies the drain and backpressure signals in a target's response. A pause
 // (Retry-After) applies only to this router. Leaving applies to the whole fleet, which is
 // notified, and can't be revoked for this incarnation of the target.
