Limits that targets name are decoded, logged on each change and counted

Change: platform decodes the header into a hint; a router logs 'the limit of a target changed' with target, limit and request, and a warning for a value that is no number; gauge limit_targets. No decision uses it yet.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -154,7 +154,7 @@
 	defer b.mu.Unlock()
 	all := b.candidates(b.now(), r)
 	for _, c := range all {
-		if loadKey(c.status) == key && c.eligible() {
+		if LoadKey(c.status) == key && c.eligible() {
 			return b.assign(selection{target: c, reason: reason}, all), nil
 		}
 	}
@@ -218,8 +218,8 @@
 		t := b.target(now, st)
 		all = append(all, &candidate{
 			status:       st,
-			inFlight:     t.inFlight + b.remoteLoads.inFlight(now, loadKey(st)),
-			meanInFlight: max(float64(t.inFlight), b.remoteLoads.mean(now, loadKey(st))),
+			inFlight:     t.inFlight + b.remoteLoads.inFlight(now, LoadKey(st)),
+			meanInFlight: max(float64(t.inFlight), b.remoteLoads.mean(now, LoadKey(st))),
 			capacity:     capacity(st, r.Slots),
 			healthy:      t.health.available(now),
 			degraded:     t.health.degraded(),
--- a/internal/balance/owner.go
+++ b/internal/balance/owner.go
@@ -34,7 +34,7 @@
 	all := b.candidates(b.now(), r)
 	pool := preferredPool(all)
 	for _, c := range all {
-		t := slots.Target{Key: loadKey(c.status), Capacity: c.capacity}
+		t := slots.Target{Key: LoadKey(c.status), Capacity: c.capacity}
 		switch {
 		case slices.Contains(pool, c):
 			open = append(open, t)
@@ -58,7 +58,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, st := range b.view.Targets() {
-		if loadKey(st) != key {
+		if LoadKey(st) != key {
 			continue
 		}
 		if t := b.targets[fleet.TargetKey(st.Id, st.Incarnation)]; t != nil {
--- a/internal/balance/remote_loads.go
+++ b/internal/balance/remote_loads.go
@@ -10,9 +10,9 @@
 // countTTL is how long a received count is valid.
 const countTTL = 1500 * time.Millisecond
 
-// loadKey returns the key that identifies one incarnation of a target in the counts that
+// LoadKey returns the key that identifies one incarnation of a target in the counts that
 // routers exchange.
-func loadKey(st *pb.TargetStatus) uint32 {
+func LoadKey(st *pb.TargetStatus) uint32 {
 	return uint32(fleet.TargetKey(st.Id, st.Incarnation))
 }
 
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -38,7 +38,7 @@
 	// Prepare sets the headers for one target on the exchange. holder is the target
 	// that may have parts of the prompt cached; it may be nil.
 	Prepare func(x *Exchange, target, holder *pb.TargetStatus)
-	// OnHints is called with the hints in a target's response; may be nil.
+	// OnHints is called with the hints in each response of a target; may be nil.
 	OnHints func(target *pb.TargetStatus, requestID string, h Hints)
 	Warmup  *Warmup
 	// Guard decides whether the request may be repeated.
--- a/internal/filter/hints.go
+++ b/internal/filter/hints.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/permits"
 )
 
 // Hints are the drain and backpressure signals that a target adds to a response.
@@ -15,13 +16,18 @@
 	// Pause is how long this router should send the target no requests; zero if it may
 	// continue.
 	Pause time.Duration
+	// Limit is the rate limit that the target names. It says nothing if InvalidLimit, the
+	// text that can't be read as a limit, is not empty.
+	Limit        permits.Limit
+	InvalidLimit string
 }
 
-// reportHints passes the hints of an answer to OnHints. It drops those of a 421
+// reportHints passes the hints of an answer to OnHints, also if there are none, since a
+// limit ends with the first answer that names none. It drops those of a 421
 // response: another target answered at the selected target's address, so the hints
 // don't concern the selected one.
 func (d *dispatch) reportHints(target *pb.TargetStatus, a *Answer) {
-	if a.Hints == (Hints{}) || a.Status == http.StatusMisdirectedRequest || d.OnHints == nil {
+	if a.Status == http.StatusMisdirectedRequest || d.OnHints == nil {
 		return
 	}
 	d.OnHints(target, d.x.ID, a.Hints)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,8 +37,8 @@
 	Prepare func(x *filter.Exchange, target, holder *pb.TargetStatus)
 	// NotRun reports whether a response declares that its request did not run.
 	NotRun func(status int, h http.Header) bool
-	// Hints returns the drain and backpressure signals in a response. OnHints is called
-	// for each response that carries such signals.
+	// Hints returns the drain, backpressure and rate limit signals in a response. OnHints is
+	// called with them for each response.
 	Hints   func(status int, h http.Header) filter.Hints
 	OnHints func(target *pb.TargetStatus, requestID string, h filter.Hints)
 	// Observer receives the records of finished requests; may be nil.
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -178,10 +178,16 @@
 	}
 }
 
-// applyHints applies the drain and backpressure signals in a target's response. A pause
+// applyHints applies the signals in a target's response. A pause
 // (Retry-After) applies only to this router. Leaving applies to the whole fleet, which is
 // notified, and can't be revoked for this incarnation of the target.
 func (in *Routed) applyHints(target *pb.TargetStatus, requestID string, h filter.Hints) {
+	if h.InvalidLimit == "" {
+		in.picker.ObserveLimit(target, requestID, h.Limit)
+	} else {
+		in.logger.Warn().Str("step", "limit").Str("peer", target.Id).Str("request_id", requestID).Str("text", h.InvalidLimit).
+			Msg("a target names a limit that is not a number of requests per second")
+	}
 	changed := in.balancer.Pause(target, h.Pause)
 	if h.Leaving && in.balancer.MarkLeaving(target) {
 		changed = true
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -23,6 +23,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/permits"
 	"github.com/wigeonwood/wigeonwood/internal/slots"
 )
 
@@ -70,6 +71,7 @@
 	slotRequests tally.Counter
 	timeouts     tally.Counter
 	rejections   tally.Counter
+	limited      tally.Gauge
 
 	mu       sync.Mutex
 	lastSlot uint64
@@ -83,6 +85,10 @@
 	admitterMu sync.Mutex
 	// admitter admits the requests of the services that this router owns.
 	admitter *slots.Admitter
+
+	keeperMu sync.Mutex
+	// keeper holds the limits that targets name.
+	keeper *permits.Keeper
 }
 
 // ownerState tracks the timeouts of one owner.
@@ -105,6 +111,8 @@
 		replies:      make(map[uint64]chan *pb.PlaceAnswer),
 		owners:       make(map[string]*ownerState),
 		admitter:     slots.New(),
+		limited:      c.Scope.SubScope(stepLimit).Gauge("targets"),
+		keeper:       permits.NewKeeper(),
 	}
 }
 
