Limits that targets name are kept by permits from one owner per target

Cause: nothing used the limit.

Change: a request to a target that names a limit needs a permit. The owner of the target, by rendezvous hashing, grants permits for all routers from a token bucket that starts empty (internal/permits). Without an answer from the owner nothing is sent. An owner that reaches a part of the fleet grants that part of the limit. Routers send the limits that they see with their in-flight counts, and collectors spread them with the sums. Other targets take the work: the weights of rendezvous hashing follow the limits, so that prompts move as a whole, and the load bound counts limited targets by weight. What no target takes is refused at once with targets-limited and the time until a target takes a request. window.Max replaces windowMax of filter/waitlimits.go.

--- a/internal/balance/backpressure.go
+++ b/internal/balance/backpressure.go
@@ -19,19 +19,51 @@
 	return fmt.Sprintf("all targets requested a pause; the first pause ends in %v", e.RetryAfter.Round(time.Millisecond))
 }
 
+// LimitedError means that all targets that could otherwise receive the request are at the
+// rate limits that they name.
+type LimitedError struct {
+	// RetryAfter is the time until the first of them may take another request.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *LimitedError) Error() string {
+	return fmt.Sprintf("all targets are at the limits that they name; the first may take a request in %v", e.RetryAfter.Round(time.Millisecond))
+}
+
 // noCandidateError returns the error for a request for which no candidate is eligible: a
-// *PausedError if one becomes eligible after its pause, ErrNoTarget otherwise.
+// *LimitedError or a *PausedError if one becomes eligible once it is no longer withheld or
+// paused, ErrNoTarget otherwise.
 func noCandidateError(all []*candidate) error {
-	first := time.Duration(0)
+	var paused, limited time.Duration
 	for _, c := range all {
-		if c.pausedFor > 0 && !c.leaving && !c.excluded && (first == 0 || c.pausedFor < first) {
-			first = c.pausedFor
+		if c.leaving || c.excluded {
+			continue
+		}
+		if c.pausedFor > 0 && (paused == 0 || c.pausedFor < paused) {
+			paused = c.pausedFor
+		}
+		if c.pausedFor <= 0 && c.withheldFor > 0 && (limited == 0 || c.withheldFor < limited) {
+			limited = c.withheldFor
 		}
 	}
-	if first == 0 {
+	switch {
+	case limited > 0:
+		return &LimitedError{RetryAfter: limited}
+	case paused > 0:
+		return &PausedError{RetryAfter: paused}
+	default:
 		return ErrNoTarget
 	}
-	return &PausedError{RetryAfter: first}
+}
+
+// Withhold selects a target for no request for the duration d, because it is at the rate limit
+// that it names. It replaces the duration of the call before.
+func (b *Balancer) Withhold(st *pb.TargetStatus, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	b.target(now, st).withheldUntil = now.Add(d)
 }
 
 // Pause stops sending requests to a target for the duration d, which the target
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -91,6 +91,10 @@
 	targets     map[uint64]*target
 	remoteLoads remoteLoads
 	lastSweep   time.Time
+	// limits returns the rate limits that targets name, by load key.
+	limits func() map[uint32]float64
+	// demands counts the requests by service.
+	demands map[string]*demand
 }
 
 // target is this router's state for one incarnation of a target.
@@ -100,6 +104,8 @@
 	lastSeen time.Time
 	// pausedUntil is the end of the pause that the target requested from this router.
 	pausedUntil time.Time
+	// withheldUntil is the time until which the target is at the rate limit that it names.
+	withheldUntil time.Time
 	// leavingByResponse is set once a response of the target stated that the target
 	// is leaving, which can be earlier than the view shows it.
 	leavingByResponse bool
@@ -117,6 +123,8 @@
 		rng:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		targets:     make(map[uint64]*target),
 		remoteLoads: newRemoteLoads(),
+		limits:      func() map[uint32]float64 { return nil },
+		demands:     make(map[string]*demand),
 	}
 }
 
@@ -131,8 +139,9 @@
 )
 
 // Pick selects a target for r and counts the request there until Choice.Done is
-// called. It fails with a *PausedError if every target that could otherwise receive the
-// request has requested a pause, and with ErrNoTarget if there is no such target.
+// called. It fails with a *PausedError or a *LimitedError if every target that could
+// otherwise receive the request has requested a pause or is at its rate limit, and with
+// ErrNoTarget if there is no such target.
 func (b *Balancer) Pick(r Request) (Choice, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -225,6 +234,7 @@
 			degraded:     t.health.degraded(),
 			leaving:      st.Leaving || t.leavingByResponse,
 			pausedFor:    t.pausedUntil.Sub(now),
+			withheldFor:  t.withheldUntil.Sub(now),
 			excluded:     slices.Contains(r.Exclude, st.Id),
 		})
 	}
@@ -276,6 +286,7 @@
 // choose selects by prompt key if the request has one, and by load otherwise.
 func (b *Balancer) choose(r Request, all []*candidate) selection {
 	if r.Key != "" {
+		b.setPromptWeights(b.now(), r.Service, all)
 		return selectByPromptKey(r.Key, all)
 	}
 	return selectByLoad(all, b.view.Self().DataCentre, b.rng.Float64)
--- a/internal/balance/select_load.go
+++ b/internal/balance/select_load.go
@@ -28,11 +28,11 @@
 	}
 	total := 0.0
 	for _, c := range pool {
-		total += c.weight()
+		total += c.drawWeight()
 	}
 	left := draw() * total
 	for _, c := range pool {
-		left -= c.weight()
+		left -= c.drawWeight()
 		if left < 0 {
 			return randomSelection(c)
 		}
@@ -70,8 +70,8 @@
 // utilization is the target's requests in flight as a fraction of its capacity.
 func (c *candidate) utilization() float64 { return float64(c.inFlight) / float64(c.capacity) }
 
-// weight is the weight of the target in the random choice. It decreases with the mean
+// drawWeight is the weight of the target in the random choice. It decreases with the mean
 // load.
-func (c *candidate) weight() float64 {
+func (c *candidate) drawWeight() float64 {
 	return 1 / (idleWeightOffset + c.meanInFlight/float64(c.capacity))
 }
--- a/internal/balance/select_prompt.go
+++ b/internal/balance/select_prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -39,10 +40,26 @@
 	// pausedFor is the time until the end of the pause that the target requested from
 	// this router; zero or less if there is none.
 	pausedFor time.Duration
+	// withheldFor is the time for which the target is at the rate limit that it names; zero
+	// or less if it is not.
+	withheldFor time.Duration
+	// limitedWeight is the part of the prompts that a limited target gets, relative to an
+	// unlimited one: between 0 and 1, or zero if the target is not limited.
+	limitedWeight float64
 }
 
 // eligible reports whether the target accepts the request, healthy or not.
-func (c *candidate) eligible() bool { return !c.leaving && !c.excluded && c.pausedFor <= 0 }
+func (c *candidate) eligible() bool {
+	return !c.leaving && !c.excluded && c.pausedFor <= 0 && c.withheldFor <= 0
+}
+
+// weight returns the target's part of the prompts, relative to an unlimited target.
+func (c *candidate) weight() float64 {
+	if c.limitedWeight == 0 {
+		return 1
+	}
+	return c.limitedWeight
+}
 
 // selection is the result of a selection. Each candidate is nil if there is none.
 type selection struct {
@@ -59,7 +76,11 @@
 // the same target without coordination. The method handles many sessions of unequal
 // size, of which each router sees only a few requests, on targets that join and leave.
 func selectByPromptKey(key string, all []*candidate) selection {
-	ranked := rankByKey(key, all)
+	byKey := rankByKey(key, all)
+	ranked := byKey
+	if slices.ContainsFunc(all, func(c *candidate) bool { return c.weight() < 1 }) {
+		ranked = rankByWeight(key, all)
+	}
 	limit := promptLoadLimit(all)
 	var chosen selection
 	for _, c := range ranked {
@@ -71,7 +92,8 @@
 	if chosen.target == nil {
 		chosen = selection{target: leastLoaded(ranked), reason: "every target is at its bound; this one has the fewest requests"}
 	}
-	chosen.cacheHolder = topCacheHolder(ranked, chosen.target)
+	// The targets that had the prompts before some were limited still have them cached.
+	chosen.cacheHolder = topCacheHolder(byKey, chosen.target)
 	if chosen.target != nil && chosen.cacheHolder != nil && rankOf(ranked, chosen.cacheHolder) < rankOf(ranked, chosen.target) {
 		chosen.reason = "targets ranked higher are at their bound, leaving or failing"
 	}
@@ -80,9 +102,25 @@
 
 // rankByKey returns the candidates by their rendezvous score for key, the highest first.
 func rankByKey(key string, all []*candidate) []*candidate {
-	scores := make(map[*candidate]uint64, len(all))
+	return rankByScore(all, func(c *candidate) float64 { return hashFraction(key, c) })
+}
+
+// rankByWeight returns the candidates by their score for key in weighted rendezvous hashing,
+// the highest first: each is the first for a part of the keys that is proportional to its
+// weight. With equal weights the order is that of rankByKey.
+func rankByWeight(key string, all []*candidate) []*candidate {
+	return rankByScore(all, func(c *candidate) float64 { return math.Log(hashFraction(key, c)) / c.weight() })
+}
+
+// hashFraction returns the rendezvous score of a candidate as a number between 0 and 1.
+func hashFraction(key string, c *candidate) float64 {
+	return (float64(fleet.Score(key, c.status.Id)) + 0.5) / (1 << 64)
+}
+
+func rankByScore(all []*candidate, score func(*candidate) float64) []*candidate {
+	scores := make(map[*candidate]float64, len(all))
 	for _, c := range all {
-		scores[c] = fleet.Score(key, c.status.Id)
+		scores[c] = score(c)
 	}
 	ranked := slices.Clone(all)
 	slices.SortFunc(ranked, func(a, b *candidate) int { return cmp.Compare(scores[b], scores[a]) })
@@ -98,21 +136,27 @@
 // starts before its predecessor leaves and may not be known to this router yet. The limit
 // is never below the mean load of the targets that are not leaving, since these must
 // carry all requests.
+//
+// A target counts in the means by its prompt weight, since a limited one takes a part of the
+// requests only.
 func promptLoadLimit(all []*candidate) int {
-	total, staying, stayingTotal := 1, 0, 1
+	total, stayingTotal := 1, 1
+	weights, stayingWeights, successors := 0.0, 0.0, 0
 	for _, c := range all {
 		total += c.inFlight
-		if !c.leaving {
-			staying++
-			stayingTotal += c.inFlight
+		weights += c.weight()
+		if c.leaving {
+			successors++
+			continue
 		}
+		stayingTotal += c.inFlight
+		stayingWeights += c.weight()
 	}
-	if staying == 0 {
+	if stayingWeights == 0 {
 		return 0
 	}
-	successors := len(all) - staying
-	bound := promptLoadFactor * float64(total) / float64(len(all)+successors)
-	stayingMean := float64(stayingTotal) / float64(staying)
+	bound := promptLoadFactor * float64(total) / (weights + float64(successors))
+	stayingMean := float64(stayingTotal) / stayingWeights
 	return int(max(bound, stayingMean)) + promptLoadSlack
 }
 
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -14,8 +14,8 @@
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
-// Picker selects targets. It fails with balance.ErrNoTarget or balance.ErrFull if no
-// target takes the request now.
+// Picker selects targets. It fails with balance.ErrNoTarget, balance.ErrFull, a
+// *balance.PausedError or a *balance.LimitedError if no target takes the request now.
 type Picker interface {
 	Pick(ctx context.Context, r balance.Request) (balance.Choice, error)
 }
@@ -211,6 +211,14 @@
 			RetryAfter: jitteredRetryAfter(paused.RetryAfter, rand.Float64()),
 		})
 	}
+	if limited := (*balance.LimitedError)(nil); errors.As(err, &limited) {
+		return d.x.Reject(Rejection{
+			Code:       "targets-limited",
+			Message:    fmt.Sprintf("service %s: %v", d.x.Demand.Service, err),
+			Step:       StepDispatch,
+			RetryAfter: jitteredRetryAfter(limited.RetryAfter, rand.Float64()),
+		})
+	}
 	return d.x.Reject(Rejection{
 		Code:       "no-target",
 		Message:    fmt.Sprintf("service %s: %v", d.x.Demand.Service, err),
--- a/internal/filter/waitlimits.go
+++ b/internal/filter/waitlimits.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/window"
 )
 
 const (
@@ -21,18 +23,13 @@
 // use.
 type WaitLimits struct {
 	mu     sync.Mutex
-	routes map[string]*windowMax
-}
-
-// windowMax holds the longest time limit in the current window and in the previous one.
-type windowMax struct {
-	since    time.Time
-	current  time.Duration
-	previous time.Duration
+	routes map[string]*window.Max[time.Duration]
 }
 
 // NewWaitLimits returns a WaitLimits without routes.
-func NewWaitLimits() *WaitLimits { return &WaitLimits{routes: make(map[string]*windowMax)} }
+func NewWaitLimits() *WaitLimits {
+	return &WaitLimits{routes: make(map[string]*window.Max[time.Duration])}
+}
 
 // alreadyWaited returns how long the caller has waited before this request, and records
 // the time limit of the request. Without a time limit the result is zero.
@@ -47,15 +44,8 @@
 		if len(l.routes) >= maxWaitLimitRoutes {
 			clear(l.routes)
 		}
-		w = &windowMax{since: x.Received}
+		w = &window.Max[time.Duration]{}
 		l.routes[x.Route.Name] = w
 	}
-	if elapsed := x.Received.Sub(w.since); elapsed >= waitLimitWindow {
-		w.previous, w.current, w.since = w.current, 0, x.Received
-		if elapsed >= 2*waitLimitWindow {
-			w.previous = 0
-		}
-	}
-	w.current = max(w.current, x.WaitLimit)
-	return max(w.current, w.previous) - x.WaitLimit
+	return w.Add(x.Received, waitLimitWindow, x.WaitLimit) - x.WaitLimit
 }
--- a/internal/instance/routed_inflight.go
+++ b/internal/instance/routed_inflight.go
@@ -57,7 +57,7 @@
 func (in *Routed) publishLocal(collectors []*pb.RouterStatus, published bool) bool {
 	counts := in.balancer.LocalCounts()
 	if len(counts) > 0 || published {
-		in.members.SendInFlight(in.peerAddrs(collectors), member.InFlight{Counts: orZeroCount(counts)})
+		in.members.SendInFlight(in.peerAddrs(collectors), member.InFlight{Counts: orZeroCount(counts), Limits: in.picker.SeenLimits(false)})
 	}
 	return len(counts) > 0
 }
@@ -66,7 +66,7 @@
 // until the next message is due.
 func (in *Routed) publishTotals() time.Duration {
 	totals := in.balancer.AggregateCounts()
-	in.forwardTotals(member.InFlight{Counts: totals, Collector: in.cfg.ID})
+	in.forwardTotals(member.InFlight{Counts: totals, Collector: in.cfg.ID, Limits: in.picker.SeenLimits(true)})
 	// Subtract half a tick. Otherwise a tick that fires slightly early would delay the
 	// message to the tick after it.
 	return totalsInterval(len(totals)) - inFlightInterval/2
@@ -114,11 +114,13 @@
 // both.
 func (in *Routed) handleInFlight(router string, f member.InFlight) {
 	switch {
-	case in.balancer == nil:
+	case in.picker == nil:
 	case f.Collector == "":
 		in.balancer.ApplyCounts(router, f.Counts)
+		in.picker.LearnLimits(f.Limits)
 	case f.Collector != in.cfg.ID:
 		in.balancer.ApplyTotals(f.Collector, f.Counts)
+		in.picker.LearnLimits(f.Limits)
 		in.forwardTotals(f)
 	}
 }
--- a/internal/member/inflight.go
+++ b/internal/member/inflight.go
@@ -7,6 +7,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/budget"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/permits"
 )
 
 const (
@@ -33,6 +34,8 @@
 	Collector string
 	// Hops is how many routers have forwarded the counts, the collector included.
 	Hops uint32
+	// Limits are rate limits that targets name, or that have ended.
+	Limits []permits.Seen
 }
 
 // SendInFlight sends in-flight counts to routers, given by their peer addresses, one
@@ -41,7 +44,7 @@
 // it.
 func (m *Members) SendInFlight(to []string, f InFlight) (sentTo int) {
 	m.do(func(c *core, now time.Time) {
-		messages := c.inFlightMessages(f)
+		messages := c.inFlightMessages(now, f)
 		for _, addr := range to {
 			for _, msg := range messages {
 				if !c.send(now, addr, budget.Load, msg) {
@@ -55,7 +58,7 @@
 }
 
 // inFlightMessages splits the counts into datagrams.
-func (c *core) inFlightMessages(f InFlight) []*pb.Gossip {
+func (c *core) inFlightMessages(now time.Time, f InFlight) []*pb.Gossip {
 	var messages []*pb.Gossip
 	for part := range slices.Chunk(slices.Sorted(maps.Keys(f.Counts)), maxInFlightPerDatagram) {
 		msg := c.newMessage(pb.GossipKind_GOSSIP_KIND_IN_FLIGHT, c.newNonce())
@@ -65,15 +68,51 @@
 		}
 		messages = append(messages, msg)
 	}
+	if len(messages) > 0 {
+		setLimits(messages[0].InFlight, now, f.Limits)
+	}
 	return messages
 }
 
+// noLimitPerSecond stands for the end of a limit.
+const noLimitPerSecond = -1
+
+func setLimits(in *pb.InFlight, now time.Time, limits []permits.Seen) {
+	for _, l := range limits {
+		perSecond := float32(noLimitPerSecond)
+		if l.Named {
+			perSecond = float32(l.PerSecond)
+		}
+		in.LimitedTargets = append(in.LimitedTargets, l.Target)
+		in.LimitAgesMs = append(in.LimitAgesMs, ageMs(now, l.At))
+		in.LimitsPerSecond = append(in.LimitsPerSecond, perSecond)
+	}
+}
+
+func limits(in *pb.InFlight, now time.Time) []permits.Seen {
+	var list []permits.Seen
+	for i, target := range in.GetLimitedTargets() {
+		l := permits.Seen{Target: target, Observation: permits.Observation{At: now.Add(-milliseconds(in.LimitAgesMs[i]))}}
+		if perSecond := float64(in.LimitsPerSecond[i]); perSecond >= 0 {
+			l.Limit = permits.Limit{Named: true, PerSecond: perSecond}
+		}
+		list = append(list, l)
+	}
+	return list
+}
+
+// validLimits reports whether the lists of limits have the same length.
+func validLimits(in *pb.InFlight) bool {
+	n := len(in.GetLimitedTargets())
+	return len(in.GetLimitAgesMs()) == n && len(in.GetLimitsPerSecond()) == n
+}
+
 func (m *Members) handleInFlight(msg *pb.Gossip) {
 	if m.onInFlight == nil {
 		return
 	}
 	in := msg.GetInFlight()
-	f := InFlight{Counts: make(map[uint32]int, len(in.GetKeys())), Collector: in.GetCollector(), Hops: in.GetSteps()}
+	f := InFlight{Counts: make(map[uint32]int, len(in.GetKeys())), Collector: in.GetCollector(), Hops: in.GetSteps(), Limits: limits(in, time.Now())}
 	for i, key := range in.GetKeys() {
 		f.Counts[key] = int(in.Counts[i])
 	}
--- a/internal/permits/keeper.go
+++ b/internal/permits/keeper.go
@@ -1,21 +1,193 @@
 package permits
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
-// Keeper holds what one router knows of the limits of targets. It is not safe for concurrent
-// use.
+const (
+	// silentWait is the time for which a router sends nothing to a limited target whose
+	// owner does not answer.
+	silentWait = 200 * time.Millisecond
+	// startTime is the time after the start in which every request needs a permit, since
+	// the router may not have been told yet which targets name a limit.
+	startTime = time.Second
+	// endedTTL is how long the end of a limit is spread.
+	endedTTL = 5 * time.Second
+	// maxSpread is the number of observations in one message.
+	maxSpread = 24
+)
+
+// Answer is an owner's answer to a request for a permit.
+type Answer struct {
+	Granted bool
+	// Wait is the time until the owner expects to have a permit again.
+	Wait time.Duration
+	// Latest is the owner's latest observation of the target; nil if it has none.
+	Latest *Observation
+}
+
+// Seen is an observation of one target, which is identified by its load key.
+type Seen struct {
+	Target uint32
+	Observation
+}
+
+// Keeper holds what one router knows of the limits of targets, and the permits of the targets
+// that it owns. Targets are identified by their load keys. It is not safe for concurrent use.
 type Keeper struct {
-	table table
+	started time.Time
+	table   table
+	meters  map[uint32]*meter
+	reach   reach
+	// unsent holds the targets with an observation of this router that was not returned by
+	// TakeSeen. spreadFrom is the target after which Spread continues.
+	unsent     map[uint32]bool
+	spreadFrom uint32
+}
+
+// NewKeeper returns the keeper of a router that starts now and knows no limits.
+func NewKeeper(now time.Time) *Keeper {
+	return &Keeper{started: now, table: newTable(), meters: make(map[uint32]*meter), unsent: make(map[uint32]bool)}
+}
+
+// Observe records the limit that an answer to this router showed. It reports whether the limit
+// changed, and whether other routers must be told.
+func (k *Keeper) Observe(now time.Time, target uint32, o Observation) (changed, report bool) {
+	before, _ := k.table.at(now, target)
+	report = o.Named || before.Named
+	if report {
+		k.unsent[target] = true
+	}
+	return k.learn(now, target, o), report
+}
+
+// learn records an observation of this or another router, and reports whether the limit
+// changed.
+func (k *Keeper) learn(now time.Time, target uint32, o Observation) (changed bool) {
+	if _, known := k.table.at(now, target); !known && !o.Named {
+		return false
+	}
+	changed = k.table.observe(now, target, o)
+	if changed && !o.Named {
+		delete(k.meters, target)
+	}
+	return changed
+}
+
+// Learn records an observation of another router; nil is ignored.
+func (k *Keeper) Learn(now time.Time, target uint32, o *Observation) {
+	if o != nil {
+		k.learn(now, target, *o)
+	}
 }
 
-// NewKeeper returns a keeper that knows no limits.
-func NewKeeper() *Keeper { return &Keeper{table: newTable()} }
+// Limits returns the limits that targets are known to name, in requests per second, by load
+// key; nil if there are none.
+func (k *Keeper) Limits(now time.Time) map[uint32]float64 {
+	k.table.evict(now)
+	var limits map[uint32]float64
+	for target, o := range k.table.latest {
+		if !o.Named {
+			continue
+		}
+		if limits == nil {
+			limits = make(map[uint32]float64)
+		}
+		limits[target] = o.PerSecond
+	}
+	return limits
+}
+
+// Latest returns the latest observation of a target; nil if there is none.
+func (k *Keeper) Latest(now time.Time, target uint32) *Observation {
+	o, known := k.table.at(now, target)
+	if !known {
+		return nil
+	}
+	return &o
+}
 
-// Observe records the limit that an answer of the target with this load key showed at the
-// time o.At. It reports whether the limit changed.
-func (k *Keeper) Observe(now time.Time, key uint32, o Observation) (changed bool) {
-	return k.table.observe(now, key, o)
+// NeedsPermit reports whether a request to the target needs a permit of the target's owner.
+func (k *Keeper) NeedsPermit(now time.Time, target uint32) bool {
+	o, known := k.table.at(now, target)
+	return o.Named || !known && now.Sub(k.started) < startTime
 }
 
-// Limited returns the number of targets that are known to name a limit.
-func (k *Keeper) Limited(now time.Time) int { return k.table.limited(now) }
+// SeeRouters records the number of serving routers that this router knows now, and returns
+// the most that it has known in the last minute or two.
+func (k *Keeper) SeeRouters(now time.Time, routers int) (fleet int) { return k.reach.see(now, routers) }
+
+// Grant decides as the owner of the target whether a request may be sent to it. latest is the
+// latest observation of the router that asks, which may be nil, and fleet is the most routers
+// that it has known.
+func (k *Keeper) Grant(now time.Time, target uint32, latest *Observation, fleet int) Answer {
+	k.Learn(now, target, latest)
+	fraction := k.reach.fraction(now, fleet)
+	o, known := k.table.at(now, target)
+	if !known || !o.Named {
+		return Answer{Granted: true, Latest: k.Latest(now, target)}
+	}
+	m := k.meters[target]
+	if m == nil {
+		k.removeIdleMeters(now)
+		m = &meter{}
+		k.meters[target] = m
+	}
+	wait, granted := m.take(now, o.Limit, fraction)
+	return Answer{Granted: granted, Wait: wait, Latest: &o}
+}
+
+// removeIdleMeters removes the meters of targets without an observation that applies.
+func (k *Keeper) removeIdleMeters(now time.Time) {
+	for target := range k.meters {
+		if _, known := k.table.at(now, target); !known {
+			delete(k.meters, target)
+		}
+	}
+}
+
+// Unanswered decides on a request whose target's owner did not answer: a target that is
+// known to name a limit gets nothing.
+func (k *Keeper) Unanswered(now time.Time, target uint32) Answer {
+	if o, _ := k.table.at(now, target); o.Named {
+		return Answer{Wait: silentWait}
+	}
+	return Answer{Granted: true}
+}
+
+// TakeSeen returns observations of this router that it has not returned before, for the
+// collectors.
+func (k *Keeper) TakeSeen(now time.Time) []Seen {
+	var seen []Seen
+	for target := range k.unsent {
+		if len(seen) == maxSpread {
+			break
+		}
+		delete(k.unsent, target)
+		if o, known := k.table.at(now, target); known {
+			seen = append(seen, Seen{Target: target, Observation: o})
+		}
+	}
+	return seen
+}
+
+// Spread returns limits, and ends of limits, that a collector tells all routers. Successive
+// calls go through all of them in turn.
+func (k *Keeper) Spread(now time.Time) []Seen {
+	var all []Seen
+	for target, o := range k.table.latest {
+		age := now.Sub(o.At)
+		if age < endedTTL || o.Named && age < limitTTL {
+			all = append(all, Seen{Target: target, Observation: o})
+		}
+	}
+	// The subtraction wraps around, so the targets up to spreadFrom come last.
+	slices.SortFunc(all, func(a, b Seen) int { return cmp.Compare(a.Target-k.spreadFrom-1, b.Target-k.spreadFrom-1) })
+	all = all[:min(len(all), maxSpread)]
+	if len(all) > 0 {
+		k.spreadFrom = all[len(all)-1].Target
+	}
+	return all
+}
--- a/internal/permits/limit.go
+++ b/internal/permits/limit.go
@@ -57,16 +57,6 @@
 	return o, true
 }
 
-// limited returns the number of targets that name a limit.
-func (t *table) limited(now time.Time) (n int) {
-	for key := range t.latest {
-		if o, known := t.at(now, key); known && o.Named {
-			n++
-		}
-	}
-	return n
-}
-
 // evict removes the observations that no longer apply and reports whether it removed any.
 func (t *table) evict(now time.Time) (removed bool) {
 	for key, o := range t.latest {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -54,10 +55,13 @@
 	SendPlacing(to string, p *pb.Placing)
 }
 
-// Config configures a Picker. All fields are required.
+// Config configures a Picker. All fields but Started are required.
 type Config struct {
 	// Self is the id of this router.
-	Self     string
+	Self string
+	// Started is when this router started; zero means long ago. A router that has just
+	// started does not know yet which targets name a limit.
+	Started  time.Time
 	Members  Members
 	Balancer *balance.Balancer
 	Logger   *log.Logger
@@ -71,13 +75,18 @@
 	slotRequests tally.Counter
 	timeouts     tally.Counter
 	rejections   tally.Counter
-	limited      tally.Gauge
+	// limited is the number of targets that are known to name a limit. The counters that
+	// follow count the permits that this router has asked for.
+	limited           tally.Gauge
+	permitsGranted    tally.Counter
+	permitsDenied     tally.Counter
+	permitsUnanswered tally.Counter
 
-	mu       sync.Mutex
-	lastSlot uint64
-	// replies holds the channel on which each pending slot request receives the
+	mu         sync.Mutex
+	lastNumber uint64
+	// replies holds the channel on which each pending request to an owner receives the
 	// owner's reply, by the number of the request.
-	replies map[uint64]chan *pb.PlaceAnswer
+	replies map[uint64]chan *pb.Placing
 	// owners holds the owners that have timed out since their last reply, by router
 	// id.
 	owners map[string]*ownerState
@@ -87,8 +96,9 @@
 	admitter *slots.Admitter
 
 	keeperMu sync.Mutex
-	// keeper holds the limits that targets name.
+	// keeper holds the limits that targets name, and limits a copy for the balancer.
 	keeper *permits.Keeper
+	limits atomic.Pointer[map[uint32]float64]
 }
 
 // ownerState tracks the timeouts of one owner.
@@ -102,24 +112,36 @@
 
 // New returns a Picker that has admitted no requests.
 func New(c Config) *Picker {
-	scope := c.Scope.SubScope("place")
-	return &Picker{
+	scope, limits := c.Scope.SubScope("place"), c.Scope.SubScope(stepLimit)
+	p := &Picker{
 		cfg:          c,
 		slotRequests: scope.Counter("homes_asked"),
 		timeouts:     scope.Counter("homes_silent"),
 		rejections:   scope.Counter("homes_full"),
-		replies:      make(map[uint64]chan *pb.PlaceAnswer),
+		replies:      make(map[uint64]chan *pb.Placing),
 		owners:       make(map[string]*ownerState),
 		admitter:     slots.New(),
-		limited:      c.Scope.SubScope(stepLimit).Gauge("targets"),
-		keeper:       permits.NewKeeper(),
+		limited:      limits.Gauge("targets"),
+
+		permitsGranted:    limits.Counter("permits_granted"),
+		permitsDenied:     limits.Counter("permits_denied"),
+		permitsUnanswered: limits.Counter("permits_unanswered"),
+		keeper:            permits.NewKeeper(c.Started),
 	}
+	c.Balancer.SetLimits(p.knownLimits)
+	return p
 }
 
-// Pick selects a target for r. It fails with balance.ErrNoTarget or a
-// *balance.PausedError if no target accepts the request, or with balance.ErrFull if
-// the owner of the service replies that all targets are at their admission limit.
+// Pick selects a target for r. It fails with balance.ErrNoTarget, a *balance.PausedError or
+// a *balance.LimitedError if no target accepts the request, or with balance.ErrFull if the
+// owner of the service replies that all targets are at their admission limit.
 func (p *Picker) Pick(ctx context.Context, r balance.Request) (balance.Choice, error) {
+	p.cfg.Balancer.RecordRequest(r.Service)
+	return p.pickWithPermit(ctx, r)
+}
+
+// pickTarget selects a target without regard to its limit.
+func (p *Picker) pickTarget(ctx context.Context, r balance.Request) (balance.Choice, error) {
 	local, err := p.cfg.Balancer.Pick(r)
 	if err != nil || !local.StaleLoad {
 		return local, err
@@ -172,49 +194,73 @@
 		Overdue: r.Overdue,
 		Exclude: r.Exclude,
 	}
-	slot, replies, ok := p.beginSlotRequest(owner)
-	if !ok {
+	if owner.Id == p.cfg.Self {
+		p.slotRequests.Inc(1)
+		slot = p.nextNumber()
+		return slot, p.admit(slots.SlotID{Router: owner.Id, Number: slot}, message)
+	}
+	slot, answer := p.askOwner(ctx, owner, &pb.Placing{What: &pb.Placing_Ask{Ask: message}})
+	if slot == 0 {
 		return 0, nil
 	}
-	defer p.endSlotRequest(slot)
 	p.slotRequests.Inc(1)
-	if owner.Id == p.cfg.Self {
-		return slot, p.admit(slots.SlotID{Router: owner.Id, Number: slot}, message)
+	if reply = answer.GetAnswer(); reply == nil {
+		// The owner may have assigned the slot although its reply is late or lost.
+		p.release(owner, slot, balance.Abandoned)
 	}
-	p.cfg.Members.SendPlacing(owner.PeerAddr, &pb.Placing{Place: slot, What: &pb.Placing_Ask{Ask: message}})
+	return slot, reply
+}
+
+// askOwner sends a request to its owner and returns the number of the request and the owner's
+// reply. The reply is nil if the owner does not reply within replyTimeout or if ctx is done
+// first. If the owner is in back-off, the number is zero and nothing is sent.
+func (p *Picker) askOwner(ctx context.Context, owner *pb.RouterStatus, message *pb.Placing) (number uint64, reply *pb.Placing) {
+	number, replies, ok := p.beginRequest(owner)
+	if !ok {
+		return 0, nil
+	}
+	defer p.endRequest(number)
+	message.Place = number
+	p.cfg.Members.SendPlacing(owner.PeerAddr, message)
 	timer := time.NewTimer(replyTimeout)
 	defer timer.Stop()
 	select {
 	case reply = <-replies:
-		return slot, reply
+		return number, reply
 	case <-ctx.Done():
 	case <-timer.C:
 		p.recordTimeout(owner)
 	}
-	// The owner may have assigned the slot although its reply is late or lost.
-	p.release(owner, slot, balance.Abandoned)
-	return slot, nil
+	return number, nil
+}
+
+// nextNumber returns a number for a request.
+func (p *Picker) nextNumber() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastNumber++
+	return p.lastNumber
 }
 
-// beginSlotRequest registers a slot request. It returns the number of the request, which
-// becomes the number of the slot if one is assigned, and the channel that receives the
-// owner's reply. If the owner is in back-off, ok is false and nothing is registered.
-func (p *Picker) beginSlotRequest(owner *pb.RouterStatus) (slot uint64, replies chan *pb.PlaceAnswer, ok bool) {
+// beginRequest registers a request to an owner. It returns the number of the request, which
+// becomes the number of the slot if one is assigned, and the channel that receives the owner's
+// reply. If the owner is in back-off, ok is false and nothing is registered.
+func (p *Picker) beginRequest(owner *pb.RouterStatus) (number uint64, replies chan *pb.Placing, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.owners[owner.Id]; s != nil && time.Now().Before(s.backoffUntil) {
 		return 0, nil, false
 	}
-	p.lastSlot++
-	replies = make(chan *pb.PlaceAnswer, 1)
-	p.replies[p.lastSlot] = replies
-	return p.lastSlot, replies, true
+	p.lastNumber++
+	replies = make(chan *pb.Placing, 1)
+	p.replies[p.lastNumber] = replies
+	return p.lastNumber, replies, true
 }
 
-// endSlotRequest removes a slot request, so that a late reply is discarded.
-func (p *Picker) endSlotRequest(slot uint64) {
+// endRequest removes a request to an owner, so that a late reply is discarded.
+func (p *Picker) endRequest(number uint64) {
 	p.mu.Lock()
-	delete(p.replies, slot)
+	delete(p.replies, number)
 	p.mu.Unlock()
 }
 
@@ -253,16 +299,21 @@
 	p.cfg.Members.SendPlacing(owner.PeerAddr, &pb.Placing{Place: slot, What: &pb.Placing_End{End: &pb.PlaceEnd{Outcome: uint32(o)}}})
 }
 
-// Handle processes a message of the slot protocol from another router, which has the peer
-// address addr: a slot request, the reply to one, or the release of a slot.
+// Handle processes a message from another router, which has the peer address addr: a request
+// for a slot or a permit, the reply to one, the release of a slot, or a report of a limit.
 func (p *Picker) Handle(router, addr string, m *pb.Placing) {
 	slot := slots.SlotID{Router: router, Number: m.Place}
 	switch what := m.What.(type) {
 	case *pb.Placing_Ask:
 		reply := p.admit(slot, what.Ask)
 		p.cfg.Members.SendPlacing(addr, &pb.Placing{Place: m.Place, What: &pb.Placing_Answer{Answer: reply}})
-	case *pb.Placing_Answer:
-		p.deliverReply(router, m.Place, what.Answer)
+	case *pb.Placing_PermitAsk:
+		reply := p.grantPermit(what.PermitAsk)
+		p.cfg.Members.SendPlacing(addr, &pb.Placing{Place: m.Place, What: &pb.Placing_PermitAnswer{PermitAnswer: reply}})
+	case *pb.Placing_Answer, *pb.Placing_PermitAnswer:
+		p.deliverReply(router, m)
+	case *pb.Placing_LimitReport:
+		p.hearReport(what.LimitReport)
 	case *pb.Placing_End:
 		outcome := balance.Outcome(what.End.Outcome)
 		if target, ok := p.releaseAsOwner(slot, outcome); ok {
@@ -271,15 +322,14 @@
 	}
 }
 
-// deliverReply passes an owner's reply to the slot request that waits for it, and resets
-// the owner's timeouts. A late reply resets them too, since it shows that the owner is
-// alive.
-func (p *Picker) deliverReply(router string, slot uint64, reply *pb.PlaceAnswer) {
+// deliverReply passes an owner's reply to the request that waits for it, and resets the
+// owner's timeouts. A late reply resets them too, since it shows that the owner is alive.
+func (p *Picker) deliverReply(router string, reply *pb.Placing) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.owners, router)
-	if waiting := p.replies[slot]; waiting != nil {
-		delete(p.replies, slot)
+	if waiting := p.replies[reply.Place]; waiting != nil {
+		delete(p.replies, reply.Place)
 		waiting <- reply
 	}
 }
