Limits of targets fill the rest of the datagram with in-flight counts

Cause: a fixed number of 24 limits beside 180 counts of two bytes exceeds the size of a datagram, which would then be dropped; a smaller fixed number spreads the limits of 40 targets too slowly for routers that restart.

Change: member.MaxLimits derives the number from the number of counts.

--- a/internal/instance/routed_inflight.go
+++ b/internal/instance/routed_inflight.go
@@ -57,7 +57,7 @@
 func (in *Routed) publishLocal(collectors []*pb.RouterStatus, published bool) bool {
 	counts := in.balancer.LocalCounts()
 	if len(counts) > 0 || published {
-		in.members.SendInFlight(in.peerAddrs(collectors), member.InFlight{Counts: orZeroCount(counts), Limits: in.picker.SeenLimits(false)})
+		in.members.SendInFlight(in.peerAddrs(collectors), member.InFlight{Counts: orZeroCount(counts), Limits: in.picker.SeenLimits(false, member.MaxLimits(len(counts)))})
 	}
 	return len(counts) > 0
 }
@@ -66,7 +66,8 @@
 // until the next message is due.
 func (in *Routed) publishTotals() time.Duration {
 	totals := in.balancer.AggregateCounts()
-	in.forwardTotals(member.InFlight{Counts: totals, Collector: in.cfg.ID, Limits: in.picker.SeenLimits(true)})
+	limits := in.picker.SeenLimits(true, member.MaxLimits(len(totals)))
+	in.forwardTotals(member.InFlight{Counts: totals, Collector: in.cfg.ID, Limits: limits})
 	// Subtract half a tick. Otherwise a tick that fires slightly early would delay the
 	// message to the tick after it.
 	return totalsInterval(len(totals)) - inFlightInterval/2
--- a/internal/member/inflight.go
+++ b/internal/member/inflight.go
@@ -19,6 +19,26 @@
 	inFlightOverheadBytes = 110
 )
 
+const (
+	// maxCountEntryBytes and maxLimitEntryBytes are the largest sizes of the entries of one
+	// target's count and of its limit.
+	maxCountEntryBytes = 6
+	maxLimitEntryBytes = 11
+	// maxLimits limits the number of limits in one datagram.
+	maxLimits = 64
+)
+
+// MaxLimits returns the number of limits that may be sent with the counts of the given number
+// of targets. They are in the last datagram.
+func MaxLimits(targets int) int {
+	last := targets % maxInFlightPerDatagram
+	if last == 0 && targets > 0 {
+		last = maxInFlightPerDatagram
+	}
+	room := maxMessageBytes - inFlightOverheadBytes - last*maxCountEntryBytes
+	return max(0, min(maxLimits, room/maxLimitEntryBytes))
+}
+
 // InFlightBytes estimates the bytes needed to send one router the counts of the given
 // number of targets.
 func InFlightBytes(targets int) int {
@@ -69,7 +89,7 @@
 		messages = append(messages, msg)
 	}
 	if len(messages) > 0 {
-		setLimits(messages[0].InFlight, now, f.Limits)
+		setLimits(messages[len(messages)-1].InFlight, now, f.Limits)
 	}
 	return messages
 }
--- a/internal/permits/fleet_test.go
+++ b/internal/permits/fleet_test.go
@@ -30,6 +30,8 @@
 	// detection is how long a router takes to notice that it no longer reaches another.
 	detection    = 2 * time.Second
 	viewInterval = 200 * time.Millisecond
+	// maxLimits is the number of limits in one message.
+	maxLimits = 64
 	// askLimit is the number of targets that one request may ask for.
 	askLimit = 8
 )
@@ -161,11 +163,11 @@
 		r.keeper.SeeRouters(f.now, len(ids))
 		i := slices.IndexFunc(ids, func(id string) bool { return f.reaches(r, byID[id]) })
 		collector := byID[ids[i]]
-		for _, seen := range r.keeper.TakeSeen(f.now) {
+		for _, seen := range r.keeper.TakeSeen(f.now, maxLimits) {
 			collector.keeper.Learn(f.now, seen.Target, &seen.Observation)
 		}
 		if _, known := told[collector]; !known {
-			told[collector] = collector.keeper.Spread(f.now)
+			told[collector] = collector.keeper.Spread(f.now, maxLimits)
 		}
 		for _, seen := range told[collector] {
 			r.keeper.Learn(f.now, seen.Target, &seen.Observation)
--- a/internal/permits/keeper.go
+++ b/internal/permits/keeper.go
@@ -15,8 +15,6 @@
 	startTime = time.Second
 	// endedTTL is how long the end of a limit is spread.
 	endedTTL = 5 * time.Second
-	// maxSpread is the number of observations in one message.
-	maxSpread = 24
 )
 
 // Answer is an owner's answer to a request for a permit.
@@ -157,12 +155,12 @@
 	return Answer{Granted: true}
 }
 
-// TakeSeen returns observations of this router that it has not returned before, for the
-// collectors.
-func (k *Keeper) TakeSeen(now time.Time) []Seen {
+// TakeSeen returns at most n observations of this router that it has not returned before, for
+// the collectors.
+func (k *Keeper) TakeSeen(now time.Time, n int) []Seen {
 	var seen []Seen
 	for target := range k.unsent {
-		if len(seen) == maxSpread {
+		if len(seen) >= n {
 			break
 		}
 		delete(k.unsent, target)
@@ -173,9 +171,9 @@
 	return seen
 }
 
-// Spread returns limits, and ends of limits, that a collector tells all routers. Successive
-// calls go through all of them in turn.
-func (k *Keeper) Spread(now time.Time) []Seen {
+// Spread returns at most n limits, and ends of limits, that a collector tells all routers.
+// Successive calls go through all of them in turn.
+func (k *Keeper) Spread(now time.Time, n int) []Seen {
 	var all []Seen
 	for target, o := range k.table.latest {
 		age := now.Sub(o.At)
@@ -185,7 +183,7 @@
 	}
 	// The subtraction wraps around, so the targets up to spreadFrom come last.
 	slices.SortFunc(all, func(a, b Seen) int { return cmp.Compare(a.Target-k.spreadFrom-1, b.Target-k.spreadFrom-1) })
-	all = all[:min(len(all), maxSpread)]
+	all = all[:min(len(all), n)]
 	if len(all) > 0 {
 		k.spreadFrom = all[len(all)-1].Target
 	}
--- a/internal/picker/limits.go
+++ b/internal/picker/limits.go
@@ -164,19 +164,19 @@
 	p.keeper.Learn(now, m.Target, observation(now, m.Seen))
 }
 
-// SeenLimits returns limits of targets to send with the next in-flight counts: those that this
-// router has seen since the last call, or, for a collector, those that it knows, a part with
-// each call. It is called several times per second.
-func (p *Picker) SeenLimits(collector bool) []permits.Seen {
+// SeenLimits returns at most n limits of targets to send with the next in-flight counts: those
+// that this router has seen since the last call, or, for a collector, those that it knows, a
+// part with each call. It is called several times per second.
+func (p *Picker) SeenLimits(collector bool, n int) []permits.Seen {
 	now := time.Now()
 	p.keeperMu.Lock()
 	defer p.keeperMu.Unlock()
 	p.keeper.SeeRouters(now, len(balance.ServingRouters(p.cfg.Members.Routers())))
 	p.publishLimits(now)
 	if collector {
-		return p.keeper.Spread(now)
+		return p.keeper.Spread(now, n)
 	}
-	return p.keeper.TakeSeen(now)
+	return p.keeper.TakeSeen(now, n)
 }
 
 // LearnLimits records limits that another router has sent.
