--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -38,6 +38,8 @@
 	Slots int
 	// Exclude lists the ids of the targets at which this request already failed.
 	Exclude []string
+	// WithoutLimit excludes the targets that name a rate limit.
+	WithoutLimit bool
 	// Goal is the latency objective of the request.
 	Goal time.Duration
 	// Overdue is set if the request can no longer meet the latency objective.
@@ -220,10 +222,12 @@
 // distributes the requests without a prompt among lightly loaded local targets.
 func (b *Balancer) candidates(now time.Time, r Request) []*candidate {
 	var all []*candidate
+	limits := b.limits()
 	for _, st := range b.view.Targets() {
 		if st.Service != r.Service {
 			continue
 		}
+		_, limited := limits[LoadKey(st)]
 		t := b.target(now, st)
 		all = append(all, &candidate{
 			status:       st,
@@ -235,7 +239,7 @@
 			leaving:      st.Leaving || t.leavingByResponse,
 			pausedFor:    t.pausedUntil.Sub(now),
 			withheldFor:  t.withheldUntil.Sub(now),
-			excluded:     slices.Contains(r.Exclude, st.Id),
+			excluded:     slices.Contains(r.Exclude, st.Id) || limited && r.WithoutLimit,
 		})
 	}
 	b.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
--- a/internal/balance/select_prompt.go
+++ b/internal/balance/select_prompt.go
@@ -35,7 +35,8 @@
 	degraded bool
 	// leaving is set if the target accepts no new requests.
 	leaving bool
-	// excluded is set if the request already failed at the target.
+	// excluded is set if the request already failed at the target or excludes it because of
+	// its limit.
 	excluded bool
 	// pausedFor is the time until the end of the pause that the target requested from
 	// this router; zero or less if there is none.
--- a/internal/instance/routed_inflight.go
+++ b/internal/instance/routed_inflight.go
@@ -21,10 +21,10 @@
 )
 
 // totalsInterval returns the time between two messages with the totals, which depends on the
-// number of targets that they cover: inFlightInterval, or longer if totalsBytesPerSecond
-// requires it.
-func totalsInterval(targets int) time.Duration {
-	bytes := balance.RelayFanout * member.InFlightBytes(targets)
+// number of targets that they cover and of limits beside them: inFlightInterval, or longer if
+// totalsBytesPerSecond requires it.
+func totalsInterval(targets, limits int) time.Duration {
+	bytes := balance.RelayFanout * member.InFlightBytes(targets, limits)
 	return max(inFlightInterval, time.Duration(bytes)*time.Second/totalsBytesPerSecond)
 }
 
@@ -70,7 +70,7 @@
 	in.forwardTotals(member.InFlight{Counts: totals, Collector: in.cfg.ID, Limits: limits})
 	// Subtract half a tick. Otherwise a tick that fires slightly early would delay the
 	// message to the tick after it.
-	return totalsInterval(len(totals)) - inFlightInterval/2
+	return totalsInterval(len(totals), len(limits)) - inFlightInterval/2
 }
 
 // forwardTotals sends a collector's totals to the children of this router in the
--- a/internal/instance/routed_inflight_test.go
+++ b/internal/instance/routed_inflight_test.go
@@ -21,7 +21,7 @@
 		duration = 6 * time.Second
 	)
 	for _, c := range []struct{ routers, targets int }{{64, 140}, {83, 140}, {83, 284}, {300, 3000}} {
-		interval := (totalsInterval(c.targets) + inFlightInterval - 1).Truncate(inFlightInterval)
+		interval := (totalsInterval(c.targets, 0) + inFlightInterval - 1).Truncate(inFlightInterval)
 		if interval > countTTL {
 			t.Errorf("%d targets: totals every %v, counts expire after %v", c.targets, interval, countTTL)
 		}
@@ -41,7 +41,7 @@
 				return
 			}
 			for _, to := range balance.RelayRecipients(routers, collector, from) {
-				if !budgets[from].AllowAt(now, budget.Load, member.InFlightBytes(c.targets)) {
+				if !budgets[from].AllowAt(now, budget.Load, member.InFlightBytes(c.targets, 0)) {
 					return
 				}
 				received[to.Id] = now
--- a/internal/member/inflight.go
+++ b/internal/member/inflight.go
@@ -39,11 +39,11 @@
 	return max(0, min(maxLimits, room/maxLimitEntryBytes))
 }
 
-// InFlightBytes estimates the bytes needed to send one router the counts of the given
-// number of targets.
-func InFlightBytes(targets int) int {
+// InFlightBytes estimates the bytes needed to send one router the counts of the given number
+// of targets, and limits beside them.
+func InFlightBytes(targets, limits int) int {
 	datagrams := (targets + maxInFlightPerDatagram - 1) / maxInFlightPerDatagram
-	return targets*inFlightEntryBytes + datagrams*inFlightOverheadBytes
+	return targets*inFlightEntryBytes + datagrams*inFlightOverheadBytes + limits*maxLimitEntryBytes
 }
 
 // InFlight is a set of in-flight request counts by target key.
--- a/internal/permits/fleet_test.go
+++ b/internal/permits/fleet_test.go
@@ -32,7 +32,7 @@
 	viewInterval = 200 * time.Millisecond
 	// maxLimits is the number of limits in one message.
 	maxLimits = 64
-	// askLimit is the number of targets that one request may ask for.
+	// askLimit is the number of permits that one request asks for.
 	askLimit = 8
 )
 
@@ -185,7 +185,7 @@
 		target := uint32(i)
 		if r.keeper.NeedsPermit(f.now, target) {
 			if asked++; asked > askLimit {
-				break
+				continue
 			}
 			if a := f.ask(r, target); !a.Granted {
 				r.withheld[i] = f.now.Add(a.Wait)
@@ -432,3 +432,24 @@
 		}
 	}
 }
+
+// TestPermitTraffic logs how many requests for permits a router sends at 300 routers, for
+// CAPACITY.md: 112 of 160 targets name a limit of half of what they would get.
+func TestPermitTraffic(t *testing.T) {
+	const routers, perSecond = 300, 1236
+	const length = 10 * time.Second
+	f := newSimFleet(routers, 160, perSecond, 3)
+	f.name(limit(0.5*perSecond/160), upTo(112)...)
+	f.run(contact)
+	f.asked, f.refused = 0, 0
+	f.run(length)
+	f.check(t)
+	asks := float64(f.asked) / length.Seconds()
+	if f.refused > 0 {
+		t.Errorf("%d requests were refused beside targets without a limit", f.refused)
+	}
+	t.Logf("%.0f requests for permits per second, %.2f per router, for %d requests per second", asks, asks/routers, perSecond)
+	if asks > 4*perSecond {
+		t.Errorf("%.0f requests for permits per second, want at most 4 for each request", asks)
+	}
+}
--- a/internal/picker/limits.go
+++ b/internal/picker/limits.go
@@ -14,8 +14,8 @@
 const (
 	// stepLimit is the name of this processing step in log lines and errors.
 	stepLimit = "limit"
-	// maxPermitAsks is the number of targets that one selection may ask for a permit. Targets
-	// that were denied before are passed over without asking.
+	// maxPermitAsks is the number of permits that one selection asks for before it takes a
+	// target without a limit. Targets that were denied before are passed over without asking.
 	maxPermitAsks = 8
 )
 
@@ -24,7 +24,8 @@
 // that could otherwise receive the request are all at their limits.
 func (p *Picker) pickWithPermit(ctx context.Context, r balance.Request) (balance.Choice, error) {
 	var wait time.Duration
-	for range maxPermitAsks {
+	for asked := range 2 * maxPermitAsks {
+		r.WithoutLimit = asked >= maxPermitAsks
 		c, err := p.pickTarget(ctx, r)
 		if errors.Is(err, balance.ErrNoTarget) && wait > 0 {
 			err = &balance.LimitedError{RetryAfter: wait}
@@ -133,10 +134,16 @@
 	if changed && !l.Named {
 		p.cfg.Balancer.Withhold(target, 0)
 	}
-	if owner := p.targetOwner(target); report && owner != nil && owner.Id != p.cfg.Self {
-		p.cfg.Members.SendPlacing(owner.PeerAddr, &pb.Placing{What: &pb.Placing_LimitReport{
-			LimitReport: &pb.LimitReport{Target: key, Seen: seenLimit(now, &o)},
-		}})
+	if report {
+		p.reportLimit(target, &pb.LimitReport{Target: key, Seen: seenLimit(now, &o)})
+	}
+}
+
+// reportLimit sends a report to the target's owner, unless that is this router.
+func (p *Picker) reportLimit(target *pb.TargetStatus, report *pb.LimitReport) {
+	owner := p.targetOwner(target)
+	if owner != nil && owner.Id != p.cfg.Self {
+		p.cfg.Members.SendPlacing(owner.PeerAddr, &pb.Placing{What: &pb.Placing_LimitReport{LimitReport: report}})
 	}
 }
 
--- a/internal/picker/limits_test.go
+++ b/internal/picker/limits_test.go
@@ -112,3 +112,31 @@
 		t.Error(err)
 	}
 }
+
+// TestManyLimitedTargetsBesideOne checks that a request reaches the one target without a limit,
+// however many limited targets rank higher, and that the permits it asks for are few.
+func TestManyLimitedTargetsBesideOne(t *testing.T) {
+	const limited = 30
+	n := newNetwork(3, limited+1)
+	n.nameLimit(permits.Limit{Named: true, PerSecond: 0.25}, upTo(limited)...)
+	time.Sleep(50 * time.Millisecond)
+	n.mu.Lock()
+	n.sent = 0
+	n.mu.Unlock()
+	c, err := n.pick(0, promptRequest(1))
+	if err != nil || c.Target.Id != fmt.Sprint("t", limited) {
+		t.Fatalf("%v, %v, want the target without a limit", c.Target, err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.sent > 2*maxPermitAsks {
+		t.Errorf("%d messages for one request, want at most %d requests for permits and their answers", n.sent, maxPermitAsks)
+	}
+}
+
+func upTo(n int) (list []int) {
+	for i := range n {
+		list = append(list, i)
+	}
+	return list
+}
