In-flight counts of more than 180 targets arrive whole

Change: a datagram carries its number, and a collector keeps the counts by router and number; a part that is no longer sent expires as before.

Evidence: TestCountsOfManyTargetsArriveWhole; with the number left out 'the counts of 360 of 361 targets are missing'.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -114,7 +114,7 @@
 	for i, b := range all {
 		counts := b.LocalCounts()
 		if i > 0 {
-			all[0].ApplyCounts(fmt.Sprint("r", i), counts)
+			all[0].ApplyCounts(fmt.Sprint("r", i), 0, counts)
 		}
 	}
 	sums := all[0].AggregateCounts()
@@ -344,7 +344,7 @@
 				b.ApplyTotals("r0", sums)
 			}
 			for i, b := range all[1:] {
-				all[0].ApplyCounts(fmt.Sprint("r", i), b.LocalCounts())
+				all[0].ApplyCounts(fmt.Sprint("r", i), 0, b.LocalCounts())
 			}
 			sums = all[0].AggregateCounts()
 		}
@@ -421,7 +421,7 @@
 		if ms%250 == 0 {
 			for i, b := range all {
 				b.ApplyTotals("r0", sums)
-				all[0].ApplyCounts(fmt.Sprint("r", i), b.LocalCounts())
+				all[0].ApplyCounts(fmt.Sprint("r", i), 0, b.LocalCounts())
 			}
 			sums = all[0].AggregateCounts()
 		}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -347,11 +347,12 @@
 	return sums
 }
 
-// ApplyCounts records another router's numbers of requests in flight by load key.
-func (b *Balancer) ApplyCounts(router string, counts map[uint32]int) {
+// ApplyCounts records another router's numbers of requests in flight by load key, or the
+// given part of them.
+func (b *Balancer) ApplyCounts(router string, part int, counts map[uint32]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.remoteLoads.applyCounts(b.now(), router, counts)
+	b.remoteLoads.applyCounts(b.now(), peerPart{router, part}, counts)
 }
 
 // ApplyTotals records the numbers of requests in flight from all routers by load key, as
--- a/internal/balance/remote_loads.go
+++ b/internal/balance/remote_loads.go
@@ -20,8 +20,8 @@
 // routers each send a few requests to many targets, the local counts of one router say
 // little about the load of a target.
 type remoteLoads struct {
-	// peers holds the counts that other routers sent to this router, by router.
-	peers map[string]peerCounts
+	// peers holds the counts that other routers sent to this router.
+	peers map[peerPart]peerCounts
 	// totals holds each collector's sums over all routers, by collector and load key.
 	totals map[string]map[uint32]totalLoad
 	// lastPublished holds the local counts that were last returned to be sent to the
@@ -29,6 +29,12 @@
 	lastPublished map[uint32]int
 }
 
+// peerPart identifies a part of a router's counts, which may take several datagrams.
+type peerPart struct {
+	router string
+	part   int
+}
+
 type peerCounts struct {
 	counts     map[uint32]int
 	receivedAt time.Time
@@ -47,7 +53,7 @@
 const totalEWMAWeight = 0.2
 
 func newRemoteLoads() remoteLoads {
-	return remoteLoads{peers: make(map[string]peerCounts), totals: make(map[string]map[uint32]totalLoad)}
+	return remoteLoads{peers: make(map[peerPart]peerCounts), totals: make(map[string]map[uint32]totalLoad)}
 }
 
 // inFlight returns the number of requests of the other routers at a target. Its
@@ -71,8 +77,8 @@
 	return sum
 }
 
-func (l *remoteLoads) applyCounts(now time.Time, router string, counts map[uint32]int) {
-	l.peers[router] = peerCounts{counts: counts, receivedAt: now}
+func (l *remoteLoads) applyCounts(now time.Time, from peerPart, counts map[uint32]int) {
+	l.peers[from] = peerCounts{counts: counts, receivedAt: now}
 }
 
 func (l *remoteLoads) applyTotals(now time.Time, collector string, counts map[uint32]int) {
@@ -128,9 +134,9 @@
 
 // sweep removes expired counts and totals.
 func (l *remoteLoads) sweep(now time.Time) {
-	for router, p := range l.peers {
+	for from, p := range l.peers {
 		if now.Sub(p.receivedAt) >= countTTL {
-			delete(l.peers, router)
+			delete(l.peers, from)
 		}
 	}
 	for collector, totals := range l.totals {
--- a/internal/instance/routed_inflight.go
+++ b/internal/instance/routed_inflight.go
@@ -117,7 +117,7 @@
 	switch {
 	case in.picker == nil:
 	case f.Collector == "":
-		in.balancer.ApplyCounts(router, f.Counts)
+		in.balancer.ApplyCounts(router, f.Part, f.Counts)
 		in.picker.LearnLimits(f.Limits)
 	case f.Collector != in.cfg.ID:
 		in.balancer.ApplyTotals(f.Collector, f.Counts)
--- a/internal/member/inflight.go
+++ b/internal/member/inflight.go
@@ -54,6 +54,9 @@
 	Collector string
 	// Hops is how many routers have forwarded the counts, the collector included.
 	Hops uint32
+	// Part is the number of the datagram in which the counts arrived, among those that
+	// together hold the counts of the sender. It is not used for sending.
+	Part int
 	// Limits are rate limits that targets name, or that have ended.
 	Limits []permits.Seen
 }
@@ -80,10 +83,10 @@
 // inFlightMessages splits the counts into datagrams.
 func (c *core) inFlightMessages(now time.Time, f InFlight) []*pb.Gossip {
 	var messages []*pb.Gossip
-	for part := range slices.Chunk(slices.Sorted(maps.Keys(f.Counts)), maxInFlightPerDatagram) {
+	for keys := range slices.Chunk(slices.Sorted(maps.Keys(f.Counts)), maxInFlightPerDatagram) {
 		msg := c.newMessage(pb.GossipKind_GOSSIP_KIND_IN_FLIGHT, c.newNonce())
-		msg.InFlight = &pb.InFlight{Keys: part, Collector: f.Collector, Steps: f.Hops}
-		for _, key := range part {
+		msg.InFlight = &pb.InFlight{Keys: keys, Collector: f.Collector, Steps: f.Hops, Part: uint32(len(messages))}
+		for _, key := range keys {
 			msg.InFlight.Counts = append(msg.InFlight.Counts, uint32(f.Counts[key]))
 		}
 		messages = append(messages, msg)
@@ -132,7 +135,7 @@
 		return
 	}
 	in := msg.GetInFlight()
-	f := InFlight{Counts: make(map[uint32]int, len(in.GetKeys())), Collector: in.GetCollector(), Hops: in.GetSteps(), Limits: limits(in, time.Now())}
+	f := InFlight{Counts: make(map[uint32]int, len(in.GetKeys())), Collector: in.GetCollector(), Hops: in.GetSteps(), Part: int(in.GetPart()), Limits: limits(in, time.Now())}
 	for i, key := range in.GetKeys() {
 		f.Counts[key] = int(in.Counts[i])
 	}
--- a/internal/member/inflight_test.go
+++ b/internal/member/inflight_test.go
@@ -1,12 +1,15 @@
 package member
 
 import (
+	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/permits"
 )
@@ -82,3 +85,42 @@
 		t.Error("lists of unequal lengths are valid")
 	}
 }
+
+// TestCountsOfManyTargetsArriveWhole guards against counts of more targets than one datagram
+// holds, of which each datagram replaced the one before at the receiver.
+func TestCountsOfManyTargetsArriveWhole(t *testing.T) {
+	const targets = 2*maxInFlightPerDatagram + 1
+	view := &soloView{self: &pb.RouterStatus{Id: "r0"}}
+	counts := make(map[uint32]int)
+	for i := range targets {
+		st := &pb.TargetStatus{Id: fmt.Sprint("e", i), Service: "llm", Capacity: 100}
+		view.targets = append(view.targets, st)
+		counts[balance.LoadKey(st)] = 3
+	}
+	b := balance.New(view, nil)
+	m := &Members{onInFlight: func(router string, f InFlight) { b.ApplyCounts(router, f.Part, f.Counts) }}
+	c := &core{self: &routerEntry{status: &pb.RouterStatus{Id: "r1"}}, rng: rand.New(rand.NewPCG(1, 1))}
+	for _, msg := range c.inFlightMessages(time.Now(), InFlight{Counts: counts}) {
+		m.handleInFlight(msg)
+	}
+	for key, n := range b.AggregateCounts() {
+		if n != counts[key] {
+			t.Errorf("%d requests at target %d, want %d", n, key, counts[key])
+		}
+		delete(counts, key)
+	}
+	if len(counts) > 0 {
+		t.Errorf("the counts of %d of %d targets are missing", len(counts), targets)
+	}
+}
+
+// soloView is a view with one router.
+type soloView struct {
+	self    *pb.RouterStatus
+	targets []*pb.TargetStatus
+}
+
+func (v *soloView) Self() *pb.RouterStatus         { return v.self }
+func (v *soloView) Routers() []*pb.RouterStatus    { return []*pb.RouterStatus{v.self} }
+func (v *soloView) Targets() []*pb.TargetStatus    { return v.targets }
+func (v *soloView) Target(string) *pb.TargetStatus { return nil }
