Limits of targets: changes learned from other routers are logged, limits keep their precision; Limiter instead of Keeper

Cause: a limit that arrived from a collector had the precision of a float32, so the router's own next answer looked like a change: a log line and a new copy of the limits for each answer. A change that a router learned from another one was not logged.

Change: doubles on the wire, a log line with router and age for what is learned. Type Keeper is named Limiter, the term of the field. Balancer.Observe finds the target by Balancer.Target.

Evidence: TestLimitsSurviveTheWire with 3.3; rounded to a float32 (trial) it fails.

--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -63,10 +63,10 @@
 	d.requests.add(1)
 }
 
-// setPromptWeights sets the weights of the limited candidates of a service from the limits that they name.
-// The weights divide the prompts among the targets so that a limited one is the first choice
-// for about as many requests as it takes. Otherwise each of its prompts would be computed at
-// two targets by turns.
+// setPromptWeights sets the weights of the limited candidates of a service. The weights divide
+// the prompts among the targets so that a limited one is the first choice for about as many
+// requests as it takes. Otherwise each of its prompts would be computed at two targets by
+// turns.
 func (b *Balancer) setPromptWeights(now time.Time, service string, all []*candidate) {
 	limits := b.limits()
 	if len(limits) == 0 {
--- a/internal/balance/owner.go
+++ b/internal/balance/owner.go
@@ -51,19 +51,27 @@
 	b.rng.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 }
 
+// Target returns the target with the given load key, nil if the view has none.
+func (b *Balancer) Target(key uint32) *pb.TargetStatus {
+	for _, st := range b.view.Targets() {
+		if LoadKey(st) == key {
+			return st
+		}
+	}
+	return nil
+}
+
 // Observe records the outcome of another router's request at the target with the given
 // load key. The owner of a service receives the outcomes of all requests that it admits,
 // so it detects a failing target earlier than a router that sees only its own requests.
 func (b *Balancer) Observe(key uint32, o Outcome) {
+	st := b.Target(key)
+	if st == nil {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, st := range b.view.Targets() {
-		if LoadKey(st) != key {
-			continue
-		}
-		if t := b.targets[fleet.TargetKey(st.Id, st.Incarnation)]; t != nil {
-			b.observe(t, st, o)
-		}
-		return
+	if t := b.targets[fleet.TargetKey(st.Id, st.Incarnation)]; t != nil {
+		b.observe(t, st, o)
 	}
 }
--- a/internal/instance/routed_inflight.go
+++ b/internal/instance/routed_inflight.go
@@ -118,10 +118,10 @@
 	case in.picker == nil:
 	case f.Collector == "":
 		in.balancer.ApplyCounts(router, f.Part, f.Counts)
-		in.picker.LearnLimits(f.Limits)
+		in.picker.LearnLimits(router, f.Limits)
 	case f.Collector != in.cfg.ID:
 		in.balancer.ApplyTotals(f.Collector, f.Counts)
-		in.picker.LearnLimits(f.Limits)
+		in.picker.LearnLimits(f.Collector, f.Limits)
 		in.forwardTotals(f)
 	}
 }
--- a/internal/member/inflight.go
+++ b/internal/member/inflight.go
@@ -23,7 +23,7 @@
 	// maxCountEntryBytes and maxLimitEntryBytes are the largest sizes of the entries of one
 	// target's count and of its limit.
 	maxCountEntryBytes = 6
-	maxLimitEntryBytes = 11
+	maxLimitEntryBytes = 15
 	// maxLimits limits the number of limits in one datagram.
 	maxLimits = 64
 )
@@ -102,9 +102,9 @@
 
 func setLimits(in *pb.InFlight, now time.Time, limits []permits.Seen) {
 	for _, l := range limits {
-		perSecond := float32(noLimitPerSecond)
+		perSecond := float64(noLimitPerSecond)
 		if l.Named {
-			perSecond = float32(l.PerSecond)
+			perSecond = l.PerSecond
 		}
 		in.LimitedTargets = append(in.LimitedTargets, l.Target)
 		in.LimitAgesMs = append(in.LimitAgesMs, ageMs(now, l.At))
@@ -116,7 +116,7 @@
 	var list []permits.Seen
 	for i, target := range in.GetLimitedTargets() {
 		l := permits.Seen{Target: target, Observation: permits.Observation{At: now.Add(-milliseconds(in.LimitAgesMs[i]))}}
-		if perSecond := float64(in.LimitsPerSecond[i]); perSecond >= 0 {
+		if perSecond := in.LimitsPerSecond[i]; perSecond >= 0 {
 			l.Limit = permits.Limit{Named: true, PerSecond: perSecond}
 		}
 		list = append(list, l)
--- a/internal/member/inflight_test.go
+++ b/internal/member/inflight_test.go
@@ -65,7 +65,7 @@
 func TestLimitsSurviveTheWire(t *testing.T) {
 	now := time.Unix(1000, 0)
 	sent := []permits.Seen{
-		{Target: 7, Observation: permits.Observation{Limit: permits.Limit{Named: true, PerSecond: 0.25}, At: now.Add(-time.Second)}},
+		{Target: 7, Observation: permits.Observation{Limit: permits.Limit{Named: true, PerSecond: 3.3}, At: now.Add(-time.Second)}},
 		{Target: 8, Observation: permits.Observation{At: now}},
 		{Target: 9, Observation: permits.Observation{Limit: permits.Limit{Named: true}, At: now}},
 	}
--- a/internal/permits/fleet_test.go
+++ b/internal/permits/fleet_test.go
@@ -55,7 +55,7 @@
 
 type simRouter struct {
 	id      string
-	keeper  *Keeper
+	limiter *Limiter
 	running bool
 	// side is the part of a split fleet in which the router is. gone holds since when the
 	// router no longer reaches others. ids and byID are its view of the fleet.
@@ -93,7 +93,7 @@
 
 // restart starts a router that knows nothing but the others.
 func (f *simFleet) restart(r *simRouter) {
-	r.keeper, r.running = NewKeeper(f.now), true
+	r.limiter, r.running = NewLimiter(f.now), true
 	r.viewUntil = time.Time{}
 	f.changes++
 	r.gone, r.withheld = make(map[*simRouter]time.Time), make(map[int]time.Time)
@@ -160,17 +160,17 @@
 	told := make(map[*simRouter][]Seen)
 	for _, r := range running {
 		ids, byID := f.view(r)
-		r.keeper.SeeRouters(f.now, len(ids))
+		r.limiter.SeeRouters(f.now, len(ids))
 		i := slices.IndexFunc(ids, func(id string) bool { return f.reaches(r, byID[id]) })
 		collector := byID[ids[i]]
-		for _, seen := range r.keeper.TakeSeen(f.now, maxLimits) {
-			collector.keeper.Learn(f.now, seen.Target, &seen.Observation)
+		for _, seen := range r.limiter.TakeSeen(f.now, maxLimits) {
+			collector.limiter.Learn(f.now, seen.Target, &seen.Observation)
 		}
 		if _, known := told[collector]; !known {
-			told[collector] = collector.keeper.Spread(f.now, maxLimits)
+			told[collector] = collector.limiter.Spread(f.now, maxLimits)
 		}
 		for _, seen := range told[collector] {
-			r.keeper.Learn(f.now, seen.Target, &seen.Observation)
+			r.limiter.Learn(f.now, seen.Target, &seen.Observation)
 		}
 	}
 }
@@ -183,7 +183,7 @@
 			continue
 		}
 		target := uint32(i)
-		if r.keeper.NeedsPermit(f.now, target) {
+		if r.limiter.NeedsPermit(f.now, target) {
 			if asked++; asked > askLimit {
 				continue
 			}
@@ -200,23 +200,23 @@
 
 func (f *simFleet) ask(r *simRouter, target uint32) Answer {
 	ids, byID := f.view(r)
-	known := r.keeper.SeeRouters(f.now, len(ids))
+	known := r.limiter.SeeRouters(f.now, len(ids))
 	owner := byID[fleet.Owner(fmt.Sprint("limit/", target), ids)]
-	latest := r.keeper.Latest(f.now, target)
+	latest := r.limiter.Latest(f.now, target)
 	if owner == r {
-		return r.keeper.Grant(f.now, target, latest, known)
+		return r.limiter.Grant(f.now, target, latest, known)
 	}
 	if !f.reaches(r, owner) || f.rng.Float64() < f.lost {
-		return r.keeper.Unanswered(f.now, target)
+		return r.limiter.Unanswered(f.now, target)
 	}
 	f.asked++
 	ownerIDs, _ := f.view(owner)
-	owner.keeper.SeeRouters(f.now, len(ownerIDs))
-	a := owner.keeper.Grant(f.now, target, latest, known)
+	owner.limiter.SeeRouters(f.now, len(ownerIDs))
+	a := owner.limiter.Grant(f.now, target, latest, known)
 	if f.rng.Float64() < f.lost {
-		return r.keeper.Unanswered(f.now, target)
+		return r.limiter.Unanswered(f.now, target)
 	}
-	r.keeper.Learn(f.now, target, a.Latest)
+	r.limiter.Learn(f.now, target, a.Latest)
 	return a
 }
 
@@ -225,12 +225,12 @@
 	t := f.targets[target]
 	t.arrivals = append(t.arrivals, f.now)
 	o := Observation{Limit: t.limit, At: f.now}
-	if _, report := r.keeper.Observe(f.now, target, o); !report {
+	if _, report := r.limiter.Observe(f.now, target, o); !report {
 		return
 	}
 	ids, byID := f.view(r)
 	if owner := byID[fleet.Owner(fmt.Sprint("limit/", target), ids)]; f.reaches(r, owner) {
-		owner.keeper.Observe(f.now, target, o)
+		owner.limiter.Observe(f.now, target, o)
 	}
 }
 
--- a/internal/permits/keeper.go
+++ b/internal/permits/limiter.go
@@ -32,9 +32,9 @@
 	Observation
 }
 
-// Keeper holds what one router knows of the limits of targets, and the permits of the targets
+// Limiter holds what one router knows of the limits of targets, and the permits of the targets
 // that it owns. Targets are identified by their load keys. It is not safe for concurrent use.
-type Keeper struct {
+type Limiter struct {
 	started time.Time
 	table   table
 	meters  map[uint32]*meter
@@ -45,48 +45,47 @@
 	spreadFrom uint32
 }
 
-// NewKeeper returns the keeper of a router that starts now and knows no limits.
-func NewKeeper(now time.Time) *Keeper {
-	return &Keeper{started: now, table: newTable(), meters: make(map[uint32]*meter), unsent: make(map[uint32]bool)}
+// NewLimiter returns the limiter of a router that starts now and knows no limits.
+func NewLimiter(now time.Time) *Limiter {
+	return &Limiter{started: now, table: newTable(), meters: make(map[uint32]*meter), unsent: make(map[uint32]bool)}
 }
 
 // Observe records the limit that an answer to this router showed. It reports whether the limit
 // changed, and whether other routers must be told.
-func (k *Keeper) Observe(now time.Time, target uint32, o Observation) (changed, report bool) {
-	before, _ := k.table.at(now, target)
+func (l *Limiter) Observe(now time.Time, target uint32, o Observation) (changed, report bool) {
+	before, _ := l.table.at(now, target)
 	report = o.Named || before.Named
 	if report {
-		k.unsent[target] = true
+		l.unsent[target] = true
 	}
-	return k.learn(now, target, o), report
+	return l.learn(now, target, o), report
 }
 
 // learn records an observation of this or another router, and reports whether the limit
 // changed.
-func (k *Keeper) learn(now time.Time, target uint32, o Observation) (changed bool) {
-	if _, known := k.table.at(now, target); !known && !o.Named {
+func (l *Limiter) learn(now time.Time, target uint32, o Observation) (changed bool) {
+	if _, known := l.table.at(now, target); !known && !o.Named {
 		return false
 	}
-	changed = k.table.observe(now, target, o)
+	changed = l.table.observe(now, target, o)
 	if changed && !o.Named {
-		delete(k.meters, target)
+		delete(l.meters, target)
 	}
 	return changed
 }
 
-// Learn records an observation of another router; nil is ignored.
-func (k *Keeper) Learn(now time.Time, target uint32, o *Observation) {
-	if o != nil {
-		k.learn(now, target, *o)
-	}
+// Learn records an observation of another router, and reports whether the limit changed. A nil
+// observation is ignored.
+func (l *Limiter) Learn(now time.Time, target uint32, o *Observation) (changed bool) {
+	return o != nil && l.learn(now, target, *o)
 }
 
 // Limits returns the limits that targets are known to name, in requests per second, by load
 // key; nil if there are none.
-func (k *Keeper) Limits(now time.Time) map[uint32]float64 {
-	k.table.evict(now)
+func (l *Limiter) Limits(now time.Time) map[uint32]float64 {
+	l.table.evict(now)
 	var limits map[uint32]float64
-	for target, o := range k.table.latest {
+	for target, o := range l.table.latest {
 		if !o.Named {
 			continue
 		}
@@ -99,8 +98,8 @@
 }
 
 // Latest returns the latest observation of a target; nil if there is none.
-func (k *Keeper) Latest(now time.Time, target uint32) *Observation {
-	o, known := k.table.at(now, target)
+func (l *Limiter) Latest(now time.Time, target uint32) *Observation {
+	o, known := l.table.at(now, target)
 	if !known {
 		return nil
 	}
@@ -108,48 +107,50 @@
 }
 
 // NeedsPermit reports whether a request to the target needs a permit of the target's owner.
-func (k *Keeper) NeedsPermit(now time.Time, target uint32) bool {
-	o, known := k.table.at(now, target)
-	return o.Named || !known && now.Sub(k.started) < startTime
+func (l *Limiter) NeedsPermit(now time.Time, target uint32) bool {
+	o, known := l.table.at(now, target)
+	return o.Named || !known && now.Sub(l.started) < startTime
 }
 
 // SeeRouters records the number of serving routers that this router knows now, and returns
 // the most that it has known in the last minute or two.
-func (k *Keeper) SeeRouters(now time.Time, routers int) (fleet int) { return k.reach.see(now, routers) }
+func (l *Limiter) SeeRouters(now time.Time, routers int) (fleet int) {
+	return l.reach.see(now, routers)
+}
 
 // Grant decides as the owner of the target whether a request may be sent to it. latest is the
 // latest observation of the router that asks, which may be nil, and fleet is the most routers
 // that it has known.
-func (k *Keeper) Grant(now time.Time, target uint32, latest *Observation, fleet int) Answer {
-	k.Learn(now, target, latest)
-	fraction := k.reach.fraction(now, fleet)
-	o, known := k.table.at(now, target)
+func (l *Limiter) Grant(now time.Time, target uint32, latest *Observation, fleet int) Answer {
+	l.Learn(now, target, latest)
+	fraction := l.reach.fraction(now, fleet)
+	o, known := l.table.at(now, target)
 	if !known || !o.Named {
-		return Answer{Granted: true, Latest: k.Latest(now, target)}
+		return Answer{Granted: true, Latest: l.Latest(now, target)}
 	}
-	m := k.meters[target]
+	m := l.meters[target]
 	if m == nil {
-		k.removeIdleMeters(now)
+		l.removeIdleMeters(now)
 		m = &meter{}
-		k.meters[target] = m
+		l.meters[target] = m
 	}
 	wait, granted := m.take(now, o.Limit, fraction)
 	return Answer{Granted: granted, Wait: wait, Latest: &o}
 }
 
 // removeIdleMeters removes the meters of targets without an observation that applies.
-func (k *Keeper) removeIdleMeters(now time.Time) {
-	for target := range k.meters {
-		if _, known := k.table.at(now, target); !known {
-			delete(k.meters, target)
+func (l *Limiter) removeIdleMeters(now time.Time) {
+	for target := range l.meters {
+		if _, known := l.table.at(now, target); !known {
+			delete(l.meters, target)
 		}
 	}
 }
 
 // Unanswered decides on a request whose target's owner did not answer: a target that is
 // known to name a limit gets nothing.
-func (k *Keeper) Unanswered(now time.Time, target uint32) Answer {
-	if o, _ := k.table.at(now, target); o.Named {
+func (l *Limiter) Unanswered(now time.Time, target uint32) Answer {
+	if o, _ := l.table.at(now, target); o.Named {
 		return Answer{Wait: silentWait}
 	}
 	return Answer{Granted: true}
@@ -157,14 +158,14 @@
 
 // TakeSeen returns at most n observations of this router that it has not returned before, for
 // the collectors.
-func (k *Keeper) TakeSeen(now time.Time, n int) []Seen {
+func (l *Limiter) TakeSeen(now time.Time, n int) []Seen {
 	var seen []Seen
-	for target := range k.unsent {
+	for target := range l.unsent {
 		if len(seen) >= n {
 			break
 		}
-		delete(k.unsent, target)
-		if o, known := k.table.at(now, target); known {
+		delete(l.unsent, target)
+		if o, known := l.table.at(now, target); known {
 			seen = append(seen, Seen{Target: target, Observation: o})
 		}
 	}
@@ -173,19 +174,19 @@
 
 // Spread returns at most n limits, and ends of limits, that a collector tells all routers.
 // Successive calls go through all of them in turn.
-func (k *Keeper) Spread(now time.Time, n int) []Seen {
+func (l *Limiter) Spread(now time.Time, n int) []Seen {
 	var all []Seen
-	for target, o := range k.table.latest {
+	for target, o := range l.table.latest {
 		age := now.Sub(o.At)
 		if age < endedTTL || o.Named && age < limitTTL {
 			all = append(all, Seen{Target: target, Observation: o})
 		}
 	}
 	// The subtraction wraps around, so the targets up to spreadFrom come last.
-	slices.SortFunc(all, func(a, b Seen) int { return cmp.Compare(a.Target-k.spreadFrom-1, b.Target-k.spreadFrom-1) })
+	slices.SortFunc(all, func(a, b Seen) int { return cmp.Compare(a.Target-l.spreadFrom-1, b.Target-l.spreadFrom-1) })
 	all = all[:min(len(all), n)]
 	if len(all) > 0 {
-		k.spreadFrom = all[len(all)-1].Target
+		l.spreadFrom = all[len(all)-1].Target
 	}
 	return all
 }
--- a/internal/picker/limits.go
+++ b/internal/picker/limits.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/permits"
@@ -55,9 +57,9 @@
 // one.
 func (p *Picker) permit(ctx context.Context, target *pb.TargetStatus) permits.Answer {
 	key := balance.LoadKey(target)
-	p.keeperMu.Lock()
-	needed := p.keeper.NeedsPermit(time.Now(), key)
-	p.keeperMu.Unlock()
+	p.limiterMu.Lock()
+	needed := p.limiter.NeedsPermit(time.Now(), key)
+	p.limiterMu.Unlock()
 	if !needed {
 		return permits.Answer{Granted: true}
 	}
@@ -73,13 +75,13 @@
 func (p *Picker) askPermit(ctx context.Context, target *pb.TargetStatus, key uint32) permits.Answer {
 	now := time.Now()
 	owner := p.targetOwner(target)
-	p.keeperMu.Lock()
-	latest, known := p.keeper.Latest(now, key), p.keeper.SeeRouters(now, len(balance.ServingRouters(p.cfg.Members.Routers())))
+	p.limiterMu.Lock()
+	latest, known := p.limiter.Latest(now, key), p.limiter.SeeRouters(now, len(balance.ServingRouters(p.cfg.Members.Routers())))
 	if owner != nil && owner.Id == p.cfg.Self {
-		defer p.keeperMu.Unlock()
-		return p.keeper.Grant(now, key, latest, known)
+		defer p.limiterMu.Unlock()
+		return p.limiter.Grant(now, key, latest, known)
 	}
-	p.keeperMu.Unlock()
+	p.limiterMu.Unlock()
 	message := &pb.PermitAsk{Target: key, Seen: seenLimit(now, latest), Fleet: uint32(known)}
 	var reply *pb.PermitAnswer
 	if owner != nil {
@@ -87,30 +89,55 @@
 		reply = answer.GetPermitAnswer()
 	}
 	now = time.Now()
-	p.keeperMu.Lock()
-	defer p.keeperMu.Unlock()
 	if reply == nil {
 		p.permitsUnanswered.Inc(1)
-		return p.keeper.Unanswered(now, key)
+		p.limiterMu.Lock()
+		defer p.limiterMu.Unlock()
+		return p.limiter.Unanswered(now, key)
 	}
 	a := permits.Answer{Granted: reply.Granted, Wait: milliseconds(reply.WaitMs), Latest: observation(now, reply.Seen)}
-	p.keeper.Learn(now, key, a.Latest)
+	p.learn(now, key, a.Latest, owner.Id)
 	return a
 }
 
+// learn records an observation of another router and logs a change.
+func (p *Picker) learn(now time.Time, key uint32, o *permits.Observation, router string) {
+	p.limiterMu.Lock()
+	changed := p.limiter.Learn(now, key, o)
+	if changed {
+		p.publishLimits(now)
+	}
+	p.limiterMu.Unlock()
+	if !changed {
+		return
+	}
+	if target := p.cfg.Balancer.Target(key); target != nil {
+		p.logLimit(target, *o).Str("router", router).Int64("age_ms", now.Sub(o.At).Milliseconds()).Msg(limitChanged)
+	}
+}
+
+// limitChanged is the message of the log lines of limits.
+const limitChanged = "the limit of a target changed"
+
+func (p *Picker) logLimit(target *pb.TargetStatus, o permits.Observation) *log.Entry {
+	return p.cfg.Logger.Info().Str("step", stepLimit).Str("peer", target.Id).Uint64("incarnation", target.Incarnation).
+		Str("service", target.Service).Bool("limited", o.Named).Float64("per_second", o.PerSecond)
+}
+
 // targetOwner returns the router that grants the permits of a target, nil if there are no
 // serving routers.
 func (p *Picker) targetOwner(target *pb.TargetStatus) *pb.RouterStatus {
 	return balance.OwnerOf(p.cfg.Members.Routers(), "limit/"+target.Id)
 }
 
-// grantPermit answers another router's request for a permit.
-func (p *Picker) grantPermit(m *pb.PermitAsk) *pb.PermitAnswer {
+// grantPermit answers a router's request for a permit.
+func (p *Picker) grantPermit(router string, m *pb.PermitAsk) *pb.PermitAnswer {
 	now := time.Now()
-	p.keeperMu.Lock()
-	defer p.keeperMu.Unlock()
-	p.keeper.SeeRouters(now, len(balance.ServingRouters(p.cfg.Members.Routers())))
-	a := p.keeper.Grant(now, m.Target, observation(now, m.Seen), int(m.Fleet))
+	p.learn(now, m.Target, observation(now, m.Seen), router)
+	p.limiterMu.Lock()
+	defer p.limiterMu.Unlock()
+	p.limiter.SeeRouters(now, len(balance.ServingRouters(p.cfg.Members.Routers())))
+	a := p.limiter.Grant(now, m.Target, nil, int(m.Fleet))
 	// The wait is rounded up, so that the router does not come back too early.
 	return &pb.PermitAnswer{Granted: a.Granted, WaitMs: uint32((a.Wait + time.Millisecond - 1).Milliseconds()), Seen: seenLimit(now, a.Latest)}
 }
@@ -121,15 +148,14 @@
 	now := time.Now()
 	key := balance.LoadKey(target)
 	o := permits.Observation{Limit: l, At: now}
-	p.keeperMu.Lock()
-	changed, report := p.keeper.Observe(now, key, o)
+	p.limiterMu.Lock()
+	changed, report := p.limiter.Observe(now, key, o)
 	if changed {
 		p.publishLimits(now)
 	}
-	p.keeperMu.Unlock()
+	p.limiterMu.Unlock()
 	if changed {
-		p.cfg.Logger.Info().Str("step", stepLimit).Str("peer", target.Id).Uint64("incarnation", target.Incarnation).Str("service", target.Service).
-			Str("request_id", requestID).Bool("limited", l.Named).Float64("per_second", l.PerSecond).Msg("the limit of a target changed")
+		p.logLimit(target, o).Str("request_id", requestID).Msg(limitChanged)
 	}
 	if changed && !l.Named {
 		p.cfg.Balancer.Withhold(target, 0)
@@ -148,9 +174,9 @@
 }
 
 // publishLimits passes the limits that are known now to the balancer and the metrics. The
-// caller holds keeperMu.
+// caller holds limiterMu.
 func (p *Picker) publishLimits(now time.Time) {
-	limits := p.keeper.Limits(now)
+	limits := p.limiter.Limits(now)
 	p.limits.Store(&limits)
 	p.limited.Update(float64(len(limits)))
 }
@@ -163,39 +189,26 @@
 	return nil
 }
 
-// hearReport applies another router's observation of a target that this router owns.
-func (p *Picker) hearReport(m *pb.LimitReport) {
-	now := time.Now()
-	p.keeperMu.Lock()
-	defer p.keeperMu.Unlock()
-	p.keeper.Learn(now, m.Target, observation(now, m.Seen))
-}
-
 // SeenLimits returns at most n limits of targets to send with the next in-flight counts: those
 // that this router has seen since the last call, or, for a collector, those that it knows, a
 // part with each call. It is called several times per second.
 func (p *Picker) SeenLimits(collector bool, n int) []permits.Seen {
 	now := time.Now()
-	p.keeperMu.Lock()
-	defer p.keeperMu.Unlock()
-	p.keeper.SeeRouters(now, len(balance.ServingRouters(p.cfg.Members.Routers())))
+	p.limiterMu.Lock()
+	defer p.limiterMu.Unlock()
+	p.limiter.SeeRouters(now, len(balance.ServingRouters(p.cfg.Members.Routers())))
 	p.publishLimits(now)
 	if collector {
-		return p.keeper.Spread(now, n)
+		return p.limiter.Spread(now, n)
 	}
-	return p.keeper.TakeSeen(now, n)
+	return p.limiter.TakeSeen(now, n)
 }
 
 // LearnLimits records limits that another router has sent.
-func (p *Picker) LearnLimits(limits []permits.Seen) {
-	if len(limits) == 0 {
-		return
-	}
+func (p *Picker) LearnLimits(router string, limits []permits.Seen) {
 	now := time.Now()
-	p.keeperMu.Lock()
-	defer p.keeperMu.Unlock()
 	for _, l := range limits {
-		p.keeper.Learn(now, l.Target, &l.Observation)
+		p.learn(now, l.Target, &l.Observation, router)
 	}
 }
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -95,10 +95,10 @@
 	// admitter admits the requests of the services that this router owns.
 	admitter *slots.Admitter
 
-	keeperMu sync.Mutex
-	// keeper holds the limits that targets name, and limits a copy for the balancer.
-	keeper *permits.Keeper
-	limits atomic.Pointer[map[uint32]float64]
+	limiterMu sync.Mutex
+	// limiter holds the limits that targets name, and limits a copy for the balancer.
+	limiter *permits.Limiter
+	limits  atomic.Pointer[map[uint32]float64]
 }
 
 // ownerState tracks the timeouts of one owner.
@@ -126,7 +126,7 @@
 		permitsGranted:    limits.Counter("permits_granted"),
 		permitsDenied:     limits.Counter("permits_denied"),
 		permitsUnanswered: limits.Counter("permits_unanswered"),
-		keeper:            permits.NewKeeper(c.Started),
+		limiter:           permits.NewLimiter(c.Started),
 	}
 	c.Balancer.SetLimits(p.knownLimits)
 	return p
@@ -308,12 +308,13 @@
 		reply := p.admit(slot, what.Ask)
 		p.cfg.Members.SendPlacing(addr, &pb.Placing{Place: m.Place, What: &pb.Placing_Answer{Answer: reply}})
 	case *pb.Placing_PermitAsk:
-		reply := p.grantPermit(what.PermitAsk)
+		reply := p.grantPermit(router, what.PermitAsk)
 		p.cfg.Members.SendPlacing(addr, &pb.Placing{Place: m.Place, What: &pb.Placing_PermitAnswer{PermitAnswer: reply}})
 	case *pb.Placing_Answer, *pb.Placing_PermitAnswer:
 		p.deliverReply(router, m)
 	case *pb.Placing_LimitReport:
-		p.hearReport(what.LimitReport)
+		now := time.Now()
+		p.learn(now, what.LimitReport.Target, observation(now, what.LimitReport.Seen), router)
 	case *pb.Placing_End:
 		outcome := balance.Outcome(what.End.Outcome)
 		if target, ok := p.releaseAsOwner(slot, outcome); ok {
