--- a/internal/balance/retry_fleet_test.go
+++ b/internal/balance/retry_fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -300,3 +302,27 @@
 		}
 	}
 }
+
+// TestRacingRetriesSpendOneTokenEach guards against retries of concurrent requests that spend
+// the same token.
+func TestRacingRetriesSpendOneTokenEach(t *testing.T) {
+	const requests, tries = 400, 8
+	limits := RetryLimits{Ratio: 0.2, Slack: 1, Window: time.Hour}
+	b := NewRetryBudget(limits, nil)
+	var allowed atomic.Int64
+	var work sync.WaitGroup
+	for range requests {
+		work.Go(func() {
+			b.RecordRequest("s")
+			for range tries {
+				if b.AllowRetry("s").Allowed {
+					allowed.Add(1)
+				}
+			}
+		})
+	}
+	work.Wait()
+	if n := float64(allowed.Load()); n > limits.Ratio*requests+limits.Slack || n == 0 {
+		t.Errorf("%.0f retries for %d requests, at most %.0f may be allowed", n, requests, limits.Ratio*requests+limits.Slack)
+	}
+}
