Selection: the reason for a lower ranked target names limits too

Explain and the log line said 'at their bound, leaving or failing' for a target that was passed over at its limit. No decision changes; go vet and the tests of balance pass.

--- a/internal/balance/select_prompt.go
+++ b/internal/balance/select_prompt.go
@@ -96,7 +96,7 @@
 	// The targets that had the prompts before some were limited still have them cached.
 	chosen.cacheHolder = topCacheHolder(byKey, chosen.target)
 	if chosen.target != nil && chosen.cacheHolder != nil && rankOf(ranked, chosen.cacheHolder) < rankOf(ranked, chosen.target) {
-		chosen.reason = "targets ranked higher are at their bound, leaving or failing"
+		chosen.reason = "targets ranked higher are at their bound or limit, leaving or failing"
 	}
 	return chosen
 }
--- a/internal/permits/meter.go
+++ b/internal/permits/meter.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	// burstTime is the time whose permits a bucket may hold in addition to minBurst.
-	burstTime = time.Second
+	// minBurst is the number of permits that a bucket may hold at any rate, and burstTime the
+	// time whose permits it may hold in addition.
 	minBurst  = 2
+	burstTime = time.Second
 	// minPerSecond is the rate of permits for a target with a lower limit. Without any
 	// request, no router would learn that the limit has ended.
 	minPerSecond = 0.25
