Limits of targets: prompts that limits leave to full targets are refused at once instead of scattered

Cause: the targets without a limit had to run more than twice their usual load. Once they were full, a prompt went to the next target that had a free slot, and each computed its shared parts again (17.4 of 30 million tokens), so that all served less and less.

Change: while targets of a service are limited, only the first two for a prompt take it; if both are full, the request is refused at once with targets-limited. Services without limited targets are selected as before.

Evidence: TestPromptsAreRefusedWhenLimitsLeaveTooMany, which fails without the bound.

--- a/internal/balance/backpressure.go
+++ b/internal/balance/backpressure.go
@@ -24,10 +24,16 @@
 type LimitedError struct {
 	// RetryAfter is the time until the first of them may take another request.
 	RetryAfter time.Duration
+	// Full is set if the targets that should have the prompt cached can run no more of the
+	// requests that limited targets leave to them.
+	Full bool
 }
 
 // Error implements error.
 func (e *LimitedError) Error() string {
+	if e.Full {
+		return fmt.Sprintf("targets are at the limits that they name, and those that could take the prompt are full; retry in %v", e.RetryAfter)
+	}
 	return fmt.Sprintf("all targets are at the limits that they name; the first may take a request in %v", e.RetryAfter.Round(time.Millisecond))
 }
 
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -151,6 +151,9 @@
 	b.sweep(now)
 	all := b.candidates(now, r)
 	chosen := b.choose(r, all)
+	if chosen.full {
+		return Choice{}, &LimitedError{RetryAfter: fullRetryAfter, Full: true}
+	}
 	if chosen.target == nil {
 		return Choice{}, noCandidateError(all)
 	}
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -13,6 +13,13 @@
 	// limitUse is the fraction of a limited target's rate that is planned for it. The rest
 	// absorbs the irregular arrivals.
 	limitUse = 0.85
+	// maxLimitedChoices is the number of targets that may take a prompt while targets of its
+	// service are limited. Any other would compute its parts again at a time when all are
+	// busy, which takes more than it serves.
+	maxLimitedChoices = 2
+	// fullRetryAfter is the time after which a request may be sent again that its first
+	// choices could not take.
+	fullRetryAfter = 500 * time.Millisecond
 	// weightSteps is the number of steps of a weight. Routers whose estimates of the demand
 	// differ a little then use the same weight.
 	weightSteps = 16
--- a/internal/balance/limits_test.go
+++ b/internal/balance/limits_test.go
@@ -110,3 +110,45 @@
 		t.Errorf("%d of 100 requests went to the target that is no longer withheld", n)
 	}
 }
+
+// TestPromptsAreRefusedWhenLimitsLeaveTooMany guards against prompts that are computed at one
+// target after the other while the targets without a limit are full: they are refused at once.
+// Without limits a prompt still goes to the target with the fewest requests.
+func TestPromptsAreRefusedWhenLimitsLeaveTooMany(t *testing.T) {
+	const targets, slots = 12, 4
+	now := time.Unix(1000, 0)
+	view := newView(targets)
+	b := New(view, nil)
+	b.now = func() time.Time { return now }
+	limits := make(map[uint32]float64)
+	b.SetLimits(func() map[uint32]float64 { return limits })
+	request := Request{Service: "llm", Key: "prompt", Slots: slots}
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		b.RecordRequest(request.Service)
+	}
+	for _, st := range view.targets[:targets-4] {
+		limits[LoadKey(st)] = 1
+		b.Withhold(st, time.Second)
+	}
+	at := make(map[string]int)
+	var err error
+	for range targets * slots {
+		var c Choice
+		if c, err = b.Pick(request); err != nil {
+			break
+		}
+		at[c.Target.Id]++
+	}
+	var limited *LimitedError
+	if !errors.As(err, &limited) || !limited.Full || limited.RetryAfter <= 0 {
+		t.Errorf("error %v, want one that tells when to retry", err)
+	}
+	if len(at) > maxLimitedChoices {
+		t.Errorf("the prompt is computed at %v, at most %d targets may take it", at, maxLimitedChoices)
+	}
+	clear(limits)
+	if _, err := b.Pick(request); err != nil {
+		t.Errorf("without limits: %v", err)
+	}
+}
--- a/internal/balance/select_prompt.go
+++ b/internal/balance/select_prompt.go
@@ -70,6 +70,9 @@
 	reason      string
 	// staleLoad has the meaning of Choice.StaleLoad.
 	staleLoad bool
+	// full is set if no target is selected because the first choices for the prompt are full
+	// while others are limited.
+	full bool
 }
 
 // selectByPromptKey selects a target by rendezvous hashing with bounded loads. All
@@ -79,17 +82,25 @@
 func selectByPromptKey(key string, all []*candidate) selection {
 	byKey := rankByKey(key, all)
 	ranked := byKey
-	if slices.ContainsFunc(all, func(c *candidate) bool { return c.weight() < 1 }) {
+	limited := slices.ContainsFunc(all, func(c *candidate) bool { return c.weight() < 1 })
+	if limited {
 		ranked = rankByWeight(key, all)
 	}
+	open := slices.DeleteFunc(slices.Clone(ranked), func(c *candidate) bool { return !c.eligible() || !c.healthy })
+	if limited {
+		open = open[:min(len(open), maxLimitedChoices)]
+	}
 	limit := promptLoadLimit(all)
 	var chosen selection
-	for _, c := range ranked {
-		if c.eligible() && c.healthy && c.inFlight < min(limit, c.capacity) {
+	for _, c := range open {
+		if c.inFlight < min(limit, c.capacity) {
 			chosen = selection{target: c, reason: "cached parts are expected here"}
 			break
 		}
 	}
+	if chosen.target == nil && limited && len(open) > 0 {
+		return selection{full: true}
+	}
 	if chosen.target == nil {
 		chosen = selection{target: leastLoaded(ranked), reason: "every target is at its bound; this one has the fewest requests"}
 	}
