--- a/internal/balance/retry_budget.go
+++ b/internal/balance/retry_budget.go
@@ -27,7 +27,7 @@
 	// savedShare is the part of Ratio that a router may save for later: its bucket holds at
 	// most this part of what the requests of the last window allow. The routers earn the
 	// rest of Ratio with each request.
-	savedShare = 0.35
+	savedShare = 0.15
 )
 
 // RetryBudget limits the retries of this router so that the routers together stay within
