--- a/review/3/main.go
+++ b/review/3/main.go
@@ -13,11 +13,13 @@
 )
 
 const (
+	// Each of the two servers runs slots streams and queues a few more.
 	slots   = 12
-	events  = 60
+	queue   = 2
+	streams = 2 * (slots + queue)
+	events  = 40
 	gap     = 100
-	streams = 2 * slots
-	warmups = 60
+	warmups = 200
 )
 
 func main() { kit.Run(run) }
@@ -27,7 +29,7 @@
 		return 0, err
 	}
 	for i, id := range []string{"i-a", "i-b"} {
-		if err := f.StartServer(kit.ServerConfig{ID: id, Service: "llm", Addr: f.IP(20+i) + ":8080", Slots: slots, Queue: 0}); err != nil {
+		if err := f.StartServer(kit.ServerConfig{ID: id, Service: "llm", Addr: f.IP(20+i) + ":8080", Slots: slots, Queue: queue}); err != nil {
 			return 0, err
 		}
 	}
@@ -66,6 +68,7 @@
 		f.Proc("i-a").Signal(syscall.SIGKILL)
 	}
 	wg.Wait()
+	f.Record.Append(f.LogOf("i-b"))
 	f.Record.Printf("%d streams sent, %d whole, %d ended as complete before their last piece", streams, whole, broken)
 	switch {
 	case broken > 0:
