--- a/review/3/main.go
+++ b/review/3/main.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// Each of the two servers runs slots streams and queues a few more.
-	slots   = 12
+	// Each of the servers runs slots streams and queues a few more.
+	servers = 4
+	slots   = 8
 	queue   = 2
-	streams = 2 * (slots + queue)
+	streams = servers * (slots + queue)
 	events  = 40
 	gap     = 100
 	warmups = 200
@@ -28,7 +29,8 @@
 	if err := f.StartAll(3, 1, kit.Config(1)); err != nil {
 		return 0, err
 	}
-	for i, id := range []string{"i-a", "i-b"} {
+	for i := range servers {
+		id := serverID(i)
 		if err := f.StartServer(kit.ServerConfig{ID: id, Service: "llm", Addr: f.IP(20+i) + ":8080", Slots: slots, Queue: queue}); err != nil {
 			return 0, err
 		}
@@ -64,11 +66,13 @@
 	}
 	time.Sleep(2 * time.Second)
 	if kit.Trouble() {
-		f.Record.Printf("server i-a crashes (SIGKILL)")
-		f.Proc("i-a").Signal(syscall.SIGKILL)
+		f.Record.Printf("server %s crashes (SIGKILL)", serverID(0))
+		f.Proc(serverID(0)).Signal(syscall.SIGKILL)
 	}
 	wg.Wait()
-	f.Record.Append(f.LogOf("i-b"))
+	for i := range servers {
+		f.Record.Append(f.LogOf(serverID(i)))
+	}
 	f.Record.Printf("%d streams sent, %d whole, %d ended as complete before their last piece", streams, whole, broken)
 	switch {
 	case broken > 0:
@@ -79,6 +83,8 @@
 	return kit.ExitHeld, nil
 }
 
+func serverID(i int) string { return fmt.Sprintf("i-%d", i) }
+
 const (
 	verdictBroken = "ORDER broken: it ends as complete before its last piece"
 	verdictWhole  = "whole"
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	slots    = 12
-	requests = 16
+	slots    = 6
+	requests = 18
 	// workMs is longer than a leaving server accepts connections after its notice, and well
 	// below the deadline of the requests.
 	workMs = 3000
@@ -27,7 +27,7 @@
 	if err := f.StartAll(3, 1, kit.Config(1)); err != nil {
 		return 0, err
 	}
-	for i, id := range []string{"i-a", "i-b"} {
+	for i, id := range []string{"i-a", "i-b", "i-c"} {
 		if err := f.StartServer(kit.ServerConfig{ID: id, Service: "app", Addr: f.IP(20+i) + ":8080", Slots: slots, Queue: 12}); err != nil {
 			return 0, err
 		}
@@ -59,7 +59,7 @@
 	}
 	wg.Wait()
 	f.Record.Printf("%d requests: %d answered whole, %d whose connection was closed without an answer, %d otherwise", requests, whole, lost, other)
-	f.Record.Append(f.LogOf("i-a"), f.LogOf("i-b"))
+	f.Record.Append(f.LogOf("i-a"), f.LogOf("i-b"), f.LogOf("i-c"))
 	switch {
 	case lost > maxLost:
 		return kit.ExitBroken, nil
