--- a/review/5/main.go
+++ b/review/5/main.go
@@ -23,7 +23,7 @@
 	// serves is how long the server serves after its notice.
 	serves = 8 * time.Second
 	// clients send one request after another, with a pause.
-	clients = 8
+	clients = 4
 	pause   = 50 * time.Millisecond
 	acker   = 1
 	leaver  = "i-a"
@@ -70,6 +70,8 @@
 	f.Record.Printf("%s ends", leaver)
 	close(stop)
 	wg.Wait()
+	f.Record.Printf("what %s ran:", leaver)
+	f.Record.Append(f.LogOf(leaver))
 	early, late := arrivals(f, acked, inTouch)
 	f.Record.Printf("%d requests answered; %s ran %d in the last second before its notice, and %d that reached it over %v later, while all machines were in touch again",
 		answered.Load(), leaver, early, late, inTouch.Sub(acked).Round(time.Millisecond))
@@ -95,9 +97,9 @@
 		case <-time.After(pause):
 		}
 		router := f.Routers[(number+i)%len(f.Routers)]
-		a := kit.Do(f.Front(router), kit.Request{
-			ID: fmt.Sprintf("lookup-%d-%d", number, i), Method: "GET", Path: "/lookup/2f", Key: kit.Key, Deadline: time.Second,
-		})
+		r := kit.Request{ID: fmt.Sprintf("lookup-%d-%d", number, i), Method: "GET", Path: "/lookup/2f", Key: kit.Key, Deadline: time.Second}
+		a := kit.Do(f.Front(router), r)
+		f.Record.Printf("%s sent to router %d: %v", r.ID, router, a)
 		if a.Err == nil && a.Status == http.StatusOK {
 			answered++
 		}
