Answers: an early end of the connection is a reset until the whole answer is written

A router that gets SIGTERM cuts streams off at the end of its grace time; those without a length ended with an ordinary close and looked complete. The same with SIGKILL, and for callers of HTTP/1.0 also when the target had sent chunks, since such callers read none.

Cause: an answer that ends with its connection is complete for its caller when the connection closes in order, and closing in order was the default. Each path that ends early had to reset the connection by itself; http.Server.Close at the end of the grace time did not, and a killed process can't.

Change: before the status of such an answer is written, the caller's connection gets a linger time of zero (relay.GuardEnd), so that the kernel resets it whoever closes it: the server, a timeout, a panic, the end of the process. Only after the whole answer was read, checked, written and flushed, Confirm restores the ordinary close. The reset by hand in the gateway is gone.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -15,17 +15,20 @@
 
 // writeAnswer writes the answer to the caller. It aborts the connection if the answer
 // is truncated, so that the caller can't take the truncated answer for a complete one.
-func (g *Gateway) writeAnswer(w http.ResponseWriter, x *filter.Exchange) {
+func (g *Gateway) writeAnswer(w http.ResponseWriter, req *http.Request, x *filter.Exchange) {
 	res := result{status: x.Answer.Status, outcome: filter.OutcomeRun}
 	// The error can be ignored: only the response writers of tests don't support
 	// deadlines.
 	_ = http.NewResponseController(w).SetWriteDeadline(x.Deadline.Add(writeGrace))
 	relay.SetHeader(w.Header(), x.Answer)
 	g.drain.SetConnectionClose(w.Header())
-	framed := x.Answer.Framed
-	if !framed {
+	if !x.Answer.Framed {
 		relay.SetUnframed(w.Header())
 	}
+	end, err := relay.GuardEnd(req, w.Header())
+	if err != nil {
+		g.cfg.Logger.Warn().Str("step", relay.Step).Str("request_id", x.ID).Err(err).Msg("the end of an answer is not guarded")
+	}
 	w.WriteHeader(x.Answer.Status)
 	last := time.Now()
 	body := relay.Body{
@@ -34,6 +37,9 @@
 		OnChunk: func([]byte) { last = time.Now() },
 	}
 	first, err := body.Copy(w)
+	if err == nil {
+		err = end.Confirm(w)
+	}
 	res.err = err
 	if !first.IsZero() {
 		res.firstByte = first.Sub(x.Received)
@@ -47,20 +53,9 @@
 	g.finish(x, res)
 	x.Answer.Body.Close()
 	x.End()
-	if !framed {
-		g.resetCaller(w, x.ID)
-	}
 	panic(http.ErrAbortHandler)
 }
 
-// resetCaller resets the caller's connection.
-func (g *Gateway) resetCaller(w http.ResponseWriter, requestID string) {
-	if err := relay.Reset(w); err != nil {
-		g.cfg.Logger.Warn().Str("step", relay.Step).Str("request_id", requestID).Err(err).
-			Msg("the caller's connection could not be reset; its end may look like the end of the answer")
-	}
-}
-
 // abandonSilence is the pause in a response after which the target counts as failed if
 // the caller leaves.
 const abandonSilence = 1500 * time.Millisecond
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -123,19 +122,19 @@
 // Close closes the idle connections to targets.
 func (g *Gateway) Close() { g.client.Close() }
 
-// Serve runs x through the chain and writes the answer or the rejection. An answer that
-// ends early aborts the caller's connection.
-func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, x *filter.Exchange) {
+// Serve runs x, the exchange of req, through the chain and writes the answer or the
+// rejection. An answer that ends early aborts the caller's connection.
+func (g *Gateway) Serve(w http.ResponseWriter, req *http.Request, x *filter.Exchange) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	defer x.End()
 	g.requests.Inc(1)
-	if err := g.chain.Run(ctx, x); err != nil {
+	if err := g.chain.Run(req.Context(), x); err != nil {
 		g.writeRejection(w, x, rejectionOf(x, err))
 		return
 	}
 	defer x.Answer.Body.Close()
-	g.writeAnswer(w, x)
+	g.writeAnswer(w, req, x)
 }
 
 // Refuse rejects a request that could not be read or is too large, without the chain.
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"errors"
 	"net"
 	"sync"
 )
@@ -69,3 +70,12 @@
 	c.once.Do(c.release)
 	return err
 }
+
+// SetLinger sets how the connection closes, as net.TCPConn does.
+func (c *limitConn) SetLinger(seconds int) error {
+	conn, ok := c.Conn.(interface{ SetLinger(int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return conn.SetLinger(seconds)
+}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -17,9 +17,12 @@
 // that the caller does not take the truncated answer for a complete one.
 func (r *Router) writeAnswer(w http.ResponseWriter, req *http.Request, x *filter.Exchange) {
 	res := result{status: x.Answer.Status, outcome: filter.OutcomeRun}
-	r.writeHeader(w, x)
+	end := r.writeHeader(w, req, x)
 	scanner := newUsageScanner(x)
 	first, err := r.copyBody(w, x, scanner)
+	if err == nil {
+		err = end.Confirm(w)
+	}
 	if first.IsZero() {
 		first = time.Now()
 	}
@@ -37,8 +40,9 @@
 	}
 }
 
-// writeHeader writes the status and headers of the answer.
-func (r *Router) writeHeader(w http.ResponseWriter, x *filter.Exchange) {
+// writeHeader writes the status and headers of the answer. It returns the guard of the
+// answer's end.
+func (r *Router) writeHeader(w http.ResponseWriter, req *http.Request, x *filter.Exchange) relay.EndGuard {
 	a := x.Answer
 	h := w.Header()
 	relay.SetHeader(h, a)
@@ -49,7 +53,12 @@
 	}
 	r.drain.SetConnectionClose(h)
 	r.setWriteDeadline(w)
+	end, err := relay.GuardEnd(req, h)
+	if err != nil {
+		r.cfg.Logger.Warn().Str("step", relay.Step).Str("request_id", x.ID).Err(err).Msg("the end of an answer is not guarded")
+	}
 	w.WriteHeader(a.Status)
+	return end
 }
 
 // copyBody streams the body and its trailers to the caller and returns the time
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
+	"github.com/wigeonwood/wigeonwood/internal/relay"
 )
 
 // stepDrain is the step name of the shutdown in errors and logs.
@@ -32,7 +33,7 @@
 		MaxHeaderBytes:    b.MaxHeaderBytes,
 		ErrorLog:          r.cfg.Logger.Std("", 0),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
+			return context.WithValue(relay.WithConn(ctx, c), connKey{}, c)
 		},
 	}
 }
