Streams: a declined resumption keeps the answer; panics of handlers are reported

An engine crashes, its streams are to be resumed and all other engines decline. Callers whose stream had no length got an ordinary close after 22 of 40 events; with chunks only a stack trace was left in the log.

Cause: a try that is declined sets the exchange's answer to nil, and after the resumption had failed nobody put back the answer that the caller was receiving. writeAnswer panicked on it before it could reset the connection; the HTTP server recovered the panic and closed the connection in order.

Change: dispatch.runAgain keeps the answer in each case. A panic in a handler is logged with the request's id and counted (gateway.panics, and the same in serve), and aborts the connection; before, no counter showed it and no line named the request. The reset itself comes from relay.GuardEnd, also on a panic.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -113,6 +113,18 @@
 	}
 }
 
+// runAgain tries further targets for a request that already has an answer, and returns the
+// answer of the one that responds. The exchange keeps the answer that its caller is receiving,
+// also if no target responds.
+func (d *dispatch) runAgain(ctx context.Context) (*Answer, error) {
+	current := d.x.Answer
+	defer func() { d.x.Answer = current }()
+	if err := d.run(ctx); err != nil {
+		return nil, err
+	}
+	return d.x.Answer, nil
+}
+
 // pick selects the next target, or rejects the request.
 func (d *dispatch) pick(ctx context.Context) error {
 	choice, err := d.choose(ctx)
--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -296,6 +296,8 @@
 	return b.String()
 }
 
+// TestCutStreams guards against streams that break off and reach their callers as complete
+// ones, and against an exchange that has lost its answer when no target resumes the stream.
 func TestCutStreams(t *testing.T) {
 	for name, c := range map[string]struct {
 		resumable bool
@@ -326,6 +328,18 @@
 			{status: 200, events: events(1, 3), cut: errCutHere},
 			{status: 500},
 		}, events(1, 3), false, "3"},
+		"all other targets decline": {true, []scriptedTarget{
+			{status: 200, events: events(1, 3), cut: errCutHere},
+			{status: 503, notRun: true},
+			{status: 503, notRun: true},
+			{status: 503, notRun: true},
+		}, events(1, 3), false, "3"},
+		"no other target can be reached": {true, []scriptedTarget{
+			{status: 200, events: events(1, 3), cut: errCutHere},
+			{notSent: true, err: errNoConn},
+			{notSent: true, err: errNoConn},
+			{notSent: true, err: errNoConn},
+		}, events(1, 3), false, "3"},
 		"ends inside an event": {true, []scriptedTarget{
 			{status: 200, events: events(1, 3) + "id: 4\nda"},
 			{status: 200, events: events(4, 6)},
@@ -358,7 +372,11 @@
 			if err := d.Handle(t.Context(), x, s.next); err != nil {
 				t.Fatal(err)
 			}
-			got, err := io.ReadAll(x.Answer.Body)
+			begun := x.Answer
+			got, err := io.ReadAll(begun.Body)
+			if x.Answer != begun {
+				t.Errorf("the exchange has the answer %v in place of the one that its caller is receiving", x.Answer)
+			}
 			if string(got) != c.want {
 				t.Errorf("events %q, want %q", got, c.want)
 			}
--- a/internal/filter/events.go
+++ b/internal/filter/events.go
@@ -218,14 +218,12 @@
 	}
 	w.choice.Done(balance.Failed)
 	w.x.AddReason(StepDispatch, w.choice.Target.Id, "resumed after event "+s.lastID+": "+err.Error())
-	first := w.x.Answer
 	w.x.LastEvent = s.lastID
-	if rerr := w.run(s.ctx); rerr != nil {
+	next, rerr := w.runAgain(s.ctx)
+	if rerr != nil {
 		s.err = errors.Join(err, rerr)
 		return
 	}
-	next := w.x.Answer
-	w.x.Answer = first
 	if next.Status != http.StatusOK || !isEventStream(next.Header.Get("Content-Type")) {
 		next.Body.Close()
 		s.err = errs.Wrap(fmt.Errorf("the stream can't be resumed: status %d", next.Status), StepDispatch, w.choice.Target.Id)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 
 	requests   tally.Counter
 	cutAnswers tally.Counter
+	panics     tally.Counter
 	tries      tally.Counter
 	firstByte  tally.Histogram
 	// outcomes is the scope of the counter of finished requests, which is tagged with
@@ -75,6 +76,7 @@
 		client:     forward.New(c.Forward),
 		requests:   scope.Counter("requests"),
 		cutAnswers: scope.Counter("cut_answers"),
+		panics:     scope.Counter("panics"),
 		tries:      scope.Counter("tries"),
 		firstByte:  scope.Histogram("first_byte", firstByteBuckets),
 		outcomes:   scope,
@@ -127,6 +129,7 @@
 func (g *Gateway) Serve(w http.ResponseWriter, req *http.Request, x *filter.Exchange) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	defer relay.ReportPanic(g.cfg.Logger, g.panics, x.ID)
 	defer x.End()
 	g.requests.Inc(1)
 	if err := g.chain.Run(req.Context(), x); err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -33,6 +33,7 @@
 
 	requests   tally.Counter
 	cutAnswers tally.Counter
+	panics     tally.Counter
 	tries      tally.Counter
 	firstToken tally.Timer
 	refusals   tally.Scope
@@ -59,6 +60,7 @@
 
 		requests:   scope.Counter("requests"),
 		cutAnswers: scope.Counter("cut_answers"),
+		panics:     scope.Counter("panics"),
 		tries:      scope.Counter("tries"),
 		firstToken: scope.Timer("first_token"),
 		refusals:   scope,
@@ -168,6 +170,7 @@
 // rejection.
 func (r *Router) serve(w http.ResponseWriter, req *http.Request, x *filter.Exchange) {
 	r.requests.Inc(1)
+	defer relay.ReportPanic(r.cfg.Logger, r.panics, x.ID)
 	ctx, cancel := r.withDeadline(req.Context(), x)
 	defer cancel()
 	err := r.chain.Run(ctx, x)
