Unframed answers: the end of a leaving, full or silent target is no crash

A target leaves as planned and answers what it still runs; callers whose answer had no length got a reset in place of whole answers that had run.

Cause: at the end of an answer without a length the router opened a connection to the target, and took a refusal, a reset and a time-out for the proof of a crash. A refusal is also the ordinary end of a target that leaves, a reset that of one at its connection limit, a time-out that of one that is silent.

Change: a refusal proves a crash unless this start of the target is known to leave or to have left (its heartbeat, its notice, the header of an answer). A leaving target may crash too: if another of its responses broke off visibly (by a reset, early as framed, inside an event) within 100 ms, this one counts as broken off as well; otherwise the caller's answer ends as the target's did. A reset is tried once more: a process that is just ending refuses then, a full target resets again. Time-outs are tried again for 2.5 s.

--- a/internal/filter/events.go
+++ b/internal/filter/events.go
@@ -41,6 +41,8 @@
 	ctx  context.Context
 	work *dispatch
 	body io.ReadCloser
+	// recordBreak records that the current target's response was broken off.
+	recordBreak func()
 	// framed is set if the current target marks the end of its response, sawEventHere
 	// once it has sent an event or a comment.
 	framed       bool
@@ -77,6 +79,10 @@
 func (s *eventStream) readFrom(a *Answer) {
 	now := time.Now()
 	s.body = a.Body
+	s.recordBreak = a.RecordBreak
+	if s.recordBreak == nil {
+		s.recordBreak = func() {}
+	}
 	s.framed = a.Framed
 	s.sawEventHere = false
 	s.progress = now
@@ -126,8 +132,10 @@
 func (s *eventStream) end() {
 	switch {
 	case len(bytes.TrimSpace(s.partial)) > 0:
+		s.recordBreak()
 		s.resumeOrFail(s.brokenOff("the stream ended inside an event"))
 	case !s.framed && !s.sawEventHere:
+		s.recordBreak()
 		s.resumeOrFail(s.brokenOff("the stream ended before its first event, without framing"))
 	default:
 		// Blank lines after the last event belong to the body as well.
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
 // Timeouts bound one try at a target.
@@ -33,6 +34,9 @@
 	NotRun func(status int, h http.Header) bool
 	// Hints returns the hints in a response; nil if targets send none.
 	Hints func(status int, h http.Header) Hints
+	// Leaves reports whether a target is known to leave, or to have left, as planned; nil if
+	// that is never known.
+	Leaves func(target *pb.TargetStatus) bool
 }
 
 // Name returns the filter's name in specs.
@@ -45,6 +49,9 @@
 		return errs.Wrap(err, StepForward, "")
 	}
 	r := x.forwardRequest(f.Timeouts(x), x.Tries > 1)
+	if target := x.Grant.Target; f.Leaves != nil {
+		r.Leaving = func() bool { return f.Leaves(target) }
+	}
 	a, err := f.Sender.Do(ctx, r)
 	if err != nil {
 		return err
@@ -60,6 +67,8 @@
 		Body:    a,
 		Trailer: a.Trailer,
 		Events:  isEventStream(a.Header.Get("Content-Type")),
+
+		RecordBreak: a.RecordBreak,
 	}
 	if f.NotRun != nil {
 		x.Answer.NotRun = f.NotRun(a.Status, a.Header)
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -57,6 +58,9 @@
 	// BetweenBytes to each later read.
 	FirstByte    time.Duration
 	BetweenBytes time.Duration
+	// Leaving reports whether the target is known to leave or to have left as planned; nil
+	// if nothing is known of that.
+	Leaving func() bool
 	// OnSend is called once a connection is available, before any byte of the
 	// request can be sent.
 	OnSend func()
@@ -84,6 +88,9 @@
 	silent     tally.Counter
 	truncated  tally.Counter
 	unframed   tally.Counter
+	// leftTargets counts the responses without framing whose target had left when they ended.
+	leftTargets tally.Counter
+	breaks      breakLog
 }
 
 // New creates a Client.
@@ -113,6 +120,8 @@
 		silent:     scope.Counter("silent_targets"),
 		truncated:  scope.Counter("cut_answers"),
 		unframed:   scope.Counter("unframed_answers"),
+
+		leftTargets: scope.Counter("unframed_answers_of_left_targets"),
 	}
 }
 
@@ -156,6 +165,9 @@
 		err = classify(err, context.Cause(ctx), connected)
 		cancel(nil)
 		c.countFailure(err)
+		if errors.Is(err, ErrTruncated) && !reused {
+			c.breaks.record(r.Addr)
+		}
 		if reused {
 			err = fmt.Errorf("%w %w", err, ErrReusedConnection)
 		}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -21,7 +21,8 @@
 	Length int64
 	// Framed is set if the response marks the end of its body. Otherwise the body
 	// ends when the connection closes. It counts as truncated if the target accepts no
-	// connections after that; a truncation by a target that serves on cannot be detected.
+	// connections after that, unless it is known to leave; a truncation by a target that
+	// serves on cannot be detected.
 	Framed bool
 
 	httpResp *http.Response
@@ -32,8 +33,7 @@
 	// later ones by betweenBytes.
 	nextTimeout  time.Duration
 	betweenBytes time.Duration
-	target       string
-	addr         string
+	request      *Request
 	client       *Client
 }
 
@@ -49,8 +49,7 @@
 		watchdog:     w,
 		nextTimeout:  r.FirstByte,
 		betweenBytes: r.BetweenBytes,
-		target:       r.Target,
-		addr:         r.Addr,
+		request:      r,
 		client:       c,
 	}
 }
@@ -96,15 +95,22 @@
 	}
 	err = classify(err, context.Cause(r.ctx), true)
 	r.client.countFailure(err)
-	return n, errs.Wrap(err, Step, r.target)
+	if errors.Is(err, ErrTruncated) {
+		r.RecordBreak()
+	}
+	return n, errs.Wrap(err, Step, r.request.Target)
 }
 
+// RecordBreak records that the response broke off visibly. Read does so by itself; users of
+// the body call it if the content shows a break that the framing does not.
+func (r *Response) RecordBreak() { r.client.breaks.record(r.request.Addr) }
+
 // checkEnd returns an error if the end of the body is not the end of the response.
 func (r *Response) checkEnd() error {
 	if r.Framed {
 		return nil
 	}
-	return r.client.confirmEnd(r.ctx, r.addr)
+	return r.client.confirmEnd(r.ctx, r.request)
 }
 
 // Trailer returns the trailers without hop-by-hop and reserved ones. They are
--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -6,25 +6,75 @@
 	"fmt"
 	"net"
 	"os"
+	"syscall"
 	"time"
 )
 
 const (
-	// probeDialTimeout bounds the connection attempt that follows the end of a response
-	// without framing.
-	probeDialTimeout = 500 * time.Millisecond
-	// probeReset is how long the new connection must stay open: the system may have
+	// probeTimeout bounds the connection attempts that follow the end of a response without
+	// framing. A sound target may be silent for one or two seconds.
+	probeTimeout = 2500 * time.Millisecond
+	// probeReset is how long a new connection must stay open: the system may have
 	// accepted it for a process that was just ending.
 	probeReset = 20 * time.Millisecond
+	// crashSpread is the longest time between the ends of the connections of one crash, as
+	// this process notices them.
+	crashSpread = 100 * time.Millisecond
 )
 
-// confirmEnd returns an error if the target at addr no longer accepts connections. A
-// response without framing ends when its connection closes, and a crash of the target
-// closes the connection as well; a crashed target accepts no others.
-func (c *Client) confirmEnd(ctx context.Context, addr string) error {
-	ctx, cancel := context.WithTimeout(ctx, probeDialTimeout)
+// errRefused means that the target has no listener any more.
+var errRefused = errors.New("the connection ended and the target refuses others")
+
+// confirmEnd returns an error if the connection of a response without framing was ended by a
+// crash of the target. Such a response ends when its connection closes, and a crash closes the
+// connection as well. A crashed target refuses new connections. So does a target that leaves
+// as planned while its last responses end; if the target is known to leave, only the other
+// connections that its crash would have broken off tell the two apart.
+func (c *Client) confirmEnd(ctx context.Context, r *Request) error {
+	ended := time.Now()
+	err := c.probe(ctx, r.Addr)
+	if !errors.Is(err, errRefused) || r.Leaving == nil || !r.Leaving() {
+		return err
+	}
+	time.Sleep(probeReset)
+	if c.breaks.since(r.Addr, ended.Add(-crashSpread)) {
+		return fmt.Errorf("other responses of the leaving target broke off at the same time: %w", err)
+	}
+	c.leftTargets.Inc(1)
+	return nil
+}
+
+// probe opens a connection to the target and returns an error if the target has crashed. A
+// target at its connection limit resets the connection, as does the system for a process that
+// is just ending; only the latter refuses the next one. While the target is silent, probe
+// tries again.
+func (c *Client) probe(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	resets := 0
+	for {
+		err := c.probeOnce(ctx, addr)
+		switch {
+		case errors.Is(err, syscall.ECONNRESET):
+			if resets++; resets > 1 {
+				return nil
+			}
+		case !isTimeout(err) || ctx.Err() != nil:
+			return err
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func (c *Client) probeOnce(ctx context.Context, addr string) error {
 	conn, err := c.dial(ctx, "tcp", addr)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w", errRefused, err)
+	}
 	if err != nil {
 		return fmt.Errorf("the connection ended and the target accepts no other: %w", err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,8 @@
 	// called with them for each response.
 	Hints   func(status int, h http.Header) filter.Hints
 	OnHints func(target *pb.TargetStatus, requestID string, h filter.Hints)
+	// Leaves reports whether a target is known to leave, or to have left, as planned.
+	Leaves func(target *pb.TargetStatus) bool
 	// Observer receives the records of finished requests; may be nil.
 	Observer filter.Observer
 	Logger   *log.Logger
@@ -93,6 +95,7 @@
 			Timeouts: func(x *filter.Exchange) filter.Timeouts { return filter.TryTimeouts(x, time.Now()) },
 			NotRun:   c.NotRun,
 			Hints:    c.Hints,
+			Leaves:   c.Leaves,
 		},
 	)
 	g.chain = chain
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -152,6 +152,7 @@
 		Prepare:  in.cfg.Prepare,
 		NotRun:   in.cfg.NotRun,
 		Hints:    in.cfg.Hints,
+		Leaves:   func(st *pb.TargetStatus) bool { return in.members.HasLeft(st.Id, st.Incarnation) },
 		OnHints:  in.applyHints,
 		Observer: in.reports.observer(),
 		Logger:   in.logger,
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -252,6 +252,15 @@
 	return known
 }
 
+// HasLeft reports whether this incarnation of a target is known to leave, or to have left, as
+// planned.
+func (m *Members) HasLeft(id string, incarnation uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	past, known := m.core.history.get(id)
+	return known && past.incarnation == incarnation && past.left
+}
+
 // SetState publishes this router's state.
 func (m *Members) SetState(state pb.RouterState) {
 	m.do(func(c *core, _ time.Time) { c.setState(state) })
