Leaving targets: a notice is acknowledged once other instances hold it

A replica answers the notice that a target is gone with 200 and is killed; the notice is gone with it, and the target gets requests for 6 to 7 s more.

Cause: the notice, and a heartbeat that says draining, were acknowledged out of the memory of one process, which told the others 30 ms later. A target does not repeat the notice.

Change: before it acknowledges, the instance sends the notice to others in pings and waits until as many acknowledge it as the settings say may be lost at once (faultTolerance.machines, one if they don't say). An acknowledgement of a ping proves that its receiver has applied the notice; there is no new message, and older builds take part. Without enough of them within 0.8 s the answer is 503 with the count, so that the target goes to the next instance.

--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -1,7 +1,9 @@
 package instance
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -69,7 +71,10 @@
 	// TargetLease is the time after the last heartbeat of a target at which the target
 	// is no longer listed, so that it gets no more requests.
 	TargetLease time.Duration
-	RetryLimits balance.RetryLimits
+	// NoticeCopies is the number of other instances that must hold the notice that a target
+	// leaves before it is acknowledged.
+	NoticeCopies int
+	RetryLimits  balance.RetryLimits
 	// Decode decodes the text of a routing table.
 	Decode routesync.Decode
 	// Dialect defines the headers of the protocol between routers and targets.
@@ -189,19 +194,46 @@
 // ErrDraining means that this router is draining and accepts no heartbeats of targets.
 var ErrDraining = errors.New("this router is draining")
 
+// ErrNotHandedOff means that too few other instances hold the notice that a target leaves: it
+// would be lost with this one, so the target must send it to another instance.
+var ErrNotHandedOff = errors.New("the notice was not handed to other instances")
+
+// ErrUnknownTarget means that this instance knows no incarnation of a target that leaves, so
+// that it can't keep the notice.
+var ErrUnknownTarget = errors.New("the target is not known here")
+
 // RecordHeartbeat applies a heartbeat of a target to the membership. At a draining router it
 // returns ErrDraining instead, so that the target sends its heartbeats to the replicas
-// again.
-func (in *Routed) RecordHeartbeat(st *pb.TargetStatus) error {
+// again. If the heartbeat says that the target leaves, RecordHeartbeat waits until other
+// instances hold that as well; ErrNotHandedOff means that they don't.
+func (in *Routed) RecordHeartbeat(ctx context.Context, st *pb.TargetStatus) error {
 	if in.cfg.CallerAddr != "" && in.members.Self().State == pb.RouterState_ROUTER_STATE_DRAINING {
 		return ErrDraining
 	}
-	return in.members.Announce(st, time.Now())
+	err := in.members.Announce(st, time.Now())
+	if st.Leaving {
+		// A repeated heartbeat is not applied, but the first one may not have been handed off.
+		return errors.Join(err, in.handOff(ctx, st.Id))
+	}
+	return err
 }
 
 // MarkTargetLeaving marks the known incarnation of a target as leaving, so that it gets no
-// new requests. It reports whether an incarnation of the target is known.
-func (in *Routed) MarkTargetLeaving(id string) bool { return in.members.LastIncarnationLeaves(id) }
+// new requests, and waits until other instances hold that as well. It fails with
+// ErrUnknownTarget or ErrNotHandedOff.
+func (in *Routed) MarkTargetLeaving(ctx context.Context, id string) error {
+	if !in.members.LastIncarnationLeaves(id) {
+		return errs.Wrap(ErrUnknownTarget, "leave", id)
+	}
+	return in.handOff(ctx, id)
+}
+
+func (in *Routed) handOff(ctx context.Context, id string) error {
+	if err := in.members.HandOffLeaving(ctx, id); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotHandedOff, err)
+	}
+	return nil
+}
 
 // StartDrain announces that this instance is draining, which removes it from the entry
 // addresses. From then on, its responses ask callers to use another connection.
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -44,6 +44,7 @@
 		CachedTargets: in.cachedTargets(),
 		Conn:          in.listeners.Gossip,
 		Token:         in.cfg.PeerToken,
+		NoticeCopies:  in.cfg.NoticeCopies,
 		Budget:        controlBudget,
 		Logger:        in.logger,
 		Scope:         in.scope,
--- a/internal/instance/routed_start_test.go
+++ b/internal/instance/routed_start_test.go
@@ -40,7 +40,7 @@
 		})
 	}
 	target := &pb.TargetStatus{Id: "t", Incarnation: 3, Sequence: 1, Addr: "10.0.0.1:80", Service: "s"}
-	if err := first.RecordHeartbeat(target); err != nil {
+	if err := first.RecordHeartbeat(t.Context(), target); err != nil {
 		t.Fatal(err)
 	}
 	testkit.Eventually(t, "the target is cached", func() bool { return len(first.cachedTargets()) == 1 })
--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -93,6 +93,9 @@
 	// OnQuarantine receives each message about parts of prompts that crash targets, with
 	// the sending router's id and the peer address that it was sent from; optional.
 	OnQuarantine func(router, addr string, q *pb.Quarantine)
+	// NoticeCopies is the number of other routers that must hold the notice that a target
+	// leaves before HandOffLeaving returns.
+	NoticeCopies int
 	// Scope receives the metrics; if it is nil, they are dropped.
 	Scope     tally.Scope
 	Intervals Intervals
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -57,6 +57,10 @@
 	nextGC         time.Time
 	left           bool
 	leavingUpdates leavingQueue
+	// handoffs are the notices that are being handed to other routers, finished those that
+	// enough of them hold.
+	handoffs []*handoff
+	finished []*handoff
 	// syncRequired is set while a sync with a random router is due, because views
 	// differ or may differ.
 	syncRequired bool
@@ -171,6 +175,7 @@
 		return
 	}
 	c.sendDueLeaving(now)
+	c.retryHandoffs(now)
 	c.expireProbes(now)
 	c.expireSuspicions(now)
 	c.recordExpiredLeases(now)
@@ -204,6 +209,9 @@
 	for _, p := range c.probes {
 		next = earliest(next, p.deadline)
 	}
+	for _, h := range c.handoffs {
+		next = earliest(next, h.retryAt)
+	}
 	for _, e := range c.routers {
 		if e.state == suspect {
 			next = earliest(next, e.suspectUntil)
--- a/internal/member/history.go
+++ b/internal/member/history.go
@@ -12,6 +12,8 @@
 	id          string
 	incarnation uint64
 	left        bool
+	// handedOff is set once enough other routers hold the notice that the target leaves.
+	handedOff bool
 }
 
 // history keeps the last incarnation of each target, also of targets that are gone, so
@@ -51,12 +53,22 @@
 	h.order.MoveToBack(el)
 	switch {
 	case incarnation > known.incarnation:
-		known.incarnation, known.left = incarnation, left
+		known.incarnation, known.left, known.handedOff = incarnation, left, false
 	case incarnation == known.incarnation:
 		known.left = known.left || left
 	}
 }
 
+// setHandedOff records that enough other routers hold the notice that this incarnation
+// leaves.
+func (h *history) setHandedOff(id string, incarnation uint64) {
+	if el, ok := h.byID[id]; ok {
+		if known := el.Value.(*incarnationRecord); known.incarnation == incarnation {
+			known.handedOff = true
+		}
+	}
+}
+
 func (h *history) evict() {
 	for len(h.byID) > h.maxEntries {
 		oldest := h.order.Front()
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -50,7 +50,10 @@
 	wake chan struct{}
 	stop chan struct{}
 	once sync.Once
-	done sync.WaitGroup
+	// noticeCopies is the number of other routers that must hold the notice of a leaving
+	// target before it is acknowledged.
+	noticeCopies int
+	done         sync.WaitGroup
 }
 
 // Start joins the fleet through the seeds and runs the membership until Close.
@@ -70,6 +73,7 @@
 		onQuarantine: cfg.OnQuarantine,
 		wake:         make(chan struct{}, 1),
 		stop:         make(chan struct{}),
+		noticeCopies: cfg.NoticeCopies,
 	}
 	m.core = newCore(coreConfig{
 		self:          cfg.Self,
@@ -109,6 +113,9 @@
 	defer m.mu.Unlock()
 	fn(m.core, time.Now())
 	out, events = m.core.drainPackets(), m.core.drainEvents()
+	for _, h := range m.core.drainFinished() {
+		close(h.done)
+	}
 	m.metrics.update(m.core)
 	return out, events
 }
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -33,6 +33,8 @@
 	// another router.
 	requester      string
 	requesterNonce uint32
+	// handoff is the notice that the ping carried, nil if it carried none.
+	handoff *handoff
 }
 
 // startProbe pings the next router in the random probe order.
@@ -47,9 +49,30 @@
 		return
 	}
 	c.probesSent++
-	nonce := c.newNonce()
-	m := c.newMessage(pb.GossipKind_GOSSIP_KIND_PING, nonce)
+	m := c.newMessage(pb.GossipKind_GOSSIP_KIND_PING, c.newNonce())
 	m.WantLoads = c.probesSent%probesPerLoadRequest == 0
+	p := c.describeView(now, peer, m)
+	if c.sendWithUpdates(now, peer.status.PeerAddr, budget.Liveness, m) {
+		c.probes[m.Nonce] = p
+	}
+}
+
+// ping sends a probe besides the regular ones, with the notice d of a handoff.
+func (c *core) ping(now time.Time, peer *routerEntry, class budget.Class, h *handoff, d *pb.TargetDelta) {
+	if len(c.probes) >= maxProbes {
+		return
+	}
+	m := c.newMessage(pb.GossipKind_GOSSIP_KIND_PING, c.newNonce())
+	m.Targets = append(m.Targets, d)
+	p := c.describeView(now, peer, m)
+	p.handoff = h
+	if c.send(now, peer.status.PeerAddr, class, m) {
+		c.probes[m.Nonce] = p
+	}
+}
+
+// describeView adds this router's view to the ping m and returns the probe that the ping makes.
+func (c *core) describeView(now time.Time, peer *routerEntry, m *pb.Gossip) *probe {
 	m.Digest = c.digest(now)
 	present := c.presentNow(now)
 	m.GroupDigests = present.digests()
@@ -57,10 +80,7 @@
 		// The suspected router must learn of the suspicion to refute it.
 		m.Routers = append(m.Routers, peer.delta())
 	}
-	if !c.sendWithUpdates(now, peer.status.PeerAddr, budget.Liveness, m) {
-		return
-	}
-	c.probes[nonce] = &probe{
+	return &probe{
 		id:       peer.status.Id,
 		sent:     now,
 		deadline: now.Add(c.intervals.ProbeTimeout),
@@ -192,6 +212,9 @@
 	if m.From != p.id {
 		return
 	}
+	if p.handoff != nil {
+		c.recordHeld(p.handoff, p.id)
+	}
 	c.applyRenewals(now, m.Renewals, p.sent, p.targets)
 	c.applyLoads(now, m.Loads, p.sent)
 	c.syncIfUnknown(m.From)
