Replicas: a replaced voter stops counting before the next one may be lost

Cause: a replaced replica stayed a voter until the leader had not heard of it for 10 s, anew with each leader, while the platform lets the next one be lost once the successor has had catchUpS. Replaced one after the other, the voters that agreement counts and the replicas that exist part: three replicas need 3 of 4 after one replacement and have 2 after the next loss. Besides, replicas of the first start that are no seeds counted as successors, so that a cut of 10 s removed sound voters of a core of five; and nothing was removed while more voters were silent than had successors, however long one of them had been.

Change: 2 s of silence; a join request says if it is one of the first start, which makes no successor; of more silent voters than successors the one that has been silent clearly longest goes; a removed replica asks to join again after 2 s without a leader. Each removal uses up a successor, so there are never fewer voters than the system was formed with.

TestReplicasOfTheFirstStartSucceedNobody and two rows of TestReplacedVoter are new; internal/replica passes.

--- a/internal/replica/join.go
+++ b/internal/replica/join.go
@@ -63,6 +63,12 @@
 	return slices.DeleteFunc(slices.Compact(addrs), func(addr string) bool { return addr == n.cfg.Addr })
 }
 
+// joinsFirstStart reports whether this replica takes part in the first start of the cluster
+// and has not been a member yet.
+func (n *Node) joinsFirstStart() bool {
+	return !n.cfg.JoinOnly && len(n.currentStatus().membership.GetMembers()) == 0
+}
+
 // requestJoin sends a join request to addr. If the reply names another replica as
 // the leader, it sends the request to that one too.
 func (n *Node) requestJoin(addr string) error {
@@ -70,7 +76,7 @@
 	defer cancel()
 	req := &pb.JoinRequest{
 		Group:  n.cfg.Group,
-		Member: &pb.Member{Id: n.id, Addr: n.cfg.Addr, DataCentre: n.cfg.DataCentre},
+		Member: &pb.Member{Id: n.id, Addr: n.cfg.Addr, DataCentre: n.cfg.DataCentre, Learner: n.joinsFirstStart()},
 	}
 	reply := &pb.JoinReply{}
 	err := n.cfg.Pool.Call(ctx, addr, n.method("join"), req, reply)
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -127,6 +127,9 @@
 // the member in the same entry, so that a leader change cannot leave the cluster
 // between the removal and the admission. Unless allowNewAddr is set, the edit admits
 // only such a replacement.
+//
+// member.Learner marks a replica that takes part in the first start of the cluster: it
+// joins at a new address, but succeeds no other one.
 func admitEdit(member *pb.Member, joinIndex uint64, allowNewAddr bool) membershipEdit {
 	return func(current *pb.Membership) (*pb.Membership, error) {
 		if consensus.FindMember(current, member.Id) != nil {
@@ -139,7 +142,7 @@
 		learner := &pb.Member{Id: member.Id, Addr: member.Addr, DataCentre: member.DataCentre, Learner: true, JoinIndex: joinIndex}
 		next := consensus.NewMembership(append(rest, learner)...)
 		next.Joined = current.Joined
-		if len(rest) == len(current.Members) {
+		if len(rest) == len(current.Members) && !member.Learner {
 			next.Joined++
 		}
 		return next, nil
--- a/internal/replica/replace.go
+++ b/internal/replica/replace.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -10,28 +12,38 @@
 )
 
 const (
-	// replaceAfterTicks is how long a voter must be silent, in tick intervals,
-	// before it may count as replaced. With the default tick interval this is 10 s,
-	// well above the length of a network partition of a few seconds.
-	replaceAfterTicks = 200
+	// replaceAfterTicks is how long a voter must be silent, in tick intervals, before
+	// it may count as replaced. With the default tick interval this is 2 s. Together
+	// with an election it must fit in the time after which the platform counts the
+	// successor and no longer the replaced replica, since the next one may be lost
+	// then.
+	replaceAfterTicks = 40
+	// ambiguousTicks is the difference in silence, in tick intervals, below which it is
+	// unknown which of two silent voters was replaced.
+	ambiguousTicks = 10
 	// minVotersLeft is the least number of live voters that the removal of a
 	// replaced voter may leave.
 	minVotersLeft = 3
 	// rejoinAfterTicks is how long a replica knows no leader, in tick intervals,
 	// before it sends join requests, in case it was removed. With the default tick
-	// interval this is 5 s.
-	rejoinAfterTicks = 100
+	// interval this is 2 s.
+	rejoinAfterTicks = 40
 )
 
 // replacedVoter returns a silent voter that a new replica has replaced, or nil. A
 // voter is silent if silentFor returns at least after for its ID.
 //
-// m.Joined counts the members that joined at new addresses, minus the removals
-// since. Without the learners, the rest are successors: each replaces one silent
-// voter. If there are more silent voters than successors, it is unknown which of
-// the silent voters were replaced, and replacedVoter returns nil. It also returns
-// nil if fewer than minVotersLeft voters are live.
-func replacedVoter(m *pb.Membership, silentFor func(id string) time.Duration, after time.Duration) *pb.Member {
+// m.Joined counts the members that joined a running cluster at new addresses, minus
+// the removals since. Without the learners, the rest are successors: each replaces
+// one silent voter. If there are more silent voters than successors, those that have
+// been silent longest count as replaced; if that is no difference of ambiguous, it is
+// unknown which ones were, and replacedVoter returns nil. It also returns nil if fewer
+// than minVotersLeft voters are live.
+//
+// Each removal uses up one successor, so there are never fewer voters than the cluster
+// was formed with. A voter that is removed although it was only cut off joins again,
+// which makes it the successor of the replaced one.
+func replacedVoter(m *pb.Membership, silentFor func(id string) time.Duration, after, ambiguous time.Duration) *pb.Member {
 	var silent []*pb.Member
 	live, successors := 0, int(m.GetJoined())
 	for _, member := range m.GetMembers() {
@@ -45,7 +57,11 @@
 			live++
 		}
 	}
-	if len(silent) == 0 || len(silent) > successors || live < minVotersLeft {
+	if len(silent) == 0 || successors <= 0 || live < minVotersLeft {
+		return nil
+	}
+	slices.SortStableFunc(silent, func(a, b *pb.Member) int { return cmp.Compare(silentFor(b.Id), silentFor(a.Id)) })
+	if len(silent) > successors && silentFor(silent[0].Id)-silentFor(silent[successors].Id) < ambiguous {
 		return nil
 	}
 	return silent[0]
@@ -57,7 +73,7 @@
 	if !n.cfg.OpenAdmission {
 		return
 	}
-	replaced := replacedVoter(current, n.silentFor, replaceAfterTicks*n.cfg.TickInterval)
+	replaced := replacedVoter(current, n.silentFor, replaceAfterTicks*n.cfg.TickInterval, ambiguousTicks*n.cfg.TickInterval)
 	if replaced == nil {
 		return
 	}
--- a/internal/replica/replace_test.go
+++ b/internal/replica/replace_test.go
@@ -16,26 +16,34 @@
 		joined  uint32
 		silent  []string
 		want    string
+		// longest has been silent for longer than the others.
+		longest string
 	}{
-		"all alive":               {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d")}, 1, nil, ""},
-		"one replaced":            {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d")}, 1, []string{"b"}, "b"},
-		"one cut, none joined":    {[]*pb.Member{voter("a"), voter("b"), voter("c")}, 0, []string{"b"}, ""},
-		"one of four cut":         {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d")}, 0, []string{"b"}, ""},
-		"the successor is not in": {[]*pb.Member{voter("a"), voter("b"), voter("c"), learner("d")}, 1, []string{"b"}, ""},
-		"a successor died":        {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("e"), learner("d")}, 2, []string{"b", "d"}, "b"},
-		"two replaced":            {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d"), voter("e"), voter("f"), voter("g")}, 2, []string{"a", "b"}, "a"},
-		"the second of them":      {[]*pb.Member{voter("b"), voter("c"), voter("d"), voter("e"), voter("f"), voter("g")}, 1, []string{"b"}, "b"},
-		"one replaced, one cut":   {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d"), voter("e"), voter("f")}, 1, []string{"a", "b"}, ""},
-		"too few would be left":   {[]*pb.Member{voter("a"), voter("b")}, 1, []string{"b"}, ""},
-		"too few live ones":       {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d")}, 2, []string{"a", "b"}, ""},
+		"all alive":                   {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d")}, 1, nil, "", ""},
+		"one replaced":                {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d")}, 1, []string{"b"}, "b", ""},
+		"one cut, none joined":        {[]*pb.Member{voter("a"), voter("b"), voter("c")}, 0, []string{"b"}, "", ""},
+		"one of four cut":             {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d")}, 0, []string{"b"}, "", ""},
+		"the successor is not in":     {[]*pb.Member{voter("a"), voter("b"), voter("c"), learner("d")}, 1, []string{"b"}, "", ""},
+		"a successor died":            {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("e"), learner("d")}, 2, []string{"b", "d"}, "b", ""},
+		"two replaced":                {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d"), voter("e"), voter("f"), voter("g")}, 2, []string{"a", "b"}, "a", ""},
+		"the second of them":          {[]*pb.Member{voter("b"), voter("c"), voter("d"), voter("e"), voter("f"), voter("g")}, 1, []string{"b"}, "b", ""},
+		"one replaced, one cut":       {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d"), voter("e"), voter("f")}, 1, []string{"a", "b"}, "", ""},
+		"one replaced, one cut later": {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d"), voter("e"), voter("f")}, 1, []string{"a", "b"}, "b", "b"},
+		"two replaced, one cut later": {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d"), voter("e"), voter("f"), voter("g")}, 2, []string{"a", "b", "c"}, "a", "a"},
+		"too few would be left":       {[]*pb.Member{voter("a"), voter("b")}, 1, []string{"b"}, "", ""},
+		"too few live ones":           {[]*pb.Member{voter("a"), voter("b"), voter("c"), voter("d")}, 2, []string{"a", "b"}, "", ""},
 	} {
 		silentFor := func(id string) time.Duration {
-			if slices.Contains(c.silent, id) {
+			switch {
+			case id == c.longest:
+				return 2 * time.Minute
+			case slices.Contains(c.silent, id):
 				return time.Minute
+			default:
+				return 0
 			}
-			return 0
 		}
-		got := replacedVoter(&pb.Membership{Members: c.members, Joined: c.joined}, silentFor, 10*time.Second)
+		got := replacedVoter(&pb.Membership{Members: c.members, Joined: c.joined}, silentFor, 10*time.Second, time.Second)
 		if got.GetId() != c.want {
 			t.Errorf("%s: removes %q, want %q", name, got.GetId(), c.want)
 		}
@@ -143,3 +151,29 @@
 	}
 	requireApplied(t, leader, commitMany(live, want, 5))
 }
+
+// TestReplicasOfTheFirstStartSucceedNobody guards against a replica of the first start that
+// counts as the successor of another one, since it is no founder: a voter that is cut off would
+// be removed for it.
+func TestReplicasOfTheFirstStartSucceedNobody(t *testing.T) {
+	c := newCluster(t, 3, openAdmission)
+	for _, joinOnly := range []bool{false, true} {
+		added := &instance{t: t, addr: freeAddr(t), dir: t.TempDir(), founders: c[0].founders, edit: func(cfg *Config) {
+			openAdmission(cfg)
+			cfg.JoinOnly = joinOnly
+		}}
+		added.start()
+		t.Cleanup(added.stop)
+		eventually(t, "the replica is a voter", func() bool {
+			voter, _ := c.leader().node.memberState(added.node.ID())
+			return voter
+		})
+		want := uint32(0)
+		if joinOnly {
+			want = 1
+		}
+		if got := c.leader().node.currentStatus().membership.GetJoined(); got != want {
+			t.Errorf("joined later %t: %d successors, want %d", joinOnly, got, want)
+		}
+	}
+}
