--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -128,7 +128,28 @@
 		return nil, err
 	}
 	state := &State{ID: id, HardState: r.hardState, Snapshot: meta, Entries: entries, TornBytes: torn}
-	return state, j.openTail()
+	if err := j.openTail(); err != nil {
+		return nil, err
+	}
+	if len(entries) < len(r.entries) && !r.continues(meta) {
+		return state, j.finishInstall(meta)
+	}
+	return state, nil
+}
+
+// finishInstall resets the log after a crash that came after InstallSnapshot had published the
+// snapshot and before it had reset the log. Without that, the entries that follow the snapshot
+// would be appended to those that the snapshot replaces.
+func (j *Journal) finishInstall(meta *pb.SnapshotMeta) error {
+	if err := j.resetLog(meta); err != nil {
+		return err
+	}
+	return j.sync()
+}
+
+// resetLog writes the record that removes all entries.
+func (j *Journal) resetLog(meta *pb.SnapshotMeta) error {
+	return j.write(appendRecord(nil, record{kind: recordReset, index: meta.Index, synced: uint64(j.synced)}))
 }
 
 // removeTempFiles removes the temporary files of interrupted writes and returns the
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -343,18 +343,17 @@
 	}
 }
 
-func TestReceivedSnapshotReplacesTheLog(t *testing.T) {
-	from := journaltest.New()
-	source, _ := open(t, from)
+// receiveSnapshot transfers the snapshot at index 9 of another replica to j and returns its
+// metadata.
+func receiveSnapshot(t *testing.T, j *journal.Journal) *pb.SnapshotMeta {
+	t.Helper()
+	source, _ := open(t, journaltest.New())
 	saveEach(t, source, 1, 9, 2)
 	takeSnapshot(t, source, 9, 2)
 	s, err := source.OpenSnapshot(9)
 	if err != nil {
 		t.Fatal(err)
 	}
-	fs := journaltest.New()
-	j, _ := open(t, fs)
-	saveEach(t, j, 1, 4, 1)
 	var meta *pb.SnapshotMeta
 	for offset := uint64(0); meta == nil; {
 		data, last, err := s.ReadChunk(offset, 7)
@@ -365,6 +364,53 @@
 			t.Fatal(err)
 		}
 	}
+	return meta
+}
+
+// TestCrashWhileASnapshotIsInstalled guards against a replica that can't be started again, or
+// loses synced entries, after a crash between the rename of a received snapshot and the reset
+// of the log: further entries must not be appended to those that the snapshot replaces.
+func TestCrashWhileASnapshotIsInstalled(t *testing.T) {
+	for name, last := range map[string]uint64{"the log ends before the snapshot": 4, "the log conflicts with the snapshot": 12} {
+		t.Run(name, func(t *testing.T) {
+			fs := journaltest.New()
+			j, _ := open(t, fs)
+			saveEach(t, j, 1, last, 1)
+			meta := receiveSnapshot(t, j)
+			errKilled := errors.New("killed")
+			renamed := false
+			fs.Hook = func(op journaltest.Op, _ string) error {
+				if renamed && op == journaltest.OpWrite {
+					return errKilled
+				}
+				renamed = renamed || op == journaltest.OpSyncDir
+				return nil
+			}
+			if err := j.InstallSnapshot(meta, &pb.HardState{Term: 2, Commit: 9}); !errors.Is(err, errKilled) {
+				t.Fatal(err)
+			}
+			fs.Hook = nil
+			fs.Crash(journaltest.LoseUnsynced, nil)
+			j, state := open(t, fs)
+			if state.Snapshot.GetIndex() != 9 || len(state.Entries) != 0 {
+				t.Fatalf("state after the crash: %v", state)
+			}
+			saveEach(t, j, 10, 12, 2)
+			for range 2 {
+				fs.Crash(journaltest.LoseUnsynced, nil)
+				if _, state = open(t, fs); state.Snapshot.GetIndex() != 9 || len(state.Entries) != 3 || state.Entries[0].Index != 10 {
+					t.Fatalf("state after further entries: %v", state)
+				}
+			}
+		})
+	}
+}
+
+func TestReceivedSnapshotReplacesTheLog(t *testing.T) {
+	fs := journaltest.New()
+	j, _ := open(t, fs)
+	saveEach(t, j, 1, 4, 1)
+	meta := receiveSnapshot(t, j)
 	if err := j.InstallSnapshot(meta, &pb.HardState{Term: 2, Commit: 9}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/journal/receive.go
+++ b/internal/journal/receive.go
@@ -88,7 +88,7 @@
 
 // InstallSnapshot publishes the received snapshot and then resets the log that it
 // replaces. A crash between these two steps leaves a snapshot that is newer than the
-// log; Open then gives the snapshot precedence.
+// log; Open then gives the snapshot precedence and resets the log.
 func (j *Journal) InstallSnapshot(meta *pb.SnapshotMeta, hs *pb.HardState) error {
 	return j.guard("install snapshot", func() error {
 		if err := j.discardReceived(); err != nil {
@@ -97,7 +97,7 @@
 		if err := j.publishSnapshot(receivedName, meta.Index); err != nil {
 			return err
 		}
-		if err := j.write(appendRecord(nil, record{kind: recordReset, index: meta.Index, synced: uint64(j.synced)})); err != nil {
+		if err := j.resetLog(meta); err != nil {
 			return err
 		}
 		if err := j.save(hs, nil, true); err != nil {
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -78,6 +78,17 @@
 	return nil
 }
 
+// continues reports whether the entry after the snapshot can follow the entries in the log: they
+// reach the snapshot's last entry, and it is the same one.
+func (r *replay) continues(meta *pb.SnapshotMeta) bool {
+	for _, e := range r.entries {
+		if e.Index == meta.GetIndex() {
+			return e.Term == meta.Term
+		}
+	}
+	return false
+}
+
 // segmentScan is the result of reading one segment.
 type segmentScan struct {
 	// validBytes is the length of the complete records.
