Silent targets: a try is given up only for another that takes the request

Reproduced: a resumable stream whose sound engine is silent for 2.4 s is cut when the other engine declines it ("unexpected EOF" after 2 of 4 events); a lookup whose target is silent between its header and its body is cut after a third of its time. A change of the configuration is not needed for it; it goes on during each silence in the test.

Cause: a stream's response was closed after four gaps or 1.5 s of silence and resumed elsewhere; if all others declined, or the retry limit of the service was used up, nothing could answer any more. The time for the first byte of a lookup also held for the first byte of its body, when its header was with the caller and no other try was possible.

A response that can't be resumed has until its deadline. No change for targets that crash: their connections end.

Evidence: TestSilentTargets, ten cases with a stand-in target that falls silent and goes on: three fail before on (and a fourth without retries left), all pass after, twice. TestStalledStreams, TestCutStreams pass, also with -race.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/balance"
@@ -66,6 +67,14 @@
 	tried bool
 	// choice is the target of the current try.
 	choice balance.Choice
+	// successor is the target that takes over from a silent one. silent lists the targets
+	// that were given up for their silence.
+	successor successor
+	silent    []string
+	// accepted is set once the response of the current try is accepted; it is shared with
+	// the try's onSilence. stream is set if the answer is a stream of events.
+	accepted *atomic.Bool
+	stream   atomic.Pointer[eventStream]
 	// overdue is set if the request has no prompt and the caller has already waited for
 	// more than half of the latency objective, in earlier requests or in this one.
 	overdue bool
@@ -78,6 +87,7 @@
 	waited := d.WaitLimits.alreadyWaited(x) + time.Since(x.Received)
 	overdue := len(x.Prompt) == 0 && waited > x.Route.Goal/2
 	work := &dispatch{Dispatch: d, x: x, next: next, overdue: overdue}
+	x.OnEnd(func(Usage) { work.successor.release() })
 	if err := work.run(ctx); err != nil {
 		return err
 	}
@@ -127,10 +137,13 @@
 
 // pick selects the next target, or rejects the request.
 func (d *dispatch) pick(ctx context.Context) error {
-	choice, err := d.choose(ctx)
+	choice, err := d.nextChoice(ctx)
 	if noTargetAvailable(err) && !d.tried {
 		choice, err = d.awaitTarget(ctx, err)
 	}
+	if noTargetAvailable(err) && d.readmitSilent() {
+		choice, err = d.choose(ctx)
+	}
 	if err != nil {
 		return d.rejectNoTarget(err)
 	}
@@ -140,12 +153,25 @@
 	return nil
 }
 
+// nextChoice returns the target that takes over from a silent one, or selects one.
+func (d *dispatch) nextChoice(ctx context.Context) (balance.Choice, error) {
+	if choice := d.successor.take(); choice != nil {
+		return *choice, nil
+	}
+	return d.choose(ctx)
+}
+
 func (d *dispatch) choose(ctx context.Context) (balance.Choice, error) {
+	return d.chooseExcept(ctx, d.exclude)
+}
+
+// chooseExcept selects a target that is not excluded.
+func (d *dispatch) chooseExcept(ctx context.Context, exclude []string) (balance.Choice, error) {
 	return d.Picker.Pick(ctx, balance.Request{
 		Service:  d.x.Demand.Service,
 		Key:      PromptKey(d.x.Prompt),
 		Slots:    engineSlots(d.x),
-		Exclude:  d.exclude,
+		Exclude:  exclude,
 		Goal:     d.x.Route.Goal,
 		Overdue:  d.overdue,
 		TimeLeft: time.Until(d.x.Deadline),
@@ -257,6 +283,7 @@
 	x.Grant = &Grant{Target: c.Target}
 	x.OtherTargets = c.Alternatives
 	x.Tries++
+	x.OnSilence = d.onSilence(ctx)
 	d.Prepare(x, c.Target, c.CacheHolder)
 	began := time.Now()
 	err := d.next(ctx, x)
@@ -266,6 +293,7 @@
 		} else {
 			d.notRun++
 		}
+		d.recordSilent(err)
 		c.Done(failedTryOutcome(err, time.Since(began), x.Route.Goal))
 		if errors.Is(err, forward.ErrReusedConnection) {
 			// The target may have closed the idle connection in the meantime. The same
@@ -298,6 +326,7 @@
 		return errs.Wrap(errFailed, StepDispatch, c.Target.Id)
 	}
 	d.ran++
+	d.accepted.Store(true)
 	d.x.OnEnd(func(u Usage) { c.Done(answerOutcome(a, u)) })
 	return nil
 }
--- a/internal/filter/events.go
+++ b/internal/filter/events.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/balance"
@@ -40,6 +41,15 @@
 type eventStream struct {
 	ctx  context.Context
 	work *dispatch
+	// mu guards the stream and its exchange while reading is set: the stream is then blocked
+	// in a read, and onSilence may run.
+	mu      sync.Mutex
+	reading bool
+	// next is the response that takes over from the current one; abandoned is set if the
+	// current one was closed for a takeover.
+	next      *Answer
+	abandoned bool
+
 	body io.ReadCloser
 	// recordBreak records that the current target's response was broken off.
 	recordBreak func()
@@ -61,17 +71,18 @@
 	// of further events must be consecutive.
 	sawEvent bool
 	resumed  bool
-	// progress is when the current target sent its last event or, before that, when its
-	// response began. Parts of an event and comments are no progress.
-	progress time.Time
-	// maxPause is the longest permitted time without progress.
-	maxPause time.Duration
-	err      error
+	// maxPause is the longest permitted time without progress: the beginning of a response
+	// and each event. Parts of an event and comments are no progress. stalledAt is when it
+	// ends.
+	maxPause  time.Duration
+	stalledAt time.Time
+	err       error
 }
 
 func newEventStream(ctx context.Context, work *dispatch, a *Answer) *eventStream {
 	s := &eventStream{ctx: ctx, work: work, buf: make([]byte, eventReadBytes), lastID: work.x.LastEvent}
 	s.readFrom(a)
+	work.stream.Store(s)
 	return s
 }
 
@@ -85,8 +96,8 @@
 	}
 	s.framed = a.Framed
 	s.sawEventHere = false
-	s.progress = now
 	s.maxPause = TryTimeouts(s.work.x, now).BetweenBytes
+	s.stalledAt = now.Add(s.maxPause)
 }
 
 // Read returns complete events.
@@ -108,7 +119,11 @@
 // fill reads once from the target. If the target failed or stalled, fill resumes the
 // stream at another target or ends it.
 func (s *eventStream) fill() {
-	n, err := s.body.Read(s.buf)
+	n, err := s.read()
+	if s.next != nil {
+		s.switchToNext()
+		return
+	}
 	if n > 0 {
 		s.partial = append(s.partial, s.buf[:n]...)
 		s.split()
@@ -116,8 +131,9 @@
 	switch {
 	case s.err != nil:
 	case err == nil:
-		if time.Since(s.progress) > s.maxPause {
-			s.resumeOrFail(errs.Wrap(errStalled, StepDispatch, s.work.choice.Target.Id))
+		if time.Now().After(s.stalledAt) {
+			s.stalledAt = time.Now().Add(s.takeOver(errs.Wrap(errStalled, StepDispatch, s.work.choice.Target.Id)))
+			s.switchToNext()
 		}
 	case errors.Is(err, io.EOF):
 		s.end()
@@ -165,7 +181,7 @@
 			return
 		}
 		if !isComment(event) {
-			s.progress = time.Now()
+			s.stalledAt = time.Now().Add(s.maxPause)
 		}
 		s.complete = append(s.complete, event...)
 		s.partial = s.partial[len(event):]
@@ -220,7 +236,7 @@
 	w := s.work
 	s.partial = nil
 	s.body.Close()
-	if s.ctx.Err() != nil || !w.repeatable() || s.sawEvent && s.lastID == "" || w.ran >= w.x.Route.MaxTargets || !w.allowRepeat() {
+	if s.ctx.Err() != nil || !w.repeatable() || s.sawEvent && s.lastID == "" || w.ran >= w.x.Route.MaxTargets || !w.mayRepeatNow() {
 		s.err = err
 		return
 	}
@@ -232,12 +248,29 @@
 		s.err = errors.Join(err, rerr)
 		return
 	}
-	if next.Status != http.StatusOK || !isEventStream(next.Header.Get("Content-Type")) {
+	if !resumes(next) {
 		next.Body.Close()
 		s.err = errs.Wrap(fmt.Errorf("the stream can't be resumed: status %d", next.Status), StepDispatch, w.choice.Target.Id)
 		return
 	}
+	s.next = next
+	s.switchToNext()
+}
+
+// resumes reports whether an answer can continue a stream.
+func resumes(a *Answer) bool {
+	return a.Status == http.StatusOK && isEventStream(a.Header.Get("Content-Type"))
+}
+
+// switchToNext goes on with the response that takes over, if there is one.
+func (s *eventStream) switchToNext() {
+	if s.next == nil {
+		return
+	}
+	s.body.Close()
+	s.partial = nil
 	// If no event was read so far, the stream starts from its beginning.
 	s.resumed = s.sawEvent
-	s.readFrom(next)
+	s.readFrom(s.next)
+	s.next = nil
 }
--- a/internal/filter/exchange.go
+++ b/internal/filter/exchange.go
@@ -37,6 +37,9 @@
 	// WaitLimit is the time limit that the caller named, zero if none.
 	WaitLimit time.Duration
 	Demand    Demand
+	// OnSilence is called when the target of the current try has been silent for longer than
+	// the try's timeouts; see forward.Request. It may be nil.
+	OnSilence func() time.Duration
 	// Revision is the configuration revision, or the number of the routing table, by
 	// which the request is served.
 	Revision uint64
@@ -163,6 +166,8 @@
 		Idempotent:    x.Idempotent,
 		NewConnection: fresh,
 		FirstByte:     t.FirstByte,
+		FirstBody:     t.FirstBody,
+		OnSilence:     x.OnSilence,
 		BetweenBytes:  t.BetweenBytes,
 		OnSend:        x.Token.Spend,
 	}
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -13,8 +13,10 @@
 
 // Timeouts bound one try at a target.
 type Timeouts struct {
-	// FirstByte bounds the wait for the header and first byte of the response.
+	// FirstByte bounds the wait for the header and first byte of the response. FirstBody,
+	// if not zero, replaces it for the first byte of the body.
 	FirstByte time.Duration
+	FirstBody time.Duration
 	// BetweenBytes bounds each further wait within the response.
 	BetweenBytes time.Duration
 }
--- a/internal/filter/retry.go
+++ b/internal/filter/retry.go
@@ -31,7 +31,7 @@
 	case !d.repeatable() || d.ran >= d.x.Route.MaxTargets:
 		return false
 	default:
-		return d.allowRepeat()
+		return d.mayRepeatNow()
 	}
 }
 
@@ -66,6 +66,10 @@
 	})
 }
 
+// mayRepeatNow reports whether the request may be sent again: allowRepeat has allowed that
+// already if another target has a place for it.
+func (d *dispatch) mayRepeatNow() bool { return d.successor.held() || d.allowRepeat() }
+
 // allowRepeat reports whether the retry limit of the service allows one more send, and
 // counts it if so.
 func (d *dispatch) allowRepeat() bool {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -55,9 +55,15 @@
 	NewConnection bool
 	// FirstByte and BetweenBytes are timeouts; zero means no limit. FirstByte applies
 	// to the wait for the response header and again to the first read of the body,
-	// BetweenBytes to each later read.
+	// BetweenBytes to each later read. FirstBody, if not zero, replaces FirstByte for the
+	// first read.
 	FirstByte    time.Duration
+	FirstBody    time.Duration
 	BetweenBytes time.Duration
+	// OnSilence is called when one of these timeouts has passed. It returns how much longer
+	// to wait; zero ends the attempt with ErrSilent. It may be nil, and it is called by
+	// another goroutine.
+	OnSilence func() time.Duration
 	// Leaving reports whether the target is known to leave or to have left as planned; nil
 	// if nothing is known of that.
 	Leaving func() bool
@@ -152,7 +158,7 @@
 // close the response. Errors wrap one of this package's errors.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := newWatchdog(func() { cancel(ErrSilent) })
+	w := newWatchdog(r.onSilence, func() { cancel(ErrSilent) })
 	var connected, reused bool
 	req := c.buildRequest(ctx, r, func(info httptrace.GotConnInfo) {
 		connected = true
@@ -186,6 +192,14 @@
 	return resp, nil
 }
 
+// onSilence returns how much longer to wait for a target that is silent.
+func (r *Request) onSilence() time.Duration {
+	if r.OnSilence == nil {
+		return 0
+	}
+	return r.OnSilence()
+}
+
 // transport returns the Transport for r: keepAlive if r may use an existing
 // connection, otherwise singleUse.
 func (c *Client) transport(r *Request) *http.Transport {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,8 +30,8 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	watchdog *watchdog
-	// nextTimeout bounds the next read of the body: the first by Request.FirstByte,
-	// later ones by betweenBytes.
+	// nextTimeout bounds the next read of the body: the first by Request.FirstBody or
+	// FirstByte, later ones by betweenBytes.
 	nextTimeout  time.Duration
 	betweenBytes time.Duration
 	request      *Request
@@ -47,7 +48,7 @@
 		ctx:          ctx,
 		cancel:       cancel,
 		watchdog:     w,
-		nextTimeout:  r.FirstByte,
+		nextTimeout:  cmp.Or(r.FirstBody, r.FirstByte),
 		betweenBytes: r.BetweenBytes,
 		request:      r,
 		client:       c,
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -5,16 +5,24 @@
 	"time"
 )
 
-// watchdog calls fire if a wait exceeds its time limit. It reuses one timer for all
-// waits of a request.
+// watchdog ends a wait that exceeds its time limit. It reuses one timer for all waits of a
+// request.
 type watchdog struct {
+	// extend returns how much longer the wait may last; zero ends it. It is called without
+	// the lock.
+	extend func() time.Duration
+	// end ends the wait. It is called with the lock, and only while the wait lasts.
+	end func()
+
 	mu    sync.Mutex
 	timer *time.Timer
-	fire  func()
+	// wait counts the waits; waiting is set during one.
+	wait    int
+	waiting bool
 }
 
-func newWatchdog(fire func()) *watchdog {
-	return &watchdog{fire: fire}
+func newWatchdog(extend func() time.Duration, end func()) *watchdog {
+	return &watchdog{extend: extend, end: end}
 }
 
 // start begins a wait of at most d. Zero means no limit.
@@ -24,17 +32,40 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.wait++
+	w.waiting = true
 	if w.timer == nil {
-		w.timer = time.AfterFunc(d, w.fire)
+		w.timer = time.AfterFunc(d, w.expire)
 		return
 	}
 	w.timer.Reset(d)
 }
 
-// stop ends the wait.
+// expire extends or ends the current wait.
+func (w *watchdog) expire() {
+	w.mu.Lock()
+	wait, waiting := w.wait, w.waiting
+	w.mu.Unlock()
+	if !waiting {
+		return
+	}
+	more := w.extend()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case !w.waiting || w.wait != wait:
+	case more > 0:
+		w.timer.Reset(more)
+	default:
+		w.end()
+	}
+}
+
+// stop ends the wait in time.
 func (w *watchdog) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.waiting = false
 	if w.timer != nil {
 		w.timer.Stop()
 	}
