--- a/internal/filter/silence.go
+++ b/internal/filter/silence.go
@@ -76,7 +76,7 @@
 			return stream.onSilence()
 		case accepted.Load() || !d.repeatable() || ran >= d.x.Route.MaxTargets:
 			return left
-		case d.successor.held() || d.reserveSuccessor(ctx, exclude):
+		case d.reserveSuccessor(ctx, exclude):
 			return 0
 		default:
 			return min(left, silenceRecheck)
@@ -85,8 +85,12 @@
 }
 
 // reserveSuccessor selects a target for one more send of the request, if the retry limit
-// allows that. It reports whether there is one.
+// allows that. It reports whether there is one; a target that was selected for an earlier
+// silence, which then ended, is still there.
 func (d *dispatch) reserveSuccessor(ctx context.Context, exclude []string) bool {
+	if d.successor.held() {
+		return true
+	}
 	choice, err := d.chooseExcept(ctx, exclude)
 	if err != nil {
 		return false
