--- a/internal/filter/events.go
+++ b/internal/filter/events.go
@@ -90,6 +90,7 @@
 func (s *eventStream) readFrom(a *Answer) {
 	now := time.Now()
 	s.body = a.Body
+	s.abandoned = false
 	s.recordBreak = a.RecordBreak
 	if s.recordBreak == nil {
 		s.recordBreak = func() {}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,7 +1,7 @@
 // Package relay writes answers, usually the responses of targets, to callers. It sets
-// the headers, copies the body with optional flushing, and has callers' connections
-// closed after their current answer while the router drains. It does not send
-// requests to targets.
+// the headers, copies the body with optional flushing, makes an early end of an answer
+// visible, and has callers' connections closed after their current answer while the
+// router drains. It does not send requests to targets.
 package relay
 
 import (
