Unframed answers: a crash of a leaving target is seen by its other answers

Six copies of the test side by side failed in 5 of 6.

Cause: an end inside an event was noticed by the filter after the response had asked whether its target leaves and had waited for other breaks, so both streams waited for each other's evidence; and the wait was 20 ms.

Change: the response follows the events itself and ends with an error before anything is asked; breaks count for 0.25 s before and after. Answer.RecordBreak goes; forward.IsEventStream is the only copy.

--- a/internal/filter/answer.go
+++ b/internal/filter/answer.go
@@ -15,9 +15,6 @@
 	// Framed is set if the framing on the wire marks the end of the body.
 	Framed bool
 	Body   io.ReadCloser
-	// RecordBreak records that the content of the body shows a break which its framing does
-	// not; may be nil.
-	RecordBreak func()
 	// Trailer returns the trailers once the body is read to its end; may be nil.
 	Trailer func() http.Header
 	// Events is set if the body is a stream of server-sent events.
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -91,7 +91,7 @@
 	if err := work.run(ctx); err != nil {
 		return err
 	}
-	if x.Stream && isEventStream(x.Answer.Header.Get("Content-Type")) {
+	if x.Stream && forward.IsEventStream(x.Answer.Header.Get("Content-Type")) {
 		x.Answer.Events = true
 		// The stream may be resumed at a target whose events have other lengths.
 		x.Answer.Length = -1
--- a/internal/filter/events.go
+++ b/internal/filter/events.go
@@ -51,8 +51,6 @@
 	abandoned bool
 
 	body io.ReadCloser
-	// recordBreak records that the current target's response was broken off.
-	recordBreak func()
 	// framed is set if the current target marks the end of its response, sawEventHere
 	// once it has sent an event or a comment.
 	framed       bool
@@ -91,10 +89,6 @@
 	now := time.Now()
 	s.body = a.Body
 	s.abandoned = false
-	s.recordBreak = a.RecordBreak
-	if s.recordBreak == nil {
-		s.recordBreak = func() {}
-	}
 	s.framed = a.Framed
 	s.sawEventHere = false
 	s.maxPause = TryTimeouts(s.work.x, now).BetweenBytes
@@ -149,10 +143,8 @@
 func (s *eventStream) end() {
 	switch {
 	case len(bytes.TrimSpace(s.partial)) > 0:
-		s.recordBreak()
 		s.resumeOrFail(s.brokenOff("the stream ended inside an event"))
 	case !s.framed && !s.sawEventHere:
-		s.recordBreak()
 		s.resumeOrFail(s.brokenOff("the stream ended before its first event, without framing"))
 	default:
 		// Blank lines after the last event belong to the body as well.
@@ -260,7 +252,7 @@
 
 // resumes reports whether an answer can continue a stream.
 func resumes(a *Answer) bool {
-	return a.Status == http.StatusOK && isEventStream(a.Header.Get("Content-Type"))
+	return a.Status == http.StatusOK && forward.IsEventStream(a.Header.Get("Content-Type"))
 }
 
 // switchToNext goes on with the response that takes over, if there is one.
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"mime"
 	"net/http"
 	"time"
 
@@ -68,9 +67,7 @@
 		Framed:  a.Framed,
 		Body:    a,
 		Trailer: a.Trailer,
-		Events:  isEventStream(a.Header.Get("Content-Type")),
-
-		RecordBreak: a.RecordBreak,
+		Events:  forward.IsEventStream(a.Header.Get("Content-Type")),
 	}
 	if f.NotRun != nil {
 		x.Answer.NotRun = f.NotRun(a.Status, a.Header)
@@ -80,9 +77,3 @@
 	}
 	return next(ctx, x)
 }
-
-// isEventStream reports whether the media type is that of server-sent events.
-func isEventStream(contentType string) bool {
-	media, _, err := mime.ParseMediaType(contentType)
-	return err == nil && media == "text/event-stream"
-}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -36,10 +36,12 @@
 	betweenBytes time.Duration
 	request      *Request
 	client       *Client
+	// events follows a stream of events that ends with its connection; nil for others.
+	events *eventEnd
 }
 
 func newResponse(ctx context.Context, cancel context.CancelCauseFunc, w *watchdog, httpResp *http.Response, r *Request, c *Client) *Response {
-	return &Response{
+	resp := &Response{
 		Status:       httpResp.StatusCode,
 		Header:       copyEndToEnd(httpResp.Header, c.dialect.IsReservedResponseHeader),
 		Length:       httpResp.ContentLength,
@@ -53,6 +55,10 @@
 		request:      r,
 		client:       c,
 	}
+	if !resp.Framed && IsEventStream(resp.Header.Get("Content-Type")) {
+		resp.events = &eventEnd{}
+	}
+	return resp
 }
 
 // framed reports whether the response marks the end of its body by a length or by
@@ -85,6 +91,9 @@
 	n, err := r.httpResp.Body.Read(p)
 	r.watchdog.stop()
 	r.nextTimeout = r.betweenBytes
+	if r.events != nil {
+		r.events.write(p[:n])
+	}
 	if err == nil {
 		return n, nil
 	}
@@ -97,20 +106,19 @@
 	err = classify(err, context.Cause(r.ctx), true)
 	r.client.countFailure(err)
 	if errors.Is(err, ErrTruncated) {
-		r.RecordBreak()
+		r.client.breaks.record(r.request.Addr)
 	}
 	return n, errs.Wrap(err, Step, r.request.Target)
 }
 
-// RecordBreak records that the response broke off visibly. Read does so by itself; users of
-// the body call it if the content shows a break that the framing does not.
-func (r *Response) RecordBreak() { r.client.breaks.record(r.request.Addr) }
-
 // checkEnd returns an error if the end of the body is not the end of the response.
 func (r *Response) checkEnd() error {
 	if r.Framed {
 		return nil
 	}
+	if r.events != nil && !r.events.afterEvent {
+		return errInsideEvent
+	}
 	return r.client.confirmEnd(r.ctx, r.request)
 }
 
--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -19,7 +19,9 @@
 	probeReset = 20 * time.Millisecond
 	// crashSpread is the longest time between the ends of the connections of one crash, as
 	// this process notices them.
-	crashSpread = 100 * time.Millisecond
+	crashSpread = 250 * time.Millisecond
+	// crashPoll is the time between two checks whether other responses have broken off.
+	crashPoll = 10 * time.Millisecond
 )
 
 // errRefused means that the target has no listener any more.
@@ -36,14 +38,27 @@
 	if !errors.Is(err, errRefused) || r.Leaving == nil || !r.Leaving() {
 		return err
 	}
-	time.Sleep(probeReset)
-	if c.breaks.since(r.Addr, ended.Add(-crashSpread)) {
+	if c.othersBroke(r.Addr, ended) {
 		return fmt.Errorf("other responses of the leaving target broke off at the same time: %w", err)
 	}
 	c.leftTargets.Inc(1)
 	return nil
 }
 
+// othersBroke reports whether other responses from addr broke off within crashSpread before or
+// after ended. It waits for those that may still do so.
+func (c *Client) othersBroke(addr string, ended time.Time) bool {
+	for {
+		if c.breaks.since(addr, ended.Add(-crashSpread)) {
+			return true
+		}
+		if time.Since(ended) > crashSpread {
+			return false
+		}
+		time.Sleep(crashPoll)
+	}
+}
+
 // probe opens a connection to the target and returns an error if the target has crashed. A
 // target at its connection limit resets the connection, as does the system for a process that
 // is just ending; only the latter refuses the next one. While the target is silent, probe
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -46,7 +46,7 @@
 			r.Leaving = test.leaving
 			resp, err := c.Do(context.Background(), r)
 			if test.broken {
-				resp.RecordBreak()
+				c.breaks.record(addr)
 			}
 			got, err := read(resp, err)
 			if got != "abc" || !errors.Is(err, test.err) || err != nil && test.err == nil {
