Callers' connections: the end of the idle time ends the wait, not the connection

Clients reuse connections up to four fifths of the limit; so it takes a change of the configuration that shortens the idle or header limit, or a router that is late by the rest.

Cause: the monitor closed the connection when its timer ran out, unless the server had reported it as active. The server reports that after it has read the whole header. A request that was read in between was served on a closed connection.

Change: the monitor ends the server's read with a deadline in the past, and the server closes the connection if it has read nothing. If it has read a request, its report removes the deadline, and the request is answered. The deadline is set again each 100 ms while the state stays, because the server sets deadlines of its own between two requests.

Tests: in TestMonitor the fake connection has no Close any more and records an ended read, which is what closes a connection now; the checks are the same, two cases are new.

--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -32,9 +32,21 @@
 // wait is the time in which a connection waits for one request. The pointer to a
 // wait identifies it, so that a timer which fires late does not end the next wait of
 // the same connection.
-type wait struct{ timer *time.Timer }
+type wait struct {
+	timer *time.Timer
+	// expired is set once the read deadline of the connection has ended the wait.
+	expired bool
+}
+
+// recheckInterval is the time after which a connection whose wait has ended is ended again,
+// if its state has not changed: the server may have set a deadline of its own meanwhile.
+const recheckInterval = 100 * time.Millisecond
+
+// endedAt is a read deadline in the past.
+var endedAt = time.Unix(1, 0)
 
-// NewMonitor creates a Monitor that calls timeouts at the start of each wait.
+// NewMonitor creates a Monitor that calls timeouts at the start of each wait. The server must
+// not have a ReadTimeout: a request that comes as its wait ends would lose that deadline.
 func NewMonitor(timeouts func() Timeouts) *Monitor {
 	return &Monitor{timeouts: timeouts, waits: make(map[net.Conn]*wait)}
 }
@@ -52,8 +64,7 @@
 	}
 }
 
-// startTimer starts a wait: the connection is closed unless its state changes
-// within the timeout.
+// startTimer starts a wait: it ends unless the connection's state changes within the timeout.
 func (m *Monitor) startTimer(c net.Conn, timeout time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -66,17 +77,19 @@
 	next.timer = time.AfterFunc(timeout, func() { m.expire(c, next) })
 }
 
-// expire closes the connection if it is still in this wait.
+// expire ends the server's wait for a request, so that it closes the connection. Only the
+// reading ends: the server may just have read a request that it has not reported yet, and the
+// answer to that needs the connection.
 func (m *Monitor) expire(c net.Conn, ended *wait) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.waits[c] != ended {
 		return
 	}
-	delete(m.waits, c)
-	// Nothing can be done about an error of Close: the caller is not waiting for an
-	// answer.
-	_ = c.Close()
+	ended.expired = true
+	// The only error is that of a connection that is closed already.
+	_ = c.SetReadDeadline(endedAt)
+	ended.timer.Reset(recheckInterval)
 }
 
 // cancelTimer ends the connection's current wait, if there is one.
@@ -92,5 +105,9 @@
 	if current := m.waits[c]; current != nil {
 		current.timer.Stop()
 		delete(m.waits, c)
+		if current.expired {
+			// The state changed, so there is a request, or the connection is closed.
+			_ = c.SetReadDeadline(time.Time{})
+		}
 	}
 }
--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -8,14 +8,15 @@
 	"time"
 )
 
-// fakeConn records whether it was closed.
+// fakeConn records whether its read deadline has passed, on which an http.Server closes a
+// connection that waits for a request. It can't be closed.
 type fakeConn struct {
 	net.Conn
-	closed bool
+	ended bool
 }
 
-func (c *fakeConn) Close() error {
-	c.closed = true
+func (c *fakeConn) SetReadDeadline(t time.Time) error {
+	c.ended = !t.IsZero() && !t.After(time.Now())
 	return nil
 }
 
@@ -43,6 +44,8 @@
 		"a long answer is no idle time":    {timeouts, []transition{{0, http.StateIdle}, {time.Second, http.StateActive}}, time.Hour, false},
 		"no bounds":                        {Timeouts{}, []transition{{0, http.StateNew}, {0, http.StateIdle}}, time.Hour, false},
 		"closed by the caller":             {timeouts, []transition{{0, http.StateNew}, {0, http.StateClosed}}, time.Minute, false},
+		"used as the wait ends":            {timeouts, []transition{{0, http.StateIdle}, {16 * time.Second, http.StateActive}}, time.Hour, false},
+		"idle again after that":            {timeouts, []transition{{0, http.StateIdle}, {16 * time.Second, http.StateActive}, {0, http.StateIdle}}, 16 * time.Second, true},
 		"idle twice without a new request": {timeouts, []transition{{0, http.StateIdle}, {10 * time.Second, http.StateIdle}}, 14 * time.Second, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -57,8 +60,8 @@
 				synctest.Wait()
 				m.mu.Lock()
 				defer m.mu.Unlock()
-				if c.closed != test.closed {
-					t.Errorf("closed: %t, want %t", c.closed, test.closed)
+				if c.ended != test.closed {
+					t.Errorf("closed: %t, want %t", c.ended, test.closed)
 				}
 				for _, open := range m.waits {
 					open.timer.Stop()
@@ -83,8 +86,11 @@
 		synctest.Wait()
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		if !c.closed {
+		if !c.ended {
 			t.Error("the connection stayed open beyond the new timeout")
 		}
+		for _, open := range m.waits {
+			open.timer.Stop()
+		}
 	})
 }
