--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -252,6 +252,94 @@
 	}
 }
 
+// TestFailuresAreGivenUpOnlyForAnswers guards against a target's own failure that is dropped for
+// a try that brings no answer: no other target has a place, or all others decline, can't be
+// reached or break off. The caller gets the failure then, as its target has sent it.
+func TestFailuresAreGivenUpOnlyForAnswers(t *testing.T) {
+	failed := scriptedTarget{status: http.StatusInternalServerError, events: "failure of t0"}
+	declined := scriptedTarget{status: http.StatusServiceUnavailable, notRun: true, events: "declined"}
+	refused := scriptedTarget{notSent: true, err: errNoConn}
+	cut := scriptedTarget{err: errCutHere}
+	ok := scriptedTarget{status: http.StatusOK, events: "answer"}
+	for name, c := range map[string]struct {
+		picks, retries int
+		tries          []scriptedTarget
+		status         int
+		body           string
+	}{
+		"all others are full":               {1, 9, []scriptedTarget{failed}, 500, "failure of t0"},
+		"the others decline":                {3, 9, []scriptedTarget{failed, declined, declined}, 500, "failure of t0"},
+		"one declines, the others are full": {2, 9, []scriptedTarget{failed, declined}, 500, "failure of t0"},
+		"one declines, no retries left":     {3, 1, []scriptedTarget{failed, declined}, 500, "failure of t0"},
+		"the others can't be reached":       {3, 9, []scriptedTarget{failed, refused, refused}, 500, "failure of t0"},
+		"the others break off":              {3, 9, []scriptedTarget{failed, cut, cut}, 500, "failure of t0"},
+		"the last one fails in another way": {3, 9, []scriptedTarget{failed, cut, {status: http.StatusBadGateway, events: "failure of t2"}}, 502, "failure of t2"},
+		"another one answers":               {3, 9, []scriptedTarget{failed, declined, ok}, 200, "answer"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := routedExchange(routing.Idempotent, false)
+			x.Route.MaxTargets = 3
+			s := &script{t: t, tries: c.tries}
+			outcomes := make(map[string]balance.Outcome)
+			d := &Dispatch{
+				Guard:   &fakeGuard{},
+				Picker:  &limitedPicker{Picker: &numberedPicker{n: 3, outcomes: outcomes}, left: c.picks},
+				Retries: &fixedRetries{left: c.retries},
+				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+				Warmup:  NewWarmup(time.Time{}),
+			}
+			var bodies []*closingBody
+			err := d.Handle(t.Context(), x, func(ctx context.Context, x *Exchange) error {
+				err := s.next(ctx, x)
+				if err == nil {
+					body := &closingBody{ReadCloser: x.Answer.Body}
+					bodies = append(bodies, body)
+					x.Answer.Body = body
+				}
+				return err
+			})
+			if err != nil {
+				t.Fatalf("rejected: %v", err)
+			}
+			body, err := io.ReadAll(x.Answer.Body)
+			if x.Answer.Status != c.status || string(body) != c.body || err != nil {
+				t.Errorf("answered with %d, %q, %v, want %d, %q", x.Answer.Status, body, err, c.status, c.body)
+			}
+			if want := x.Grant.Target.Id; c.status == 500 && want != "t0" {
+				t.Errorf("the grant names %s, want the target that answered", want)
+			}
+			if outcomes["t0"] != balance.Failed {
+				t.Errorf("outcome %v of the target that failed, want %v", outcomes["t0"], balance.Failed)
+			}
+			x.Answer.Body.Close()
+			x.End()
+			for i, body := range bodies {
+				if !body.closed {
+					t.Errorf("the body of answer %d was not closed", i)
+				}
+			}
+		})
+	}
+}
+
+// closingBody records that it was closed. It can't be read after that.
+type closingBody struct {
+	io.ReadCloser
+	closed bool
+}
+
+func (b *closingBody) Read(p []byte) (int, error) {
+	if b.closed {
+		return 0, errCutHere
+	}
+	return b.ReadCloser.Read(p)
+}
+
+func (b *closingBody) Close() error {
+	b.closed = true
+	return b.ReadCloser.Close()
+}
+
 // TestTimeOverAfterDeclinedTry ends the caller's context during a try that the target
 // declines: the tries before it decide whether the outcome is not-run or unknown.
 func TestTimeOverAfterDeclinedTry(t *testing.T) {
