Dispatch: a failure is given up only for another target's answer

What callers saw: a 502 "target-failed" of the router in place of the 500 that a target had answered.

Cause: acceptOrDrop dropped the answer as soon as another target was thought to take the request and the retry limit allowed it. Whether that one has a place, is reachable and accepts was known only after that.

If the further tries bring none, it is the answer, with the grant of its target.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -75,6 +75,8 @@
 	// the try's onSilence. stream is set if the answer is a stream of events.
 	accepted *atomic.Bool
 	stream   atomic.Pointer[eventStream]
+	// failure is the answer of a target that failed the request, while others are tried.
+	failure failure
 	// overdue is set if the request has no prompt and the caller has already waited for
 	// more than half of the latency objective, in earlier requests or in this one.
 	overdue bool
@@ -107,7 +109,10 @@
 			return rejectCallerGone(d.x)
 		}
 		if err := d.pick(ctx); err != nil {
-			return err
+			if d.answerWithFailure() {
+				return nil
+			}
+			return d.rejectNoTarget(err)
 		}
 		err := d.try(ctx)
 		if err == nil {
@@ -117,9 +122,13 @@
 		if ctx.Err() != nil {
 			return rejectCallerGone(d.x)
 		}
-		if !d.mayTryAgain(err) {
-			return d.rejectAfterLastTry(err)
+		if d.mayTryAgain(err) {
+			continue
 		}
+		if !errors.Is(err, ErrInvariant) && d.answerWithFailure() {
+			return nil
+		}
+		return d.rejectAfterLastTry(err)
 	}
 }
 
@@ -135,7 +144,7 @@
 	return d.x.Answer, nil
 }
 
-// pick selects the next target, or rejects the request.
+// pick selects the next target.
 func (d *dispatch) pick(ctx context.Context) error {
 	choice, err := d.nextChoice(ctx)
 	if noTargetAvailable(err) && !d.tried {
@@ -145,7 +154,7 @@
 		choice, err = d.choose(ctx)
 	}
 	if err != nil {
-		return d.rejectNoTarget(err)
+		return err
 	}
 	d.choice = choice
 	d.exclude = append(d.exclude, choice.Target.Id)
@@ -306,7 +315,8 @@
 }
 
 // acceptOrDrop accepts the answer. If the target declined the request, or failed it and
-// another target may be tried, acceptOrDrop discards the answer and returns an error.
+// another target may be tried, acceptOrDrop returns an error. It discards the answer of a
+// target that declined, and keeps that of one that failed until another one answers.
 func (d *dispatch) acceptOrDrop(c balance.Choice) error {
 	a := d.x.Answer
 	d.reportHints(c.Target, a)
@@ -320,11 +330,12 @@
 		c.Done(declinedOutcome(a.Status))
 		return errs.Wrap(errNotRun, StepDispatch, c.Target.Id)
 	case a.Status >= http.StatusInternalServerError && d.repeatable() && c.Alternatives > 0 && d.ran+1 < d.x.Route.MaxTargets && d.allowRepeat():
-		d.dropAnswer()
+		d.keepFailure()
 		d.ran++
 		c.Done(balance.Failed)
 		return errs.Wrap(errFailed, StepDispatch, c.Target.Id)
 	}
+	d.failure = failure{}
 	d.ran++
 	d.accepted.Store(true)
 	d.x.OnEnd(func(u Usage) { c.Done(answerOutcome(a, u)) })
