Dispatch: test of refused connections that count as runs

Fails on this commit in both cases: once a request may have run at one target, a further target that refuses the connection is counted as another run, up to maxAttempts. A stream then stays at a target that sends no more events, although another target has a place later; a lookup gets a 502 after two of three runs.

--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -608,6 +608,71 @@
 	}
 }
 
+// fullOncePicker is a Picker whose targets are full in the selection with the number full.
+type fullOncePicker struct {
+	Picker
+	calls, full int
+}
+
+func (p *fullOncePicker) Pick(ctx context.Context, r balance.Request) (balance.Choice, error) {
+	p.calls++
+	if p.calls == p.full {
+		return balance.Choice{}, balance.ErrFull
+	}
+	return p.Picker.Pick(ctx, r)
+}
+
+// TestRefusedConnectionIsNoRun guards against a target that refuses the connection and is
+// counted as one that ran the request: a stream then stays at a target that has stalled for
+// good, and a request is rejected although one more run is allowed.
+func TestRefusedConnectionIsNoRun(t *testing.T) {
+	refused := scriptedTarget{notSent: true, err: errNoConn}
+	t.Run("stream", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			x := routedExchange(routing.Stream, true)
+			x.Deadline = time.Now().Add(time.Minute)
+			s := &script{t: t, tries: []scriptedTarget{{status: 200}, refused, {status: 200, events: events(3, 4)}}}
+			d := &Dispatch{
+				Guard:   &fakeGuard{},
+				Picker:  &fullOncePicker{Picker: &numberedPicker{n: 3, outcomes: make(map[string]balance.Outcome)}, full: 3},
+				Retries: &fixedRetries{left: 9},
+				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+				Warmup:  NewWarmup(time.Time{}),
+			}
+			err := d.Handle(t.Context(), x, func(ctx context.Context, x *Exchange) error {
+				first := len(s.lastEvents) == 0
+				err := s.next(ctx, x)
+				if first {
+					x.Answer.Body = &tricklingBody{events: strings.NewReader(events(1, 2)), piece: ": wait\n\n", pause: 100 * time.Millisecond}
+				}
+				return err
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := readFor(x.Answer.Body, 10*time.Second); len(s.tries) > 0 || !strings.HasSuffix(got, events(3, 4)) {
+				t.Errorf("%d tries were not made; read %q", len(s.tries), got)
+			}
+		})
+	})
+	t.Run("lookup", func(t *testing.T) {
+		x := routedExchange(routing.Idempotent, false)
+		x.Route.MaxTargets = 3
+		cut := scriptedTarget{err: errCutHere}
+		s := &script{t: t, tries: []scriptedTarget{cut, refused, cut, {status: http.StatusOK}}}
+		d := &Dispatch{
+			Guard:   &fakeGuard{},
+			Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
+			Retries: &fixedRetries{left: 9},
+			Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+			Warmup:  NewWarmup(time.Time{}),
+		}
+		if err := d.Handle(t.Context(), x, s.next); err != nil {
+			t.Errorf("rejected after two of three runs: %v", err)
+		}
+	})
+}
+
 // readFor reads a body until it ends, or for about the given time.
 func readFor(body io.Reader, length time.Duration) string {
 	var all strings.Builder
