Dispatch: a refused connection is no run

What callers saw: a stream whose target had stalled stayed there for good after one other target had refused the connection, although a further one had a place later and one run was left; a lookup got a 502 for the same reason.

Cause: a try without a connection was told from one that may have run by the request's token, which an earlier try had spent. So each refused connection used up one of maxAttempts: the only run that was left was given up for a target that was not there.

Change: a try that got no connection counts as a run in no case. It still counts among the four tries without a run while the token is unspent.

Evidence: TestRefusedConnectionIsNoRun failed before in both cases and passes; TestEachArrivalBeyondTheFirstIsAllowed and the rest of the package pass with -race.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -297,10 +297,12 @@
 	began := time.Now()
 	err := d.next(ctx, x)
 	if err != nil {
-		if x.Token.Spent() {
-			d.ran++
-		} else {
+		switch {
+		case !x.Token.Spent():
 			d.notRun++
+		case !errors.Is(err, forward.ErrDial):
+			// An earlier try may have spent the token; without a connection this one did not run.
+			d.ran++
 		}
 		d.recordSilent(err)
 		c.Done(failedTryOutcome(err, time.Since(began), x.Route.Goal))
