Forwarding: a response that comes as its wait is ended is not accepted

The target's silence had just lasted as long as the router waits for it; a busy router makes the moment longer.

Cause: the end of a wait cancels the request, and the Transport returns a response that is there by then. The client took it for a good one. So the try had been given up for another target, and its response was passed on without its body, while the place at the other target was never used.

Change: a response whose wait has been ended is closed, and the try ends with ErrSilent as if it had not come; the request goes to the other target.

Evidence: TestResponseAtTheEndOfAWait failed before and passes; package forward passes with -race.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -167,6 +167,12 @@
 	w.start(r.FirstByte)
 	httpResp, err := c.transport(r).RoundTrip(req)
 	w.stop()
+	if err == nil && errors.Is(context.Cause(ctx), ErrSilent) {
+		// The Transport returns a response that arrives while the request is cancelled. Its
+		// body can't be read any more.
+		httpResp.Body.Close()
+		err = ErrSilent
+	}
 	if err != nil {
 		err = classify(err, context.Cause(ctx), connected)
 		cancel(nil)
