Forwarding: test of a timer that ends the wait after its own

Fails on this commit: the function of a timer that has fired runs only after the next wait has begun, takes that one for its own, and ends it at its start. TestEndOfAWait passes; it covers the times at which a wait is examined.

--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -4,8 +4,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -71,3 +73,51 @@
 		})
 	}
 }
+
+// TestLateTimerOfAWait guards against a wait that is ended at its start: the timer of the wait
+// before it has fired, and its function runs only after the next wait has begun.
+func TestLateTimerOfAWait(t *testing.T) {
+	for name, more := range map[string]time.Duration{"ended": 0, "extended": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			asked, ended := 0, 0
+			w := newWatchdog(func() time.Duration {
+				asked++
+				return more
+			}, func() { ended++ })
+			w.start(time.Minute)
+			w.stop()
+			w.start(time.Hour)
+			defer w.stop()
+			w.expire()
+			if asked > 0 || ended > 0 {
+				t.Errorf("a wait of an hour was examined %d times and ended %d times at its start", asked, ended)
+			}
+		})
+	}
+}
+
+// TestEndOfAWait checks that a wait is examined when its time is over, and again when the time
+// by which it was extended is over.
+func TestEndOfAWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const first, extension = 300 * time.Millisecond, 200 * time.Millisecond
+		began := time.Now()
+		var examined []time.Duration
+		var ended time.Duration
+		w := newWatchdog(func() time.Duration {
+			examined = append(examined, time.Since(began))
+			if len(examined) < 3 {
+				return extension
+			}
+			return 0
+		}, func() { ended = time.Since(began) })
+		w.start(first)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		w.stop()
+		want := []time.Duration{first, first + extension, first + 2*extension}
+		if !slices.Equal(examined, want) || ended != want[2] {
+			t.Errorf("examined after %v, ended after %v, want %v", examined, ended, want)
+		}
+	})
+}
