Forwarding: a late timer ends no wait but its own

Cause: the watchdog reuses one timer for all waits of a request. Its function read the number of the current wait when it ran. If the timer had fired at the end of the wait for the header and ran only after the wait for the body had begun, it examined and ended that one.

Change: each wait knows when it is to be examined; a function that runs earlier than that does nothing, since the timer was set anew.

Evidence: TestLateTimerOfAWait failed before in both cases and passes; package forward passes with -race, twice.

--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -16,9 +16,11 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// wait counts the waits; waiting is set during one.
+	// wait counts the waits; waiting is set during one. until is the time at which the current
+	// one is examined.
 	wait    int
 	waiting bool
+	until   time.Time
 }
 
 func newWatchdog(extend func() time.Duration, end func()) *watchdog {
@@ -34,6 +36,7 @@
 	defer w.mu.Unlock()
 	w.wait++
 	w.waiting = true
+	w.until = time.Now().Add(d)
 	if w.timer == nil {
 		w.timer = time.AfterFunc(d, w.expire)
 		return
@@ -41,12 +44,13 @@
 	w.timer.Reset(d)
 }
 
-// expire extends or ends the current wait.
+// expire extends or ends the current wait. It may run late, when the wait of its timer is over
+// and the next one has begun; the timer then fires once more.
 func (w *watchdog) expire() {
 	w.mu.Lock()
-	wait, waiting := w.wait, w.waiting
+	wait, due := w.wait, w.waiting && !time.Now().Before(w.until)
 	w.mu.Unlock()
-	if !waiting {
+	if !due {
 		return
 	}
 	more := w.extend()
@@ -55,6 +59,7 @@
 	switch {
 	case !w.waiting || w.wait != wait:
 	case more > 0:
+		w.until = time.Now().Add(more)
 		w.timer.Reset(more)
 	default:
 		w.end()
