--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -77,6 +77,7 @@
 	status  int
 	notRun  bool
 	events  string
+	length  int64
 	cut     error
 }
 
@@ -109,6 +110,7 @@
 		Status: try.status,
 		Header: http.Header{"Content-Type": {"text/event-stream"}},
 		NotRun: try.notRun,
+		Length: try.length,
 		Body:   &cutBody{data: strings.NewReader(try.events), err: try.cut},
 	}
 	return nil
@@ -226,11 +228,11 @@
 		outcome Outcome
 		code    string
 	}{
-		"at once":       {nil, 503, OutcomeNotRun, "busy"},
-		"declined":      {[]scriptedTarget{declined}, 503, OutcomeNotRun, "busy"},
-		"not connected": {[]scriptedTarget{{notSent: true, err: errNoConn}}, 503, OutcomeNotRun, "busy"},
-		"cut":           {[]scriptedTarget{{err: errCutHere}}, 502, OutcomeUnknown, "target-failed"},
-		"failed":        {[]scriptedTarget{{status: http.StatusInternalServerError}}, 502, OutcomeUnknown, "target-failed"},
+		"at once":                    {nil, 503, OutcomeNotRun, "busy"},
+		"declined":                   {[]scriptedTarget{declined}, 503, OutcomeNotRun, "busy"},
+		"not connected":              {[]scriptedTarget{{notSent: true, err: errNoConn}}, 503, OutcomeNotRun, "busy"},
+		"cut":                        {[]scriptedTarget{{err: errCutHere}}, 502, OutcomeUnknown, "target-failed"},
+		"failed, with a long answer": {[]scriptedTarget{{status: http.StatusInternalServerError, length: maxFailureBytes + 1}}, 502, OutcomeUnknown, "target-failed"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &script{t: t, tries: c.tries}
@@ -253,6 +255,122 @@
 	}
 }
 
+// TestFailuresAreGivenUpOnlyForAnswers guards against a target's own failure that is dropped for
+// a try that brings no answer: no other target has a place, or all others decline, can't be
+// reached or break off. The caller gets the failure then, as its target has sent it.
+func TestFailuresAreGivenUpOnlyForAnswers(t *testing.T) {
+	failed := scriptedTarget{status: http.StatusInternalServerError, events: "failure of t0"}
+	declined := scriptedTarget{status: http.StatusServiceUnavailable, notRun: true, events: "declined"}
+	refused := scriptedTarget{notSent: true, err: errNoConn}
+	cut := scriptedTarget{err: errCutHere}
+	ok := scriptedTarget{status: http.StatusOK, events: "answer"}
+	for name, c := range map[string]struct {
+		picks, retries int
+		tries          []scriptedTarget
+		status         int
+		body           string
+	}{
+		"all others are full":               {1, 9, []scriptedTarget{failed}, 500, "failure of t0"},
+		"the others decline":                {3, 9, []scriptedTarget{failed, declined, declined}, 500, "failure of t0"},
+		"one declines, the others are full": {2, 9, []scriptedTarget{failed, declined}, 500, "failure of t0"},
+		"one declines, no retries left":     {3, 1, []scriptedTarget{failed, declined}, 500, "failure of t0"},
+		"the others can't be reached":       {3, 9, []scriptedTarget{failed, refused, refused}, 500, "failure of t0"},
+		"the others break off":              {3, 9, []scriptedTarget{failed, cut, cut}, 500, "failure of t0"},
+		"the last one fails in another way": {3, 9, []scriptedTarget{failed, cut, {status: http.StatusBadGateway, events: "failure of t2"}}, 502, "failure of t2"},
+		"another one answers":               {3, 9, []scriptedTarget{failed, declined, ok}, 200, "answer"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := routedExchange(routing.Idempotent, false)
+			x.Route.MaxTargets = 3
+			s := &script{t: t, tries: c.tries}
+			outcomes := make(map[string]balance.Outcome)
+			d := &Dispatch{
+				Guard:   &fakeGuard{},
+				Picker:  &limitedPicker{Picker: &numberedPicker{n: 3, outcomes: outcomes}, left: c.picks},
+				Retries: &fixedRetries{left: c.retries},
+				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+				Warmup:  NewWarmup(time.Time{}),
+			}
+			var bodies []*closingBody
+			err := d.Handle(t.Context(), x, func(ctx context.Context, x *Exchange) error {
+				err := s.next(ctx, x)
+				if err == nil {
+					body := &closingBody{ReadCloser: x.Answer.Body}
+					bodies = append(bodies, body)
+					x.Answer.Body = body
+				}
+				return err
+			})
+			if err != nil {
+				t.Fatalf("rejected: %v", err)
+			}
+			body, err := io.ReadAll(x.Answer.Body)
+			if x.Answer.Status != c.status || string(body) != c.body || err != nil {
+				t.Errorf("answered with %d, %q, %v, want %d, %q", x.Answer.Status, body, err, c.status, c.body)
+			}
+			if want := x.Grant.Target.Id; c.status == 500 && want != "t0" {
+				t.Errorf("the grant names %s, want the target that answered", want)
+			}
+			if outcomes["t0"] != balance.Failed {
+				t.Errorf("outcome %v of the target that failed, want %v", outcomes["t0"], balance.Failed)
+			}
+			x.Answer.Body.Close()
+			x.End()
+			for i, body := range bodies {
+				if !body.closed {
+					t.Errorf("the body of answer %d was not closed", i)
+				}
+			}
+		})
+	}
+}
+
+// TestSlowFailureIsNotAwaited guards against a retry that waits for the body of the failure
+// before it: a target sends the header of a failure and no body.
+func TestSlowFailureIsNotAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		x := routedExchange(routing.Idempotent, false)
+		s := &script{t: t, tries: []scriptedTarget{{status: http.StatusInternalServerError}, {status: http.StatusOK, events: "answer"}}}
+		d := &Dispatch{
+			Guard:   &fakeGuard{},
+			Picker:  &numberedPicker{n: 2, outcomes: make(map[string]balance.Outcome)},
+			Retries: &fixedRetries{left: 9},
+			Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+			Warmup:  NewWarmup(time.Time{}),
+		}
+		err := d.Handle(t.Context(), x, func(ctx context.Context, x *Exchange) error {
+			err := s.next(ctx, x)
+			if x.Answer.Status == http.StatusInternalServerError {
+				x.Answer.Length = 1
+				x.Answer.Body, _ = io.Pipe()
+			}
+			return err
+		})
+		if err != nil || x.Answer.Status != http.StatusOK || time.Since(began) > failureReadTime {
+			t.Errorf("error %v, answer %+v after %v", err, x.Answer, time.Since(began))
+		}
+	})
+}
+
+// closingBody records that it was closed. It can't be read after that.
+type closingBody struct {
+	io.ReadCloser
+	closed bool
+}
+
+func (b *closingBody) Read(p []byte) (int, error) {
+	if b.closed {
+		return 0, errCutHere
+	}
+	return b.ReadCloser.Read(p)
+}
+
+func (b *closingBody) Close() error {
+	b.closed = true
+	return b.ReadCloser.Close()
+}
+
 // TestTimeOverAfterDeclinedTry ends the caller's context during a try that the target
 // declines: the tries before it decide whether the outcome is not-run or unknown.
 func TestTimeOverAfterDeclinedTry(t *testing.T) {
@@ -491,6 +609,71 @@
 	}
 }
 
+// fullOncePicker is a Picker whose targets are full in the selection with the number full.
+type fullOncePicker struct {
+	Picker
+	calls, full int
+}
+
+func (p *fullOncePicker) Pick(ctx context.Context, r balance.Request) (balance.Choice, error) {
+	p.calls++
+	if p.calls == p.full {
+		return balance.Choice{}, balance.ErrFull
+	}
+	return p.Picker.Pick(ctx, r)
+}
+
+// TestRefusedConnectionIsNoRun guards against a target that refuses the connection and is
+// counted as one that ran the request: a stream then stays at a target that has stalled for
+// good, and a request is rejected although one more run is allowed.
+func TestRefusedConnectionIsNoRun(t *testing.T) {
+	refused := scriptedTarget{notSent: true, err: errNoConn}
+	t.Run("stream", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			x := routedExchange(routing.Stream, true)
+			x.Deadline = time.Now().Add(time.Minute)
+			s := &script{t: t, tries: []scriptedTarget{{status: 200}, refused, {status: 200, events: events(3, 4)}}}
+			d := &Dispatch{
+				Guard:   &fakeGuard{},
+				Picker:  &fullOncePicker{Picker: &numberedPicker{n: 3, outcomes: make(map[string]balance.Outcome)}, full: 3},
+				Retries: &fixedRetries{left: 9},
+				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+				Warmup:  NewWarmup(time.Time{}),
+			}
+			err := d.Handle(t.Context(), x, func(ctx context.Context, x *Exchange) error {
+				first := len(s.lastEvents) == 0
+				err := s.next(ctx, x)
+				if first {
+					x.Answer.Body = &tricklingBody{events: strings.NewReader(events(1, 2)), piece: ": wait\n\n", pause: 100 * time.Millisecond}
+				}
+				return err
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := readFor(x.Answer.Body, 10*time.Second); len(s.tries) > 0 || !strings.HasSuffix(got, events(3, 4)) {
+				t.Errorf("%d tries were not made; read %q", len(s.tries), got)
+			}
+		})
+	})
+	t.Run("lookup", func(t *testing.T) {
+		x := routedExchange(routing.Idempotent, false)
+		x.Route.MaxTargets = 3
+		cut := scriptedTarget{err: errCutHere}
+		s := &script{t: t, tries: []scriptedTarget{cut, refused, cut, {status: http.StatusOK}}}
+		d := &Dispatch{
+			Guard:   &fakeGuard{},
+			Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
+			Retries: &fixedRetries{left: 9},
+			Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+			Warmup:  NewWarmup(time.Time{}),
+		}
+		if err := d.Handle(t.Context(), x, s.next); err != nil {
+			t.Errorf("rejected after two of three runs: %v", err)
+		}
+	})
+}
+
 // readFor reads a body until it ends, or for about the given time.
 func readFor(body io.Reader, length time.Duration) string {
 	var all strings.Builder
