Quarantine: a lift reaches every router beside older builds

Cause: the end of a hold was sent like any change, in three rounds to three random routers. Routers of builds without the quarantine pass nothing on; with half of them, a router that is left out by the rounds (once in about 70 times) depends on a digest, one every 2 s from each router to a random one, that happens to reach it. Its own digests, in which it shows the lifted hold, were not answered. What operators and callers saw: a hold that was lifted, or that an answer had refuted, went on at one router for seconds, and its callers got 503.

Change: the end of a hold is sent in six rounds, without the crashes that it refutes, so that it costs no more bytes. A router that receives a hold which it knows to have ended returns its record to the sender. The messages are those of before, so builds with a quarantine of parts alone read them.

No check changed. TestEndedHoldIsReturned checks the reply and its size.

--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -229,6 +229,54 @@
 	}
 }
 
+// TestEndedHoldIsReturned guards against a router that has missed the end of a hold and goes on
+// refusing requests: another router must answer its digest with the end of the hold, once, and
+// in few bytes. A hold that is news to the receiver must not be answered.
+func TestEndedHoldIsReturned(t *testing.T) {
+	const maxBytes = 100
+	for name, end := range map[string]func(d *Detector, now time.Time){
+		"by an operator": func(d *Detector, now time.Time) { d.Lift(now, "p") },
+		"by an answer": func(d *Detector, now time.Time) {
+			d.Observe(now, Trial{Parts: []string{"p"}, Outcome: Answered})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := NewDetector("r1"), NewDetector("r2")
+			now := start
+			for i := range 10 {
+				now = now.Add(200 * time.Millisecond)
+				crashIn(first, now, uint64(i), "p")
+				first.Tick(now)
+			}
+			hold := first.Digest(now)
+			if len(hold) != 1 || !second.Merge(now, hold[0]) || len(second.Holds(now)) != 1 {
+				t.Fatalf("the hold was not passed on: %v", hold)
+			}
+			if returned := second.Refutes(now, hold[0]); returned != nil {
+				t.Errorf("a hold that is in force was refuted: %v", returned)
+			}
+			now = now.Add(5 * time.Second)
+			end(first, now)
+			now = now.Add(time.Second)
+			stale := second.Digest(now)[0]
+			first.Merge(now, stale)
+			returned := first.Refutes(now, stale)
+			if returned == nil {
+				t.Fatal("the end of the hold was not returned")
+			}
+			if size := proto.Size(returned); size > maxBytes {
+				t.Errorf("the end of the hold has %d bytes, at most %d may", size, maxBytes)
+			}
+			if !second.Merge(now, returned) || len(second.Holds(now)) > 0 {
+				t.Error("the returned record does not end the hold")
+			}
+			if again := first.Refutes(now, second.Digest(now)[0]); again != nil {
+				t.Errorf("the end of the hold was returned to a router that knows it: %v", again)
+			}
+		})
+	}
+}
+
 // FuzzMerge merges arbitrary records. They must neither end the process nor exceed the
 // bounds.
 func FuzzMerge(f *testing.F) {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -176,21 +176,28 @@
 	return lifted
 }
 
-// Handle processes a message of the router with the given id and peer address.
+// Handle processes a message of the router with the given id and peer address. If that router
+// holds parts whose holds have ended, it is told so.
 func (g *Guard) Handle(router, addr string, q *pb.Quarantine) {
 	var reply []*pb.Quarantine
+	var refuted []*pb.PartRecord
 	g.do(func(d *Detector, now time.Time) {
 		g.synced = g.synced || q.Reply
 		d.MergeCounts(now, router, q)
 		for _, r := range q.Records {
 			if !d.Merge(now, r) {
 				g.cfg.Logger.Warn().Str("step", step).Str("peer", router).Str("part", r.GetPart()).Msg("a record with invalid fields was ignored")
+				continue
+			}
+			if own := d.Refutes(now, r); own != nil {
+				refuted = append(refuted, own)
 			}
 		}
 		if q.Want {
 			reply = decisions(d, now)
 		}
 	})
+	g.send([]string{addr}, refuted)
 	for _, m := range reply {
 		g.cfg.Send([]string{addr}, m)
 	}
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -135,19 +135,19 @@
 	for name, disturb := range map[string]func(f *simFleet){
 		"restart": func(f *simFleet) { f.start(f.routers[4]) },
 		"partition": func(f *simFleet) {
-			f.cut = func(from, to *router) bool { return (from.status.Id < "router-010") != (to.status.Id < "router-010") }
+			f.setCut(func(from, to *router) bool { return (from.status.Id < "router-010") != (to.status.Id < "router-010") })
 			f.traffic(4*time.Second, 150, map[string]float64{bad: 3})
 		},
 		"builds that hold parts alone": func(f *simFleet) {
 			for _, r := range f.routers[10:] {
-				r.partsOnly = true
+				r.partsOnly.Store(true)
 			}
 			f.traffic(4*time.Second, 150, map[string]float64{bad: 3})
 		},
 		"older builds": func(f *simFleet) {
 			for _, r := range f.routers[10:] {
 				r.stop()
-				r.old = true
+				r.old.Store(true)
 			}
 			f.traffic(4*time.Second, 150, map[string]float64{bad: 3})
 		},
@@ -163,9 +163,9 @@
 				time.Sleep(time.Second)
 				f.requests.Wait()
 				f.wantHeld(bad)
-				f.cut = nil
+				f.setCut(nil)
 				time.Sleep(4 * time.Second)
-				if !f.routers[4].guard.LiftPart(bad) {
+				if !f.routers[4].guard().LiftPart(bad) {
 					t.Error("the request was not held at the router that was asked to lift it")
 				}
 				time.Sleep(4 * time.Second)
@@ -253,7 +253,7 @@
 		for i, r := range f.routers {
 			if i%2 == 1 {
 				r.stop()
-				r.old = true
+				r.old.Store(true)
 			}
 		}
 		f.traffic(3*time.Second, 150, nil)
@@ -268,11 +268,11 @@
 func TestHoldDuringPartition(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 12, 24, 5)
-		f.cut = func(from, to *router) bool { return (from.status.Id < "router-006") != (to.status.Id < "router-006") }
+		f.setCut(func(from, to *router) bool { return (from.status.Id < "router-006") != (to.status.Id < "router-006") })
 		f.traffic(3*time.Second, 150, nil)
 		f.traffic(12*time.Second, 150, map[string]float64{"bad": 3})
 		f.wantHeld("bad")
-		f.cut = nil
+		f.setCut(nil)
 		f.traffic(5*time.Second, 150, map[string]float64{"bad": 3})
 		f.requests.Wait()
 		f.wantHeld("bad")
@@ -326,7 +326,7 @@
 			f.requests.Wait()
 		},
 		"by an operator": func(f *simFleet) {
-			if !f.routers[5].guard.LiftPart("sound") {
+			if !f.routers[5].guard().LiftPart("sound") {
 				f.t.Error("the part was not held at the router that was asked to lift it")
 			}
 		},
@@ -371,7 +371,7 @@
 		f := newFleet(t, 3, 12, 5)
 		holdWrongly(f, "held")
 		f.start(f.routers[2])
-		f.routers[2].guard.Handle("router-000", f.routers[0].status.PeerAddr, &pb.Quarantine{Records: []*pb.PartRecord{{Part: "other"}}})
+		f.routers[2].guard().Handle("router-000", f.routers[0].status.PeerAddr, &pb.Quarantine{Records: []*pb.PartRecord{{Part: "other"}}})
 		time.Sleep(requestInterval + 2*roundInterval)
 		synctest.Wait()
 		f.wantHeld("held")
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -91,6 +91,9 @@
 	return r.hold.strikes > 0 && r.hold.renewed.After(r.liftedAt) && r.hold.renewed.After(r.evidenceFrom())
 }
 
+// refuted reports whether the part was held and an operator or an answer has ended the hold.
+func (r *record) refuted() bool { return r.hold.strikes > 0 && !r.held() }
+
 // evidenceFrom returns the time after which crashes count.
 func (r *record) evidenceFrom() time.Time {
 	from := r.liftedAt
--- a/internal/quarantine/simfleet_test.go
+++ b/internal/quarantine/simfleet_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,12 +58,12 @@
 }
 
 type router struct {
-	status *pb.RouterStatus
-	guard  *Guard
-	stop   context.CancelFunc
+	status  *pb.RouterStatus
+	running atomic.Pointer[Guard]
+	stop    context.CancelFunc
 	// old is set for a router of a build without the quarantine, partsOnly for one of a
 	// build that knows no requests in it.
-	old, partsOnly bool
+	old, partsOnly atomic.Bool
 	// sent holds the sizes of the messages sent, by second.
 	sent map[int64]int
 }
@@ -73,9 +74,12 @@
 	downUntil time.Time
 }
 
+// guard returns the Guard that runs at the router since its last start.
+func (r *router) guard() *Guard { return r.running.Load() }
+
 // known returns those of the keys that the router's build passes to its Guard.
 func (r *router) known(keys []string) []string {
-	if !r.partsOnly {
+	if !r.partsOnly.Load() {
 		return keys
 	}
 	return slices.DeleteFunc(slices.Clone(keys), IsRequestKey)
@@ -122,17 +126,18 @@
 	for _, other := range f.routers {
 		statuses = append(statuses, other.status)
 	}
-	r.guard = New(Config{
+	guard := New(Config{
 		Self:    r.status.Id,
 		Routers: func() []*pb.RouterStatus { return statuses },
 		Send:    func(to []string, q *pb.Quarantine) { f.send(r, to, q) },
 		Logger:  &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 		Scope:   tally.NoopScope,
 	})
+	r.running.Store(guard)
 	ctx, cancel := context.WithCancel(f.ctx)
 	r.stop = cancel
-	if !r.old {
-		go r.guard.Run(ctx)
+	if !r.old.Load() {
+		go guard.Run(ctx)
 	}
 }
 
@@ -144,17 +149,24 @@
 		i := slices.IndexFunc(f.routers, func(r *router) bool { return r.status.PeerAddr == addr })
 		receiver := f.routers[i]
 		from.sent[time.Now().Unix()] += proto.Size(q) + datagramOverhead
-		if receiver.old || f.rng.Float64() < f.loss || f.cut != nil && f.cut(from, receiver) {
+		if receiver.old.Load() || f.rng.Float64() < f.loss || f.cut != nil && f.cut(from, receiver) {
 			continue
 		}
 		message := proto.CloneOf(q)
-		if from.partsOnly {
+		if from.partsOnly.Load() {
 			withoutRequests(message)
 		}
-		time.AfterFunc(latency, func() { receiver.guard.Handle(from.status.Id, from.status.PeerAddr, message) })
+		time.AfterFunc(latency, func() { receiver.guard().Handle(from.status.Id, from.status.PeerAddr, message) })
 	}
 }
 
+// setCut sets which routers can't reach each other from now on, none if cut is nil.
+func (f *simFleet) setCut(cut func(from, to *router) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
 // soundRetries is how often an interrupted sound request is sent again, through a random
 // router: once by its router and once by its caller.
 const soundRetries = 2
@@ -171,9 +183,9 @@
 			up = append(up, e)
 		}
 	}
-	f.mu.Unlock()
 	bad := slices.ContainsFunc(parts, func(p string) bool { return f.bad[p] })
-	if !r.old && r.guard.Admit(r.known(parts)) != nil {
+	f.mu.Unlock()
+	if !r.old.Load() && r.guard().Admit(r.known(parts)) != nil {
 		if !bad {
 			f.count(&f.refused)
 		}
@@ -225,8 +237,8 @@
 	default:
 		f.count(&f.interrupted)
 	}
-	if !r.old {
-		r.guard.Observe("id", &pb.TargetStatus{Id: fmt.Sprint(engine)}, r.known(parts), sent, o)
+	if !r.old.Load() {
+		r.guard().Observe("id", &pb.TargetStatus{Id: fmt.Sprint(engine)}, r.known(parts), sent, o)
 	}
 }
 
@@ -286,9 +298,11 @@
 // these rates a second for a time.
 func (f *simFleet) traffic(length time.Duration, sound float64, bad map[string]float64) {
 	const tick = 10 * time.Millisecond
+	f.mu.Lock()
 	for part := range bad {
 		f.bad[part] = true
 	}
+	f.mu.Unlock()
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(tick) {
 		for range f.arrivalsIn(tick, sound) {
 			f.request(f.randomRouter(), append(f.soundPrompt(), f.ownKey())...)
@@ -316,7 +330,7 @@
 // heldAt returns the parts that a router holds.
 func (f *simFleet) heldAt(r *router) []string {
 	var parts []string
-	for _, h := range r.guard.HeldParts().Parts {
+	for _, h := range r.guard().HeldParts().Parts {
 		parts = append(parts, h.Part)
 	}
 	return parts
@@ -328,7 +342,7 @@
 	f.t.Helper()
 	slices.Sort(want)
 	for _, r := range f.routers {
-		if got := f.heldAt(r); !r.old && !slices.Equal(got, want) {
+		if got := f.heldAt(r); !r.old.Load() && !slices.Equal(got, want) {
 			f.t.Errorf("%s holds %s, want %s", r.status.Id, strings.Join(got, ","), strings.Join(want, ","))
 		}
 	}
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -17,6 +17,10 @@
 	// routers receive it in the number of rounds that grows with the logarithm of their
 	// number; digests reach the others.
 	updateRounds = 3
+	// liftRounds is updateRounds for the end of a hold. Nothing else tells a router that its
+	// hold is over, and it refuses sound requests until then, while routers of builds without
+	// the quarantine pass nothing on.
+	liftRounds = 6
 	// maxUpdateBytes bounds the records in one message.
 	maxUpdateBytes = 1100
 	// maxSingles bounds the records of single crashes that are sent in one round.
@@ -37,6 +41,9 @@
 func (d *Detector) touch(now time.Time, r *record) {
 	r.changed = now
 	r.sends = updateRounds
+	if r.refuted() && r.counted(nil) == 0 {
+		r.sends = liftRounds
+	}
 }
 
 // Updates returns the records to send in this round: those that changed recently, the most
@@ -120,7 +127,12 @@
 
 func (r *record) encode(now time.Time) *pb.PartRecord {
 	m := &pb.PartRecord{Part: r.part, AnsweredAgeMs: optionalAge(now, r.lastAnswered), LiftedAgeMs: optionalAge(now, r.liftedAt)}
+	refuted, from := r.refuted(), r.evidenceFrom()
 	for _, c := range r.crashes {
+		if refuted && !c.at.After(from) {
+			// The end of a hold must be small, because it is sent more often.
+			continue
+		}
 		m.CrashedTargets = append(m.CrashedTargets, c.target)
 		m.CrashAgesMs = append(m.CrashAgesMs, ageMs(now, c.at))
 		m.SentAgesMs = append(m.SentAgesMs, ageMs(now, c.sent))
@@ -186,6 +198,21 @@
 	return true
 }
 
+// Refutes returns this router's record of a part if the sender of m holds the part and this
+// router knows that the hold has ended, nil otherwise. It must be called after Merge.
+func (d *Detector) Refutes(now time.Time, m *pb.PartRecord) *pb.PartRecord {
+	r := d.records[m.GetPart()]
+	if r == nil || !r.refuted() {
+		return nil
+	}
+	theirs := record{lastAnswered: timeAt(now, m.AnsweredAgeMs), liftedAt: timeAt(now, m.LiftedAgeMs)}
+	theirs.mergeHold(now, m.Hold)
+	if !theirs.held() {
+		return nil
+	}
+	return r.encode(now)
+}
+
 // MergeCounts applies another router's counts of requests and of those that failed.
 func (d *Detector) MergeCounts(now time.Time, router string, m *pb.Quarantine) {
 	if len(m.FailedTargets) != len(m.FailuresAtTargets) || len(m.FailedTargets) > maxSentTargets {
