Quarantine: a lift does not turn explained crashes into evidence

Cause: an engine that ends interrupts all of its requests, so a sound request may have three crashes, its own tries. While the request that ended the engines is held, its hold explains them. Once an operator lifted that hold, nothing explained them, and at the next tick all routers held the sound request in its place. What operators and callers saw: the lift of one hold brought another one, on a request that nobody had complained about, for 30 s.

Crashes after it count. A hold that an answer has refuted explains nothing, as before. Price: if a hold was wrong, the real cause needs new crashes after the lift.

Evidence: TestLiftRevivesNoEvidence fails without the change ("request-sound is held") and passes with it. No message changed.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -48,7 +48,7 @@
 			cmp.Compare(x.part, y.part),
 		)
 	})
-	held := d.holding()
+	held := d.explaining()
 	for _, r := range candidates {
 		if !d.suffices(now, r, held) {
 			continue
@@ -134,26 +134,29 @@
 	}
 }
 
-// holding returns the records of the held parts.
-func (d *Detector) holding() []*record {
-	var held []*record
+// explaining returns the records that may explain crashes under others: those of the held parts,
+// and those whose hold an operator has lifted.
+func (d *Detector) explaining() []*record {
+	var records []*record
 	for _, r := range d.records {
-		if r.held() {
-			held = append(held, r)
+		if r.held() || r.lifted() {
+			records = append(records, r)
 		}
 	}
-	return held
+	return records
 }
 
 // explains returns a function that reports whether a crash is explained by a held part or
 // request other than r's. Of two with equally many crashes, neither explains those of the
 // other, because the evidence does not tell them apart. A part explains those of a request
-// however many it has: the hold on the part covers the request, if it has that part.
+// however many it has: the hold on the part covers the request, if it has that part. A hold that
+// an operator has lifted still explains the crashes before: else others, which had no part in
+// them, would be held in its place.
 func explains(held []*record, r *record) func(c crash) bool {
 	return func(c crash) bool {
 		return slices.ContainsFunc(held, func(other *record) bool {
 			switch {
-			case other == r:
+			case other == r, !other.held() && c.at.After(other.liftedAt):
 				return false
 			case r.isRequest() && !other.isRequest():
 				return other.has(c.target) || other.mayHaveDropped(c)
@@ -183,10 +186,10 @@
 		return causes
 	}
 	counts := make([]int, len(parts))
-	holding := d.holding()
+	explaining := d.explaining()
 	for i, part := range parts {
 		if r := d.records[partKey(part)]; r != nil {
-			counts[i] = r.counted(explains(holding, r))
+			counts[i] = r.counted(explains(explaining, r))
 		}
 	}
 	var causes []string
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -151,10 +151,10 @@
 	if len(d.records) == 0 {
 		return false
 	}
-	holding := d.holding()
+	explaining := d.explaining()
 	return slices.ContainsFunc(parts, func(part string) bool {
 		r := d.records[partKey(part)]
-		return r != nil && (r.held() || r.countedRepeats(explains(holding, r)) >= suspectCrashes)
+		return r != nil && (r.held() || r.countedRepeats(explains(explaining, r)) >= suspectCrashes)
 	})
 }
 
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -277,6 +277,43 @@
 	}
 }
 
+// TestLiftRevivesNoEvidence guards against a sound request that is held as soon as an operator
+// lifts the hold on the request that crashed engines at the same time. Crashes after the lift
+// must count.
+func TestLiftRevivesNoEvidence(t *testing.T) {
+	for _, lifted := range []string{RequestKey("deadly", true), "deadly-part"} {
+		sound := RequestKey("sound", true)
+		d, now := NewDetector("r1"), start
+		for i := range 5 {
+			now = now.Add(300 * time.Millisecond)
+			crashIn(d, now, uint64(i), lifted)
+			if i > 0 && i < 4 {
+				crashIn(d, now, uint64(i), sound)
+			}
+		}
+		d.Tick(now)
+		if holds := d.Holds(now); len(holds) != 1 || holds[0].Part != lifted {
+			t.Fatalf("%v are held, want %s", holds, lifted)
+		}
+		now = now.Add(time.Second)
+		if !d.Lift(now, lifted) {
+			t.Fatalf("%s was not lifted", lifted)
+		}
+		d.Tick(now.Add(roundInterval))
+		if holds := d.Holds(now); len(holds) > 0 {
+			t.Errorf("after the lift of %s, %v are held", lifted, holds)
+		}
+		for i := range 5 {
+			now = now.Add(300 * time.Millisecond)
+			crashIn(d, now, uint64(100+i), sound)
+			d.Tick(now)
+		}
+		if holds := d.Holds(now); len(holds) != 1 || holds[0].Part != sound {
+			t.Errorf("after five crashes that the lift of %s does not explain, %v are held, want %s", lifted, holds, sound)
+		}
+	}
+}
+
 // FuzzMerge merges arbitrary records. They must neither end the process nor exceed the
 // bounds.
 func FuzzMerge(f *testing.F) {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -94,6 +94,9 @@
 // refuted reports whether the part was held and an operator or an answer has ended the hold.
 func (r *record) refuted() bool { return r.hold.strikes > 0 && !r.held() }
 
+// lifted reports whether the part was held and an operator has lifted the hold.
+func (r *record) lifted() bool { return r.hold.strikes > 0 && !r.hold.renewed.After(r.liftedAt) }
+
 // evidenceFrom returns the time after which crashes count.
 func (r *record) evidenceFrom() time.Time {
 	from := r.liftedAt
