Takeovers: what is reserved or left is looked at again

What callers saw, by reading and by tests alone: a stream was cut when the target that had taken it over broke off, although the target that it had left went on; and a try at a silent target was given up for one that had left since its place was reserved for an earlier silence, which could also reach a draining target late (rule DRAIN).

Cause: a target that a takeover leaves stayed excluded for good; a reservation was kept without a further look.

Change: a target that was left may be selected again when no other takes the request. Each silence selects anew. A place that is not used gives its retry back to the limit.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -91,7 +91,7 @@
 	waited := d.WaitLimits.alreadyWaited(x) + time.Since(x.Received)
 	overdue := len(x.Prompt) == 0 && waited > x.Route.Goal/2
 	work := &dispatch{Dispatch: d, x: x, next: next, overdue: overdue}
-	x.OnEnd(func(Usage) { work.successor.release() })
+	x.OnEnd(func(Usage) { work.releaseSuccessor() })
 	if err := work.run(ctx); err != nil {
 		return err
 	}
--- a/internal/filter/silence.go
+++ b/internal/filter/silence.go
@@ -51,13 +51,6 @@
 	return true
 }
 
-// release gives the place of a choice that was not used back.
-func (s *successor) release() {
-	if choice := s.take(); choice != nil {
-		choice.Done(balance.Abandoned)
-	}
-}
-
 // onSilence returns the function that decides on the current try when its target is silent:
 // it returns zero if the try is to be given up, or how much longer to wait. The function may
 // run while the try ends in another way, so it uses copies of what changes between tries.
@@ -85,23 +78,34 @@
 }
 
 // reserveSuccessor selects a target for one more send of the request, if the retry limit
-// allows that. It reports whether there is one; a target that was selected for an earlier
-// silence, which then ended, is still there.
+// allows that, and reports whether there is one. It replaces the target that was selected for
+// an earlier silence, which may have left since.
 func (d *dispatch) reserveSuccessor(ctx context.Context, exclude []string) bool {
-	if d.successor.held() {
-		return true
-	}
+	d.releaseSuccessor()
 	choice, err := d.chooseExcept(ctx, exclude)
 	if err != nil {
 		return false
 	}
-	if !d.allowRepeat() || !d.successor.set(choice) {
+	if !d.allowRepeat() {
+		choice.Done(balance.Abandoned)
+		return false
+	}
+	if !d.successor.set(choice) {
 		choice.Done(balance.Abandoned)
+		d.Retries.ReturnRetry(d.x.Demand.Service)
 		return false
 	}
 	return true
 }
 
+// releaseSuccessor gives the place and the retry of a selected target back that were not used.
+func (d *dispatch) releaseSuccessor() {
+	if choice := d.successor.take(); choice != nil {
+		choice.Done(balance.Abandoned)
+		d.Retries.ReturnRetry(d.x.Demand.Service)
+	}
+}
+
 // recordSilent remembers that the current target was given up for its silence.
 func (d *dispatch) recordSilent(err error) {
 	if errors.Is(err, forward.ErrSilent) {
--- a/internal/filter/silence_test.go
+++ b/internal/filter/silence_test.go
@@ -52,7 +52,7 @@
 			if d.successor.held() != c.givenUp {
 				t.Errorf("a place is reserved: %t, want %t", d.successor.held(), c.givenUp)
 			}
-			d.successor.release()
+			d.releaseSuccessor()
 			for id, o := range picker.outcomes {
 				if o != balance.Abandoned {
 					t.Errorf("%s: outcome %v, want %v", id, o, balance.Abandoned)
@@ -61,3 +61,32 @@
 		})
 	}
 }
+
+// TestReservedTargetHasLeft guards against a try that is given up for a target that has left
+// since its place was reserved for an earlier silence.
+func TestReservedTargetHasLeft(t *testing.T) {
+	x := routedExchange(routing.Stream, true)
+	x.Deadline = time.Now().Add(time.Minute)
+	picker := &numberedPicker{n: 2, outcomes: make(map[string]balance.Outcome)}
+	retries := &fixedRetries{left: 1}
+	d := &dispatch{x: x, Dispatch: &Dispatch{
+		Guard:   &fakeGuard{},
+		Picker:  picker,
+		Retries: retries,
+		Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+	}}
+	if err := d.pick(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	silent := d.onSilence(t.Context())
+	if silent() != 0 {
+		t.Fatal("the try is not given up although another target has a place")
+	}
+	picker.n = 1
+	if silent() == 0 || d.successor.held() {
+		t.Error("the try is given up for a target that has left")
+	}
+	if retries.left != 1 {
+		t.Errorf("%d retries left, want the one that was not sent", retries.left)
+	}
+}
--- a/internal/filter/takeover.go
+++ b/internal/filter/takeover.go
@@ -152,6 +152,8 @@
 	next, closed := s.askNext()
 	if next != nil {
 		choice.Done(balance.Failed)
+		// It may go on, so it may be selected again if the next target breaks off.
+		w.silent = append(w.silent, choice.Target.Id)
 		s.next = next
 		return 0
 	}
@@ -198,7 +200,7 @@
 // the response that resumes the stream, nil if there is none.
 func (s *eventStream) askAgain(choice balance.Choice) *Answer {
 	s.work.x.AddReason(StepDispatch, choice.Target.Id, "asked again: the next target has not taken over")
-	s.work.successor.release()
+	s.work.releaseSuccessor()
 	s.work.successor.set(choice)
 	return s.resumeAnywhere(s.ctx)
 }
