Idle limits: whether a connection is idle is decided where it is read

Callers saw: a request on a kept connection ended with neither an answer nor a refusal, though it was sent before the idle limit, if the router was busy until after the limit. Some of these requests had been passed on to a target, which ran them for nobody. A shorter limit in a new table makes it likelier: callers still go by the old one.

Cause: a timer of its own closed the connection, whatever had arrived. The HTTP server calls a connection active only once it has parsed the whole header, so that a request could lie in the socket, or be read and on its way to a target, when the timer closed its connection.

Change: the timer makes reads fail, as a deadline does, and the goroutine that reads decides: it goes on if bytes have arrived, and what was read is served. The first bytes of a further request begin a header, which has the time for headers; before, it had only what was left of the idle limit.

--- /dev/null
+++ b/internal/idle/conn.go
@@ -0,0 +1,77 @@
+package idle
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// Listener returns a listener whose connections m can watch.
+func (m *Monitor) Listener(ln *net.TCPListener) net.Listener { return &listener{ln, m} }
+
+type listener struct {
+	*net.TCPListener
+	monitor *Monitor
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{c, l.monitor}, nil
+}
+
+// conn is a connection that is watched by a monitor.
+type conn struct {
+	*net.TCPConn
+	monitor *Monitor
+}
+
+// Read reads from the connection. After the timeout it fails if nothing has arrived.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(p)
+		switch {
+		case n > 0:
+			c.monitor.beginHeader(c)
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.monitor.expired(c) && c.unread():
+			c.monitor.beginHeader(c)
+			continue
+		}
+		return n, err
+	}
+}
+
+// SetReadDeadline sets the deadline of reads, which has no effect after the timeout.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.monitor.mu.Lock()
+	defer c.monitor.mu.Unlock()
+	if current := c.monitor.waits[c]; current != nil && current.expired {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// setReadDeadline sets the deadline of reads. An error is ignored: the connection is closed then.
+func (c *conn) setReadDeadline(t time.Time) { _ = c.TCPConn.SetReadDeadline(t) }
+
+// unread reports whether bytes have arrived that were not read yet.
+func (c *conn) unread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	arrived := false
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		arrived = err == nil && n > 0
+	})
+	return err == nil && arrived
+}
--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -20,7 +20,9 @@
 	Next time.Duration
 }
 
-// Monitor closes the connections of a server that wait too long for a request.
+// Monitor closes the connections of a server that wait too long for a request. Whether a
+// connection is idle is decided where it is read: a request that has arrived when the timeout
+// passes is served, however late a busy server reads it, and one that was read is never closed.
 type Monitor struct {
 	timeouts func() Timeouts
 
@@ -32,7 +34,14 @@
 // wait is the time in which a connection waits for one request. The pointer to a
 // wait identifies it, so that a timer which fires late does not end the next wait of
 // the same connection.
-type wait struct{ timer *time.Timer }
+type wait struct {
+	timer *time.Timer
+	// idle is set until bytes of the next request were read from a connection that has
+	// carried one before.
+	idle bool
+	// expired is set once the timeout has passed. Reads that find nothing then fail.
+	expired bool
+}
 
 // NewMonitor creates a Monitor that calls timeouts at the start of each wait.
 func NewMonitor(timeouts func() Timeouts) *Monitor {
@@ -40,57 +49,80 @@
 }
 
 // StateChanged starts or ends the wait of a connection whose state has changed. It is
-// the callback for http.Server.ConnState.
+// the callback for http.Server.ConnState, for a server whose listener is from Listener.
+// Connections from elsewhere are closed when the timeout passes, whatever has arrived.
 func (m *Monitor) StateChanged(c net.Conn, state http.ConnState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		m.startTimer(c, m.timeouts().First)
+		m.startWait(c, m.timeouts().First, false)
 	case http.StateIdle:
-		m.startTimer(c, m.timeouts().Next)
+		m.startWait(c, m.timeouts().Next, true)
 	case http.StateActive, http.StateClosed, http.StateHijacked:
-		m.cancelTimer(c)
+		m.endWait(c)
 	}
 }
 
-// startTimer starts a wait: the connection is closed unless its state changes
-// within the timeout.
-func (m *Monitor) startTimer(c net.Conn, timeout time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.stopTimerLocked(c)
+// startWait starts a wait: the connection is closed unless its state changes
+// within the timeout. m.mu must be held.
+func (m *Monitor) startWait(c net.Conn, timeout time.Duration, idle bool) {
+	m.endWait(c)
 	if timeout <= 0 {
 		return
 	}
-	next := &wait{}
+	next := &wait{idle: idle}
 	m.waits[c] = next
 	next.timer = time.AfterFunc(timeout, func() { m.expire(c, next) })
 }
 
-// expire closes the connection if it is still in this wait.
+// endWait ends the connection's current wait, if there is one. m.mu must be held.
+func (m *Monitor) endWait(c net.Conn) {
+	current := m.waits[c]
+	if current == nil {
+		return
+	}
+	current.timer.Stop()
+	delete(m.waits, c)
+	if watched, ok := c.(*conn); ok && current.expired {
+		watched.setReadDeadline(time.Time{})
+	}
+}
+
+// expire makes the reads of the connection fail, if it is still in this wait, and so has the
+// server close it.
 func (m *Monitor) expire(c net.Conn, ended *wait) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.waits[c] != ended {
 		return
 	}
-	delete(m.waits, c)
-	// Nothing can be done about an error of Close: the caller is not waiting for an
-	// answer.
-	_ = c.Close()
+	watched, ok := c.(*conn)
+	if !ok {
+		delete(m.waits, c)
+		// Nothing can be done about an error of Close: the caller is not waiting for an
+		// answer.
+		_ = c.Close()
+		return
+	}
+	ended.expired = true
+	watched.setReadDeadline(past)
 }
 
-// cancelTimer ends the connection's current wait, if there is one.
-func (m *Monitor) cancelTimer(c net.Conn) {
+// expired reports whether the timeout of the connection's wait has passed.
+func (m *Monitor) expired(c *conn) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stopTimerLocked(c)
+	current := m.waits[c]
+	return current != nil && current.expired
 }
 
-// stopTimerLocked ends the connection's current wait, if there is one. m.mu must be
-// held.
-func (m *Monitor) stopTimerLocked(c net.Conn) {
-	if current := m.waits[c]; current != nil {
-		current.timer.Stop()
-		delete(m.waits, c)
+// beginHeader is called when bytes have arrived on a connection. The first ones after an answer
+// begin a header, which has its own timeout.
+func (m *Monitor) beginHeader(c *conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if current := m.waits[c]; current != nil && (current.idle || current.expired) {
+		m.startWait(c, m.timeouts().First, false)
 	}
 }
