--- a/internal/idle/crossing_test.go
+++ b/internal/idle/crossing_test.go
@@ -51,6 +51,7 @@
 				}
 				monitor.StateChanged(conn, state)
 			}
+			server.Listener = monitor.Listener(server.Listener.(*net.TCPListener))
 			server.Start()
 			defer server.Close()
 			conn, err := net.Dial("tcp", server.Listener.Addr().String())
