Replica: disks lost while all other machines lose power

The power of the others fails between passes, or between a write of the log and its sync. A leader must hold all that was acknowledged within 12 s, and the members must become the hosts that exist. TestDiskLostAroundTheRemovalOfAVoter: the same final fault at 29 moments around the removal of a voter that was replaced, or that is only cut off while another counts as its successor.

The simulation gets replicas that join without an operator and hosts that are added while it runs; the other tests use neither.

--- a/internal/replica/simulation_test.go
+++ b/internal/replica/simulation_test.go
@@ -43,6 +43,9 @@
 	leaseEnd  time.Duration
 	leaseTerm uint64
 
+	// open is set if replicas at new addresses may join, as with Config.OpenAdmission.
+	open bool
+
 	proposed    int
 	pending     []*pendingCall
 	acked       []string
@@ -138,18 +141,26 @@
 		faultCounts: make(map[string]int),
 		maxDelay:    defaultMaxDelay,
 	}
-	for i := range founders + 1 {
-		sim.hosts = append(sim.hosts, &simHost{
-			sim: sim, addr: fmt.Sprintf("10.0.0.%d:1", i+1), fs: journaltest.New(),
-			// The rates of any two clocks differ by less than clockDriftBound.
-			rate:  1 + clockDriftBound*(sim.r.Float64()-0.5)*0.98,
-			epoch: time.Unix(1_700_000_000+int64(i)*1000, 0),
-		})
+	for range founders + 1 {
+		sim.addHost()
 	}
 	sim.writeFirstEntries()
 	return sim
 }
 
+// addHost adds a host with an empty directory and without a node.
+func (sim *simulation) addHost() *simHost {
+	i := len(sim.hosts)
+	h := &simHost{
+		sim: sim, addr: fmt.Sprintf("10.0.0.%d:1", i+1), fs: journaltest.New(),
+		// The rates of any two clocks differ by less than clockDriftBound.
+		rate:  1 + clockDriftBound*(sim.r.Float64()-0.5)*0.98,
+		epoch: time.Unix(1_700_000_000+int64(i)*1000, 0),
+	}
+	sim.hosts = append(sim.hosts, h)
+	return h
+}
+
 func (sim *simulation) founders() []*simHost { return sim.hosts[:len(sim.hosts)-1] }
 
 func (sim *simulation) spare() *simHost { return sim.hosts[len(sim.hosts)-1] }
@@ -191,12 +202,13 @@
 	h.machine = &hookMachine{sim: h.sim}
 	cfg := Config{
 		Addr: h.addr, Machine: h.machine, TickInterval: defaultTickInterval, SnapshotEntries: 40,
-		SnapshotBytes: 1 << 20, MaxBatch: 64, TrailingEntries: 10,
+		SnapshotBytes: 1 << 20, MaxBatch: 64, TrailingEntries: 10, OpenAdmission: h.sim.open,
 		Logger: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 	}
 	cfg.setOptional()
 	n := newNode(context.Background(), cfg, j, state)
 	n.now = h.clock
+	n.leaderSeenAt = h.clock()
 	n.electionSeed = h.sim.r.Uint64()
 	n.peers.openSender = func(id, addr string) messageSender { return &simSender{h, addr, h.incarnation} }
 	h.node = n
@@ -256,6 +268,10 @@
 	if h.incarnation != incarnation || h.node == nil {
 		return
 	}
+	if h.sim.open {
+		h.joinOpen(incarnation)
+		return
+	}
 	if voter, learner := h.node.memberState(h.node.id); voter || learner {
 		return
 	}
