Replica: emptied and new replicas alone serve nothing

Guards against replicas with empty folders, emptied and new ones together, that form a cluster or serve an empty state while those that hold the log have no power: 2 of 5 and 2 of 3 emptied beside 2 and 1 new ones, with and without the right to form a cluster. With 2 of 5 the cluster continues when the others are back; with 2 of 3, more than the settings allow, nothing is served then either. Before, one emptied founder of three alone was tested.

--- a/internal/replica/formation_test.go
+++ b/internal/replica/formation_test.go
@@ -1,9 +1,12 @@
 package replica
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -153,3 +156,82 @@
 		t.Fatalf("with a reply of a running founder, an empty founder decided %v", d)
 	}
 }
+
+// TestEmptiedAndNewReplicasAloneServeNothing guards against replicas with empty directories
+// that form a cluster, or serve an empty state as the newest one, while those that hold the
+// log have no power.
+func TestEmptiedAndNewReplicasAloneServeNothing(t *testing.T) {
+	const (
+		// darkFor is several polls of the founders and join requests, and an election timeout.
+		darkFor     = 2 * time.Second
+		callTimeout = 200 * time.Millisecond
+	)
+	for _, c := range []struct {
+		replicas, emptied, added int
+		// bootstrap is set if the emptied replicas may still form a cluster.
+		bootstrap bool
+		// quorumLost is set if a majority of the directories is empty.
+		quorumLost bool
+	}{
+		{replicas: 5, emptied: 2, added: 2},
+		{replicas: 5, emptied: 2, added: 2, bootstrap: true},
+		{replicas: 3, emptied: 2, added: 1, quorumLost: true},
+		{replicas: 3, emptied: 2, added: 1, bootstrap: true, quorumLost: true},
+	} {
+		t.Run(fmt.Sprintf("%d of %d emptied, %d new, bootstrap %t", c.emptied, c.replicas, c.added, c.bootstrap), func(t *testing.T) {
+			t.Parallel()
+			all := newCluster(t, c.replicas, openAdmission)
+			want := commitMany(all, nil, 3)
+			for _, in := range all {
+				in.stop()
+			}
+			empty := slices.Clone(all[:c.emptied])
+			for _, in := range empty {
+				in.emptyDir()
+				in.edit = func(cfg *Config) {
+					openAdmission(cfg)
+					cfg.JoinOnly = !c.bootstrap
+				}
+			}
+			for range c.added {
+				added := &instance{t: t, addr: freeAddr(t), dir: t.TempDir(), founders: all[0].founders, edit: func(cfg *Config) {
+					openAdmission(cfg)
+					cfg.JoinOnly = true
+				}}
+				t.Cleanup(added.stop)
+				empty = append(empty, added)
+			}
+			for _, in := range empty {
+				in.start()
+			}
+			requireNoService := func(replicas []*instance) {
+				t.Helper()
+				for end := time.Now().Add(darkFor); time.Now().Before(end); {
+					for _, in := range replicas {
+						ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+						if _, _, err := in.node.Propose(ctx, []byte("alone")); err == nil {
+							t.Fatalf("%s commits a command", in.addr)
+						}
+						if _, err := in.node.ReadIndex(ctx); err == nil {
+							t.Fatalf("%s serves a read", in.addr)
+						}
+						cancel()
+					}
+					time.Sleep(pollInterval / 5)
+				}
+			}
+			requireNoService(empty)
+			for _, in := range all[c.emptied:] {
+				in.start()
+			}
+			if c.quorumLost {
+				requireNoService(append(empty, all[c.emptied:]...))
+				return
+			}
+			want = commitMany(append(slices.Clone(empty), all[c.emptied:]...), want, 1)
+			for _, in := range empty {
+				requireApplied(t, in, want)
+			}
+		})
+	}
+}
