Quarantine: new decisions are sent before further crashes of held parts

Cause, one of two behind TestCrashingRequestsBesideCrashingParts: updates on held parts go first, those with most crashes before others. Each further crash under a held part sends its whole list again, up to 16 crashes of some 30 bytes, nine times, so with several held parts the limit of 1 KB/s is always used up. A new hold waits behind them: in a traced run one router had held a request for 3.9 s and two of the five others did not know it, with 512 bytes left in the token bucket of one. What callers and operators saw: a request that is held at some routers still reaches engines through others.

Change: while there are new decisions (a hold, its renewal or its end), only these are sent; other changes follow and leave 2 KB of the bucket. No message changed.

Test: Updates takes a second limit; the three calls in tests pass the limit that they passed before for both. TestDecisionsAreSentFirst checks the order.

The whole package once: passed; TestHeldRequestSurvives and this test 60 times after the last change of comments and docs: passed.

--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -314,6 +314,37 @@
 	}
 }
 
+// TestDecisionsAreSentFirst guards against a hold that other routers learn late, because crashes
+// under parts that are held already use up the limit of bytes.
+func TestDecisionsAreSentFirst(t *testing.T) {
+	d, now := NewDetector("r1"), start
+	hold := func(part string, target uint64) {
+		for i := range uint64(8) {
+			now = now.Add(300 * time.Millisecond)
+			crashIn(d, now, target+i, part)
+		}
+		d.Tick(now)
+		if d.Admit(now, []string{part}, never) == nil {
+			t.Fatalf("%s is not held", part)
+		}
+	}
+	hold("known", 0)
+	for range updateRounds {
+		d.Updates(now, maxUpdateBytes, maxUpdateBytes)
+	}
+	crashIn(d, now, 10, "known")
+	hold("new", 20)
+	for i := range 2 * updateRounds {
+		want := "new"
+		if i >= updateRounds {
+			want = "known"
+		}
+		if updates := d.Updates(now, maxUpdateBytes, maxUpdateBytes); len(updates) != 1 || updates[0].Part != want {
+			t.Errorf("round %d: %v, want %s", i, updates, want)
+		}
+	}
+}
+
 // FuzzMerge merges arbitrary records. They must neither end the process nor exceed the
 // bounds.
 func FuzzMerge(f *testing.F) {
@@ -340,7 +371,7 @@
 				t.Errorf("a record exceeds its bounds: %+v", r)
 			}
 		}
-		d.Updates(start, maxUpdateBytes)
+		d.Updates(start, maxUpdateBytes, maxUpdateBytes)
 		d.Digest(start)
 	})
 }
@@ -350,7 +381,7 @@
 func TestUnreadablePartKeepsUpdates(t *testing.T) {
 	d := NewDetector("r")
 	crashIn(d, start, 1, "\xff\xfe", "readable")
-	updates := d.Updates(start, maxUpdateBytes)
+	updates := d.Updates(start, maxUpdateBytes, maxUpdateBytes)
 	if len(updates) != 2 {
 		t.Fatalf("%d updates, want two", len(updates))
 	}
@@ -371,7 +402,7 @@
 		crashIn(d, now, 1<<63+uint64(i), part)
 	}
 	d.Tick(now)
-	updates := d.Updates(now, maxUpdateBytes)
+	updates := d.Updates(now, maxUpdateBytes, maxUpdateBytes)
 	if len(updates) != 1 {
 		t.Fatalf("%d updates, want one", len(updates))
 	}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -41,6 +41,9 @@
 	// singlesReserveBytes is what the limit of bytes must leave for updates if single
 	// crashes are sent.
 	singlesReserveBytes = burstBytes / 2
+	// decisionsReserveBytes is what the limit of bytes must leave for new decisions if other
+	// updates are sent.
+	decisionsReserveBytes = burstBytes / 4
 	// maxCountsBytes bounds the counts in a message.
 	maxCountsBytes = 128
 	// maxReplyMessages bounds the reply to a request for decisions.
@@ -277,8 +280,11 @@
 		d.Tick(now)
 		g.held.Update(float64(len(d.Holds(now))))
 		g.suspects.Update(float64(d.Suspects()))
-		available := int(g.limiter.TokensAt(now))/updateFanout - messageOverhead - maxCountsBytes
-		records = d.Updates(now, min(maxUpdateBytes, available))
+		tokens := int(g.limiter.TokensAt(now))
+		available := func(tokens int) int {
+			return min(maxUpdateBytes, tokens/updateFanout-messageOverhead-maxCountsBytes)
+		}
+		records = d.Updates(now, available(tokens), available(tokens-decisionsReserveBytes))
 	})
 	g.send(g.randomPeers(updateFanout), records)
 	g.sendSingles()
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -82,6 +82,11 @@
 	changed   time.Time
 	// sends is how many more times the record is sent to other routers.
 	sends int
+	// decided is set while the decision on the part is news that is to be sent. sentHeld and
+	// sentRenewed are the decision that was news before.
+	decided     bool
+	sentHeld    bool
+	sentRenewed time.Time
 }
 
 // held reports whether the hold is in force: neither an operator nor an answer has refuted
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -44,14 +44,20 @@
 	if r.refuted() && r.counted(nil) == 0 {
 		r.sends = liftRounds
 	}
+	if held := r.held(); held != r.sentHeld || !r.hold.renewed.Equal(r.sentRenewed) {
+		r.decided, r.sentHeld, r.sentRenewed = true, held, r.hold.renewed
+	}
 }
 
 // Updates returns the records to send in this round: those that changed recently, the most
-// important ones first, up to the given number of bytes.
-func (d *Detector) Updates(now time.Time, maxBytes int) []*pb.PartRecord {
+// important ones first, up to maxBytes. While there are new decisions, it returns those
+// alone; else held parts and then those with most evidence, up to maxOtherBytes.
+func (d *Detector) Updates(now time.Time, maxBytes, maxOtherBytes int) []*pb.PartRecord {
 	var due []*record
+	news := false
 	for _, r := range d.records {
 		if r.sends > 0 && !r.isSingle() {
+			news = news || r.decided
 			due = append(due, r)
 		}
 	}
@@ -63,9 +69,16 @@
 			cmp.Compare(x.part, y.part),
 		)
 	})
+	if news {
+		// Further crashes under held parts, with their long lists, must not delay a decision.
+		due = slices.DeleteFunc(due, func(r *record) bool { return !r.decided })
+	} else {
+		maxBytes = maxOtherBytes
+	}
 	messages, sent := encodeUpTo(now, due, maxBytes)
 	for _, r := range due[:sent] {
 		r.sends--
+		r.decided = r.decided && r.sends > 0
 	}
 	return messages
 }
