Takeovers: a target that was given up for another one may be asked again

What callers would have seen: a stream with no target left although a sound one could go on. The next target, given up because the silent one went on or no retry was left for a return, stayed excluded and used up one of maxAttempts; the request then broke off or stalled with the first. A next target that needed more than 1.5 s to its header was given up for a first one that was dark. After the return the request could go on to a target beyond maxAttempts.

Change: maxAttempts counts targets, as the rule does, so a target where the request has run may be asked again, and then only such targets may (balance.Request.Only). A next target that was given up for the current one is not excluded; if the current one then stays silent, the next one is preferred. The next target may be silent as long as any first byte may take. After the return no further target is tried. A dial that is abandoned is no run. A timer of an earlier send does nothing. A retry is returned only if it was not used. An event that arrives in two reads counts as the silent target's going on.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -38,6 +38,8 @@
 	Slots int
 	// Exclude lists the ids of the targets at which this request already failed.
 	Exclude []string
+	// Only limits the selection to the targets with these ids; empty means no limit.
+	Only []string
 	// WithoutLimit excludes the targets that name a rate limit.
 	WithoutLimit bool
 	// Goal is the latency objective of the request.
@@ -48,6 +50,11 @@
 	TimeLeft time.Duration
 }
 
+// excludes reports whether the target with the given id may not be selected.
+func (r Request) excludes(id string) bool {
+	return slices.Contains(r.Exclude, id) || len(r.Only) > 0 && !slices.Contains(r.Only, id)
+}
+
 // Choice is the selected target with the data that led to its selection.
 type Choice struct {
 	Target *pb.TargetStatus
@@ -242,7 +249,7 @@
 			leaving:      st.Leaving || t.leavingByResponse,
 			pausedFor:    t.pausedUntil.Sub(now),
 			withheldFor:  t.withheldUntil.Sub(now),
-			excluded:     slices.Contains(r.Exclude, st.Id) || limited && r.WithoutLimit,
+			excluded:     r.excludes(st.Id) || limited && r.WithoutLimit,
 		})
 	}
 	b.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -61,8 +62,9 @@
 	// exclude lists the targets that were tried, except those that may be tried again on
 	// a new connection.
 	exclude []string
-	// ran counts the tries in which the request may have run.
-	ran int
+	// ran counts the targets at which the request may have run, which ranAt lists.
+	ran   int
+	ranAt []string
 	// notRun counts the tries in which the request provably did not run.
 	notRun int
 	// tried is set once the first try was counted in Retries.
@@ -183,12 +185,37 @@
 		Key:      PromptKey(d.x.Prompt),
 		Slots:    engineSlots(d.x),
 		Exclude:  exclude,
+		Only:     d.only(),
 		Goal:     d.x.Route.Goal,
 		Overdue:  d.overdue,
 		TimeLeft: time.Until(d.x.Deadline),
 	})
 }
 
+// recordRun records that the request may have run at the current target.
+func (d *dispatch) recordRun() {
+	if id := d.choice.Target.Id; !slices.Contains(d.ranAt, id) {
+		d.ranAt = append(d.ranAt, id)
+		d.ran++
+	}
+}
+
+// mayRunAgain reports whether the request may run at a further target, or at one where it may
+// have run and that is not excluded.
+func (d *dispatch) mayRunAgain() bool {
+	return d.ran < d.x.Route.MaxTargets ||
+		slices.ContainsFunc(d.ranAt, func(id string) bool { return !slices.Contains(d.exclude, id) })
+}
+
+// only lists the targets at which the request may run once it has run at MaxTargets; empty means
+// no limit.
+func (d *dispatch) only() []string {
+	if d.ran < d.x.Route.MaxTargets {
+		return nil
+	}
+	return d.ranAt
+}
+
 // noTargetAvailable reports whether no target takes the request now.
 func noTargetAvailable(err error) bool {
 	return errors.Is(err, balance.ErrNoTarget) || errors.Is(err, balance.ErrFull)
@@ -304,7 +331,7 @@
 			d.notRun++
 		case !errors.Is(err, forward.ErrDial):
 			// An earlier try may have spent the token; without a connection this one did not run.
-			d.ran++
+			d.recordRun()
 		}
 		d.recordSilent(err)
 		c.Done(failedTryOutcome(err, time.Since(began), x.Route.Goal))
@@ -335,12 +362,12 @@
 		return errs.Wrap(errNotRun, StepDispatch, c.Target.Id)
 	case a.Status >= http.StatusInternalServerError && d.repeatable() && c.Alternatives > 0 && d.ran+1 < d.x.Route.MaxTargets && d.allowRepeat():
 		d.keepFailure()
-		d.ran++
+		d.recordRun()
 		c.Done(balance.Failed)
 		return errs.Wrap(errFailed, StepDispatch, c.Target.Id)
 	}
 	d.failure = failure{}
-	d.ran++
+	d.recordRun()
 	d.accepted.Store(true)
 	d.x.OnEnd(func(u Usage) { c.Done(answerOutcome(a, u)) })
 	return nil
--- a/internal/filter/events.go
+++ b/internal/filter/events.go
@@ -52,6 +52,9 @@
 	abandoned bool
 	// takeover is set while another target is asked to take over.
 	takeover atomic.Pointer[takeover]
+	// preferNext is set if the next target was given up for the current one, which has sent no
+	// event since.
+	preferNext bool
 
 	body io.ReadCloser
 	// framed is set if the current target marks the end of its response, sawEventHere
@@ -177,6 +180,7 @@
 			return
 		}
 		if !isComment(event) {
+			s.preferNext = false
 			s.stalledAt = time.Now().Add(s.maxPause)
 		}
 		s.complete = append(s.complete, event...)
@@ -232,7 +236,7 @@
 	w := s.work
 	s.partial = nil
 	s.body.Close()
-	if s.ctx.Err() != nil || !w.repeatable() || s.sawEvent && s.lastID == "" || w.ran >= w.x.Route.MaxTargets || !w.mayRepeatNow() {
+	if s.ctx.Err() != nil || !w.repeatable() || s.sawEvent && s.lastID == "" || !w.mayRunAgain() || !w.mayRepeatNow() {
 		s.err = err
 		return
 	}
--- a/internal/filter/retry.go
+++ b/internal/filter/retry.go
@@ -27,9 +27,9 @@
 		// The retry limit was checked in acceptOrDrop, before the answer was dropped.
 		return true
 	case errors.Is(err, forward.ErrDial):
-		return d.notRun < maxNotRunTries
+		return d.notRun < maxNotRunTries && d.ran < d.x.Route.MaxTargets
 	case errors.Is(err, errNotRun):
-		return d.notRun < maxNotRunTries && d.allowRepeat()
+		return d.notRun < maxNotRunTries && d.ran < d.x.Route.MaxTargets && d.allowRepeat()
 	case !d.repeatable() || d.ran >= d.x.Route.MaxTargets:
 		return false
 	default:
--- a/internal/filter/takeover.go
+++ b/internal/filter/takeover.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,14 +13,9 @@
 	"github.com/wigeonwood/wigeonwood/internal/forward"
 )
 
-const (
-	// takeoverOverlap is how long the response of a silent target is kept after the request
-	// was sent to the next one. No stream may run at two targets for longer.
-	takeoverOverlap = 300 * time.Millisecond
-	// maxNextSilence bounds the silence of the next target once the response of the previous
-	// one was closed. A sound target may be silent for a second or so.
-	maxNextSilence = minStreamSilence
-)
+// takeoverOverlap is how long the response of a silent target is kept after the request was sent
+// to the next one. No stream may run at two targets for longer.
+const takeoverOverlap = 300 * time.Millisecond
 
 // takeover gives up one of two targets of a stream: the silent one, whose response is being
 // read, or the next one, which has not accepted the request yet. It gives up the silent one
@@ -28,12 +24,15 @@
 	current io.Closer
 	// giveUpNext ends the try at the next target.
 	giveUpNext context.CancelCauseFunc
-	// mayReturn reports whether the request may be sent to the silent target again, and
-	// counts that as a retry.
-	mayReturn func() bool
+	// mayGiveUpCurrent reports whether the silent target may be given up for the next one.
+	mayGiveUpCurrent func() bool
+	// nextSilence bounds the silence of the next target once the silent one was given up.
+	nextSilence time.Duration
 
 	mu    sync.Mutex
 	timer *time.Timer
+	// sends counts the sends, so that a timer that fires late does not act on a later one.
+	sends int
 	// gaveUpCurrent, gaveUpNext and ended are set at most once each.
 	gaveUpCurrent bool
 	gaveUpNext    bool
@@ -44,28 +43,36 @@
 func (t *takeover) onSend() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.timer != nil {
-		t.timer.Stop()
-	}
+	t.sends++
 	wait := takeoverOverlap
 	if t.gaveUpCurrent {
-		wait = maxNextSilence
+		wait = t.nextSilence
 	}
-	t.timer = time.AfterFunc(wait, t.expire)
+	t.startTimer(wait)
 }
 
-// expire is called when the next target has been silent for too long.
-func (t *takeover) expire() {
+// startTimer calls expire after d, unless the request is sent again before that. The caller
+// holds t.mu.
+func (t *takeover) startTimer(d time.Duration) {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	send := t.sends
+	t.timer = time.AfterFunc(d, func() { t.expire(send) })
+}
+
+// expire is called when the next target has been silent for too long after the given send.
+func (t *takeover) expire(send int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case t.ended || t.gaveUpNext:
+	case t.ended || t.gaveUpNext || t.sends != send:
 	case t.gaveUpCurrent:
 		t.endNext(forward.ErrSilent)
-	case t.mayReturn():
+	case t.mayGiveUpCurrent():
 		t.gaveUpCurrent = true
 		t.current.Close()
-		t.timer.Reset(maxNextSilence - takeoverOverlap)
+		t.startTimer(t.nextSilence - takeoverOverlap)
 	default:
 		t.endNext(forward.ErrAbandoned)
 	}
@@ -102,7 +109,7 @@
 	s.reading = true
 	s.mu.Unlock()
 	n, err := s.body.Read(s.buf)
-	if t := s.takeover.Load(); t != nil && endsEvent(s.buf[:n]) {
+	if t := s.takeover.Load(); t != nil && endsEvent(slices.Concat(s.partial, s.buf[:n])) {
 		t.onEvent()
 	}
 	s.mu.Lock()
@@ -139,7 +146,7 @@
 func (s *eventStream) takeOver(cause error) time.Duration {
 	w := s.work
 	left := time.Until(w.x.Deadline)
-	if left <= 0 || s.ctx.Err() != nil || !w.repeatable() || s.sawEvent && s.lastID == "" || w.ran >= w.x.Route.MaxTargets {
+	if left <= 0 || s.ctx.Err() != nil || !w.repeatable() || s.sawEvent && s.lastID == "" || !w.mayRunAgain() {
 		return max(left, silenceRecheck)
 	}
 	wait := min(left, silenceRecheck)
@@ -149,7 +156,7 @@
 	choice, grant := w.choice, w.x.Grant
 	w.x.AddReason(StepDispatch, choice.Target.Id, "to be resumed after event "+s.lastID+": "+cause.Error())
 	w.x.LastEvent = s.lastID
-	next, closed := s.askNext()
+	next, mayReturn := s.askNext()
 	if next != nil {
 		choice.Done(balance.Failed)
 		// It may go on, so it may be selected again if the next target breaks off.
@@ -157,43 +164,65 @@
 		s.next = next
 		return 0
 	}
-	if closed && s.ctx.Err() == nil && w.repeatable() {
+	if mayReturn {
 		s.next = s.askAgain(choice)
 	}
 	if s.next != nil {
 		return 0
 	}
-	s.abandoned = closed
 	w.choice, w.x.Grant = choice, grant
 	w.x.AddReason(StepDispatch, choice.Target.Id, "no other target resumes the stream; it stays here")
 	return wait
 }
 
 // askNext sends the request to the target that is to take over. It returns the response that
-// resumes the stream, nil if there is none, and whether the current response was closed.
-func (s *eventStream) askNext() (next *Answer, closed bool) {
+// resumes the stream, nil if there is none, and whether the current response was closed and the
+// request may be sent to its target again. s.abandoned is set if it was closed for nothing.
+func (s *eventStream) askNext() (next *Answer, mayReturn bool) {
 	w := s.work
 	ctx, cancel := context.WithCancelCause(s.ctx)
-	t := &takeover{current: s.body, giveUpNext: cancel, mayReturn: w.allowRepeat}
+	allowed := false
+	t := &takeover{
+		current:     s.body,
+		giveUpNext:  cancel,
+		nextSilence: maxNextSilence(w.x, time.Now()),
+		mayGiveUpCurrent: func() bool {
+			allowed = w.allowRepeat()
+			return allowed || s.preferNext
+		},
+	}
 	s.takeover.Store(t)
 	w.x.OnSend = t.onSend
 	next = s.resumeAnywhere(ctx)
 	w.x.OnSend = nil
 	s.takeover.Store(nil)
 	t.end()
-	if next != nil && t.gaveUpCurrent {
-		w.Retries.ReturnRetry(w.x.Demand.Service)
-	}
 	if next != nil && t.gaveUpNext {
 		s.decline(next, balance.Abandoned)
 		next = nil
 	}
-	if next == nil {
-		cancel(nil)
-	} else {
+	if next != nil {
 		w.x.OnEnd(func(Usage) { cancel(nil) })
+	} else {
+		cancel(nil)
 	}
-	return next, t.gaveUpCurrent
+	if t.gaveUpNext && !t.gaveUpCurrent {
+		// The next target has failed in nothing and may be asked again.
+		w.exclude = slices.DeleteFunc(w.exclude, func(id string) bool { return id == w.choice.Target.Id })
+		s.preferNext = true
+	}
+	s.abandoned = t.gaveUpCurrent && next == nil
+	mayReturn = s.abandoned && s.ctx.Err() == nil && w.repeatable() && (allowed || w.allowRepeat())
+	if allowed && !mayReturn {
+		w.Retries.ReturnRetry(w.x.Demand.Service)
+	}
+	return next, mayReturn
+}
+
+// maxNextSilence returns how long the next target of a stream may be silent if no other one runs
+// the stream: as long as for any first byte, and no less than a sound target may be.
+func maxNextSilence(x *Exchange, now time.Time) time.Duration {
+	return max(minStreamSilence, firstByteLimit(x, now))
 }
 
 // askAgain sends the request once more to the target whose response was closed. It returns
--- a/internal/filter/takeover_test.go
+++ b/internal/filter/takeover_test.go
@@ -29,7 +29,7 @@
 // before another one accepts it, without a way back, and against two targets that run a stream
 // for longer than takeoverOverlap.
 func TestTheOnlyTargetOfAStreamIsGivenUp(t *testing.T) {
-	const never = time.Hour
+	const never, nextSilence = time.Hour, 1500 * time.Millisecond
 	for name, c := range map[string]struct {
 		// sent lists when the request is sent to a next target, event when the silent target
 		// sends an event, accepted when the next target accepts the request.
@@ -54,7 +54,7 @@
 		},
 		"the next target is silent too": {
 			sent: []time.Duration{0}, event: never, accepted: never, mayReturn: true,
-			closed: takeoverOverlap, abandoned: maxNextSilence, cause: forward.ErrSilent,
+			closed: takeoverOverlap, abandoned: nextSilence, cause: forward.ErrSilent,
 		},
 		"no way back": {
 			sent: []time.Duration{0}, event: never, accepted: time.Second,
@@ -65,7 +65,7 @@
 		},
 		"the second of two next targets is silent": {
 			sent: []time.Duration{0, time.Second}, event: never, accepted: never, mayReturn: true,
-			closed: takeoverOverlap, abandoned: time.Second + maxNextSilence, cause: forward.ErrSilent,
+			closed: takeoverOverlap, abandoned: time.Second + nextSilence, cause: forward.ErrSilent,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -74,9 +74,10 @@
 				current := &closeTime{began: time.Now()}
 				var abandoned time.Duration
 				took := &takeover{
-					current:    current,
-					giveUpNext: cancel,
-					mayReturn:  func() bool { return c.mayReturn },
+					current:          current,
+					giveUpNext:       cancel,
+					mayGiveUpCurrent: func() bool { return c.mayReturn },
+					nextSilence:      nextSilence,
 				}
 				context.AfterFunc(ctx, func() { abandoned = time.Since(current.began) })
 				for _, at := range c.sent {
--- a/internal/filter/timeouts.go
+++ b/internal/filter/timeouts.go
@@ -11,6 +11,12 @@
 // longer, so that time remains for other targets.
 const firstByteDivisor = 3
 
+// firstByteLimit returns how long a repeatable request waits for a target's first byte.
+func firstByteLimit(x *Exchange, now time.Time) time.Duration {
+	left := x.Deadline.Sub(now)
+	return min(left, max(2*x.Route.Goal, left/firstByteDivisor))
+}
+
 // TryTimeouts returns the timeouts of one try of a routed request. A request that may
 // be repeated at another target doesn't spend all of its time on one target. All other
 // requests, and the last permitted try, may use the time until the deadline. So may the
@@ -21,7 +27,7 @@
 	if !x.Idempotent || x.OtherTargets == 0 || x.Tries >= x.Route.MaxTargets {
 		return t
 	}
-	t.FirstByte = min(left, max(2*x.Route.Goal, left/firstByteDivisor))
+	t.FirstByte = firstByteLimit(x, now)
 	if x.Route.Kind == routing.Stream {
 		t.FirstBody = t.FirstByte
 		t.BetweenBytes = max(streamSilenceGaps*x.Route.GapGoal, minStreamSilence)
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -39,6 +39,8 @@
 	switch {
 	case errors.Is(cause, ErrSilent):
 		return ErrSilent
+	case errors.Is(cause, ErrAbandoned) && !connected:
+		return fmt.Errorf("%w: %w", ErrAbandoned, ErrDial)
 	case errors.Is(cause, ErrAbandoned):
 		return ErrAbandoned
 	case errors.Is(cause, context.Canceled), errors.Is(cause, context.DeadlineExceeded):
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -143,7 +143,7 @@
 // pickTarget selects a target without regard to its limit.
 func (p *Picker) pickTarget(ctx context.Context, r balance.Request) (balance.Choice, error) {
 	local, err := p.cfg.Balancer.Pick(r)
-	if err != nil || !local.StaleLoad {
+	if err != nil || !local.StaleLoad || len(r.Only) > 0 {
 		return local, err
 	}
 	owner := balance.OwnerOf(p.cfg.Members.Routers(), r.Service)
