Takeovers: a next target that was never asked is not taken for one that was

Cause, by reading: if the silent target goes on before the request is sent to the next one, the current target would have been taken out of the list of those tried, and could have been asked as its own successor. No caller is known to have seen it.

Evidence: package filter passes.

--- a/internal/filter/takeover.go
+++ b/internal/filter/takeover.go
@@ -18,13 +18,14 @@
 const takeoverOverlap = 300 * time.Millisecond
 
 // takeover gives up one of two targets of a stream: the silent one, whose response is being
-// read, or the next one, which has not accepted the request yet. It gives up the silent one
-// only if the request may be sent there once more, should the next one not accept it.
+// read, or the next one, which has not accepted the request yet.
 type takeover struct {
 	current io.Closer
 	// giveUpNext ends the try at the next target.
 	giveUpNext context.CancelCauseFunc
-	// mayGiveUpCurrent reports whether the silent target may be given up for the next one.
+	// mayGiveUpCurrent reports whether the silent target may be given up for the next one. It
+	// must allow that only if the request can return to the silent target, or if that one has
+	// stayed silent although the next one was given up for it before.
 	mayGiveUpCurrent func() bool
 	// nextSilence bounds the silence of the next target once the silent one was given up.
 	nextSilence time.Duration
@@ -180,6 +181,7 @@
 // request may be sent to its target again. s.abandoned is set if it was closed for nothing.
 func (s *eventStream) askNext() (next *Answer, mayReturn bool) {
 	w := s.work
+	current := w.choice.Target.Id
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	allowed := false
 	t := &takeover{
@@ -206,9 +208,9 @@
 	} else {
 		cancel(nil)
 	}
-	if t.gaveUpNext && !t.gaveUpCurrent {
+	if asked := w.choice.Target.Id; t.gaveUpNext && !t.gaveUpCurrent && asked != current {
 		// The next target has failed in nothing and may be asked again.
-		w.exclude = slices.DeleteFunc(w.exclude, func(id string) bool { return id == w.choice.Target.Id })
+		w.exclude = slices.DeleteFunc(w.exclude, func(id string) bool { return id == asked })
 		s.preferNext = true
 	}
 	s.abandoned = t.gaveUpCurrent && next == nil
