--- a/internal/filter/dispatch_test.go
+++ b/internal/filter/dispatch_test.go
@@ -236,13 +236,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &script{t: t, tries: c.tries}
-			d := &Dispatch{
-				Guard:   &fakeGuard{},
-				Picker:  &limitedPicker{Picker: &numberedPicker{n: 3, outcomes: make(map[string]balance.Outcome)}, left: len(c.tries)},
-				Retries: &fixedRetries{left: 9},
-				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
-				Warmup:  NewWarmup(time.Time{}),
-			}
+			d := newTestDispatch(&limitedPicker{Picker: &numberedPicker{n: 3, outcomes: make(map[string]balance.Outcome)}, left: len(c.tries)})
 			var r *Rejection
 			err := d.Handle(t.Context(), routedExchange(routing.Idempotent, false), s.next)
 			if !errors.As(err, &r) {
@@ -332,13 +326,7 @@
 		began := time.Now()
 		x := routedExchange(routing.Idempotent, false)
 		s := &script{t: t, tries: []scriptedTarget{{status: http.StatusInternalServerError}, {status: http.StatusOK, events: "answer"}}}
-		d := &Dispatch{
-			Guard:   &fakeGuard{},
-			Picker:  &numberedPicker{n: 2, outcomes: make(map[string]balance.Outcome)},
-			Retries: &fixedRetries{left: 9},
-			Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
-			Warmup:  NewWarmup(time.Time{}),
-		}
+		d := newTestDispatch(&numberedPicker{n: 2, outcomes: make(map[string]balance.Outcome)})
 		err := d.Handle(t.Context(), x, func(ctx context.Context, x *Exchange) error {
 			err := s.next(ctx, x)
 			if x.Answer.Status == http.StatusInternalServerError {
@@ -386,13 +374,7 @@
 			ctx, leave := context.WithCancel(t.Context())
 			defer leave()
 			s := &script{t: t, tries: c.tries}
-			d := &Dispatch{
-				Guard:   &fakeGuard{},
-				Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
-				Retries: &fixedRetries{left: 9},
-				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
-				Warmup:  NewWarmup(time.Time{}),
-			}
+			d := newTestDispatch(&numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)})
 			err := d.Handle(ctx, routedExchange(routing.Idempotent, false), func(ctx context.Context, x *Exchange) error {
 				if len(s.tries) == 1 {
 					leave()
@@ -481,13 +463,7 @@
 		t.Run(name, func(t *testing.T) {
 			x := routedExchange(routing.Stream, c.resumable)
 			s := &script{t: t, tries: c.tries}
-			d := &Dispatch{
-				Guard:   &fakeGuard{},
-				Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
-				Retries: &fixedRetries{left: 9},
-				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
-				Warmup:  NewWarmup(time.Time{}),
-			}
+			d := newTestDispatch(&numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)})
 			if err := d.Handle(t.Context(), x, s.next); err != nil {
 				t.Fatal(err)
 			}
@@ -578,13 +554,7 @@
 				x.Route.GapGoal = gapGoal
 				x.Deadline = time.Now().Add(time.Minute)
 				s := &script{t: t, tries: []scriptedTarget{{status: 200}, {status: 200, events: events(3, 4)}}}
-				d := &Dispatch{
-					Guard:   &fakeGuard{},
-					Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
-					Retries: &fixedRetries{left: 9},
-					Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
-					Warmup:  NewWarmup(time.Time{}),
-				}
+				d := newTestDispatch(&numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)})
 				next := func(ctx context.Context, x *Exchange) error {
 					first := len(s.lastEvents) == 0
 					err := s.next(ctx, x)
@@ -623,6 +593,37 @@
 	return p.Picker.Pick(ctx, r)
 }
 
+// newTestDispatch returns a Dispatch with enough retries for all tests.
+func newTestDispatch(p Picker) *Dispatch {
+	return &Dispatch{
+		Guard:   &fakeGuard{},
+		Picker:  p,
+		Retries: &fixedRetries{left: 9},
+		Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
+		Warmup:  NewWarmup(time.Time{}),
+	}
+}
+
+// readStalled returns what the caller reads in the time d of a stream whose first target sends two
+// events and then only comments.
+func (s *script) readStalled(p Picker, maxTargets int, d time.Duration) string {
+	x := routedExchange(routing.Stream, true)
+	x.Route.MaxTargets = maxTargets
+	x.Deadline = time.Now().Add(time.Minute)
+	err := newTestDispatch(p).Handle(s.t.Context(), x, func(ctx context.Context, x *Exchange) error {
+		first := len(s.lastEvents) == 0
+		err := s.next(ctx, x)
+		if first {
+			x.Answer.Body = &tricklingBody{events: strings.NewReader(events(1, 2)), piece: ": wait\n\n", pause: 100 * time.Millisecond}
+		}
+		return err
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return readFor(x.Answer.Body, d)
+}
+
 // TestRefusedConnectionIsNoRun guards against a target that refuses the connection and is
 // counted as one that ran the request: a stream then stays at a target that has stalled for
 // good, and a request is rejected although one more run is allowed.
@@ -630,28 +631,9 @@
 	refused := scriptedTarget{notSent: true, err: errNoConn}
 	t.Run("stream", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			x := routedExchange(routing.Stream, true)
-			x.Deadline = time.Now().Add(time.Minute)
 			s := &script{t: t, tries: []scriptedTarget{{status: 200}, refused, {status: 200, events: events(3, 4)}}}
-			d := &Dispatch{
-				Guard:   &fakeGuard{},
-				Picker:  &fullOncePicker{Picker: &numberedPicker{n: 3, outcomes: make(map[string]balance.Outcome)}, full: 3},
-				Retries: &fixedRetries{left: 9},
-				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
-				Warmup:  NewWarmup(time.Time{}),
-			}
-			err := d.Handle(t.Context(), x, func(ctx context.Context, x *Exchange) error {
-				first := len(s.lastEvents) == 0
-				err := s.next(ctx, x)
-				if first {
-					x.Answer.Body = &tricklingBody{events: strings.NewReader(events(1, 2)), piece: ": wait\n\n", pause: 100 * time.Millisecond}
-				}
-				return err
-			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			if got := readFor(x.Answer.Body, 10*time.Second); len(s.tries) > 0 || !strings.HasSuffix(got, events(3, 4)) {
+			picker := &fullOncePicker{Picker: &numberedPicker{n: 3, outcomes: make(map[string]balance.Outcome)}, full: 3}
+			if got := s.readStalled(picker, 2, 10*time.Second); len(s.tries) > 0 || !strings.HasSuffix(got, events(3, 4)) {
 				t.Errorf("%d tries were not made; read %q", len(s.tries), got)
 			}
 		})
@@ -661,13 +643,7 @@
 		x.Route.MaxTargets = 3
 		cut := scriptedTarget{err: errCutHere}
 		s := &script{t: t, tries: []scriptedTarget{cut, refused, cut, {status: http.StatusOK}}}
-		d := &Dispatch{
-			Guard:   &fakeGuard{},
-			Picker:  &numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)},
-			Retries: &fixedRetries{left: 9},
-			Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
-			Warmup:  NewWarmup(time.Time{}),
-		}
+		d := newTestDispatch(&numberedPicker{n: 4, outcomes: make(map[string]balance.Outcome)})
 		if err := d.Handle(t.Context(), x, s.next); err != nil {
 			t.Errorf("rejected after two of three runs: %v", err)
 		}
--- a/internal/filter/takeover_targets_test.go
+++ b/internal/filter/takeover_targets_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
-	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/routing"
 )
 
@@ -143,13 +142,7 @@
 			x.Method, x.URI, x.Header = http.MethodGet, "/x", http.Header{}
 			x.Route.MaxTargets = c.maxTargets
 			x.Deadline = time.Now().Add(12 * time.Second)
-			d := &Dispatch{
-				Guard:   &fakeGuard{},
-				Picker:  picker,
-				Retries: &fixedRetries{left: 9},
-				Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
-				Warmup:  NewWarmup(time.Time{}),
-			}
+			d := newTestDispatch(picker)
 			client := forward.New(forward.Config{})
 			t.Cleanup(client.Close)
 			ctx, cancel := context.WithDeadline(t.Context(), x.Deadline)
--- a/internal/filter/takeover_test.go
+++ b/internal/filter/takeover_test.go
@@ -10,8 +10,6 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/balance"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
-	"github.com/wigeonwood/wigeonwood/internal/pb"
-	"github.com/wigeonwood/wigeonwood/internal/routing"
 )
 
 // closeTime records when it was closed.
@@ -104,30 +102,10 @@
 // it over breaks off, although the one it left may go on and no other takes the request.
 func TestTargetLeftByATakeoverResumes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		x := routedExchange(routing.Stream, true)
-		x.Route.MaxTargets = 3
-		x.Deadline = time.Now().Add(time.Minute)
 		breaksOff := scriptedTarget{status: 200, events: events(3, 3), cut: errCutHere}
 		s := &script{t: t, tries: []scriptedTarget{{status: 200}, breaksOff, {status: 200, events: events(4, 5)}}}
-		d := &Dispatch{
-			Guard:   &fakeGuard{},
-			Picker:  &numberedPicker{n: 2, outcomes: make(map[string]balance.Outcome)},
-			Retries: &fixedRetries{left: 9},
-			Prepare: func(*Exchange, *pb.TargetStatus, *pb.TargetStatus) {},
-			Warmup:  NewWarmup(time.Time{}),
-		}
-		err := d.Handle(t.Context(), x, func(ctx context.Context, x *Exchange) error {
-			first := len(s.lastEvents) == 0
-			err := s.next(ctx, x)
-			if first {
-				x.Answer.Body = &tricklingBody{events: strings.NewReader(events(1, 2)), piece: ": wait\n\n", pause: 100 * time.Millisecond}
-			}
-			return err
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if got := readFor(x.Answer.Body, 20*time.Second); len(s.tries) > 0 || !strings.HasSuffix(got, events(4, 5)) {
+		picker := &numberedPicker{n: 2, outcomes: make(map[string]balance.Outcome)}
+		if got := s.readStalled(picker, 3, 20*time.Second); len(s.tries) > 0 || !strings.HasSuffix(got, events(4, 5)) {
 			t.Errorf("%d tries were not made; read %q", len(s.tries), got)
 		}
 	})
