Request bodies: one budget that grows as bytes arrive

Cause: the platform read each body without a total bound, and serve reserved the whole limit for a chunked body. Unfinished bodies made the one run out of memory and the other refuse everybody.

Change: package bodybuffer serves both interfaces. Memory is charged to the team or customer as it is allocated, the copy while a buffer grows included, until the request ends. Under pressure the unfinished body with the fewest bytes for its age is closed. The number of unfinished bodies and, on the platform, of callers' connections follows from limits.maxFds. On the platform the body is read after the filters route and team. Connections of callers have a receive buffer of 64 KiB. Chats are decoded one message at a time, since a list of empty messages needed many times the size of its body.

TestBodiesHeld checks the same as before with the new charges. FuzzChat builds the further turns as text, since the messages are no longer kept, and also compares both ways of decoding them.

--- /dev/null
+++ b/internal/bodybuffer/limits.go
@@ -0,0 +1,47 @@
+package bodybuffer
+
+const (
+	// DefaultMemory is the memory of a process if its settings don't say, in bytes.
+	DefaultMemory = 384 << 20
+	// memoryDivisor divides the memory of a process; the quotient is the budget. The rest is
+	// for everything else and for buffers that the garbage collector has not freed yet.
+	memoryDivisor = 3
+	// ownerDivisor divides the budget; the quotient is the share of one owner.
+	ownerDivisor = 2
+	// unfinishedBytes is the part of the budget for each unfinished body. It bounds their
+	// number, since each also costs a connection: socket buffers, read and write buffers and
+	// the stack of a goroutine.
+	unfinishedBytes = 32 << 10
+	// reservedFDs are the file descriptors that are not for callers. Of the others, one in
+	// targetFDDivisor is for connections to targets, and one in unfinishedFDDivisor may belong
+	// to an unfinished body.
+	reservedFDs         = 200
+	targetFDDivisor     = 4
+	unfinishedFDDivisor = 2
+)
+
+// Limits are the limits on the bodies in a process.
+type Limits struct {
+	// Bytes bounds the memory of all bodies.
+	Bytes int64
+	// Unfinished bounds the number of bodies that have not arrived completely.
+	Unfinished int
+	// Connections bounds the number of callers' connections; zero for no limit. It is higher
+	// than Unfinished, so that a new request can replace an unfinished one.
+	Connections int
+}
+
+// LimitsFor returns the limits for a process with an amount of memory, in bytes, and a maximum
+// number of file descriptors. Zero means that the process has DefaultMemory, or no maximum.
+func LimitsFor(memory int64, maxFDs int) Limits {
+	if memory <= 0 {
+		memory = DefaultMemory
+	}
+	l := Limits{Bytes: memory / memoryDivisor}
+	l.Unfinished = int(max(1, l.Bytes/unfinishedBytes))
+	if maxFDs > 0 {
+		l.Connections = max(2, (maxFDs-reservedFDs)-(maxFDs-reservedFDs)/targetFDDivisor)
+		l.Unfinished = min(l.Unfinished, max(1, (maxFDs-reservedFDs)/unfinishedFDDivisor))
+	}
+	return l
+}
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -30,6 +30,7 @@
 	StepForward  = "forward"
 	StepRoute    = "route"
 	StepTeam     = "team"
+	StepBody     = "body"
 	StepDispatch = "dispatch"
 	// StepQuarantine rejects requests with held parts, StepTrial observes each try.
 	StepQuarantine = "quarantine"
@@ -37,9 +38,10 @@
 )
 
 // RoutedSpec is the chain for requests that a routing table decides on.
+// Body comes after route and team, so that no memory is used for a request that they reject.
 // Quarantine comes before dispatch, so that a request that can't be served is rejected at
 // once, and Trial after it, so that it observes each try.
-var RoutedSpec = Spec{StepRoute, StepTeam, StepQuarantine, StepDispatch, StepTrial, StepForward}
+var RoutedSpec = Spec{StepRoute, StepTeam, StepBody, StepQuarantine, StepDispatch, StepTrial, StepForward}
 
 // DefaultSpec is the chain of a router that works from contracts. The lease comes
 // before identify, because contracts that may be out of date can't identify the caller.
--- a/internal/filter/exchange.go
+++ b/internal/filter/exchange.go
@@ -21,6 +21,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// ReadBody reads the body of a routed request into Body once its route and team are
+	// known; nil if there is nothing to read.
+	ReadBody func() error
 	// Bearer is the caller's key.
 	Bearer string
 	// Key is the caller's Idempotency-Key.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,7 @@
 	chain, err := filter.Build(filter.RoutedSpec,
 		&filter.Route{Tables: c.Tables, Warmup: warmup},
 		&filter.Team{SurgeDetector: balance.NewSurgeDetector(), Warmup: warmup},
+		&filter.Body{},
 		&filter.Quarantine{Guard: c.Guard},
 		&filter.Dispatch{Picker: c.Picker, Guard: c.Guard, Retries: c.Retries, Prepare: c.Prepare, OnHints: c.OnHints, Warmup: warmup, WaitLimits: filter.NewWaitLimits()},
 		&filter.Trial{Guard: c.Guard},
--- a/internal/idle/conn.go
+++ b/internal/idle/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -11,27 +12,68 @@
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
-// Listener returns a listener whose connections m can watch.
-func (m *Monitor) Listener(ln *net.TCPListener) net.Listener { return &listener{ln, m} }
+// Listener returns a listener whose connections m can watch. It accepts no connection while
+// maxConns are open; zero means no limit.
+func (m *Monitor) Listener(ln *net.TCPListener, maxConns int) net.Listener {
+	l := &listener{TCPListener: ln, monitor: m, closed: make(chan struct{})}
+	if maxConns > 0 {
+		l.slots = make(chan struct{}, maxConns)
+	}
+	return l
+}
 
 type listener struct {
 	*net.TCPListener
 	monitor *Monitor
+	// slots holds an element for each open connection; it is nil without a limit.
+	slots     chan struct{}
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection, and before that for a free slot.
 func (l *listener) Accept() (net.Conn, error) {
+	if l.slots != nil {
+		select {
+		case l.slots <- struct{}{}:
+		case <-l.closed:
+			return nil, net.ErrClosed
+		}
+	}
 	c, err := l.AcceptTCP()
 	if err != nil {
+		l.release()
 		return nil, err
 	}
-	return &conn{c, l.monitor}, nil
+	return &conn{TCPConn: c, monitor: l.monitor, release: l.release}, nil
+}
+
+// release frees the slot of a closed connection.
+func (l *listener) release() {
+	if l.slots != nil {
+		<-l.slots
+	}
+}
+
+// Close closes the listener and ends a wait for a slot.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.TCPListener.Close()
 }
 
 // conn is a connection that is watched by a monitor.
 type conn struct {
 	*net.TCPConn
-	monitor *Monitor
+	monitor   *Monitor
+	release   func()
+	closeOnce sync.Once
+}
+
+// Close closes the connection and frees its slot.
+func (c *conn) Close() error {
+	err := c.TCPConn.Close()
+	c.closeOnce.Do(c.release)
+	return err
 }
 
 // Read reads from the connection. After the timeout it fails if nothing has arrived.
--- a/internal/idle/conn_test.go
+++ b/internal/idle/conn_test.go
@@ -23,7 +23,7 @@
 	if caller, err = net.Dial("tcp", ln.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	if server, err = m.Listener(ln).Accept(); err != nil {
+	if server, err = m.Listener(ln, 0).Accept(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
@@ -100,7 +100,7 @@
 		time.Sleep(2 * header)
 		fmt.Fprint(w, "answer")
 	})}
-	go server.Serve(m.Listener(ln))
+	go server.Serve(m.Listener(ln, 0))
 	t.Cleanup(func() {
 		server.Close()
 		m.mu.Lock()
@@ -152,3 +152,49 @@
 		})
 	}
 }
+
+// TestMaxConnections guards against more open connections than the limit, and against a slot that
+// is lost or freed twice: the next connection is accepted only when another one closes.
+func TestMaxConnections(t *testing.T) {
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	limited := NewMonitor(func() Timeouts { return Timeouts{} }).Listener(ln, 1)
+	accepted := make(chan net.Conn)
+	go func() {
+		defer close(accepted)
+		for {
+			c, err := limited.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	for range 3 {
+		caller, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer caller.Close()
+	}
+	first := <-accepted
+	select {
+	case <-accepted:
+		t.Fatal("a second connection was accepted beside the first")
+	case <-time.After(50 * time.Millisecond):
+	}
+	first.Close()
+	first.Close()
+	<-accepted
+	select {
+	case <-accepted:
+		t.Fatal("a third connection was accepted beside the second")
+	case <-time.After(50 * time.Millisecond):
+	}
+	limited.Close()
+	if _, open := <-accepted; open {
+		t.Error("a connection was accepted after Close")
+	}
+}
--- a/internal/idle/crossing_test.go
+++ b/internal/idle/crossing_test.go
@@ -51,7 +51,7 @@
 				}
 				monitor.StateChanged(conn, state)
 			}
-			server.Listener = monitor.Listener(server.Listener.(*net.TCPListener))
+			server.Listener = monitor.Listener(server.Listener.(*net.TCPListener), 0)
 			server.Start()
 			defer server.Close()
 			conn, err := net.Dial("tcp", server.Listener.Addr().String())
--- a/internal/instance/http_servers.go
+++ b/internal/instance/http_servers.go
@@ -6,6 +6,7 @@
 
 	"github.com/wigeonwood/wigeonwood/internal/admin"
 	"github.com/wigeonwood/wigeonwood/internal/announce"
+	"github.com/wigeonwood/wigeonwood/internal/bodybuffer"
 	"github.com/wigeonwood/wigeonwood/internal/lookup"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/router"
@@ -48,6 +49,7 @@
 		Bounds: router.Bounds{
 			MaxBodyBytes: in.cfg.MaxBodyBytes,
 			MaxConns:     in.cfg.MaxConnections,
+			Bodies:       bodybuffer.LimitsFor(int64(in.cfg.MemoryMB)<<20, in.cfg.MaxConnections),
 		},
 		Logger: in.logger,
 		Scope:  in.scope,
--- a/internal/instance/listen.go
+++ b/internal/instance/listen.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 
+	"github.com/wigeonwood/wigeonwood/internal/bodybuffer"
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/settings"
 )
@@ -24,8 +25,8 @@
 func Listen(s *settings.Serve) (*Listeners, error) {
 	l := &Listeners{}
 	var failures []error
-	open := func(dst *net.Listener, flag string, addr *string) {
-		opened, err := net.Listen("tcp", *addr)
+	open := func(dst *net.Listener, flag string, addr *string, listen func(string) (net.Listener, error)) {
+		opened, err := listen(*addr)
 		if err != nil {
 			failures = append(failures, settings.FlagError(flag, "%v", err))
 			return
@@ -33,9 +34,9 @@
 		*dst = opened
 		*addr = opened.Addr().String()
 	}
-	open(&l.Caller, "listen", &s.Listen)
-	open(&l.Admin, "admin-listen", &s.AdminListen)
-	open(&l.Target, "target-listen", &s.TargetListen)
+	open(&l.Caller, "listen", &s.Listen, bodybuffer.Listen)
+	open(&l.Admin, "admin-listen", &s.AdminListen, listenTCP)
+	open(&l.Target, "target-listen", &s.TargetListen, listenTCP)
 	if err := l.openPeer(s); err != nil {
 		failures = append(failures, err)
 	}
@@ -46,6 +47,8 @@
 	return l, nil
 }
 
+func listenTCP(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
 // maxPortTries bounds the attempts to find a port that is free for both TCP and UDP.
 const maxPortTries = 10
 
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/wigeonwood/wigeonwood/internal/balance"
+	"github.com/wigeonwood/wigeonwood/internal/bodybuffer"
 	"github.com/wigeonwood/wigeonwood/internal/control"
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
@@ -75,6 +76,8 @@
 	// leaves before it is acknowledged.
 	NoticeCopies int
 	RetryLimits  balance.RetryLimits
+	// Bodies are the limits on the request bodies in memory.
+	Bodies bodybuffer.Limits
 	// Decode decodes the text of a routing table.
 	Decode routesync.Decode
 	// Dialect defines the headers of the protocol between routers and targets.
@@ -105,6 +108,7 @@
 	picker      *picker.Picker
 	guard       *quarantine.Guard
 	gateway     *gateway.Gateway
+	bodies      *bodybuffer.Pool
 	reports     *reports
 	// heartbeatRate meters the heartbeats that targets send to this instance.
 	heartbeatRate rateMeter
@@ -141,6 +145,9 @@
 	return in, nil
 }
 
+// Bodies returns the pool of request bodies; nil if this instance is not a router.
+func (in *Routed) Bodies() *bodybuffer.Pool { return in.bodies }
+
 // Metrics returns the handler of the metrics page.
 func (in *Routed) Metrics() http.Handler { return in.metrics }
 
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/balance"
+	"github.com/wigeonwood/wigeonwood/internal/bodybuffer"
 	"github.com/wigeonwood/wigeonwood/internal/budget"
 	"github.com/wigeonwood/wigeonwood/internal/control"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
@@ -141,6 +142,7 @@
 	if in.cfg.CallerAddr == "" {
 		return nil
 	}
+	in.bodies = bodybuffer.New(in.cfg.Bodies, in.logger, in.scope)
 	in.balancer = balance.New(in.members, in.logHealthChange)
 	in.picker = picker.New(picker.Config{Self: in.cfg.ID, Started: time.Now(), Members: in.members, Balancer: in.balancer, Logger: in.logger, Scope: in.scope})
 	in.guard = quarantine.New(quarantine.Config{Self: in.cfg.ID, Routers: in.members.Routers, Send: in.members.SendQuarantine, Logger: in.logger, Scope: in.scope})
--- a/internal/router/badinput_test.go
+++ b/internal/router/badinput_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/wigeonwood/wigeonwood/internal/bodybuffer"
 )
 
 // TestBadInput sends invalid requests of the kinds that new users make. Each gets
@@ -106,30 +108,40 @@
 	t.Errorf("still refused: %v %v", resp, err)
 }
 
-// TestBodiesHeld checks that the body budget counts the actual size of chunked
-// bodies, and not the reservation made for their undeclared length.
+// TestBodiesHeld checks that the body budget counts the memory of chunked bodies until
+// their requests end, and not a reservation made for their undeclared length. It guards
+// against requests that are refused although there is memory for them, and against ones that
+// are accepted although there is none.
 func TestBodiesHeld(t *testing.T) {
-	const bound = 100
-	h := newHarnessWithConfig(t, Config{Bounds: Bounds{MaxBodyBytes: bound, MaxBodiesBytes: bound + 10}}, service("s1", target(t, func(w http.ResponseWriter, req *http.Request) {
+	const limit, buffer = 64 << 10, 4 << 10
+	h := newHarnessWithConfig(t, Config{Bounds: Bounds{MaxBodyBytes: limit, Bodies: bodybuffer.Limits{Bytes: 2 * limit, Unfinished: 10}}}, service("s1", target(t, func(w http.ResponseWriter, req *http.Request) {
 		io.Copy(io.Discard, req.Body)
 		<-req.Context().Done()
 	})))
-	const chunked = "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsteel\r\n0\r\n\r\n"
-	for held := int64(5); held <= 15; held += 5 {
+	const head = "POST /v1/services/lab/ HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\n"
+	held := int64(0)
+	hold := func(request string, more int64) {
+		t.Helper()
 		c, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer c.Close()
-		io.WriteString(c, chunked)
-		for wait := 0; h.router.bodies.used.Load() != held; wait++ {
+		t.Cleanup(func() { c.Close() })
+		io.WriteString(c, request)
+		held += more
+		for wait := 0; h.router.bodies.Held() != held; wait++ {
 			if wait > 5000 {
-				t.Fatalf("%d bytes count as held, want %d", h.router.bodies.used.Load(), held)
+				t.Fatalf("%d bytes count as held, want %d", h.router.bodies.Held(), held)
 			}
 			time.Sleep(time.Millisecond)
 		}
 	}
-	if resp, body, _ := h.do(t, "POST", "/v1/services/lab/", strings.Repeat("x", bound)); resp.StatusCode != 503 || !strings.Contains(body, "bodies-full") {
+	for range 3 {
+		hold(head+"Transfer-Encoding: chunked\r\n\r\n5\r\nsteel\r\n0\r\n\r\n", buffer)
+	}
+	const large = 56 << 10
+	hold(head+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", large, strings.Repeat("x", large)), large)
+	if resp, body, _ := h.do(t, "POST", "/v1/services/lab/", strings.Repeat("x", limit)); resp.StatusCode != 503 || !strings.Contains(body, "bodies-full") {
 		t.Errorf("beyond the bound: %v %s", resp, body)
 	}
 }
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"unicode/utf8"
@@ -23,6 +25,8 @@
 	// check and note classes.
 	maxCheckTokens = 64
 	maxNoteTokens  = 512
+	// decodeCopies is the most memory that decoding a chat needs, as a multiple of its body.
+	decodeCopies = 2
 	// chatHashBytes is the length of the hash that identifies a chat by its prefix.
 	chatHashBytes = 16
 )
@@ -30,11 +34,52 @@
 // chatRequest holds the fields of the chat-completions format that a router
 // reads.
 type chatRequest struct {
-	Model               string        `json:"model"`
-	Stream              bool          `json:"stream"`
-	MaxTokens           *int          `json:"max_tokens"`
-	MaxCompletionTokens *int          `json:"max_completion_tokens"`
-	Messages            []chatMessage `json:"messages"`
+	Model               string       `json:"model"`
+	Stream              bool         `json:"stream"`
+	MaxTokens           *int         `json:"max_tokens"`
+	MaxCompletionTokens *int         `json:"max_completion_tokens"`
+	Messages            chatMessages `json:"messages"`
+}
+
+// chatMessages holds what a router needs of the messages of a chat. The messages are
+// decoded one at a time, because a list of millions of empty messages would need many times
+// the memory of the body.
+type chatMessages struct {
+	count int
+	// prefix holds the roles and contents of the system, developer and user messages up to
+	// and including the first user message, each after its length.
+	prefix []byte
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *chatMessages) UnmarshalJSON(data []byte) error {
+	if string(data) == "null" {
+		return nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	first, err := decoder.Token()
+	if err != nil {
+		return err
+	}
+	if first != json.Delim('[') {
+		return errors.New("the field messages is not an array")
+	}
+	for hasUser := false; decoder.More(); c.count++ {
+		var m chatMessage
+		if err := decoder.Decode(&m); err != nil {
+			return err
+		}
+		if !hasUser && (m.Role == "system" || m.Role == "developer" || m.Role == "user") {
+			c.prefix = appendPart(appendPart(c.prefix, m.Role), m.Content)
+			hasUser = m.Role == "user"
+		}
+	}
+	return nil
+}
+
+// appendPart appends a part after its length.
+func appendPart[T string | json.RawMessage](to []byte, part T) []byte {
+	return append(fmt.Appendf(to, "%d:", len(part)), part...)
 }
 
 // chatMessage is one message of a chat. Its content is only hashed.
@@ -65,9 +110,17 @@
 
 // readChat reads the request and fills in x.Demand.
 func (r *Router) readChat(w http.ResponseWriter, req *http.Request, x *filter.Exchange) error {
-	if err := r.readBody(w, req, x); err != nil {
+	body, err := r.readBody(w, req, x)
+	if err != nil {
 		return err
 	}
+	// While it is decoded, a chat holds copies of its largest message and of its prefix.
+	if size := decodeCopies * int64(len(x.Body)); size > 0 {
+		if err := body.Reserve(size); err != nil {
+			return rejectBody(x, err, r.cfg.Bounds.MaxBodyBytes)
+		}
+		defer body.Unreserve(size)
+	}
 	if err := readTimeout(req, x); err != nil {
 		return err
 	}
@@ -96,7 +149,7 @@
 		return nil, fmt.Errorf("the field model is missing")
 	case len(c.Model) > maxModelBytes:
 		return nil, fmt.Errorf("the field model is longer than %d bytes", maxModelBytes)
-	case len(c.Messages) == 0:
+	case c.Messages.count == 0:
 		return nil, fmt.Errorf("the field messages is missing or empty")
 	case c.maxTokens() <= 0:
 		return nil, fmt.Errorf("the field max_tokens is not positive")
@@ -156,19 +209,7 @@
 // same hash.
 func (c *chatRequest) prefixHash() string {
 	h := sha256.New()
-	write := func(part []byte) {
-		fmt.Fprintf(h, "%d:", len(part))
-		h.Write(part)
-	}
-	write([]byte(c.Model))
-	for _, m := range c.Messages {
-		if m.Role == "system" || m.Role == "developer" || m.Role == "user" {
-			write([]byte(m.Role))
-			write(m.Content)
-		}
-		if m.Role == "user" {
-			break
-		}
-	}
+	h.Write(appendPart(nil, c.Model))
+	h.Write(c.Messages.prefix)
 	return hex.EncodeToString(h.Sum(nil)[:chatHashBytes])
 }
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wigeonwood/wigeonwood/internal/bodybuffer"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
@@ -15,7 +16,6 @@
 // Default limits on what callers may send and how long they may take.
 const (
 	DefaultMaxBodyBytes   = 4 << 20
-	DefaultMaxBodiesBytes = 96 << 20
 	DefaultMaxHeaderBytes = 32 << 10
 	DefaultMaxConns       = 8192
 	DefaultHeaderTimeout  = 5 * time.Second
@@ -34,8 +34,8 @@
 type Bounds struct {
 	// MaxBodyBytes limits one request body.
 	MaxBodyBytes int64
-	// MaxBodiesBytes limits the total size of all request bodies in memory.
-	MaxBodiesBytes int64
+	// Bodies limits the request bodies in memory.
+	Bodies         bodybuffer.Limits
 	MaxHeaderBytes int
 	MaxConns       int
 	HeaderTimeout  time.Duration
@@ -128,7 +128,7 @@
 // withDefaults replaces zero fields of b by their defaults.
 func (b Bounds) withDefaults() Bounds {
 	setDefault(&b.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&b.MaxBodiesBytes, DefaultMaxBodiesBytes)
+	setDefault(&b.Bodies, bodybuffer.LimitsFor(0, 0))
 	setDefault(&b.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&b.MaxConns, DefaultMaxConns)
 	setDefault(&b.HeaderTimeout, DefaultHeaderTimeout)
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"bytes"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -75,8 +75,8 @@
 	})
 }
 
-// FuzzChat checks that the prefix hash of a chat does not change when turns are
-// added.
+// FuzzChat checks that the prefix hash of a chat does not change when turns are added, and
+// that it does not depend on how the messages are decoded.
 func FuzzChat(f *testing.F) {
 	f.Add([]byte(plainChat))
 	f.Add([]byte(`{"model":"m","max_tokens":9,"messages":[{"role":"system","content":[{"type":"text"}]},{"role":"user"}]}`))
@@ -85,16 +85,47 @@
 		if err != nil {
 			return
 		}
+		var list struct{ Messages []chatMessage }
+		if err := json.Unmarshal(body, &list); err != nil || len(list.Messages) != c.Messages.count {
+			t.Fatalf("%q: %d messages, %v, want %d", body, len(list.Messages), err, c.Messages.count)
+		}
 		users := 0
-		for _, m := range c.Messages {
+		for _, m := range list.Messages {
 			if m.Role == "user" {
 				users++
 			}
 		}
-		hash := c.prefixHash()
-		c.Messages = append(c.Messages, chatMessage{Role: "assistant", Content: bytes.Clone(body)}, chatMessage{Role: "user"})
-		if users > 0 && c.prefixHash() != hash {
-			t.Errorf("the next turn of %q has another prefix hash", body)
+		same, err := parseChat(chatText(t, c.Model, list.Messages))
+		if err != nil || same.prefixHash() != c.prefixHash() {
+			t.Errorf("the messages of %q have another prefix hash, %v", body, err)
+		}
+		next := append(list.Messages, chatMessage{Role: "assistant", Content: body}, chatMessage{Role: "user"})
+		grown, err := parseChat(chatText(t, c.Model, next))
+		if err != nil || users > 0 && grown.prefixHash() != c.prefixHash() {
+			t.Errorf("the next turn of %q has another prefix hash, %v", body, err)
 		}
 	})
 }
+
+// chatText returns a chat with the contents of its messages byte by byte.
+func chatText(t *testing.T, model string, messages []chatMessage) []byte {
+	text := func(value string) string {
+		encoded, err := json.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(encoded)
+	}
+	out := []byte(`{"model":` + text(model) + `,"messages":[`)
+	for i, m := range messages {
+		if i > 0 {
+			out = append(out, ',')
+		}
+		out = append(out, `{"role":`+text(m.Role)...)
+		if m.Content != nil {
+			out = append(append(out, `,"content":`...), m.Content...)
+		}
+		out = append(out, '}')
+	}
+	return append(out, "]}"...)
+}
--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -1,17 +1,15 @@
 package router
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
-	"sync/atomic"
 	"time"
 	"unicode/utf8"
 
+	"github.com/wigeonwood/wigeonwood/internal/bodybuffer"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 )
 
@@ -31,72 +29,48 @@
 // body budget is used up.
 const bodyRetryAfter = time.Second
 
-// bodyBudget limits the total size of the request bodies in memory.
-type bodyBudget struct {
-	max  int64
-	used atomic.Int64
-}
-
-// reserve reserves n bytes and reports whether the budget allowed it.
-func (b *bodyBudget) reserve(n int64) bool {
-	if b.used.Add(n) > b.max {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-// release returns n bytes to the budget.
-func (b *bodyBudget) release(n int64) { b.used.Add(-n) }
-
 // invalid returns the rejection of a malformed or unsupported request.
 func invalid(x *filter.Exchange, status int, code, message string) *filter.Rejection {
 	return x.Reject(filter.Rejection{Status: status, Code: code, Message: message, Step: stepRead})
 }
 
-// readBody reads the body into x within the size and time limits. The lease and
+// readBody reads the body into x within the size and time limits. It returns the body, or nil if
+// there is none. The lease and
 // the customer's key are checked first, so that no memory is used for unknown
 // callers. The filter chain repeats both checks after the request is read, since
 // the lease and the contract may change while the body arrives.
-func (r *Router) readBody(w http.ResponseWriter, req *http.Request, x *filter.Exchange) error {
+func (r *Router) readBody(w http.ResponseWriter, req *http.Request, x *filter.Exchange) (*bodybuffer.Body, error) {
 	if !req.ProtoAtLeast(1, 1) {
-		return invalid(x, http.StatusHTTPVersionNotSupported, "http-version", "HTTP/1.0 can't signal a truncated response; use HTTP/1.1")
+		return nil, invalid(x, http.StatusHTTPVersionNotSupported, "http-version", "HTTP/1.0 can't signal a truncated response; use HTTP/1.1")
 	}
 	if err := r.lease.Check(x, filter.StepLease); err != nil {
-		return err
+		return nil, err
 	}
-	if _, err := r.identify.Contract(x); err != nil {
-		return err
+	contract, err := r.identify.Contract(x)
+	if err != nil {
+		return nil, err
 	}
 	limit := r.cfg.Bounds.MaxBodyBytes
 	if req.ContentLength > limit {
-		return tooLarge(x, limit)
-	}
-	reserved := req.ContentLength
-	if reserved < 0 {
-		reserved = limit
-	}
-	if !r.bodies.reserve(reserved) {
-		return x.Reject(filter.Rejection{
-			Code:       "bodies-full",
-			Message:    "this router is at its limit for request bodies in memory",
-			Step:       stepRead,
-			RetryAfter: bodyRetryAfter,
-		})
-	}
-	x.OnEnd(func(filter.Usage) { r.bodies.release(reserved) })
-	if reserved == 0 {
-		return nil
-	}
-	body, err := readAll(http.MaxBytesReader(w, req.Body, limit), req.ContentLength)
+		return nil, tooLarge(x, limit)
+	}
+	if req.ContentLength == 0 {
+		return nil, nil
+	}
+	body, err := r.bodies.Read(bodybuffer.Source{
+		Owner:     contract.GetCustomer(),
+		Reader:    http.MaxBytesReader(w, req.Body, limit),
+		Size:      req.ContentLength,
+		Limit:     limit,
+		Interrupt: func() { setReadDeadline(w, -time.Second) },
+	})
 	if err != nil {
-		return rejectBody(x, err, limit)
+		return nil, rejectBody(x, err, limit)
 	}
+	x.OnEnd(func(filter.Usage) { body.Release() })
 	setReadDeadline(w, 0)
-	x.Body = body
-	r.bodies.release(reserved - int64(len(body)))
-	reserved = int64(len(body))
-	return nil
+	x.Body = body.Bytes
+	return body, nil
 }
 
 // readKey sets the caller's Idempotency-Key. An empty or repeated header is an
@@ -117,32 +91,28 @@
 }
 
 // setReadDeadline limits further reads of the request to d from now. A zero d
-// removes the limit.
+// removes the limit; a negative d makes reads fail.
 func setReadDeadline(w http.ResponseWriter, d time.Duration) {
 	var end time.Time
-	if d > 0 {
+	if d != 0 {
 		end = time.Now().Add(d)
 	}
 	// The error is ignored since only writers in tests do not support deadlines.
 	_ = http.NewResponseController(w).SetReadDeadline(end)
 }
 
-// readAll reads a body into memory. A negative size means that the size is
-// unknown.
-func readAll(body io.Reader, size int64) ([]byte, error) {
-	if size < 0 {
-		return io.ReadAll(body)
-	}
-	var b bytes.Buffer
-	b.Grow(int(size) + bytes.MinRead)
-	_, err := b.ReadFrom(body)
-	return b.Bytes(), err
-}
-
 // rejectBody returns the rejection for a body that could not be read.
 func rejectBody(x *filter.Exchange, err error, limit int64) error {
 	var large *http.MaxBytesError
+	var limited *bodybuffer.LimitError
 	switch {
+	case errors.As(err, &limited):
+		return x.Reject(filter.Rejection{
+			Code:       limitCode(limited),
+			Message:    limited.Error(),
+			Step:       stepRead,
+			RetryAfter: bodyRetryAfter,
+		})
 	case errors.As(err, &large):
 		return tooLarge(x, limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -152,6 +122,14 @@
 	}
 }
 
+// limitCode returns the code of the rejection for a limit on bodies in memory.
+func limitCode(e *bodybuffer.LimitError) string {
+	if e.Closed {
+		return codeBodyClosed
+	}
+	return codeBodiesFull
+}
+
 // tooLarge returns the rejection of a body over the limit.
 func tooLarge(x *filter.Exchange, limit int64) error {
 	return invalid(x, http.StatusRequestEntityTooLarge, "body-too-large", fmt.Sprintf("the body is larger than %d bytes", limit))
--- a/internal/router/refuse.go
+++ b/internal/router/refuse.go
@@ -22,6 +22,10 @@
 	codeInternal         = "internal"
 	codeNotFound         = "not-found"
 	codeMethodNotAllowed = "method-not-allowed"
+	// codeBodiesFull is the code of a request for whose body there is no memory.
+	codeBodiesFull = "bodies-full"
+	// codeBodyClosed is the code of a body that was closed to free memory.
+	codeBodyClosed = "body-closed"
 )
 
 // discardTimeout limits how long net/http may read the rest of a refused
@@ -73,10 +77,11 @@
 // its exchange.
 func (r *Router) refuse(w http.ResponseWriter, req *http.Request, x *filter.Exchange, err error) {
 	defer x.End()
-	if req.ContentLength != 0 && x.Body == nil {
+	rejection := asRejection(x, err)
+	if req.ContentLength != 0 && x.Body == nil && rejection.Code != codeBodyClosed {
 		setReadDeadline(w, min(discardTimeout, r.cfg.Bounds.BodyTimeout))
 	}
-	r.writeRejection(w, req, x, asRejection(x, err))
+	r.writeRejection(w, req, x, rejection)
 }
 
 // writeRejection writes a rejection to the caller, logs it and records it.
@@ -93,7 +98,7 @@
 	for _, entry := range rejection.Entries {
 		h.Add(headerEntries, entry)
 	}
-	if closesConnection(rejection.Status) {
+	if closesConnection(rejection) {
 		h.Set("Connection", "close")
 	}
 	r.drain.SetConnectionClose(h)
@@ -114,9 +119,13 @@
 }
 
 // closesConnection reports whether the rest of the request body may still arrive
-// after this status, so that the connection can't be reused.
-func closesConnection(status int) bool {
-	return status == http.StatusRequestTimeout || status == http.StatusRequestEntityTooLarge
+// after this rejection, so that the connection can't be reused.
+func closesConnection(r *filter.Rejection) bool {
+	switch r.Status {
+	case http.StatusRequestTimeout, http.StatusRequestEntityTooLarge:
+		return true
+	}
+	return r.Code == codeBodiesFull || r.Code == codeBodyClosed
 }
 
 // retryAfterSeconds formats d for the Retry-After header, rounded up to seconds.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wigeonwood/wigeonwood/internal/bodybuffer"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
 	"github.com/wigeonwood/wigeonwood/internal/relay"
@@ -27,7 +28,7 @@
 	handler  http.Handler
 	server   *http.Server
 	ids      *idSource
-	bodies   *bodyBudget
+	bodies   *bodybuffer.Pool
 	drain    relay.Drain
 	inFlight atomic.Int64
 
@@ -56,7 +57,7 @@
 			TotalTimeout: func(d filter.Demand) time.Duration { return c.Timeouts[d.Class].Total },
 		},
 		ids:    newIDSource(),
-		bodies: &bodyBudget{max: c.Bounds.MaxBodiesBytes},
+		bodies: bodybuffer.New(c.Bounds.Bodies, c.Logger, c.Scope),
 
 		requests:   scope.Counter("requests"),
 		cutAnswers: scope.Counter("cut_answers"),
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -39,7 +39,7 @@
 	if err := readKey(req, x); err != nil {
 		return err
 	}
-	if err := r.readBody(w, req, x); err != nil {
+	if _, err := r.readBody(w, req, x); err != nil {
 		return err
 	}
 	if err := readTimeout(req, x); err != nil {
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -41,6 +41,9 @@
 	LoadBound float64
 	// MaxBodyBytes bounds the request body of a caller.
 	MaxBodyBytes int64
+	// MemoryMB is the memory that the instance may use, in MiB. The budget for request bodies
+	// follows from it.
+	MemoryMB int
 	// MaxConnections bounds the open connections of callers.
 	MaxConnections int
 	// EntryTTL is the time for which callers may cache an entry address.
@@ -56,6 +59,8 @@
 	maxLoadBound           = 10
 	defaultMaxBodyBytes    = 8 << 20
 	maxMaxBodyBytes        = 64 << 20
+	defaultMemoryMB        = 384
+	minMemoryMB            = 64
 	defaultMaxConnections  = 10000
 	defaultEntryTTL        = 5 * time.Second
 	maxEntryTTL            = 10 * time.Minute
@@ -91,6 +96,7 @@
 func (s *Serve) addLimitFlags(fs *pflag.FlagSet) {
 	fs.Float64Var(&s.LoadBound, "load-bound", defaultLoadBound, "highest load of an engine as a multiple of the mean")
 	fs.Int64Var(&s.MaxBodyBytes, "max-body-bytes", defaultMaxBodyBytes, "maximum size of a caller's request body in bytes")
+	fs.IntVar(&s.MemoryMB, "memory-mb", defaultMemoryMB, "memory that the instance may use in MiB; a third of it is for request bodies")
 	fs.IntVar(&s.MaxConnections, "max-connections", defaultMaxConnections, "maximum number of open caller connections")
 	fs.DurationVar(&s.EntryTTL, "entry-keep", defaultEntryTTL, "how long callers may cache an entry address")
 	fs.DurationVar(&s.ShutdownTimeout, "shutdown-timeout", defaultShutdownTimeout, "time limit for requests in flight at shutdown")
@@ -194,6 +200,7 @@
 	}
 	check(s.LoadBound >= minLoadBound && s.LoadBound <= maxLoadBound, "load-bound", "%v is outside %v to %v", s.LoadBound, minLoadBound, maxLoadBound)
 	check(s.MaxBodyBytes > 0 && s.MaxBodyBytes <= maxMaxBodyBytes, "max-body-bytes", "%d is outside 1 to %d", s.MaxBodyBytes, maxMaxBodyBytes)
+	check(s.MemoryMB >= minMemoryMB, "memory-mb", "%d is below %d", s.MemoryMB, minMemoryMB)
 	check(s.MaxConnections > 0, "max-connections", "%d is not above 0", s.MaxConnections)
 	check(s.EntryTTL >= time.Second && s.EntryTTL <= maxEntryTTL, "entry-keep", "%v is outside 1s to %v", s.EntryTTL, maxEntryTTL)
 	check(s.ShutdownTimeout > 0, "shutdown-timeout", "%v is not above 0", s.ShutdownTimeout)
