Cold targets receive requests by permits within their bound

A target that has just started tolerates few requests per second and crashed again when load concentrated on it: the first choice of a hot key came back, few targets were left, or many routers sent probes at once. No router limited what all of them sent together.

A heartbeat now says how much longer its target stays cold. The state travels with the target's status; a forwarded status carries the time that is left, and each router clears it by itself. Services configure coldPerS and coldStartS. Each request to a cold target needs a permit of the target's owner, whose bucket stays within half of the bound, so that two owners may grant in the same second. A place that was reserved for a takeover or a resumption, or that is used again, takes a new permit once its own has aged. Cold targets have weights in the selection and do not restrict prompts to two choices.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -40,7 +41,7 @@
 	Exclude []string
 	// Only limits the selection to the targets with these ids; empty means no limit.
 	Only []string
-	// WithoutLimit excludes the targets that name a rate limit.
+	// WithoutLimit excludes the targets that name a rate limit or are cold.
 	WithoutLimit bool
 	// Goal is the latency objective of the request.
 	Goal time.Duration
@@ -74,6 +75,10 @@
 	// Done removes the request from the target's in-flight count and records its
 	// outcome. Only the first call has an effect.
 	Done func(Outcome)
+	// Renew reports whether a request that was not sent at once may still be sent to the
+	// target. If the target is cold, that takes a new permit. Renew is nil if any request may
+	// be sent.
+	Renew func(ctx context.Context) bool
 }
 
 // HealthChange reports that a target was ejected or readmitted.
@@ -102,6 +107,8 @@
 	lastSweep   time.Time
 	// limits returns the rate limits that targets name, by load key.
 	limits func() map[uint32]float64
+	// coldRate has the meaning of SetCold.
+	coldRate func(st *pb.TargetStatus) float64
 	// demands counts the requests by service.
 	demands map[string]*demand
 }
@@ -133,6 +140,7 @@
 		targets:     make(map[uint64]*target),
 		remoteLoads: newRemoteLoads(),
 		limits:      func() map[uint32]float64 { return nil },
+		coldRate:    func(*pb.TargetStatus) float64 { return 0 },
 		demands:     make(map[string]*demand),
 	}
 }
@@ -238,7 +246,7 @@
 			continue
 		}
 		_, limited := limits[LoadKey(st)]
-		t := b.target(now, st)
+		t, coldRate := b.target(now, st), b.coldRate(st)
 		all = append(all, &candidate{
 			status:       st,
 			inFlight:     t.inFlight + b.remoteLoads.inFlight(now, LoadKey(st)),
@@ -249,7 +257,8 @@
 			leaving:      st.Leaving || t.leavingByResponse,
 			pausedFor:    t.pausedUntil.Sub(now),
 			withheldFor:  t.withheldUntil.Sub(now),
-			excluded:     r.excludes(st.Id) || limited && r.WithoutLimit,
+			excluded:     r.excludes(st.Id) || (limited || coldRate > 0) && r.WithoutLimit,
+			coldRate:     coldRate,
 		})
 	}
 	b.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
@@ -299,6 +308,7 @@
 
 // choose selects by prompt key if the request has one, and by load otherwise.
 func (b *Balancer) choose(r Request, all []*candidate) selection {
+	b.setColdWeights(b.now(), r.Service, all)
 	if r.Key != "" {
 		b.setPromptWeights(b.now(), r.Service, all)
 		return selectByPromptKey(r.Key, all)
--- a/internal/balance/select_load.go
+++ b/internal/balance/select_load.go
@@ -15,14 +15,14 @@
 // a thundering herd: with many routers and short requests, the counts reach the other
 // routers only after the requests have ended, and if every router selected the target
 // with the fewest requests, all would select the same one. draw returns a random number
-// in [0, 1).
+// in [0, 1). A cold target is selected less often by its weight.
 func selectByLoad(all []*candidate, dataCentre string, draw func() float64) selection {
 	pool := preferredPool(all)
 	if len(pool) == 0 {
 		return selection{}
 	}
 	for _, c := range pool {
-		if distance(c, dataCentre) == 0 && c.utilization() <= lightUtilization {
+		if distance(c, dataCentre) == 0 && c.utilization() <= lightUtilization && (c.coldWeight == 0 || draw() < c.coldWeight) {
 			return selection{target: c, reason: "lightly loaded in this data centre"}
 		}
 	}
@@ -71,7 +71,7 @@
 func (c *candidate) utilization() float64 { return float64(c.inFlight) / float64(c.capacity) }
 
 // drawWeight is the weight of the target in the random choice. It decreases with the mean
-// load.
+// load and is less for a cold target.
 func (c *candidate) drawWeight() float64 {
-	return 1 / (idleWeightOffset + c.meanInFlight/float64(c.capacity))
+	return orOne(c.coldWeight) / (idleWeightOffset + c.meanInFlight/float64(c.capacity))
 }
--- a/internal/balance/select_prompt.go
+++ b/internal/balance/select_prompt.go
@@ -47,6 +47,11 @@
 	// limitedWeight is the part of the prompts that a limited target gets, relative to an
 	// unlimited one: between 0 and 1, or zero if the target is not limited.
 	limitedWeight float64
+	// coldRate is the rate of requests that the target gets from all routers while it is
+	// cold; zero if it is not cold. coldWeight is the part of the requests that is planned
+	// for it, with the meaning of limitedWeight.
+	coldRate   float64
+	coldWeight float64
 }
 
 // eligible reports whether the target accepts the request, healthy or not.
@@ -54,12 +59,18 @@
 	return !c.leaving && !c.excluded && c.pausedFor <= 0 && c.withheldFor <= 0
 }
 
-// weight returns the target's part of the prompts, relative to an unlimited target.
+// weight returns the target's part of the prompts, relative to a target that is neither limited
+// nor cold.
 func (c *candidate) weight() float64 {
-	if c.limitedWeight == 0 {
+	return min(orOne(c.limitedWeight), orOne(c.coldWeight))
+}
+
+// orOne returns a weight, or one if it is not set.
+func orOne(weight float64) float64 {
+	if weight == 0 {
 		return 1
 	}
-	return c.limitedWeight
+	return weight
 }
 
 // selection is the result of a selection. Each candidate is nil if there is none.
@@ -82,8 +93,8 @@
 func selectByPromptKey(key string, all []*candidate) selection {
 	byKey := rankByKey(key, all)
 	ranked := byKey
-	limited := slices.ContainsFunc(all, func(c *candidate) bool { return c.weight() < 1 })
-	if limited {
+	limited := slices.ContainsFunc(all, func(c *candidate) bool { return orOne(c.limitedWeight) < 1 })
+	if limited || slices.ContainsFunc(all, func(c *candidate) bool { return c.weight() < 1 }) {
 		ranked = rankByWeight(key, all)
 	}
 	open := slices.DeleteFunc(slices.Clone(ranked), func(c *candidate) bool { return !c.eligible() || !c.healthy })
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -169,7 +169,10 @@
 // nextChoice returns the target that takes over from a silent one, or selects one.
 func (d *dispatch) nextChoice(ctx context.Context) (balance.Choice, error) {
 	if choice := d.successor.take(); choice != nil {
-		return *choice, nil
+		if choice.Renew == nil || choice.Renew(ctx) {
+			return *choice, nil
+		}
+		choice.Done(balance.Abandoned)
 	}
 	return d.choose(ctx)
 }
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -75,6 +75,9 @@
 	// leaves before it is acknowledged.
 	NoticeCopies int
 	RetryLimits  balance.RetryLimits
+	// ColdOverrun and ColdSlack bound the requests that a cold target receives in any second
+	// (permits.ColdBound); nil for the defaults.
+	ColdOverrun, ColdSlack *float64
 	// Decode decodes the text of a routing table.
 	Decode routesync.Decode
 	// Dialect defines the headers of the protocol between routers and targets.
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -142,7 +142,7 @@
 		return nil
 	}
 	in.balancer = balance.New(in.members, in.logHealthChange)
-	in.picker = picker.New(picker.Config{Self: in.cfg.ID, Started: time.Now(), Members: in.members, Balancer: in.balancer, Logger: in.logger, Scope: in.scope})
+	in.picker = picker.New(picker.Config{Self: in.cfg.ID, Started: time.Now(), Members: in.members, Balancer: in.balancer, Logger: in.logger, Scope: in.scope, Cold: in.coldRule})
 	in.guard = quarantine.New(quarantine.Config{Self: in.cfg.ID, Routers: in.members.Routers, Send: in.members.SendQuarantine, Logger: in.logger, Scope: in.scope})
 	g, err := gateway.New(gateway.Config{
 		Tables:   &in.activeTable,
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -81,6 +81,8 @@
 	// nextLeaseExpiry is a lower bound of the time at which the next lease on a target
 	// expires.
 	nextLeaseExpiry time.Time
+	// nextColdEnd is when the next cold target becomes warm; zero if no target is cold.
+	nextColdEnd time.Time
 
 	// routerChanges and targetChanges count the changes of routers and of targets that
 	// are visible to readers of the view.
@@ -179,6 +181,7 @@
 	c.expireProbes(now)
 	c.expireSuspicions(now)
 	c.recordExpiredLeases(now)
+	c.endCold(now)
 	if !now.Before(c.nextProbe) {
 		c.startProbe(now)
 		c.nextProbe = now.Add(c.probeInterval(now))
@@ -206,6 +209,9 @@
 	if c.syncRequired {
 		next = earliest(next, c.nextSync)
 	}
+	if !c.nextColdEnd.IsZero() {
+		next = earliest(next, c.nextColdEnd)
+	}
 	for _, p := range c.probes {
 		next = earliest(next, p.deadline)
 	}
--- a/internal/member/events.go
+++ b/internal/member/events.go
@@ -27,6 +27,8 @@
 	eventTargetLeaves   = "a target leaves"
 	eventTargetRemoved  = "a target was not heard of and is forgotten"
 	eventTargetExpired  = "a target's lease ended: it is not listed until it is heard of again"
+	eventTargetCold     = "a target is cold"
+	eventTargetWarm     = "a target is warm"
 	eventTargetRenewed  = "a target is heard of again and listed"
 )
 
--- a/internal/member/handoff.go
+++ b/internal/member/handoff.go
@@ -85,7 +85,7 @@
 // sendHandoff sends the notice to as many routers as are still needed, and handoffSpares more.
 func (c *core) sendHandoff(now time.Time, h *handoff) {
 	h.retryAt = now.Add(handoffRetry)
-	d := c.targetDelta(h.id)
+	d := c.targetDelta(now, h.id)
 	if d == nil || !d.Status.Leaving {
 		return
 	}
--- a/internal/member/leaving.go
+++ b/internal/member/leaving.go
@@ -31,7 +31,7 @@
 // wait for the next probe, as other updates do. Updates within leavingDelay share their
 // datagrams.
 func (c *core) scheduleLeavingUpdate(now time.Time, id string) {
-	if d := c.targetDelta(id); d == nil || !d.Status.Leaving {
+	if d := c.targetDelta(now, id); d == nil || !d.Status.Leaving {
 		return
 	}
 	if len(c.leavingUpdates.pending) == 0 {
@@ -83,7 +83,7 @@
 		var deltas []*pb.TargetDelta
 		for _, id := range part {
 			// A target that has restarted in the meantime is no longer leaving.
-			if d := c.targetDelta(id); d != nil && d.Status.Leaving {
+			if d := c.targetDelta(now, id); d != nil && d.Status.Leaving {
 				deltas = append(deltas, d)
 			}
 		}
--- a/internal/member/piggyback.go
+++ b/internal/member/piggyback.go
@@ -31,7 +31,7 @@
 func (c *core) sendWithUpdates(now time.Time, to string, class budget.Class, m *pb.Gossip) bool {
 	base := proto.Size(m) + headerBytes + packetOverheadBytes
 	routers, targets := len(m.Routers), len(m.Targets)
-	picked, urgent := c.addUpdates(m)
+	picked, urgent := c.addUpdates(now, m)
 	classWithUpdates := max(class, budget.Load)
 	if urgent {
 		classWithUpdates = budget.Drain
@@ -51,7 +51,7 @@
 
 // addUpdates fills m with queued updates, urgent ones first, then the least often sent.
 // The last update may exceed maxUpdateBytes, so that large statuses are sent too.
-func (c *core) addUpdates(m *pb.Gossip) (picked []*queuedUpdate, urgent bool) {
+func (c *core) addUpdates(now time.Time, m *pb.Gossip) (picked []*queuedUpdate, urgent bool) {
 	if len(c.updates.items) == 0 {
 		return nil, false
 	}
@@ -61,7 +61,7 @@
 		if added >= maxUpdateBytes {
 			break
 		}
-		size, leaving := c.addUpdate(m, item, room-added)
+		size, leaving := c.addUpdate(now, m, item, room-added)
 		if size == 0 {
 			continue
 		}
@@ -74,15 +74,15 @@
 
 // addUpdate adds one update if it fits. It returns the size in bytes, zero if the
 // update was not added, and whether the update says that a target leaves.
-func (c *core) addUpdate(m *pb.Gossip, item *queuedUpdate, room int) (size int, leaving bool) {
+func (c *core) addUpdate(now time.Time, m *pb.Gossip, item *queuedUpdate, room int) (size int, leaving bool) {
 	if item.key.kind == targetUpdate {
-		return c.addTargetUpdate(m, item.key, room)
+		return c.addTargetUpdate(now, m, item.key, room)
 	}
 	return c.addRouterUpdate(m, item.key, room), false
 }
 
-func (c *core) addTargetUpdate(m *pb.Gossip, key updateKey, room int) (size int, leaving bool) {
-	d := c.targetDelta(key.id)
+func (c *core) addTargetUpdate(now time.Time, m *pb.Gossip, key updateKey, room int) (size int, leaving bool) {
+	d := c.targetDelta(now, key.id)
 	if d == nil {
 		c.updates.remove(key)
 		return 0, false
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -260,7 +260,7 @@
 	room := maxMessageBytes - proto.Size(m) - renewalsOverheadBytes
 	r := &pb.Renewals{}
 	for i, e := range entries {
-		d := c.targetDelta(e.status.Id)
+		d := c.targetDelta(now, e.status.Id)
 		if room -= proto.Size(d) + deltaOverheadBytes + renewalBytes; room < 0 {
 			rest = entries[i:]
 			break
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -45,6 +45,8 @@
 	// lastSeen is when the target was last proven alive; before any proof, when it was
 	// added.
 	lastSeen time.Time
+	// coldUntil is when the target becomes warm; zero if it is not cold.
+	coldUntil time.Time
 	// hash and bucket determine the entry's part in digests of views, identity its part
 	// in digests of lists of targets.
 	hash     uint32
@@ -156,7 +158,7 @@
 	if e == nil {
 		return c.addTarget(now, st)
 	}
-	changed = st.Sequence > e.statusSequence && !sameStatus(e.status, st)
+	changed = st.Sequence > e.statusSequence && (!sameStatus(e.status, st) || !e.sameCold(now, st))
 	if changed {
 		next := withoutLoad(st)
 		next.Load = e.status.Load
@@ -164,6 +166,7 @@
 		e.status = next
 		e.statusSequence = st.Sequence
 		e.rehash()
+		c.setCold(now, e, st)
 		c.invalidatePresent()
 		c.targetChanges++
 	}
@@ -187,6 +190,7 @@
 	c.invalidatePresent()
 	c.history.set(st.Id, st.Incarnation, st.Leaving)
 	c.recordTargetEvent(st.Id, st.Incarnation, eventTargetAppeared)
+	c.setCold(now, e, st)
 	c.targetChanges++
 	return true
 }
@@ -260,12 +264,13 @@
 	}
 }
 
-// targetDelta returns the current state of a target as a delta, nil if the target is
+// targetDelta returns the state of a target at now as a delta, nil if the target is
 // unknown.
-func (c *core) targetDelta(id string) *pb.TargetDelta {
+func (c *core) targetDelta(now time.Time, id string) *pb.TargetDelta {
 	if e := c.targets[id]; e != nil && !e.status.Leaving {
 		st := withoutLoad(e.status)
 		st.Sequence = e.statusSequence
+		st.ColdMs = e.coldMs(now)
 		return &pb.TargetDelta{Status: st}
 	}
 	past, known := c.history.get(id)
@@ -275,10 +280,12 @@
 	return &pb.TargetDelta{Status: &pb.TargetStatus{Id: id, Incarnation: past.incarnation, Leaving: true}}
 }
 
-// sameStatus reports whether two statuses are equal apart from sequence and load.
+// sameStatus reports whether two statuses are equal apart from sequence, load and the time
+// for which the target stays cold.
 func sameStatus(a, b *pb.TargetStatus) bool {
 	x, y := withoutLoad(a), withoutLoad(b)
 	x.Sequence, y.Sequence = 0, 0
+	x.ColdMs, y.ColdMs = 0, 0
 	return proto.Equal(x, y)
 }
 
@@ -306,5 +313,6 @@
 		Leaving:       st.Leaving,
 		ChecksFencing: st.ChecksFencing,
 		Role:          st.Role,
+		ColdMs:        st.ColdMs,
 	}
 }
--- a/internal/permits/limiter.go
+++ b/internal/permits/limiter.go
@@ -38,7 +38,9 @@
 	started time.Time
 	table   table
 	meters  map[uint32]*meter
-	reach   reach
+	// cold holds the buckets of cold targets.
+	cold  map[uint32]*coldMeter
+	reach reach
 	// unsent holds the targets with an observation of this router that was not returned by
 	// TakeSeen. spreadFrom is the target after which Spread continues.
 	unsent     map[uint32]bool
--- a/internal/picker/limits.go
+++ b/internal/picker/limits.go
@@ -37,6 +37,12 @@
 		}
 		a := p.permit(ctx, c.Target)
 		if a.Granted {
+			if p.cfg.Cold != nil {
+				c.Renew = p.renew(c.Target, time.Now())
+			}
+			if _, cold := p.coldRule(c.Target); cold {
+				c.Reason += ", cold"
+			}
 			if a.Latest != nil && a.Latest.Named {
 				c.Reason += fmt.Sprintf(", with a permit under its limit of %.3g requests/s", a.Latest.PerSecond)
 			}
@@ -57,13 +63,18 @@
 // one.
 func (p *Picker) permit(ctx context.Context, target *pb.TargetStatus) permits.Answer {
 	key := balance.LoadKey(target)
+	if _, cold := p.coldRule(target); cold {
+		a := p.askPermit(ctx, target, key, true)
+		p.countColdPermit(a)
+		return a
+	}
 	p.limiterMu.Lock()
 	needed := p.limiter.NeedsPermit(time.Now(), key)
 	p.limiterMu.Unlock()
 	if !needed {
 		return permits.Answer{Granted: true}
 	}
-	a := p.askPermit(ctx, target, key)
+	a := p.askPermit(ctx, target, key, false)
 	if a.Granted {
 		p.permitsGranted.Inc(1)
 	} else {
@@ -72,23 +83,28 @@
 	return a
 }
 
-func (p *Picker) askPermit(ctx context.Context, target *pb.TargetStatus, key uint32) permits.Answer {
+// askPermit requests a permit from the target's owner. cold is set if the target is cold.
+func (p *Picker) askPermit(ctx context.Context, target *pb.TargetStatus, key uint32, cold bool) permits.Answer {
 	now := time.Now()
 	owner := p.targetOwner(target)
 	p.limiterMu.Lock()
 	latest, known := p.limiter.Latest(now, key), p.limiter.SeeRouters(now, len(balance.ServingRouters(p.cfg.Members.Routers())))
 	if owner != nil && owner.Id == p.cfg.Self {
 		defer p.limiterMu.Unlock()
-		return p.limiter.Grant(now, key, latest, known)
+		return p.grant(now, key, latest, known, cold)
 	}
 	p.limiterMu.Unlock()
-	message := &pb.PermitAsk{Target: key, Seen: seenLimit(now, latest), Fleet: uint32(known)}
+	message := &pb.PermitAsk{Target: key, Seen: seenLimit(now, latest), Fleet: uint32(known), Cold: cold}
 	var reply *pb.PermitAnswer
 	if owner != nil {
 		_, answer := p.askOwner(ctx, owner, &pb.Placing{What: &pb.Placing_PermitAsk{PermitAsk: message}})
 		reply = answer.GetPermitAnswer()
 	}
 	now = time.Now()
+	if reply == nil && cold {
+		p.cold.unanswered.Inc(1)
+		return permits.UnansweredCold()
+	}
 	if reply == nil {
 		p.permitsUnanswered.Inc(1)
 		p.limiterMu.Lock()
@@ -137,7 +153,7 @@
 	p.limiterMu.Lock()
 	defer p.limiterMu.Unlock()
 	p.limiter.SeeRouters(now, len(balance.ServingRouters(p.cfg.Members.Routers())))
-	a := p.limiter.Grant(now, m.Target, nil, int(m.Fleet))
+	a := p.grant(now, m.Target, nil, int(m.Fleet), m.Cold)
 	// The wait is rounded up, so that the router does not come back too early.
 	return &pb.PermitAnswer{Granted: a.Granted, WaitMs: uint32((a.Wait + time.Millisecond - 1).Milliseconds()), Seen: seenLimit(now, a.Latest)}
 }
@@ -198,6 +214,7 @@
 	defer p.limiterMu.Unlock()
 	p.limiter.SeeRouters(now, len(balance.ServingRouters(p.cfg.Members.Routers())))
 	p.publishLimits(now)
+	p.countCold()
 	if collector {
 		return p.limiter.Spread(now, n)
 	}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -55,7 +55,7 @@
 	SendPlacing(to string, p *pb.Placing)
 }
 
-// Config configures a Picker. All fields but Started are required.
+// Config configures a Picker. All fields but Started and Cold are required.
 type Config struct {
 	// Self is the id of this router.
 	Self string
@@ -66,6 +66,9 @@
 	Balancer *balance.Balancer
 	Logger   *log.Logger
 	Scope    tally.Scope
+	// Cold returns the configuration of the cold targets of a service. If it is nil, cold
+	// targets get as many requests as others.
+	Cold func(service string) ColdRule
 }
 
 // Picker selects targets and admits the requests of the services that this router
@@ -99,6 +102,8 @@
 	// limiter holds the limits that targets name, and limits a copy for the balancer.
 	limiter *permits.Limiter
 	limits  atomic.Pointer[map[uint32]float64]
+	// cold is guarded by limiterMu, except for the marks and metrics in it.
+	cold coldTargets
 }
 
 // ownerState tracks the timeouts of one owner.
@@ -127,8 +132,10 @@
 		permitsDenied:     limits.Counter("permits_denied"),
 		permitsUnanswered: limits.Counter("permits_unanswered"),
 		limiter:           permits.NewLimiter(c.Started),
+		cold:              newColdTargets(limits),
 	}
 	c.Balancer.SetLimits(p.knownLimits)
+	c.Balancer.SetCold(p.coldRate)
 	return p
 }
 
--- a/internal/routing/check.go
+++ b/internal/routing/check.go
@@ -15,6 +15,9 @@
 		if s.Name == "" {
 			faults = append(faults, errors.New("a service has no name"))
 		}
+		if s.ColdStart < 0 || s.ColdPerSecond < 0 {
+			faults = append(faults, fmt.Errorf("service %q has a negative time or rate of cold targets", s.Name))
+		}
 		services[s.Name] = true
 	}
 	routes := make(map[matchKey]string, len(t.Routes))
