--- a/internal/balance/backpressure.go
+++ b/internal/balance/backpressure.go
@@ -20,7 +20,7 @@
 }
 
 // LimitedError means that all targets that could otherwise receive the request are at the
-// rate limits that they name.
+// rate limits that they name, or are cold and have no permit left.
 type LimitedError struct {
 	// RetryAfter is the time until the first of them may take another request.
 	RetryAfter time.Duration
--- a/internal/permits/doc.go
+++ b/internal/permits/doc.go
@@ -10,6 +10,9 @@
 // While the fleet is split, each part has an owner. An owner therefore grants only the
 // fraction of a limit that corresponds to the fraction of the routers that it still reaches.
 //
+// Cold targets get permits too, by the rate that their service configures. Their buckets are
+// smaller, so that two owners may grant in the same second.
+//
 // The package has no clock, I/O or goroutine. It does not select owners and sends no
 // messages.
 package permits
--- a/internal/picker/cold.go
+++ b/internal/picker/cold.go
@@ -78,7 +78,7 @@
 // coldRule returns the configuration of a target's service, and whether the target is cold and
 // requests to it need a permit for that reason.
 func (p *Picker) coldRule(st *pb.TargetStatus) (rule ColdRule, cold bool) {
-	if p.cfg.Cold == nil || st.ColdMs == 0 && !p.cold.marks.apply(time.Now(), st) {
+	if p.cfg.Cold == nil || st.ColdMs == 0 && !p.cold.marks.apply(st) {
 		return ColdRule{}, false
 	}
 	rule = p.cfg.Cold(st.Service)
--- a/internal/picker/limits.go
+++ b/internal/picker/limits.go
@@ -41,7 +41,7 @@
 				c.Renew = p.renew(c.Target, time.Now())
 			}
 			if _, cold := p.coldRule(c.Target); cold {
-				c.Reason += ", cold"
+				c.Reason += ", with a permit for a cold target"
 			}
 			if a.Latest != nil && a.Latest.Named {
 				c.Reason += fmt.Sprintf(", with a permit under its limit of %.3g requests/s", a.Latest.PerSecond)
--- a/internal/picker/marks.go
+++ b/internal/picker/marks.go
@@ -19,7 +19,7 @@
 // marks holds the targets that count as cold although their status does not say so. It is safe
 // for concurrent use by one writer.
 type marks struct {
-	// current is nil if no target was ever marked. What it points to never changes.
+	// current is nil if no target is marked. What it points to never changes.
 	current atomic.Pointer[markSet]
 }
 
@@ -30,9 +30,14 @@
 }
 
 // apply reports whether the target counts as cold because of a mark.
-func (m *marks) apply(now time.Time, st *pb.TargetStatus) bool {
+func (m *marks) apply(st *pb.TargetStatus) bool {
 	current := m.current.Load()
-	if current == nil || !now.Before(current.until) {
+	if current == nil {
+		return false
+	}
+	now := time.Now()
+	if !now.Before(current.until) {
+		m.current.CompareAndSwap(current, nil)
 		return false
 	}
 	mark, marked := current.byTarget[fleet.TargetKey(st.Id, st.Incarnation)]
