--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -78,6 +78,9 @@
 	RetryLimits  balance.RetryLimits
 	// Bodies are the limits on the request bodies in memory.
 	Bodies bodybuffer.Limits
+	// ColdOverrun and ColdSlack bound the requests that a cold target receives in any second
+	// (permits.ColdBound); nil for the defaults.
+	ColdOverrun, ColdSlack *float64
 	// Decode decodes the text of a routing table.
 	Decode routesync.Decode
 	// Dialect defines the headers of the protocol between routers and targets.
