Replicate the set of evacuated data centres

Operators must be able to stop requests to the targets of a data centre, and the order must survive power loss and changes of the leader. The replicated state therefore holds the set of evacuated data centres, which the command SetEvacuation changes.

--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -29,6 +29,9 @@
 	ledger     ledger
 	// routing is the active routing table, nil before the first one.
 	routing *RoutingTable
+	// evacuations is the set of evacuated data centres, nil before the first one. A set
+	// is not modified after it is stored here.
+	evacuations *pb.Evacuations
 }
 
 var _ replica.StateMachine = (*Machine)(nil)
@@ -60,6 +63,7 @@
 	m.operations = newOperations(m.bounds)
 	m.ledger = newLedger(m.bounds)
 	m.routing = nil
+	m.evacuations = nil
 }
 
 // Apply executes one committed command and returns the encoded CommandResult.
@@ -112,6 +116,8 @@
 		return &pb.CommandResult{Body: &pb.CommandResult_Resolve{Resolve: m.ledger.resolve(body.Resolve, m.elapsedMs)}}
 	case *pb.Command_RoutingTable:
 		return &pb.CommandResult{Body: &pb.CommandResult_RoutingTable{RoutingTable: m.applyRoutingTable(body.RoutingTable)}}
+	case *pb.Command_SetEvacuation:
+		return &pb.CommandResult{Body: &pb.CommandResult_SetEvacuation{SetEvacuation: m.applyEvacuation(body.SetEvacuation)}}
 	}
 	return &pb.CommandResult{}
 }
--- a/internal/state/restore.go
+++ b/internal/state/restore.go
@@ -67,6 +67,8 @@
 		return m.restoreLedgerBlock(body.Ledger)
 	case *pb.SnapshotRecord_RoutingTable:
 		return m.restoreRouting(body.RoutingTable)
+	case *pb.SnapshotRecord_Evacuations:
+		return m.restoreEvacuations(body.Evacuations)
 	}
 	return errors.New("unknown snapshot record type")
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -58,6 +58,9 @@
 		}
 		s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_RoutingTable{RoutingTable: packed}})
 	}
+	if m.evacuations != nil {
+		s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_Evacuations{Evacuations: m.evacuations}})
+	}
 	m.writeObjects(s)
 	for _, r := range m.history.records {
 		s.write(&pb.SnapshotRecord{Body: &pb.SnapshotRecord_History{History: r}})
