Distribute the set of evacuated data centres with the routing tables

A router must have the set no later than its first table, and learn of a change within the time in which an evacuation has to take effect. A replica pushes a new set at once to the routers assigned to it, on a goroutine of its own, because transfers of tables may take seconds. Each instance announces its revision in its own gossip messages and fetches a higher one from a peer. Pushes and replies that hold a table hold the set too. Config.OnEvacuations tells other parts which set took effect and which one it replaces.

--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -249,6 +249,7 @@
 		c.mergeTarget(now, d, propagate)
 	}
 	c.recordRoutingTable(m.From, m.RoutingTable)
+	c.recordEvacuations(m.From, m.Evacuations)
 	switch m.Kind {
 	case pb.GossipKind_GOSSIP_KIND_PING:
 		c.onPing(now, from, m)
@@ -288,7 +289,7 @@
 
 // newMessage returns a message of this kind with this router as its sender.
 func (c *core) newMessage(kind pb.GossipKind, nonce uint32) *pb.Gossip {
-	return &pb.Gossip{Kind: kind, From: c.self.status.Id, Nonce: nonce, RoutingTable: c.self.status.RoutingTable}
+	return &pb.Gossip{Kind: kind, From: c.self.status.Id, Nonce: nonce, RoutingTable: c.self.status.RoutingTable, Evacuations: c.self.status.Evacuations}
 }
 
 // newNonce returns a nonce that no pending request uses. It is never zero.
--- a/internal/member/routers.go
+++ b/internal/member/routers.go
@@ -117,7 +117,8 @@
 }
 
 // replaceRouter replaces all knowledge of a router by d. The known address of a dead
-// router is kept, and so is a higher routing table number of the same incarnation.
+// router is kept, and so are a higher routing table number and a higher revision of the evacuations
+// of the same incarnation.
 func (c *core) replaceRouter(now time.Time, old *routerEntry, d *pb.RouterDelta) {
 	invariant.Check(old.state != dead || d.Generation > old.generation, "dead router returns",
 		"router", d.Status.Id, "generation", d.Generation, "dead", old.generation)
@@ -130,6 +131,9 @@
 		// The known number is newer than the one in this status.
 		e.status = withRoutingTable(e.status, old.status.RoutingTable)
 	}
+	if old.status.GetIncarnation() == d.Status.Incarnation && old.status.GetEvacuations() > e.status.Evacuations {
+		e.status = withEvacuations(e.status, old.status.Evacuations)
+	}
 	c.routers[d.Status.Id] = e
 	e.rehash()
 	c.updates.add(routerUpdate, d.Status.Id)
--- a/internal/routesync/push_fetch.go
+++ b/internal/routesync/push_fetch.go
@@ -34,7 +34,8 @@
 // last push has started.
 func (s *Sync) push(ctx context.Context, h heldTable) {
 	semaphore := make(chan struct{}, maxConcurrentPushes)
-	for rank, r := range assignedRouters(s.cfg.Members.Self().Id, s.cfg.Members.Routers(), h.number, pushReplicas) {
+	lacks := func(r *pb.RouterStatus) bool { return r.RoutingTable < h.number }
+	for rank, r := range assignedRouters(s.cfg.Members.Self().Id, s.cfg.Members.Routers(), lacks, pushReplicas) {
 		semaphore <- struct{}{}
 		go func() {
 			defer func() { <-semaphore }()
@@ -77,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	ack := &pb.RoutingAck{}
-	err := s.cfg.Pool.Call(ctx, r.PeerAddr, methodPush, &pb.RoutingPush{Table: t}, ack)
+	err := s.cfg.Pool.Call(ctx, r.PeerAddr, methodPush, &pb.RoutingPush{Table: t, Evacuations: s.Evacuations()}, ack)
 	if err != nil {
 		s.cfg.Logger.Debug().Err(err).Str("step", step).Str("peer", r.Id).Uint64("number", t.Number).
 			Msg("a routing table was not pushed; the instance fetches it")
@@ -85,11 +86,11 @@
 	return ack.Number, err == nil
 }
 
-// assignedRouters yields the routers to which this replica, self, pushes the table:
-// those that announce a lower number and have self among the first
+// assignedRouters yields the routers to which this replica, self, pushes what they lack:
+// those for which lacks returns true and which have self among the first
 // replicasPerRouter replicas in their rendezvous order. Each is yielded with the
 // index of self in that order.
-func assignedRouters(self string, routers []*pb.RouterStatus, number uint64, replicasPerRouter int) iter.Seq2[int, *pb.RouterStatus] {
+func assignedRouters(self string, routers []*pb.RouterStatus, lacks func(*pb.RouterStatus) bool, replicasPerRouter int) iter.Seq2[int, *pb.RouterStatus] {
 	var replicas []string
 	for _, r := range routers {
 		if r.Replica {
@@ -98,7 +99,7 @@
 	}
 	return func(yield func(int, *pb.RouterStatus) bool) {
 		for _, r := range routers {
-			if r.Id == self || r.Replica || r.RoutingTable >= number {
+			if r.Id == self || r.Replica || !lacks(r) {
 				continue
 			}
 			rank := slices.Index(fleet.Rank(r.Id, replicas), self)
@@ -113,16 +114,18 @@
 }
 
 func (s *Sync) handlePush(_ context.Context, req *pb.RoutingPush) (*pb.RoutingAck, error) {
+	s.applyEvacuations(req.Evacuations, "push")
 	s.receive(req.Table, "push")
-	return &pb.RoutingAck{Number: s.cfg.Holder.Number()}, nil
+	return &pb.RoutingAck{Number: s.cfg.Holder.Number(), Evacuations: s.Evacuations().GetRevision()}, nil
 }
 
 func (s *Sync) handleFetch(_ context.Context, req *pb.RoutingFetch) (*pb.RoutingReply, error) {
 	s.mu.Lock()
 	h := s.current
 	s.mu.Unlock()
+	set := s.evacuationsAbove(req.EvacuationsAbove)
 	if h.number <= req.Above {
-		return &pb.RoutingReply{}, nil
+		return &pb.RoutingReply{Evacuations: set}, nil
 	}
 	t, err := h.messageFor(req.Above)
 	if err != nil {
@@ -130,10 +133,10 @@
 	}
 	completeAt, ok := s.allowTransfer(t)
 	if !ok {
-		return &pb.RoutingReply{Instead: s.pickReceiver(req.From)}, nil
+		return &pb.RoutingReply{Instead: s.pickReceiver(req.From), Evacuations: set}, nil
 	}
 	s.recordReceiver(t.Number, receiver{addr: req.From, availableFrom: completeAt})
-	return &pb.RoutingReply{Table: t}, nil
+	return &pb.RoutingReply{Table: t, Evacuations: set}, nil
 }
 
 // fetchNewer fetches the table from an instance that announces the highest number,
@@ -146,9 +149,16 @@
 	if best == nil {
 		return false
 	}
+	if local == 0 {
+		// The source of the first table may not have the newest evacuations.
+		s.fetchEvacuations(ctx)
+	}
 	addr := best.PeerAddr
 	for range maxFetchHops {
 		reply, err := s.fetch(ctx, addr, local)
+		// The set takes effect first, so that no request is served by the first table
+		// without it.
+		s.applyEvacuations(reply.GetEvacuations(), addr)
 		switch {
 		case err != nil:
 			s.cfg.Logger.Warn().Err(errs.Wrap(err, step, addr)).Str("step", step).Str("peer", addr).Uint64("number", best.RoutingTable).
@@ -169,7 +179,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply := &pb.RoutingReply{}
-	err := s.cfg.Pool.Call(ctx, addr, methodFetch, &pb.RoutingFetch{Above: above, From: s.cfg.Members.Self().PeerAddr}, reply)
+	err := s.cfg.Pool.Call(ctx, addr, methodFetch, &pb.RoutingFetch{
+		Above: above, From: s.cfg.Members.Self().PeerAddr, EvacuationsAbove: s.Evacuations().GetRevision(),
+	}, reply)
 	return reply, err
 }
 
--- a/internal/routesync/push_fetch_test.go
+++ b/internal/routesync/push_fetch_test.go
@@ -34,6 +34,7 @@
 func (m *fakeMembers) Targets() []*pb.TargetStatus    { return nil }
 func (m *fakeMembers) Target(string) *pb.TargetStatus { return nil }
 func (m *fakeMembers) SetRoutingTable(uint64)         {}
+func (m *fakeMembers) SetEvacuations(uint64)          {}
 func (m *fakeMembers) setPeers(peers ...*pb.RouterStatus) {
 	m.mu.Lock()
 	m.peers = peers
--- a/internal/routesync/sync.go
+++ b/internal/routesync/sync.go
@@ -5,6 +5,9 @@
 // the delta to its predecessor if the receiver holds that one. An instance never
 // replaces a table by an older one.
 //
+// The set of evacuated data centres is distributed in the same way. An instance receives
+// it no later than its first table.
+//
 // The package does not validate tables; Config.Decode does.
 package routesync
 
@@ -61,16 +64,24 @@
 	// SetRoutingTable announces the number of the table that is active at this
 	// instance.
 	SetRoutingTable(number uint64)
+	// SetEvacuations announces the revision of the set of evacuated data centres that is
+	// active at this instance.
+	SetEvacuations(revision uint64)
 }
 
 // Config configures a Sync. All fields are required, except Decode if
-// ServesCallers is false.
+// ServesCallers is false, and OnEvacuations.
 type Config struct {
 	Holder *routing.Holder
 	// Decode is called only if ServesCallers is set. Other instances store and send
 	// tables without decoding them.
 	Decode        Decode
 	ServesCallers bool
+	// OnEvacuations is called after a newer set of evacuated data centres took effect,
+	// with the set before, which may be nil, and the new one. EndedEvacuations returns
+	// the difference. The sets must not be modified. The calls are made one after the
+	// other, in the order of the revisions; a call must not block.
+	OnEvacuations func(before, after *pb.Evacuations)
 	Members       Members
 	Pool          *transport.Pool
 	Server        *transport.Server
@@ -78,7 +89,7 @@
 	Scope         tally.Scope
 }
 
-// Sync distributes routing tables.
+// Sync distributes routing tables and the set of evacuated data centres.
 type Sync struct {
 	cfg     Config
 	applied tally.Counter
@@ -95,6 +106,8 @@
 	// not applied yet.
 	wake    chan struct{}
 	pending *heldTable
+
+	evacuations evacuations
 }
 
 // heldTable is a table that is active at this instance or about to be, with the
@@ -121,6 +134,8 @@
 		applied: scope.Counter("tables_applied"),
 		invalid: scope.Counter("tables_invalid"),
 		wake:    make(chan struct{}, 1),
+
+		evacuations: newEvacuations(cfg.Scope),
 	}
 	transport.Handle(cfg.Server, methodPush, s.handlePush)
 	transport.Handle(cfg.Server, methodFetch, s.handleFetch)
@@ -160,8 +175,11 @@
 	return s.current.number, s.current.text
 }
 
-// Run applies, pushes and fetches tables until ctx ends.
+// Run applies, pushes and fetches tables and evacuations until ctx ends.
 func (s *Sync) Run(ctx context.Context) {
+	var evacuations sync.WaitGroup
+	evacuations.Go(func() { s.runEvacuations(ctx) })
+	defer evacuations.Wait()
 	timer := time.NewTimer(initialCompareInterval)
 	defer timer.Stop()
 	backoff := initialBackoff{}
