Send no requests to the targets of evacuated data centres

Routers select no target of an evacuated data centre: not as a first choice, for a retry, a takeover or a resumed stream, not if a service's owner router assigned it, and not as the source of a cache copy. Such targets stay in the mean of the bound on prompts, without a successor: the bound is that of the time before the evacuation, and at least the mean load of the remaining targets plus two.

Routed.SetEvacuation commits an order through the replicated log. A replica applies the evacuations of its log before a routing table.

--- a/internal/balance/backpressure.go
+++ b/internal/balance/backpressure.go
@@ -43,7 +43,7 @@
 func noCandidateError(all []*candidate) error {
 	var paused, limited time.Duration
 	for _, c := range all {
-		if c.leaving || c.excluded {
+		if c.leaving || c.evacuated || c.excluded {
 			continue
 		}
 		if c.pausedFor > 0 && (paused == 0 || c.pausedFor < paused) {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -102,6 +102,8 @@
 	lastSweep   time.Time
 	// limits returns the rate limits that targets name, by load key.
 	limits func() map[uint32]float64
+	// evacuated reports whether a data centre is evacuated.
+	evacuated func(dataCentre string) bool
 	// demands counts the requests by service.
 	demands map[string]*demand
 }
@@ -133,6 +135,7 @@
 		targets:     make(map[uint64]*target),
 		remoteLoads: newRemoteLoads(),
 		limits:      func() map[uint32]float64 { return nil },
+		evacuated:   func(string) bool { return false },
 		demands:     make(map[string]*demand),
 	}
 }
@@ -247,6 +250,7 @@
 			healthy:      t.health.available(now),
 			degraded:     t.health.degraded(),
 			leaving:      st.Leaving || t.leavingByResponse,
+			evacuated:    b.evacuated(st.DataCentre),
 			pausedFor:    t.pausedUntil.Sub(now),
 			withheldFor:  t.withheldUntil.Sub(now),
 			excluded:     r.excludes(st.Id) || limited && r.WithoutLimit,
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -83,7 +83,7 @@
 	for _, c := range all {
 		limit, limited := limits[LoadKey(c.status)]
 		switch {
-		case c.leaving:
+		case c.leaving || c.evacuated:
 		case limited:
 			sum += limitUse * limit
 			most = max(most, limit)
--- a/internal/balance/select_prompt.go
+++ b/internal/balance/select_prompt.go
@@ -35,6 +35,9 @@
 	degraded bool
 	// leaving is set if the target accepts no new requests.
 	leaving bool
+	// evacuated is set if the target's data centre is evacuated, so that the target gets no
+	// new requests.
+	evacuated bool
 	// excluded is set if the request already failed at the target or excludes it because of
 	// its limit.
 	excluded bool
@@ -51,7 +54,7 @@
 
 // eligible reports whether the target accepts the request, healthy or not.
 func (c *candidate) eligible() bool {
-	return !c.leaving && !c.excluded && c.pausedFor <= 0 && c.withheldFor <= 0
+	return !c.leaving && !c.evacuated && !c.excluded && c.pausedFor <= 0 && c.withheldFor <= 0
 }
 
 // weight returns the target's part of the prompts, relative to an unlimited target.
@@ -149,6 +152,9 @@
 // is never below the mean load of the targets that are not leaving, since these must
 // carry all requests.
 //
+// Evacuated targets count like leaving ones without a successor: the mean is taken over the
+// same targets before and during an evacuation.
+//
 // A target counts in the means by its prompt weight, since a limited one takes a part of the
 // requests only.
 func promptLoadLimit(all []*candidate) int {
@@ -157,8 +163,10 @@
 	for _, c := range all {
 		total += c.inFlight
 		weights += c.weight()
-		if c.leaving {
+		if c.leaving && !c.evacuated {
 			successors++
+		}
+		if c.leaving || c.evacuated {
 			continue
 		}
 		stayingTotal += c.inFlight
@@ -174,10 +182,10 @@
 
 // topCacheHolder returns the highest ranked target other than the selected one from
 // which cached parts of the prompt can be copied; nil if there is none. Leaving targets
-// are included, since they still have their cache.
+// are included, since they still have their cache. Targets of evacuated data centres are not.
 func topCacheHolder(ranked []*candidate, target *candidate) *candidate {
 	for _, c := range ranked {
-		if c != target && c.healthy && !c.excluded {
+		if c != target && c.healthy && !c.excluded && !c.evacuated {
 			return c
 		}
 	}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -143,6 +144,22 @@
 	return reply.Result.GetRoutingTable(), nil
 }
 
+// errNoEvacuationResult means that the leader runs a build that does not know the command.
+var errNoEvacuationResult = errors.New("the leader does not apply evacuations")
+
+// SetEvacuation submits an order that starts or ends an evacuation. Repeats change nothing.
+func (c *Client) SetEvacuation(ctx context.Context, order *pb.SetEvacuation) (*pb.SetEvacuationResult, error) {
+	reply, err := c.Submit(ctx, &pb.Command{Body: &pb.Command_SetEvacuation{SetEvacuation: order}})
+	if err != nil {
+		return nil, err
+	}
+	result := reply.Result.GetSetEvacuation()
+	if result == nil {
+		return nil, errs.Wrap(errNoEvacuationResult, methodSubmit, reply.LeaderAddr)
+	}
+	return result, nil
+}
+
 // Claim commits a claim. Each call must use a new attempt number. At most one call
 // receives the grant: a repeated grant counts only if this call sent the claim
 // before and lost the reply. After an error that leaves the outcome open, the
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -38,6 +38,8 @@
 			PeerAddr:    in.cfg.PeerListen,
 			State:       pb.RouterState_ROUTER_STATE_SERVING,
 			Replica:     in.cfg.DataDir != "",
+
+			SupportsEvacuation: true,
 		},
 		Seeds:         in.cfg.Seeds,
 		CachedPeers:   in.cachedPeers(),
@@ -63,6 +65,7 @@
 		Holder:        &in.activeTable,
 		Decode:        in.cfg.Decode,
 		ServesCallers: in.cfg.CallerAddr != "",
+		OnEvacuations: in.handleEvacuations,
 		Members:       in.members,
 		Pool:          in.pool,
 		Server:        in.server,
@@ -123,7 +126,14 @@
 		OpenAdmission: true,
 		Peers:         in.replicaAddrs,
 		OnApplied: func() {
-			if t := machine.RoutingTable(); t != nil {
+			// The evacuations are read after the table and take effect before it, so
+			// that no table is active here without the evacuations that were
+			// committed before it.
+			t := machine.RoutingTable()
+			if set := machine.Evacuations(); set != nil {
+				in.sync.EvacuationsCommitted(set)
+			}
+			if t != nil {
 				in.sync.Committed(t.Number, t.Document, t.Command)
 			}
 		},
@@ -142,6 +152,7 @@
 		return nil
 	}
 	in.balancer = balance.New(in.members, in.logHealthChange)
+	in.balancer.SetEvacuated(in.sync.Evacuated)
 	in.picker = picker.New(picker.Config{Self: in.cfg.ID, Started: time.Now(), Members: in.members, Balancer: in.balancer, Logger: in.logger, Scope: in.scope})
 	in.guard = quarantine.New(quarantine.Config{Self: in.cfg.ID, Routers: in.members.Routers, Send: in.members.SendQuarantine, Logger: in.logger, Scope: in.scope})
 	g, err := gateway.New(gateway.Config{
