--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -109,6 +109,8 @@
 	limits func() map[uint32]float64
 	// coldRate has the meaning of SetCold.
 	coldRate func(st *pb.TargetStatus) float64
+	// evacuated reports whether a data centre is evacuated.
+	evacuated func(dataCentre string) bool
 	// demands counts the requests by service.
 	demands map[string]*demand
 }
@@ -141,6 +143,7 @@
 		remoteLoads: newRemoteLoads(),
 		limits:      func() map[uint32]float64 { return nil },
 		coldRate:    func(*pb.TargetStatus) float64 { return 0 },
+		evacuated:   func(string) bool { return false },
 		demands:     make(map[string]*demand),
 	}
 }
@@ -255,6 +258,7 @@
 			healthy:      t.health.available(now),
 			degraded:     t.health.degraded(),
 			leaving:      st.Leaving || t.leavingByResponse,
+			evacuated:    b.evacuated(st.DataCentre),
 			pausedFor:    t.pausedUntil.Sub(now),
 			withheldFor:  t.withheldUntil.Sub(now),
 			excluded:     r.excludes(st.Id) || (limited || coldRate > 0) && r.WithoutLimit,
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -22,7 +22,7 @@
 func (b *Balancer) setColdWeights(now time.Time, service string, all []*candidate) {
 	serving, warm, sum, most := 0, 0, 0.0, 0.0
 	for _, c := range all {
-		if c.leaving {
+		if c.leaving || c.evacuated {
 			continue
 		}
 		serving++
