Request bodies: limits that ordinary callers don't meet

Cause: with a half of the budget, 300 bodies of 72 KB of one team without an announced length met the owner's share at 136 MB.

Change: one owner may hold two thirds. Waiting bodies are woken only if there are any.

Evidence: TestOrdinaryLoad fails with a share of a half and passes now.

--- a/internal/bodybuffer/accounts.go
+++ b/internal/bodybuffer/accounts.go
@@ -87,7 +87,7 @@
 		max    int64
 		reason Reason
 	}{
-		{owner, max(a.limits.Bytes/ownerDivisor, maxPeak), ReasonOwner},
+		{owner, max(a.limits.owner(), maxPeak), ReasonOwner},
 		{&a.total, max(a.limits.Bytes, maxPeak), ReasonMemory},
 	} {
 		for e.reason == "" && bound.sums.charged-bound.sums.freeing+n > bound.max {
--- a/internal/bodybuffer/limits.go
+++ b/internal/bodybuffer/limits.go
@@ -6,16 +6,18 @@
 	// memoryDivisor divides the memory of a process; the quotient is the budget. The rest is
 	// for everything else and for buffers that the garbage collector has not freed yet.
 	memoryDivisor = 3
-	// ownerDivisor divides the budget; the quotient is the share of one owner.
-	ownerDivisor = 2
+	// ownerShare is the part of the budget that one owner may hold. A half would not suffice for
+	// 300 bodies of 72 KB without an announced length in a router of 136 MB.
+	ownerShare = 2.0 / 3
 	// unfinishedBytes is the part of the budget for each unfinished body. It bounds their
 	// number, since each also costs a connection: socket buffers, read and write buffers and
 	// the stack of a goroutine.
 	unfinishedBytes = 32 << 10
-	// reservedFDs are the file descriptors that are not for callers. Of the others, one in
-	// targetFDDivisor is for connections to targets, and one in unfinishedFDDivisor may belong
+	// reservedFDs are the file descriptors that are not for callers, unless these would have
+	// less than one in minFDDivisor. Of the others, one in targetFDDivisor is for connections to targets, and one in unfinishedFDDivisor may belong
 	// to an unfinished body.
 	reservedFDs         = 200
+	minFDDivisor        = 4
 	targetFDDivisor     = 4
 	unfinishedFDDivisor = 2
 )
@@ -40,8 +42,18 @@
 	l := Limits{Bytes: memory / memoryDivisor}
 	l.Unfinished = int(max(1, l.Bytes/unfinishedBytes))
 	if maxFDs > 0 {
-		l.Connections = max(2, (maxFDs-reservedFDs)-(maxFDs-reservedFDs)/targetFDDivisor)
-		l.Unfinished = min(l.Unfinished, max(1, (maxFDs-reservedFDs)/unfinishedFDDivisor))
+		callers := max(maxFDs-reservedFDs, maxFDs/minFDDivisor)
+		l.Connections = max(2, callers-callers/targetFDDivisor)
+		l.Unfinished = min(l.Unfinished, max(1, callers/unfinishedFDDivisor))
 	}
 	return l
 }
+
+// owner returns how much one owner may hold.
+func (l Limits) owner() int64 { return int64(ownerShare * float64(l.Bytes)) }
+
+// ForConnections returns l for a process that itself bounds its callers' connections.
+func (l Limits) ForConnections(n int) Limits {
+	l.Unfinished = min(l.Unfinished, max(1, n/unfinishedFDDivisor))
+	return l
+}
--- a/internal/bodybuffer/pool.go
+++ b/internal/bodybuffer/pool.go
@@ -48,7 +48,7 @@
 	accounts *accounts
 	// interrupts holds the functions that make the reads of unfinished bodies fail.
 	interrupts map[*entry]func()
-	// freed is closed and replaced when memory is returned.
+	// freed is closed when memory is returned; nil while no body waits for that.
 	freed chan struct{}
 	// nextLog is the time of the next log line; closedCount counts the bodies that were
 	// closed or refused since the last one.
@@ -67,7 +67,6 @@
 		logger:     logger,
 		accounts:   newAccounts(l),
 		interrupts: make(map[*entry]func()),
-		freed:      make(chan struct{}),
 		held:       scope.Gauge("held_bytes"),
 		unfinished: scope.Gauge("unfinished"),
 		scope:      scope,
@@ -238,6 +237,9 @@
 		p.count("refused", reason)
 		return nil, &LimitError{Reason: reason}
 	case pending:
+		if p.freed == nil {
+			p.freed = make(chan struct{})
+		}
 		return p.freed, nil
 	}
 	p.report()
@@ -272,8 +274,10 @@
 }
 
 func (p *Pool) announceFree() {
-	close(p.freed)
-	p.freed = make(chan struct{})
+	if p.freed != nil {
+		close(p.freed)
+		p.freed = nil
+	}
 	p.report()
 }
 
--- a/internal/bodybuffer/pool_test.go
+++ b/internal/bodybuffer/pool_test.go
@@ -103,3 +103,61 @@
 		}
 	})
 }
+
+// TestOrdinaryLoad guards against limits that callers inside the limits of the configuration
+// meet: 300 bodies of 72 KB of one team at once, and a body of 4 or 8 MiB beside 100 of them, at
+// a router with the smallest memory of today's deployments.
+func TestOrdinaryLoad(t *testing.T) {
+	const memory, maxFDs, ordinary, large = 136 << 20, 2870, 72 << 10, 8 << 20
+	for _, announced := range []bool{true, false} {
+		p := newTestPool(LimitsFor(memory, maxFDs))
+		read := func(size int) *Body {
+			s := Source{Owner: "team", Reader: strings.NewReader(strings.Repeat("x", size)), Size: -1, Limit: large, Interrupt: func() {}}
+			if announced {
+				s.Size = int64(size)
+			}
+			body, err := p.Read(s)
+			if err != nil {
+				t.Errorf("%d bytes, announced %t: %v", size, announced, err)
+			}
+			return body
+		}
+		var bodies []*Body
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		for range 300 {
+			all.Go(func() {
+				body := read(ordinary)
+				mu.Lock()
+				defer mu.Unlock()
+				bodies = append(bodies, body)
+			})
+		}
+		all.Wait()
+		if t.Failed() {
+			return
+		}
+		for _, body := range bodies[100:] {
+			body.Release()
+		}
+		for _, size := range []int{4 << 20, large} {
+			if body := read(size); body != nil {
+				body.Release()
+			}
+		}
+	}
+}
+
+// TestLimitsFor checks the limits of small processes, in which the reserved descriptors must not
+// leave callers nothing.
+func TestLimitsFor(t *testing.T) {
+	if l := LimitsFor(128<<20, 300); l != (Limits{Bytes: 128 << 20 / 3, Unfinished: 50, Connections: 75}) {
+		t.Errorf("%+v", l)
+	}
+	if l := LimitsFor(0, 100); l.Bytes != DefaultMemory/3 || l.Unfinished != 12 || l.Connections != 19 {
+		t.Errorf("%+v", l)
+	}
+	if l := LimitsFor(0, 0).ForConnections(1); l.Unfinished != 1 || l.Connections != 0 {
+		t.Errorf("%+v", l)
+	}
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 
 	"github.com/spf13/cobra"
 
@@ -23,11 +24,17 @@
 	return cmd
 }
 
+// memoryLimitRatio is the fraction of the memory of an instance that is set as the soft memory
+// limit of the Go runtime. Without it, buffers of request bodies that are not collected yet may
+// take as much as those in use.
+const memoryLimitRatio = 0.75
+
 // serve runs one instance until ctx ends or the instance fails.
 func serve(ctx context.Context, s *settings.Serve) error {
 	if err := s.Check(); err != nil {
 		return withExitCode(ExitUsage, err)
 	}
+	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryMB) * (1 << 20)))
 	listeners, err := instance.Listen(s)
 	if err != nil {
 		return withExitCode(ExitFailed, err)
--- a/internal/instance/http_servers.go
+++ b/internal/instance/http_servers.go
@@ -49,7 +49,7 @@
 		Bounds: router.Bounds{
 			MaxBodyBytes: in.cfg.MaxBodyBytes,
 			MaxConns:     in.cfg.MaxConnections,
-			Bodies:       bodybuffer.LimitsFor(int64(in.cfg.MemoryMB)<<20, in.cfg.MaxConnections),
+			Bodies:       bodybuffer.LimitsFor(int64(in.cfg.MemoryMB)<<20, 0).ForConnections(in.cfg.MaxConnections),
 		},
 		Logger: in.logger,
 		Scope:  in.scope,
