Overload: least urgent first, and no common target for all routers

If all targets are at their capacity, every router selects the target with the fewest requests, which is the same one until the next counts arrive.

Change: The selection by prompts falls back to the bound without capacities before it takes the least loaded target. The new package overload decides for services with engines, before a request is sent, by the engines' queues: the least urgent kind is rejected first, within it the teams above their shares, then what would be late; each kind and team keeps a quarter of the service's ratio, with promoted requests. Targets without memory for a request are passed over. Rejections have the code "overloaded" and the time of the caller's turn.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -38,6 +38,8 @@
 	Slots int
 	// Exclude lists the ids of the targets at which this request already failed.
 	Exclude []string
+	// Full lists the ids of the targets that have no memory for this request.
+	Full []string
 	// Only limits the selection to the targets with these ids; empty means no limit.
 	Only []string
 	// WithoutLimit excludes the targets that name a rate limit.
@@ -48,6 +50,8 @@
 	Overdue bool
 	// TimeLeft is the time until the deadline of the request.
 	TimeLeft time.Duration
+	// Priority is the urgency of the request; zero is the most urgent.
+	Priority int
 }
 
 // excludes reports whether the target with the given id may not be selected.
@@ -249,6 +253,7 @@
 			leaving:      st.Leaving || t.leavingByResponse,
 			pausedFor:    t.pausedUntil.Sub(now),
 			withheldFor:  t.withheldUntil.Sub(now),
+			memoryFull:   slices.Contains(r.Full, st.Id),
 			excluded:     r.excludes(st.Id) || limited && r.WithoutLimit,
 		})
 	}
--- a/internal/balance/select_prompt.go
+++ b/internal/balance/select_prompt.go
@@ -38,6 +38,8 @@
 	// excluded is set if the request already failed at the target or excludes it because of
 	// its limit.
 	excluded bool
+	// memoryFull is set if the target has no memory for the request.
+	memoryFull bool
 	// pausedFor is the time until the end of the pause that the target requested from
 	// this router; zero or less if there is none.
 	pausedFor time.Duration
@@ -51,7 +53,7 @@
 
 // eligible reports whether the target accepts the request, healthy or not.
 func (c *candidate) eligible() bool {
-	return !c.leaving && !c.excluded && c.pausedFor <= 0 && c.withheldFor <= 0
+	return !c.leaving && !c.excluded && !c.memoryFull && c.pausedFor <= 0 && c.withheldFor <= 0
 }
 
 // weight returns the target's part of the prompts, relative to an unlimited target.
@@ -91,12 +93,9 @@
 		open = open[:min(len(open), maxLimitedChoices)]
 	}
 	limit := promptLoadLimit(all)
-	var chosen selection
-	for _, c := range open {
-		if c.inFlight < min(limit, c.capacity) {
-			chosen = selection{target: c, reason: "cached parts are expected here"}
-			break
-		}
+	chosen := firstBelow(open, func(c *candidate) int { return min(limit, c.capacity) })
+	if chosen.target == nil && !limited {
+		chosen = firstBelow(open, func(*candidate) int { return limit })
 	}
 	if chosen.target == nil && limited && len(open) > 0 {
 		return selection{full: true}
@@ -112,6 +111,21 @@
 	return chosen
 }
 
+// firstBelow selects the first of the ranked targets that has fewer requests in flight than its
+// bound.
+//
+// If all targets are at their capacities, the bound without them still applies: the target with
+// the fewest requests is the same one at all routers until the next counts arrive, and would
+// get the requests of all of them.
+func firstBelow(ranked []*candidate, bound func(*candidate) int) selection {
+	for _, c := range ranked {
+		if c.inFlight < bound(c) {
+			return selection{target: c, reason: "cached parts are expected here"}
+		}
+	}
+	return selection{}
+}
+
 // rankByKey returns the candidates by their rendezvous score for key, the highest first.
 func rankByKey(key string, all []*candidate) []*candidate {
 	return rankByScore(all, func(c *candidate) float64 { return hashFraction(key, c) })
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -49,6 +49,8 @@
 	Guard PartGuard
 	// WaitLimits tells how long a caller that retries has waited already.
 	WaitLimits *WaitLimits
+	// Overload decides whether services of engines take new requests; nil admits all.
+	Overload *Overload
 }
 
 // Name returns the filter's name in specs.
@@ -84,6 +86,10 @@
 	// overdue is set if the request has no prompt and the caller has already waited for
 	// more than half of the latency objective, in earlier requests or in this one.
 	overdue bool
+	// admitted is set once Overload has admitted the request. full lists the targets without
+	// memory for it.
+	admitted bool
+	full     []string
 }
 
 // Handle tries targets until one responds.
@@ -103,11 +109,15 @@
 		x.Answer.Length = -1
 		x.Answer.Body = newEventStream(ctx, work, x.Answer)
 	}
+	d.Overload.observeFirstEvent(x)
 	return nil
 }
 
 // run tries targets until one responds and sets its response as the answer.
 func (d *dispatch) run(ctx context.Context) error {
+	if err := d.admit(); err != nil {
+		return err
+	}
 	for {
 		if ctx.Err() != nil {
 			return d.rejectEnded(ctx)
@@ -160,7 +170,7 @@
 	if err != nil {
 		return err
 	}
-	d.choice = choice
+	d.choice = d.Overload.track(d.x, choice)
 	d.exclude = append(d.exclude, choice.Target.Id)
 	d.x.AddReason(StepDispatch, choice.Target.Id, fmt.Sprintf("%s; %d in flight", choice.Reason, choice.InFlight))
 	return nil
@@ -180,16 +190,25 @@
 
 // chooseExcept selects a target that is not excluded.
 func (d *dispatch) chooseExcept(ctx context.Context, exclude []string) (balance.Choice, error) {
-	return d.Picker.Pick(ctx, balance.Request{
+	request := balance.Request{
 		Service:  d.x.Demand.Service,
 		Key:      PromptKey(d.x.Prompt),
 		Slots:    engineSlots(d.x),
 		Exclude:  exclude,
+		Full:     d.full,
 		Only:     d.only(),
 		Goal:     d.x.Route.Goal,
 		Overdue:  d.overdue,
 		TimeLeft: time.Until(d.x.Deadline),
-	})
+		Priority: d.x.Priority,
+	}
+	choice, err := d.Picker.Pick(ctx, request)
+	if err != nil && len(request.Full) > 0 {
+		// The memory is estimated, so a queue is better than no target.
+		request.Full = nil
+		choice, err = d.Picker.Pick(ctx, request)
+	}
+	return choice, err
 }
 
 // recordRun records that the request may have run at the current target.
--- a/internal/filter/exchange.go
+++ b/internal/filter/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/forward"
@@ -59,6 +60,8 @@
 	// ranks behind others of the same priority.
 	Priority int
 	Surging  bool
+	// Promoted is set if the request is admitted so that its kind or team does not starve.
+	Promoted bool
 	// Prompt lists the parts of the prompt in order.
 	Prompt []PromptPart
 	// LastEvent is the id of the last event that the caller received of the stream that
@@ -78,6 +81,8 @@
 	// Answer is the answer for the caller.
 	Answer *Answer
 
+	// firstEvent is when the first byte of the answer's body was read, if it is observed.
+	firstEvent atomic.Pointer[time.Time]
 	// claimed is set once the ledger has granted the claim, which permits one dispatch
 	// of this request.
 	claimed bool
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,8 @@
 type Config struct {
 	Tables filter.Tables
 	Picker filter.Picker
+	// Loads provides the load by which overload is recognised.
+	Loads filter.ServiceLoads
 	// Guard withholds requests with parts of prompts that crash targets.
 	Guard   filter.PartGuard
 	Retries filter.RetryLimiter
@@ -88,7 +90,7 @@
 		&filter.Route{Tables: c.Tables, Warmup: warmup},
 		&filter.Team{SurgeDetector: balance.NewSurgeDetector(), Warmup: warmup},
 		&filter.Quarantine{Guard: c.Guard},
-		&filter.Dispatch{Picker: c.Picker, Guard: c.Guard, Retries: c.Retries, Prepare: c.Prepare, OnHints: c.OnHints, Warmup: warmup, WaitLimits: filter.NewWaitLimits()},
+		&filter.Dispatch{Picker: c.Picker, Guard: c.Guard, Retries: c.Retries, Prepare: c.Prepare, OnHints: c.OnHints, Warmup: warmup, WaitLimits: filter.NewWaitLimits(), Overload: filter.NewOverload(c.Loads, c.Logger, c.Scope)},
 		&filter.Trial{Guard: c.Guard},
 		&filter.Forward{
 			Sender:   g.client,
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -147,6 +147,7 @@
 	g, err := gateway.New(gateway.Config{
 		Tables:   &in.activeTable,
 		Picker:   in.picker,
+		Loads:    in.balancer,
 		Guard:    in.guard,
 		Retries:  balance.NewRetryBudget(in.cfg.RetryLimits, in.scope.SubScope("gateway")),
 		Forward:  forward.Config{Dialect: in.cfg.Dialect, Scope: in.scope},
