Owner of a plain service: urgent routes are not served worse

Cause: The owner admits a request to a queue in proportion to the request's own latency objective. A less urgent route with a longer objective filled the queue beyond the limit of the urgent one, whose requests were then all rejected: 12 urgent and 1,233 less urgent requests admitted of 2,000 each.

Change: PlaceAsk carries the priority. A request is admitted by the shortest recent objective of the kinds that are at least as urgent.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -188,11 +188,12 @@
 // is in back-off, if it does not reply within replyTimeout, or if ctx is done first.
 func (p *Picker) requestSlot(ctx context.Context, owner *pb.RouterStatus, r balance.Request) (slot uint64, reply *pb.PlaceAnswer) {
 	message := &pb.PlaceAsk{
-		Service: r.Service,
-		GoalMs:  uint32(r.Goal.Milliseconds()),
-		LifeMs:  uint32(max(0, r.TimeLeft.Milliseconds())),
-		Overdue: r.Overdue,
-		Exclude: r.Exclude,
+		Service:  r.Service,
+		GoalMs:   uint32(r.Goal.Milliseconds()),
+		LifeMs:   uint32(max(0, r.TimeLeft.Milliseconds())),
+		Overdue:  r.Overdue,
+		Exclude:  r.Exclude,
+		Priority: uint32(max(0, r.Priority)),
 	}
 	if owner.Id == p.cfg.Self {
 		p.slotRequests.Inc(1)
@@ -343,10 +344,11 @@
 		return &pb.PlaceAnswer{Unknown: true}
 	}
 	request := slots.Request{
-		Service: m.Service,
-		Goal:    time.Duration(m.GoalMs) * time.Millisecond,
-		Overdue: m.Overdue,
-		TTL:     time.Duration(m.LifeMs) * time.Millisecond,
+		Service:  m.Service,
+		Goal:     time.Duration(m.GoalMs) * time.Millisecond,
+		Overdue:  m.Overdue,
+		Priority: int(m.Priority),
+		TTL:      time.Duration(m.LifeMs) * time.Millisecond,
 	}
 	p.admitterMu.Lock()
 	defer p.admitterMu.Unlock()
--- a/internal/slots/admitter.go
+++ b/internal/slots/admitter.go
@@ -53,6 +53,8 @@
 	// Overdue is set if the request can no longer meet its latency objective. It is
 	// admitted only to a queue that is short enough not to delay other requests.
 	Overdue bool
+	// Priority is the urgency of the request; zero is the most urgent.
+	Priority int
 	// TTL is the time after which the slot expires unless it is released.
 	TTL time.Duration
 }
@@ -88,7 +90,9 @@
 	// meanRunTime is the moving average, by service, of the time that a request takes
 	// at a target that has a free slot, without waiting in its queue.
 	meanRunTime map[string]time.Duration
-	nextExpiry  time.Time
+	// goals holds the shortest recent latency objective by service and priority.
+	goals      map[string]urgentGoals
+	nextExpiry time.Time
 }
 
 // slot is the slot of one admitted request.
@@ -103,7 +107,7 @@
 
 // New returns an Admitter that has admitted no requests.
 func New() *Admitter {
-	return &Admitter{slots: make(map[SlotID]slot), counts: make(map[uint32]int), meanRunTime: make(map[string]time.Duration)}
+	return &Admitter{slots: make(map[SlotID]slot), counts: make(map[uint32]int), meanRunTime: make(map[string]time.Duration), goals: make(map[string]urgentGoals)}
 }
 
 // Admit assigns the request a slot at the target with the fewest requests, of those
@@ -118,10 +122,11 @@
 func (a *Admitter) Admit(now time.Time, id SlotID, r Request, targets []Target) (key uint32, ok bool) {
 	a.expire(now)
 	a.remove(id)
+	a.recordGoal(now, r)
 	var best Target
 	for _, t := range targets {
 		n := a.counts[t.Key]
-		if n < a.requestLimit(r, t.Capacity) && (!ok || n < a.counts[best.Key]) {
+		if n < a.requestLimit(now, r, t.Capacity) && (!ok || n < a.counts[best.Key]) {
 			best, ok = t, true
 		}
 	}
@@ -136,14 +141,14 @@
 
 // requestLimit returns the number of requests, running and queued, below which a target
 // of the given capacity may receive the request r.
-func (a *Admitter) requestLimit(r Request, capacity int) int {
+func (a *Admitter) requestLimit(now time.Time, r Request, capacity int) int {
 	switch {
 	case r.Goal == 0:
 		return math.MaxInt
 	case r.Overdue:
 		return capacity + int(overdueQueueShare*float64(capacity))
 	}
-	queueLength := maxQueueWaitShare * float64(r.Goal) / float64(a.expectedRunTime(r)) * float64(capacity)
+	queueLength := maxQueueWaitShare * float64(a.urgentGoal(now, r)) / float64(a.expectedRunTime(r)) * float64(capacity)
 	return capacity + max(1, int(queueLength))
 }
 
