--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -39,6 +39,8 @@
 	Slots int
 	// Exclude lists the ids of the targets at which this request already failed.
 	Exclude []string
+	// Full lists the ids of the targets that have no memory for this request.
+	Full []string
 	// Only limits the selection to the targets with these ids; empty means no limit.
 	Only []string
 	// WithoutLimit excludes the targets that name a rate limit or are cold.
@@ -49,6 +51,8 @@
 	Overdue bool
 	// TimeLeft is the time until the deadline of the request.
 	TimeLeft time.Duration
+	// Priority is the urgency of the request; zero is the most urgent.
+	Priority int
 }
 
 // excludes reports whether the target with the given id may not be selected.
@@ -263,6 +267,7 @@
 			withheldFor:  t.withheldUntil.Sub(now),
 			excluded:     r.excludes(st.Id) || (limited || coldRate > 0) && r.WithoutLimit,
 			coldRate:     coldRate,
+			memoryFull:   slices.Contains(r.Full, st.Id),
 		})
 	}
 	b.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,8 @@
 type Config struct {
 	Tables filter.Tables
 	Picker filter.Picker
+	// Loads provides the load by which overload is recognised.
+	Loads filter.ServiceLoads
 	// Guard withholds requests with parts of prompts that crash targets.
 	Guard   filter.PartGuard
 	Retries filter.RetryLimiter
@@ -89,7 +91,7 @@
 		&filter.Team{SurgeDetector: balance.NewSurgeDetector(), Warmup: warmup},
 		&filter.Body{},
 		&filter.Quarantine{Guard: c.Guard},
-		&filter.Dispatch{Picker: c.Picker, Guard: c.Guard, Retries: c.Retries, Prepare: c.Prepare, OnHints: c.OnHints, Warmup: warmup, WaitLimits: filter.NewWaitLimits()},
+		&filter.Dispatch{Picker: c.Picker, Guard: c.Guard, Retries: c.Retries, Prepare: c.Prepare, OnHints: c.OnHints, Warmup: warmup, WaitLimits: filter.NewWaitLimits(), Overload: filter.NewOverload(c.Loads, c.Logger, c.Scope)},
 		&filter.Trial{Guard: c.Guard},
 		&filter.Forward{
 			Sender:   g.client,
