--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -127,6 +127,7 @@
 func StartRouted(cfg RoutedConfig) (*Routed, error) {
 	in := &Routed{cfg: cfg, seeds: cfg.Seeds}
 	in.init(cfg.ID, &Listeners{}, cfg.Logger)
+	in.bodies = bodybuffer.New(cfg.Bodies, in.logger, in.scope)
 	steps := []struct {
 		name string
 		run  func() error
@@ -148,7 +149,7 @@
 	return in, nil
 }
 
-// Bodies returns the pool of request bodies; nil if this instance is not a router.
+// Bodies returns the pool of request bodies.
 func (in *Routed) Bodies() *bodybuffer.Pool { return in.bodies }
 
 // Metrics returns the handler of the metrics page.
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/balance"
-	"github.com/wigeonwood/wigeonwood/internal/bodybuffer"
 	"github.com/wigeonwood/wigeonwood/internal/budget"
 	"github.com/wigeonwood/wigeonwood/internal/control"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
@@ -152,7 +151,6 @@
 	if in.cfg.CallerAddr == "" {
 		return nil
 	}
-	in.bodies = bodybuffer.New(in.cfg.Bodies, in.logger, in.scope)
 	in.balancer = balance.New(in.members, in.logHealthChange)
 	in.picker = picker.New(picker.Config{Self: in.cfg.ID, Started: time.Now(), Members: in.members, Balancer: in.balancer, Logger: in.logger, Scope: in.scope, Cold: in.coldRule})
 	in.balancer.SetEvacuated(in.sync.Evacuated)
