Evacuations for fleets that route by contracts

The leader adds the set of evacuated data centres to each lease reply, so that a router has it before its first request. The scheduler treats the targets of such a data centre like drained ones, and refreshes at once when the set changes. Operators order by 'wigeonwood evacuation start|end|list' or the admin interface; status shows the evacuations. An order is rejected while a replica of a build without evacuations is in the membership. explain does not name them yet.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -48,6 +48,9 @@
 	View       fleet.View
 	ConfigView filter.ConfigView
 	Control    Control
+	// Evacuations returns the set of evacuated data centres in this instance's view, nil
+	// if there never was one.
+	Evacuations func() *pb.Evacuations
 	// Explain searches all routers for a finished request. It returns nil if no
 	// router that replied has a record of the request, and the ids of the routers
 	// that did not reply.
@@ -81,6 +84,8 @@
 	r.HandleFunc("/targets", s.getTargets).Methods(http.MethodGet)
 	r.HandleFunc("/replicas", s.getReplicas).Methods(http.MethodGet)
 	r.HandleFunc("/replicas", s.changeReplica).Methods(http.MethodPost)
+	r.HandleFunc("/evacuations", s.getEvacuations).Methods(http.MethodGet)
+	r.HandleFunc("/evacuations", s.setEvacuation).Methods(http.MethodPost)
 	s.registerReports(r)
 	r.HandleFunc("/explain/target/{id}", s.explainTarget).Methods(http.MethodGet)
 	r.HandleFunc("/explain/revision/{number}", s.explainRevision).Methods(http.MethodGet)
@@ -132,6 +137,7 @@
 		LeaseLeftMs: max(0, time.Until(until).Milliseconds()),
 		Routers:     s.View.Routers(),
 		Targets:     uint32(len(s.View.Targets())),
+		Evacuations: s.Evacuations(),
 	}
 	s.addControlStatus(r.Context(), out)
 	writeProto(w, http.StatusOK, out)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -146,6 +146,7 @@
 		newStatus(),
 		newExplain(),
 		newReport(),
+		newEvacuation(),
 		newQuarantine(),
 		newVersion(),
 	)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -37,6 +37,10 @@
 	if s.ControlError != "" {
 		fmt.Fprintf(w, "control\t%s\n", s.ControlError)
 	}
+	if len(s.Evacuations.GetEvacuated()) > 0 {
+		fmt.Fprintln(w)
+		writeEvacuations(w, s.Evacuations)
+	}
 	fmt.Fprintln(w)
 	writeReplicas(w, s.Replicas)
 	fmt.Fprintln(w)
--- a/internal/configlease/holder.go
+++ b/internal/configlease/holder.go
@@ -67,8 +67,9 @@
 	cfg   Config
 	nonce uint64
 
-	latest atomic.Pointer[leaseRecord]
-	config table
+	latest      atomic.Pointer[leaseRecord]
+	config      table
+	evacuations evacuations
 
 	// onLeaseMu serialises the calls of OnLease. It also protects held and hadLease.
 	onLeaseMu sync.Mutex
@@ -94,14 +95,15 @@
 	}
 	scope := cfg.Scope.SubScope("config")
 	h := &Holder{
-		cfg:        cfg,
-		nonce:      rand.Uint64(),
-		config:     newTable(),
-		firstLease: make(chan struct{}),
-		age:        scope.Gauge("lease_age_seconds"),
-		revision:   scope.Gauge("revision"),
-		failures:   scope.Counter("lease_failures"),
-		lost:       scope.Counter("leases_lost"),
+		cfg:         cfg,
+		nonce:       rand.Uint64(),
+		config:      newTable(),
+		evacuations: newEvacuations(scope),
+		firstLease:  make(chan struct{}),
+		age:         scope.Gauge("lease_age_seconds"),
+		revision:    scope.Gauge("revision"),
+		failures:    scope.Counter("lease_failures"),
+		lost:        scope.Counter("leases_lost"),
 	}
 	h.latest.Store(&leaseRecord{})
 	return h
@@ -238,6 +240,7 @@
 	if reply.Nonce != req.Nonce {
 		return false, errs.New("configuration lease", reply.LeaderAddr, "the reply has the nonce of another request")
 	}
+	h.applyEvacuations(reply.Evacuations, reply.LeaderAddr)
 	if err := h.config.apply(reply); err != nil {
 		return false, errs.Wrap(err, "configuration lease", reply.LeaderAddr)
 	}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -49,6 +49,8 @@
 		Partial:    d.Partial,
 		UpTo:       d.UpTo,
 		LeaderAddr: s.leaderAddr(),
+
+		Evacuations: s.state.Evacuations(),
 	}, nil
 }
 
--- a/internal/instance/http_servers.go
+++ b/internal/instance/http_servers.go
@@ -83,10 +83,13 @@
 		View:       in.members,
 		ConfigView: in.lease,
 		Control:    in.client,
-		Explain:    in.reports.findRequest,
-		Burn:       in.reports.aggregator.Collect,
-		Metrics:    in.metrics,
-		Logger:     in.logger,
+
+		Evacuations: in.lease.Evacuations,
+
+		Explain: in.reports.findRequest,
+		Burn:    in.reports.aggregator.Collect,
+		Metrics: in.metrics,
+		Logger:  in.logger,
 	}))
 	in.targets = newServer(announce.NewHandler(announce.Config{
 		Token:       in.cfg.TargetToken,
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -100,6 +100,8 @@
 		TargetAddr:  in.cfg.TargetListen,
 		State:       pb.RouterState_ROUTER_STATE_UNLEASED,
 		Replica:     in.cfg.DataDir != "",
+
+		SupportsEvacuation: true,
 	}
 	members, err := member.Start(member.Config{
 		Self:   self,
@@ -192,6 +194,7 @@
 		Logger:           in.logger,
 		Scope:            in.scope,
 		BoundFactor:      in.cfg.LoadBound,
+		Evacuations:      in.lease.Evacuations,
 		AllowCacheEvents: func(n int) bool { return in.budget.Allow(budget.Hint, n) },
 	})
 	in.limiter = limits.New(limits.Config{
--- a/internal/instance/routed_evacuation.go
+++ b/internal/instance/routed_evacuation.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/wigeonwood/wigeonwood/internal/control"
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/routesync"
@@ -43,7 +44,7 @@
 	if reason := state.CheckDataCentre(order.DataCentre); reason != "" {
 		return nil, fmt.Errorf("%w: %s", ErrInvalidEvacuation, reason)
 	}
-	if r := replicaWithoutEvacuation(in.members.Routers()); r != nil {
+	if r := control.ReplicaWithoutEvacuation(in.members.Routers()); r != nil {
 		return nil, errs.Wrap(ErrEvacuationUnsupported, stepEvacuation, r.Id)
 	}
 	result, err := in.client.SetEvacuation(ctx, order)
@@ -56,17 +57,6 @@
 	return result, nil
 }
 
-// replicaWithoutEvacuation returns a replica that does not announce that its build applies
-// SetEvacuation, nil if there is none.
-func replicaWithoutEvacuation(routers []*pb.RouterStatus) *pb.RouterStatus {
-	for _, r := range routers {
-		if r.Replica && !r.SupportsEvacuation {
-			return r
-		}
-	}
-	return nil
-}
-
 // handleEvacuations is called when a newer set of evacuated data centres took effect at this
 // instance. It must not block.
 func (in *Routed) handleEvacuations(before, after *pb.Evacuations) {
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -10,6 +10,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/fairqueue"
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
+	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/placement"
 	"github.com/wigeonwood/wigeonwood/internal/pool"
 	"github.com/wigeonwood/wigeonwood/internal/transport"
@@ -75,9 +76,15 @@
 	// scheduler drops events that are not permitted. Nil means a rate limit of
 	// cacheEventBytesPerSecond.
 	AllowCacheEvents func(bytes int) bool
+	// Evacuations returns the set of evacuated data centres, whose targets take no new
+	// work. Nil means that there never is one.
+	Evacuations func() *pb.Evacuations
 }
 
 func (c *Config) setDefaults() {
+	if c.Evacuations == nil {
+		c.Evacuations = func() *pb.Evacuations { return nil }
+	}
 	if c.Scope == nil {
 		c.Scope = tally.NoopScope
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -20,11 +20,13 @@
 
 	mu     sync.Mutex
 	layout *layout
-	// layoutTargets and layoutRevision are the targets and the configuration
-	// revision from which layout was computed.
-	layoutTargets  []*pb.TargetStatus
-	layoutRevision uint64
-	groups         map[string]*group
+	// layoutTargets, layoutRevision and layoutEvacuations are the targets, the
+	// configuration revision and the revision of the evacuations from which layout
+	// was computed.
+	layoutTargets     []*pb.TargetStatus
+	layoutRevision    uint64
+	layoutEvacuations uint64
+	groups            map[string]*group
 	// recentPlacements caches the engines to which the chats of this router's
 	// requests were assigned. Each admission request carries the cached engine as
 	// a hint, from which a new owner rebuilds its directory.
@@ -144,22 +146,25 @@
 func (s *Scheduler) refreshLayout() {
 	targets := s.cfg.View.Targets()
 	revision, _, _ := s.cfg.ConfigView.Lease()
+	evacuations := s.cfg.Evacuations().GetRevision()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.layout = newLayout(targets, s.layout.engineGroups)
 	s.layoutTargets = targets
 	s.layoutRevision = revision
+	s.layoutEvacuations = evacuations
 }
 
 // refreshIfChanged refreshes immediately if, since the last refresh, a target joined,
 // left, restarted or announced that it leaves, or the configuration changed, for
-// example to drain a target. The load bound is relative to the mean load of the
+// example to drain a target, or an evacuation started or ended. The load bound is relative to the mean load of the
 // targets that take work now.
 func (s *Scheduler) refreshIfChanged() {
 	targets := s.cfg.View.Targets()
 	revision, _, _ := s.cfg.ConfigView.Lease()
+	evacuations := s.cfg.Evacuations().GetRevision()
 	s.mu.Lock()
-	same := s.layoutRevision == revision && slices.EqualFunc(s.layoutTargets, targets, sameTarget)
+	same := s.layoutRevision == revision && s.layoutEvacuations == evacuations && slices.EqualFunc(s.layoutTargets, targets, sameTarget)
 	s.mu.Unlock()
 	if !same {
 		s.refresh()
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -32,7 +32,8 @@
 	intents map[string]*pb.TargetIntent
 	// revision is the configuration revision. Zero means that the configuration
 	// lease has expired.
-	revision uint64
+	revision    uint64
+	evacuations *pb.Evacuations
 }
 
 func newFakeFleet(self string, targets ...*pb.TargetStatus) *fakeFleet {
@@ -113,6 +114,21 @@
 	return f.revision, time.Now().Add(time.Hour), f.revision > 0
 }
 
+func (f *fakeFleet) Evacuations() *pb.Evacuations {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuations
+}
+
+func (f *fakeFleet) evacuate(dataCentres ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuations = &pb.Evacuations{Revision: f.evacuations.GetRevision() + 1}
+	for _, name := range dataCentres {
+		f.evacuations.Evacuated = append(f.evacuations.Evacuated, &pb.Evacuation{DataCentre: name})
+	}
+}
+
 func (f *fakeFleet) ContractByKey([32]byte) (*pb.Contract, bool) { return nil, false }
 
 func (f *fakeFleet) Intent(target string) *pb.TargetIntent {
@@ -141,7 +157,7 @@
 func start(t *testing.T, f *fakeFleet) *Scheduler {
 	calls := transport.NewPool("secret", nil, nil)
 	server := transport.NewServer("secret", discardLogger())
-	s := New(Config{Self: f.self, View: f, ConfigView: f, Peers: calls, Server: server, Logger: discardLogger()})
+	s := New(Config{Self: f.self, View: f, ConfigView: f, Peers: calls, Server: server, Logger: discardLogger(), Evacuations: f.Evacuations})
 	running := make(chan struct{})
 	go func() {
 		defer close(running)
--- a/internal/scheduler/targets.go
+++ b/internal/scheduler/targets.go
@@ -6,6 +6,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/pool"
+	"github.com/wigeonwood/wigeonwood/internal/state"
 )
 
 // routerKey identifies one incarnation of a router.
@@ -20,10 +21,10 @@
 	addr string
 }
 
-// closed reports whether a target takes no new work: the target is leaving, or
-// operators want it drained or stopped.
+// closed reports whether a target takes no new work: the target is leaving, its data
+// centre is evacuated, or operators want it drained or stopped.
 func (s *Scheduler) closed(t *pb.TargetStatus) bool {
-	if t.Leaving {
+	if t.Leaving || state.Evacuated(s.cfg.Evacuations(), t.DataCentre) {
 		return true
 	}
 	intent := s.cfg.ConfigView.Intent(t.Id)
