Balance: cost decides among the first three targets of a prompt

A target below its bound is passed over if its expected delay is clearly worse than that of one of the next two. Without reports of paces or learned costs the choice is the present one.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/wigeonwood/wigeonwood/internal/cost"
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
@@ -48,6 +49,8 @@
 	Overdue bool
 	// TimeLeft is the time until the deadline of the request.
 	TimeLeft time.Duration
+	// Cost describes the request for the estimate of its work.
+	Cost cost.Request
 }
 
 // excludes reports whether the target with the given id may not be selected.
@@ -71,6 +74,9 @@
 	// behind such a selection are stale: older than the duration of a request without a
 	// prompt.
 	StaleLoad bool
+	// FirstEvent records that the first event of the response has arrived, from which the
+	// balancer learns the work of requests. It may be nil.
+	FirstEvent func()
 	// Done removes the request from the target's in-flight count and records its
 	// outcome. Only the first call has an effect.
 	Done func(Outcome)
@@ -104,6 +110,7 @@
 	limits func() map[uint32]float64
 	// demands counts the requests by service.
 	demands map[string]*demand
+	costs   costs
 }
 
 // target is this router's state for one incarnation of a target.
@@ -118,6 +125,8 @@
 	// leavingByResponse is set once a response of the target stated that the target
 	// is leaving, which can be earlier than the view shows it.
 	leavingByResponse bool
+	// outstanding is the work that this router has in flight at the target.
+	outstanding cost.Outstanding
 }
 
 // New returns a balancer over the targets of view. onHealth may be nil.
@@ -164,7 +173,7 @@
 	if chosen.target == nil {
 		return Choice{}, noCandidateError(all)
 	}
-	return b.assign(chosen, all), nil
+	return b.assign(r, chosen, all), nil
 }
 
 // PickTarget selects the target with the given load key, which the owner of the service
@@ -176,14 +185,14 @@
 	all := b.candidates(b.now(), r)
 	for _, c := range all {
 		if LoadKey(c.status) == key && c.eligible() {
-			return b.assign(selection{target: c, reason: reason}, all), nil
+			return b.assign(r, selection{target: c, reason: reason}, all), nil
 		}
 	}
 	return Choice{}, ErrNoTarget
 }
 
 // assign counts a request at the selected target and returns the choice.
-func (b *Balancer) assign(chosen selection, all []*candidate) Choice {
+func (b *Balancer) assign(r Request, chosen selection, all []*candidate) Choice {
 	st := chosen.target.status
 	t := b.targets[fleet.TargetKey(st.Id, st.Incarnation)]
 	c := Choice{Target: st, Reason: chosen.reason, InFlight: chosen.target.inFlight, StaleLoad: chosen.staleLoad}
@@ -195,15 +204,17 @@
 			c.Alternatives++
 		}
 	}
+	tracker := b.track(r, t, chosen)
+	c.FirstEvent = tracker.firstEvent
 	t.inFlight++
 	t.health.recordSent()
 	ended := false
-	c.Done = func(o Outcome) { b.done(t, st, o, &ended) }
+	c.Done = func(o Outcome) { b.done(t, st, o, &ended, tracker) }
 	return c
 }
 
 // done implements Choice.Done.
-func (b *Balancer) done(t *target, st *pb.TargetStatus, o Outcome, ended *bool) {
+func (b *Balancer) done(t *target, st *pb.TargetStatus, o Outcome, ended *bool, tracker *costTracker) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if *ended {
@@ -211,6 +222,7 @@
 	}
 	*ended = true
 	t.inFlight--
+	tracker.end(o)
 	b.observe(t, st, o)
 }
 
@@ -299,6 +311,7 @@
 
 // choose selects by prompt key if the request has one, and by load otherwise.
 func (b *Balancer) choose(r Request, all []*candidate) selection {
+	b.setExpectations(b.now(), r, all)
 	if r.Key != "" {
 		b.setPromptWeights(b.now(), r.Service, all)
 		return selectByPromptKey(r.Key, all)
@@ -320,6 +333,7 @@
 		}
 	}
 	b.remoteLoads.sweep(now)
+	b.sweepCosts(now)
 }
 
 // LocalCounts returns the numbers of requests in flight from this router by load key,
--- a/internal/balance/select_load.go
+++ b/internal/balance/select_load.go
@@ -22,7 +22,7 @@
 		return selection{}
 	}
 	for _, c := range pool {
-		if distance(c, dataCentre) == 0 && c.utilization() <= lightUtilization {
+		if distance(c, dataCentre) == 0 && c.utilization() <= lightUtilization && !c.slow() {
 			return selection{target: c, reason: "lightly loaded in this data centre"}
 		}
 	}
@@ -71,7 +71,7 @@
 func (c *candidate) utilization() float64 { return float64(c.inFlight) / float64(c.capacity) }
 
 // drawWeight is the weight of the target in the random choice. It decreases with the mean
-// load.
+// load and the pace of the target.
 func (c *candidate) drawWeight() float64 {
-	return 1 / (idleWeightOffset + c.meanInFlight/float64(c.capacity))
+	return c.paceWeight() / (idleWeightOffset + c.meanInFlight/float64(c.capacity))
 }
--- a/internal/balance/select_prompt.go
+++ b/internal/balance/select_prompt.go
@@ -47,6 +47,8 @@
 	// limitedWeight is the part of the prompts that a limited target gets, relative to an
 	// unlimited one: between 0 and 1, or zero if the target is not limited.
 	limitedWeight float64
+	// expected is nil if the request is selected by numbers of requests only.
+	expected *expectation
 }
 
 // eligible reports whether the target accepts the request, healthy or not.
@@ -73,6 +75,9 @@
 	// full is set if no target is selected because the first choices for the prompt are full
 	// while others are limited.
 	full bool
+	// uncached is set if the shared parts of the prompt are not expected to be cached at the
+	// target.
+	uncached bool
 }
 
 // selectByPromptKey selects a target by rendezvous hashing with bounded loads. All
@@ -92,11 +97,9 @@
 	}
 	limit := promptLoadLimit(all)
 	var chosen selection
-	for _, c := range open {
-		if c.inFlight < min(limit, c.capacity) {
-			chosen = selection{target: c, reason: "cached parts are expected here"}
-			break
-		}
+	first, best := chooseBelowBound(open, limit)
+	if best != nil {
+		chosen = selection{target: best, reason: "cached parts are expected here"}
 	}
 	if chosen.target == nil && limited && len(open) > 0 {
 		return selection{full: true}
@@ -108,6 +111,10 @@
 	chosen.cacheHolder = topCacheHolder(byKey, chosen.target)
 	if chosen.target != nil && chosen.cacheHolder != nil && rankOf(ranked, chosen.cacheHolder) < rankOf(ranked, chosen.target) {
 		chosen.reason = "targets ranked higher are at their bound or limit, leaving or failing"
+		chosen.uncached = true
+	}
+	if best != first {
+		chosen.reason = costReason(first, best)
 	}
 	return chosen
 }
--- a/internal/cost/cost_test.go
+++ b/internal/cost/cost_test.go
@@ -78,7 +78,7 @@
 }
 
 // TestReportsToSend checks that nothing is sent while all targets report the usual pace, and
-// that the end of an unusual one is sent once to the collectors.
+// that the end of an unusual one is sent once.
 func TestReportsToSend(t *testing.T) {
 	p := &Paces{}
 	p.Observe(Report{Target: 1, Percent: 100, At: start})
@@ -92,7 +92,7 @@
 	}
 	p.Observe(Report{Target: 1, Percent: 100, At: start.Add(2)})
 	seen, again := p.TakeSeen(start, 64), p.TakeSeen(start, 64)
-	if spread := p.Spread(start, 64); len(seen) != 1 || len(again)+len(spread) > 0 {
+	if spread := p.Spread(start, 64); len(seen) != 1 || len(spread) != 1 || len(again)+len(p.Spread(start, 64)) > 0 {
 		t.Errorf("of the end of an unusual pace %v, %v and %v are sent", seen, again, spread)
 	}
 }
--- a/internal/cost/estimator.go
+++ b/internal/cost/estimator.go
@@ -59,6 +59,9 @@
 	pace := clampPace(o.Pace)
 	e.first.observe(o.InFlight, r.tokensToRead(o.Uncached), inMilliseconds(o.FirstEvent)/pace)
 	run := inMilliseconds(o.Run) / pace
+	if r.PromptTokens == 0 {
+		run += inMilliseconds(o.FirstEvent) / pace
+	}
 	for _, c := range r.classes() {
 		if m := e.class(c); m != nil {
 			m.observe(run)
--- a/internal/cost/paces.go
+++ b/internal/cost/paces.go
@@ -19,8 +19,8 @@
 	// paceMemory is how long the usual pace of a target is kept after its last report.
 	paceMemory = time.Minute
 	// usualMemory is the time that the usual pace of a target covers, and reportHold the time
-	// for which a report counts in it if none follows. Usual reports are not sent to other
-	// routers, so the time without reports counts as usual.
+	// for which a report counts in it if none follows. Usual reports are sent to other routers
+	// only at the end of an unusual pace, so the time without reports counts as usual.
 	usualMemory = 10 * time.Second
 	reportHold  = 300 * time.Millisecond
 	// checkWeight is the weight of the latest observation in the pace that this router
@@ -106,7 +106,7 @@
 		t.averageUntil(r.At)
 	}
 	t.report = r
-	t.toSpread = r.differs()
+	t.toSpread = r.differs() || t.toSpread || wasUnusual
 	if r.At.After(p.latest) {
 		p.latest = r.At
 	}
@@ -166,8 +166,8 @@
 	return p.take(now, n, func(t *pace) *bool { return &t.toSend })
 }
 
-// Spread returns at most n reports of unusual paces that are known since the last call, for a
-// collector to send to all routers.
+// Spread returns at most n reports of unusual paces, or of the end of one, that are known since the
+// last call, for a collector to send to all routers.
 func (p *Paces) Spread(now time.Time, n int) []Report {
 	return p.take(now, n, func(t *pace) *bool { return &t.toSpread })
 }
--- a/internal/cost/request.go
+++ b/internal/cost/request.go
@@ -51,7 +51,8 @@
 	// has, and those that it shares.
 	Read   time.Duration
 	Reread time.Duration
-	// Run is the time from the first event to the end, and Spread its mean deviation.
+	// Run is the time from the first event to the end, or from the beginning for a request
+	// without a prompt, and Spread its mean deviation.
 	Run    time.Duration
 	Spread time.Duration
 }
