--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -205,7 +205,7 @@
 		}
 	}
 	tracker := b.track(r, t, chosen)
-	c.FirstEvent = tracker.firstEvent
+	c.FirstEvent = sync.OnceFunc(tracker.firstEvent)
 	t.inFlight++
 	t.health.recordSent()
 	ended := false
--- a/internal/balance/costs.go
+++ b/internal/balance/costs.go
@@ -188,17 +188,18 @@
 func (c *costTracker) firstEvent() {
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
-	if c.firstAt.IsZero() {
-		c.firstAt = c.b.now()
-		c.remove()
-	}
+	c.firstAt = c.b.now()
+	c.remove()
 }
 
 // end records the end of the request and learns from it if it was served. The caller holds mu.
 func (c *costTracker) end(o Outcome) {
 	c.remove()
+	if o != Served || c.firstAt.IsZero() {
+		return
+	}
 	e := c.b.costs.estimator(c.request.Service)
-	if o != Served || c.firstAt.IsZero() || e == nil {
+	if e == nil {
 		return
 	}
 	first := c.firstAt.Sub(c.sentAt)
@@ -227,11 +228,12 @@
 }
 
 // ObservePace records the pace that a target has reported in a response: the time that work takes
-// there, in percent of the usual time.
-func (b *Balancer) ObservePace(target *pb.TargetStatus, percent int) {
+// there, in percent of the usual time. It reports whether the pace became unusual or usual, which
+// the other routers should learn at once.
+func (b *Balancer) ObservePace(target *pb.TargetStatus, percent int) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.costs.paces.Observe(cost.Report{Target: LoadKey(target), Percent: percent, At: b.now()})
+	return b.costs.paces.Observe(cost.Report{Target: LoadKey(target), Percent: percent, At: b.now()})
 }
 
 // LearnPaces records the paces of targets that another router has sent.
@@ -245,17 +247,21 @@
 
 // SeenPaces returns at most n paces of targets to send with the next in-flight counts: the
 // unusual ones that this router has seen since the last call, or, for a collector, that it has
-// learned since then. unusual is the number of targets whose pace is known to be unusual.
-func (b *Balancer) SeenPaces(collector bool, n int) (reports []cost.Report, unusual int) {
+// learned since then.
+func (b *Balancer) SeenPaces(collector bool, n int) []cost.Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.now()
 	if collector {
-		reports = b.costs.paces.Spread(now, n)
-	} else {
-		reports = b.costs.paces.TakeSeen(now, n)
+		return b.costs.paces.Spread(b.now(), n)
 	}
-	return reports, b.costs.paces.Unusual(now)
+	return b.costs.paces.TakeSeen(b.now(), n)
+}
+
+// UnusualPaces returns the number of targets whose pace is known to be unusual.
+func (b *Balancer) UnusualPaces() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.costs.paces.Unusual(b.now())
 }
 
 // sweepCosts removes the paces of targets that report nothing, and the estimates of services
--- a/internal/balance/costs_replay_test.go
+++ b/internal/balance/costs_replay_test.go
@@ -23,7 +23,7 @@
 	// a factor of eight; false reports have a random pace.
 	hot                     float64
 	wrongHints, falseReport bool
-	reportDelayMs           int
+	reportDelayMs           int // added to the usual delay of reports
 	seconds                 int
 }
 
@@ -39,7 +39,7 @@
 	unread, left int
 	sent, last   int // ms; last is the time of the last event
 	sinceEvent   int
-	done, late   func()
+	done         func()
 	gapLate      bool
 	firstEvent   func()
 }
@@ -90,8 +90,15 @@
 // centre returns the data centre of a router or target: two thirds are in the first one.
 func centre(i int) string { return []string{"dc1", "dc1", "dc2"}[i%3] }
 
+// arrival returns when a report of the given time is known to all routers. The router that saw it
+// sends it to the collectors at once, and those send it on each 150 ms.
+func (c costReplay) arrival(at int) int {
+	const interval = 150
+	return at + 10 + interval - at%interval + c.reportDelayMs
+}
+
 // run replays the load with a selection. Each router knows the counts of the others as of up to
-// 200 ms ago, and the reports of targets after reportDelayMs. All routers share one estimator.
+// 200 ms ago, and the reports of targets by arrival. All routers share one estimator.
 func (c costReplay) run(p costPolicy) costResult {
 	const routers, engines, slots, warmup = 130, 90, 24, 2
 	rng := rand.New(rand.NewPCG(3, 14))
@@ -197,7 +204,7 @@
 					return
 				}
 				unusual[i] = percent >= 120
-				due := j.last + c.reportDelayMs
+				due := c.arrival(j.last)
 				reports[due] = append(reports[due], cost.Report{Target: uint32(i + 1), Percent: percent, At: at(j.last)})
 			}
 			j.done = func() {
@@ -283,24 +290,26 @@
 }
 
 var costReplays = []costReplay{
-	{name: "usual paces", reportDelayMs: 250},
-	{name: "noisy targets", noisy: 15, reportDelayMs: 250},
-	{name: "a third 1.3x slower", third: true, reportDelayMs: 250},
-	{name: "noisy, hot team", noisy: 15, hot: 0.3, reportDelayMs: 250},
-	{name: "noisy, wrong hints", noisy: 15, wrongHints: true, reportDelayMs: 250},
-	{name: "noisy, false reports", noisy: 15, falseReport: true, reportDelayMs: 250},
+	{name: "usual paces"},
+	{name: "noisy targets", noisy: 15},
+	{name: "a third 1.3x slower", third: true},
+	{name: "noisy, hot team", noisy: 15, hot: 0.3},
+	{name: "noisy, wrong hints", noisy: 15, wrongHints: true},
+	{name: "noisy, false reports", noisy: 15, falseReport: true},
 	{name: "noisy, old reports", noisy: 15, reportDelayMs: 1500},
 }
 
 // BenchmarkCompareSelections logs the table of docs/design/cost.md.
 func BenchmarkCompareSelections(b *testing.B) {
-	for range b.N {
-		for _, c := range costReplays {
-			c.seconds = 20
-			for _, p := range costPolicies {
-				r := c.run(p)
-				b.Logf("| %s | %s | %.2f | %.2f | %.2f | %.1f | %.2f |", c.name, p.name, r.first, r.gap, r.late, r.reread, r.over)
-			}
+	for _, c := range costReplays {
+		c.seconds = 20
+		for _, p := range costPolicies {
+			b.Run(c.name+"/"+p.name, func(b *testing.B) {
+				for range b.N {
+					r := c.run(p)
+					b.Logf("| %s | %s | %.2f | %.2f | %.2f | %.1f | %.2f |", c.name, p.name, r.first, r.gap, r.late, r.reread, r.over)
+				}
+			})
 		}
 	}
 }
@@ -308,7 +317,7 @@
 // TestCostLowersLateResponses guards against a selection by cost that does not help where targets
 // are noisy, or that does harm where paces are usual or reports are false or old.
 func TestCostLowersLateResponses(t *testing.T) {
-	for i, most := range map[int]float64{0: 1.05, 1: 0.95, 5: 1.05, 6: 1.05} {
+	for i, most := range map[int]float64{0: 1.05, 1: 0.85, 5: 1.05, 6: 1.05} {
 		c := costReplays[i]
 		c.seconds = 8
 		before, after := c.run(costPolicies[0]), c.run(costPolicies[1])
--- a/internal/cost/estimator.go
+++ b/internal/cost/estimator.go
@@ -1,6 +1,7 @@
 package cost
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -80,9 +81,13 @@
 	return r.ownTokens()
 }
 
-// class returns the mean of a class, which it adds if there is room, or nil.
+// class returns the mean of a class, which it adds if there is room, or nil. Classes with few
+// observations make room for others.
 func (e *Estimator) class(c class) *mean {
 	m := e.classes[c]
+	if m == nil && len(e.classes) >= maxClasses {
+		maps.DeleteFunc(e.classes, func(_ class, m *mean) bool { return m.count < minClassObservations })
+	}
 	if m == nil && len(e.classes) < maxClasses {
 		if e.classes == nil {
 			e.classes = make(map[class]*mean)
--- a/internal/cost/paces.go
+++ b/internal/cost/paces.go
@@ -69,12 +69,16 @@
 	toSpread bool
 }
 
-// Observe records a report from a response that this router received.
-func (p *Paces) Observe(r Report) {
+// Observe records a report from a response that this router received. It reports whether the pace
+// became unusual or usual with it.
+func (p *Paces) Observe(r Report) (changed bool) {
 	// The end of an unusual pace is sent too, so that the collectors stop spreading it.
-	if t, wasUnusual := p.learn(r); t != nil {
-		t.toSend = r.differs() || wasUnusual
+	t, wasUnusual := p.learn(r)
+	if t == nil {
+		return false
 	}
+	t.toSend = t.toSend || r.differs() || wasUnusual
+	return r.differs() != wasUnusual
 }
 
 // Learn records a report that another router has sent.
--- a/internal/filter/deps.go
+++ b/internal/filter/deps.go
@@ -54,6 +54,8 @@
 	// PromptTokens and MaxTokens are estimates from the request.
 	PromptTokens int
 	MaxTokens    int
+	// LengthHint is the caller's estimate of the tokens of the answer; zero if it gave none.
+	LengthHint int
 }
 
 // Reason explains one decision to operators.
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -189,6 +189,7 @@
 		Goal:     d.x.Route.Goal,
 		Overdue:  d.overdue,
 		TimeLeft: time.Until(d.x.Deadline),
+		Cost:     costOf(d.x),
 	})
 }
 
@@ -369,6 +370,9 @@
 	d.failure = failure{}
 	d.recordRun()
 	d.accepted.Store(true)
+	if !d.isEventAnswer(a.Header) {
+		d.recordFirstEvent()
+	}
 	d.x.OnEnd(func(u Usage) { c.Done(answerOutcome(a, u)) })
 	return nil
 }
--- a/internal/filter/events.go
+++ b/internal/filter/events.go
@@ -181,6 +181,7 @@
 		}
 		if !isComment(event) {
 			s.preferNext = false
+			s.work.recordFirstEvent()
 			s.stalledAt = time.Now().Add(s.maxPause)
 		}
 		s.complete = append(s.complete, event...)
--- a/internal/filter/hints.go
+++ b/internal/filter/hints.go
@@ -20,6 +20,23 @@
 	// text that can't be read as a limit, is not empty.
 	Limit        permits.Limit
 	InvalidLimit string
+	// Load is what the target reports of its load. It is empty if InvalidLoad, the text that
+	// can't be read as a report, is not.
+	Load        LoadReport
+	InvalidLoad string
+}
+
+// LoadReport is a target's report of its load.
+type LoadReport struct {
+	// Reported is set if the answer has a report.
+	Reported bool
+	// Running, Waiting and Slots are numbers of requests.
+	Running int
+	Waiting int
+	Slots   int
+	// PacePercent is the time that work takes at the target now, in percent of the usual
+	// time; zero if the target does not report it.
+	PacePercent int
 }
 
 // reportHints passes the hints of an answer to OnHints, also if there are none, since a
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -103,9 +104,13 @@
 	service     *control.Service
 	balancer    *balance.Balancer
 	picker      *picker.Picker
-	guard       *quarantine.Guard
-	gateway     *gateway.Gateway
-	reports     *reports
+	costs       *costReports
+	// paceChanged is signalled when a target's pace became unusual or usual.
+	paceChanged   chan struct{}
+	invalidLoadAt atomic.Int64
+	guard         *quarantine.Guard
+	gateway       *gateway.Gateway
+	reports       *reports
 	// heartbeatRate meters the heartbeats that targets send to this instance.
 	heartbeatRate rateMeter
 
@@ -118,7 +123,7 @@
 // process that uses the package runs them and passes the requests of callers to Gateway. On
 // an error, StartRouted closes everything that it has started.
 func StartRouted(cfg RoutedConfig) (*Routed, error) {
-	in := &Routed{cfg: cfg, seeds: cfg.Seeds}
+	in := &Routed{cfg: cfg, seeds: cfg.Seeds, paceChanged: make(chan struct{}, 1)}
 	in.init(cfg.ID, &Listeners{}, cfg.Logger)
 	steps := []struct {
 		name string
--- a/internal/instance/routed_inflight.go
+++ b/internal/instance/routed_inflight.go
@@ -13,6 +13,9 @@
 	// inFlightInterval is the time between two messages with the in-flight counts of a
 	// router, and the minimum time between two messages with the totals.
 	inFlightInterval = 150 * time.Millisecond
+	// minPaceInterval is the minimum time between two messages that are sent because a
+	// target's pace changed.
+	minPaceInterval = 50 * time.Millisecond
 	// totalsBytesPerSecond is the part of a router's control budget that is available for
 	// relaying the totals of one collector. A collector is a router that sums the
 	// in-flight counts of all routers. The part is below one half because there are two
@@ -35,13 +38,22 @@
 	ticker := time.NewTicker(inFlightInterval)
 	defer ticker.Stop()
 	published := false
-	var totalsDue time.Time
+	var totalsDue, paceSentAt time.Time
 	for {
 		select {
 		case <-in.ctx.Done():
 			return
+		case <-in.paceChanged:
+			// Reports of paces are useful for some hundred ms, so a change does not wait for
+			// the next tick. The other routers get it with the next totals.
+			if now := time.Now(); now.Sub(paceSentAt) >= minPaceInterval {
+				paceSentAt = now
+				published = in.publishLocal(balance.Collectors(in.members.Routers()), published)
+			}
+			continue
 		case <-ticker.C:
 		}
+		in.costs.unusual.Update(float64(in.balancer.UnusualPaces()))
 		collectors := balance.Collectors(in.members.Routers())
 		published = in.publishLocal(collectors, published)
 		isSelf := func(r *pb.RouterStatus) bool { return r.Id == in.cfg.ID }
@@ -57,7 +69,9 @@
 func (in *Routed) publishLocal(collectors []*pb.RouterStatus, published bool) bool {
 	counts := in.balancer.LocalCounts()
 	if len(counts) > 0 || published {
-		in.members.SendInFlight(in.peerAddrs(collectors), member.InFlight{Counts: orZeroCount(counts), Limits: in.picker.SeenLimits(false, member.MaxLimits(len(counts)))})
+		limits := in.picker.SeenLimits(false, member.MaxLimits(len(counts)))
+		paces := in.seenPaces(false, len(counts), len(limits))
+		in.members.SendInFlight(in.peerAddrs(collectors), member.InFlight{Counts: orZeroCount(counts), Limits: limits, Paces: paces})
 	}
 	return len(counts) > 0
 }
@@ -67,7 +81,7 @@
 func (in *Routed) publishTotals() time.Duration {
 	totals := in.balancer.AggregateCounts()
 	limits := in.picker.SeenLimits(true, member.MaxLimits(len(totals)))
-	in.forwardTotals(member.InFlight{Counts: totals, Collector: in.cfg.ID, Limits: limits})
+	in.forwardTotals(member.InFlight{Counts: totals, Collector: in.cfg.ID, Limits: limits, Paces: in.seenPaces(true, len(totals), len(limits))})
 	// Subtract half a tick. Otherwise a tick that fires slightly early would delay the
 	// message to the tick after it.
 	return totalsInterval(len(totals), len(limits)) - inFlightInterval/2
@@ -119,9 +133,11 @@
 	case f.Collector == "":
 		in.balancer.ApplyCounts(router, f.Part, f.Counts)
 		in.picker.LearnLimits(router, f.Limits)
+		in.balancer.LearnPaces(f.Paces)
 	case f.Collector != in.cfg.ID:
 		in.balancer.ApplyTotals(f.Collector, f.Counts)
 		in.picker.LearnLimits(f.Collector, f.Limits)
+		in.balancer.LearnPaces(f.Paces)
 		in.forwardTotals(f)
 	}
 }
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -142,6 +142,8 @@
 		return nil
 	}
 	in.balancer = balance.New(in.members, in.logHealthChange)
+	in.costs = newCostReports(in.scope)
+	in.balancer.SetOnEstimate(in.costs.recordEstimate)
 	in.picker = picker.New(picker.Config{Self: in.cfg.ID, Started: time.Now(), Members: in.members, Balancer: in.balancer, Logger: in.logger, Scope: in.scope})
 	in.guard = quarantine.New(quarantine.Config{Self: in.cfg.ID, Routers: in.members.Routers, Send: in.members.SendQuarantine, Logger: in.logger, Scope: in.scope})
 	g, err := gateway.New(gateway.Config{
@@ -190,6 +192,7 @@
 		in.logger.Warn().Str("step", "limit").Str("peer", target.Id).Str("request_id", requestID).Str("text", h.InvalidLimit).
 			Msg("a target names a limit that is not a number of requests per second")
 	}
+	in.applyLoad(target, requestID, h)
 	changed := in.balancer.Pause(target, h.Pause)
 	if h.Leaving && in.balancer.MarkLeaving(target) {
 		changed = true
--- a/internal/member/inflight.go
+++ b/internal/member/inflight.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/budget"
+	"github.com/wigeonwood/wigeonwood/internal/cost"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/permits"
 )
@@ -40,7 +41,7 @@
 }
 
 // InFlightBytes estimates the bytes needed to send one router the counts of the given number
-// of targets, and limits beside them.
+// of targets, and limits beside them. Paces, which are few, are not included.
 func InFlightBytes(targets, limits int) int {
 	datagrams := (targets + maxInFlightPerDatagram - 1) / maxInFlightPerDatagram
 	return targets*inFlightEntryBytes + datagrams*inFlightOverheadBytes + limits*maxLimitEntryBytes
@@ -59,6 +60,8 @@
 	Part int
 	// Limits are rate limits that targets name, or that have ended.
 	Limits []permits.Seen
+	// Paces are unusual paces that targets report, or that have ended.
+	Paces []cost.Report
 }
 
 // SendInFlight sends in-flight counts to routers, given by their peer addresses, one
@@ -93,6 +96,7 @@
 	}
 	if len(messages) > 0 {
 		setLimits(messages[len(messages)-1].InFlight, now, f.Limits)
+		setPaces(messages[len(messages)-1].InFlight, now, f.Paces)
 	}
 	return messages
 }
@@ -135,7 +139,7 @@
 		return
 	}
 	in := msg.GetInFlight()
-	f := InFlight{Counts: make(map[uint32]int, len(in.GetKeys())), Collector: in.GetCollector(), Hops: in.GetSteps(), Part: int(in.GetPart()), Limits: limits(in, time.Now())}
+	f := InFlight{Counts: make(map[uint32]int, len(in.GetKeys())), Collector: in.GetCollector(), Hops: in.GetSteps(), Part: int(in.GetPart()), Limits: limits(in, time.Now()), Paces: paces(in, time.Now())}
 	for i, key := range in.GetKeys() {
 		f.Counts[key] = int(in.Counts[i])
 	}
--- a/internal/member/wire.go
+++ b/internal/member/wire.go
@@ -108,7 +108,7 @@
 		return nil, errMessageFields
 	}
 	validInFlight := len(m.GetInFlight().GetKeys()) == len(m.GetInFlight().GetCounts())
-	if !validRenewals(m.Renewals) || !validLoads(m.Loads) || !validInFlight || !validLimits(m.GetInFlight()) {
+	if !validRenewals(m.Renewals) || !validLoads(m.Loads) || !validInFlight || !validLimits(m.GetInFlight()) || !validPaces(m.GetInFlight()) {
 		return nil, errMessageFields
 	}
 	return m, nil
