--- a/internal/balance/costs_test.go
+++ b/internal/balance/costs_test.go
@@ -90,3 +90,29 @@
 		t.Errorf("a prompt whose parts are expensive to read again moves: %v, %v", stays.Reason, err)
 	}
 }
+
+// TestPlainRequestsAvoidSlowTargets checks that a request without a prompt whose work puts its
+// objective at risk avoids a slow target of this data centre, and that a short one does not.
+func TestPlainRequestsAvoidSlowTargets(t *testing.T) {
+	rng := rand.New(rand.NewPCG(4, 2))
+	at := func(work time.Duration) (slow int) {
+		for range 300 {
+			var all []*candidate
+			for i, pace := range []float64{4, 1, 1} {
+				e := &expectation{pace: pace, first: scale(work, pace), goal: 300 * time.Millisecond}
+				all = append(all, &candidate{status: engine(fmt.Sprint(i)), healthy: true, capacity: 6, expected: e})
+			}
+			all[1].inFlight, all[2].inFlight = 4, 4
+			if selectByLoad(all, "", rng.Float64).target == all[0] {
+				slow++
+			}
+		}
+		return slow
+	}
+	if n := at(100 * time.Millisecond); n > 60 {
+		t.Errorf("%d of 300 long requests are sent to the slow target", n)
+	}
+	if n := at(5 * time.Millisecond); n != 300 {
+		t.Errorf("%d of 300 short requests are sent to the lightly loaded target", n)
+	}
+}
--- a/internal/cost/estimator.go
+++ b/internal/cost/estimator.go
@@ -60,7 +60,7 @@
 	pace := clampPace(o.Pace)
 	e.first.observe(o.InFlight, r.tokensToRead(o.Uncached), inMilliseconds(o.FirstEvent)/pace)
 	run := inMilliseconds(o.Run) / pace
-	if r.PromptTokens == 0 {
+	if r.Path != "" {
 		run += inMilliseconds(o.FirstEvent) / pace
 	}
 	for _, c := range r.classes() {
