--- a/internal/balance/select_prompt.go
+++ b/internal/balance/select_prompt.go
@@ -57,6 +57,8 @@
 	// for it, with the meaning of limitedWeight.
 	coldRate   float64
 	coldWeight float64
+	// expected is nil if the request is selected by numbers of requests only.
+	expected *expectation
 }
 
 // eligible reports whether the target accepts the request, healthy or not.
@@ -89,6 +91,9 @@
 	// full is set if no target is selected because the first choices for the prompt are full
 	// while others are limited.
 	full bool
+	// uncached is set if the shared parts of the prompt are not expected to be cached at the
+	// target.
+	uncached bool
 }
 
 // selectByPromptKey selects a target by rendezvous hashing with bounded loads. All
@@ -107,9 +112,16 @@
 		open = open[:min(len(open), maxLimitedChoices)]
 	}
 	limit := promptLoadLimit(all)
-	chosen := firstBelow(open, func(c *candidate) int { return min(limit, c.capacity) })
-	if chosen.target == nil && !limited {
-		chosen = firstBelow(open, func(*candidate) int { return limit })
+	first, best := chooseBelow(open, func(c *candidate) int { return min(limit, c.capacity) })
+	if best == nil && !limited {
+		// If all targets are at their capacities, the bound without them still applies: the
+		// target with the fewest requests is the same one at all routers until the next
+		// counts arrive, and would get the requests of all of them.
+		first, best = chooseBelow(open, func(*candidate) int { return limit })
+	}
+	var chosen selection
+	if best != nil {
+		chosen = selection{target: best, reason: "cached parts are expected here"}
 	}
 	if chosen.target == nil && limited && len(open) > 0 {
 		return selection{full: true}
@@ -121,23 +133,12 @@
 	chosen.cacheHolder = topCacheHolder(byKey, chosen.target)
 	if chosen.target != nil && chosen.cacheHolder != nil && rankOf(ranked, chosen.cacheHolder) < rankOf(ranked, chosen.target) {
 		chosen.reason = "targets ranked higher are at their bound or limit, leaving or failing"
+		chosen.uncached = true
 	}
-	return chosen
-}
-
-// firstBelow selects the first of the ranked targets that has fewer requests in flight than its
-// bound.
-//
-// If all targets are at their capacities, the bound without them still applies: the target with
-// the fewest requests is the same one at all routers until the next counts arrive, and would
-// get the requests of all of them.
-func firstBelow(ranked []*candidate, bound func(*candidate) int) selection {
-	for _, c := range ranked {
-		if c.inFlight < bound(c) {
-			return selection{target: c, reason: "cached parts are expected here"}
-		}
+	if best != first {
+		chosen.reason = costReason(first, best)
 	}
-	return selection{}
+	return chosen
 }
 
 // rankByKey returns the candidates by their rendezvous score for key, the highest first.
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -204,6 +204,7 @@
 		Overdue:  d.overdue,
 		TimeLeft: time.Until(d.x.Deadline),
 		Priority: d.x.Priority,
+		Cost:     costOf(d.x),
 	}
 	choice, err := d.Picker.Pick(ctx, request)
 	if err != nil && len(request.Full) > 0 {
@@ -391,6 +392,9 @@
 	d.failure = failure{}
 	d.recordRun()
 	d.accepted.Store(true)
+	if !d.isEventAnswer(a.Header) {
+		d.recordFirstEvent()
+	}
 	d.x.OnEnd(func(u Usage) { c.Done(answerOutcome(a, u)) })
 	return nil
 }
