Refusals and reasons name evacuations and cold targets

explain shows the texts of the selection. They did not say that a service has no target because of an evacuation, or that targets are cold.

Evidence: TestServiceInEvacuatedDataCentresHasNoTarget checks the text.

--- a/internal/balance/backpressure.go
+++ b/internal/balance/backpressure.go
@@ -34,15 +34,21 @@
 	if e.Full {
 		return fmt.Sprintf("targets are at the limits that they name, and those that could take the prompt are full; retry in %v", e.RetryAfter)
 	}
-	return fmt.Sprintf("all targets are at the limits that they name; the first may take a request in %v", e.RetryAfter.Round(time.Millisecond))
+	return fmt.Sprintf("all targets are at the limits that they name, or are cold and at their rate; the first may take a request in %v", e.RetryAfter.Round(time.Millisecond))
 }
 
+// errEvacuated says that targets would accept the request if their data centres were not
+// evacuated.
+var errEvacuated = fmt.Errorf("%w: data centres are evacuated", ErrNoTarget)
+
 // noCandidateError returns the error for a request for which no candidate is eligible: a
 // *LimitedError or a *PausedError if one becomes eligible once it is no longer withheld or
 // paused, ErrNoTarget otherwise.
 func noCandidateError(all []*candidate) error {
 	var paused, limited time.Duration
+	evacuated := false
 	for _, c := range all {
+		evacuated = evacuated || c.evacuated && !c.leaving && !c.excluded
 		if c.leaving || c.evacuated || c.excluded {
 			continue
 		}
@@ -58,6 +64,8 @@
 		return &LimitedError{RetryAfter: limited}
 	case paused > 0:
 		return &PausedError{RetryAfter: paused}
+	case evacuated:
+		return errEvacuated
 	default:
 		return ErrNoTarget
 	}
--- a/internal/balance/evacuation_test.go
+++ b/internal/balance/evacuation_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -85,8 +86,8 @@
 	b.Withhold(view.targets[1], time.Minute)
 	b.SetEvacuated(func(string) bool { return true })
 	for _, key := range []string{"", "k"} {
-		if _, err := b.Pick(Request{Service: "llm", Key: key}); !errors.Is(err, ErrNoTarget) {
-			t.Errorf("key %q: %v, want ErrNoTarget", key, err)
+		if _, err := b.Pick(Request{Service: "llm", Key: key}); !errors.Is(err, ErrNoTarget) || !strings.Contains(err.Error(), "evacuated") {
+			t.Errorf("key %q: %v, want ErrNoTarget because of the evacuation", key, err)
 		}
 	}
 }
--- a/internal/balance/select_prompt.go
+++ b/internal/balance/select_prompt.go
@@ -132,7 +132,7 @@
 	// The targets that had the prompts before some were limited still have them cached.
 	chosen.cacheHolder = topCacheHolder(byKey, chosen.target)
 	if chosen.target != nil && chosen.cacheHolder != nil && rankOf(ranked, chosen.cacheHolder) < rankOf(ranked, chosen.target) {
-		chosen.reason = "targets ranked higher are at their bound or limit, leaving or failing"
+		chosen.reason = "targets ranked higher are at their bound or limit, leaving, evacuated or failing"
 		chosen.uncached = true
 	}
 	if best != first {
