Clearer comments and names in bodybuffer and overload

Long comment lines are wrapped, constants say what they mean and in which unit, and two fields and a function have names that tell what they hold. Behaviour is unchanged.

--- a/internal/bodybuffer/accounts.go
+++ b/internal/bodybuffer/accounts.go
@@ -3,23 +3,25 @@
 import "time"
 
 const (
-	// largeBytes is the memory from which an unfinished body is closed in favour of others.
-	// Smaller bodies are closed only if there is no such body, because closing them frees
-	// little and ordinary bodies are smaller.
+	// largeBytes is the memory from which an unfinished body is closed first. Smaller bodies
+	// are closed only if there is no such body, because closing them frees little and
+	// ordinary bodies are smaller.
 	largeBytes = 128 << 10
 	// arrivalTime is the age up to which a body counts as arriving normally. Smaller bodies
 	// are not closed before that.
 	arrivalTime = 250 * time.Millisecond
 )
 
-// Reason is why a body was closed or refused.
+// Reason is the limit because of which a body was closed or refused.
 type Reason string
 
-// The limits that a body can meet.
 const (
+	// ReasonMemory is the limit on the memory of all bodies.
 	ReasonMemory Reason = "memory"
-	ReasonOwner  Reason = "owner"
-	ReasonCount  Reason = "count"
+	// ReasonOwner is the limit on the memory of one owner's bodies.
+	ReasonOwner Reason = "owner"
+	// ReasonCount is the limit on the number of unfinished bodies.
+	ReasonCount Reason = "count"
 )
 
 // entry is the account of one body.
@@ -37,7 +39,8 @@
 // sums are the memory of several bodies, and the part of it that closed bodies will free.
 type sums struct{ charged, freeing int64 }
 
-// accounts decides which bodies may grow and which are closed. It is not safe for concurrent use.
+// accounts decides which bodies may grow and which are closed. It is not safe for concurrent
+// use.
 type accounts struct {
 	limits Limits
 	total  sums
@@ -51,7 +54,7 @@
 }
 
 // begin opens the account of a body that starts to arrive. If there are too many unfinished
-// bodies, it closes one, or returns nil if none may be closed.
+// bodies, it closes one, the victim. It returns no account if none may be closed.
 func (a *accounts) begin(owner string, now time.Time) (e, victim *entry) {
 	if len(a.unfinished) >= a.limits.Unfinished {
 		victim = a.slowest(func(e *entry) bool { return now.Sub(e.begun) >= arrivalTime }, now)
@@ -78,8 +81,8 @@
 	refused
 )
 
-// grow requests n bytes for a body, of which maxPeak is the most that it ever needs. It returns
-// the bodies that it closed for that. If the outcome is refused, reason is the limit.
+// grow requests n bytes for a body that never needs more than maxPeak bytes in total. It returns
+// the bodies that it closed for that. If the outcome is closed or refused, reason is the limit.
 func (a *accounts) grow(e *entry, n, maxPeak int64, now time.Time) (out outcome, victims []*entry, reason Reason) {
 	owner := a.owner(e.owner)
 	for _, bound := range []struct {
@@ -87,7 +90,7 @@
 		max    int64
 		reason Reason
 	}{
-		{owner, max(a.limits.owner(), maxPeak), ReasonOwner},
+		{owner, max(a.limits.ownerBytes(), maxPeak), ReasonOwner},
 		{&a.total, max(a.limits.Bytes, maxPeak), ReasonMemory},
 	} {
 		for e.reason == "" && bound.sums.charged-bound.sums.freeing+n > bound.max {
--- a/internal/bodybuffer/accounts_test.go
+++ b/internal/bodybuffer/accounts_test.go
@@ -59,7 +59,7 @@
 				t.Fatalf("seed %d: %d bytes in %d bodies, over the limits", seed, a.total.charged, len(a.unfinished))
 			}
 			for name, owner := range a.owners {
-				if owner.charged > a.limits.owner() {
+				if owner.charged > a.limits.ownerBytes() {
 					t.Fatalf("seed %d: %s holds %d bytes, over its share", seed, name, owner.charged)
 				}
 			}
--- a/internal/bodybuffer/listen.go
+++ b/internal/bodybuffer/listen.go
@@ -7,8 +7,8 @@
 	"syscall"
 )
 
-// receiveBytes is the receive buffer that is requested for each connection; the kernel uses up to
-// twice as much. By default it holds up to 6 MiB of unread bytes for each connection.
+// receiveBytes is the receive buffer that is requested for each connection, in bytes. The kernel
+// uses up to twice as much; without the request it holds up to 6 MiB of unread bytes.
 const receiveBytes = 64 << 10
 
 // Listen opens a TCP socket for callers, whose connections hold few unread bytes.
--- a/internal/bodybuffer/pool.go
+++ b/internal/bodybuffer/pool.go
@@ -20,8 +20,8 @@
 	maxWait = time.Second
 	// logInterval is the minimum time between two log lines.
 	logInterval = 10 * time.Second
-	// step is the step in log lines.
-	step = "read"
+	// stepRead is the name of this processing step in log lines.
+	stepRead = "read"
 )
 
 // LimitError reports a body that was closed or refused because of a limit.
@@ -50,10 +50,10 @@
 	interrupts map[*entry]func()
 	// freed is closed when memory is returned; nil while no body waits for that.
 	freed chan struct{}
-	// nextLog is the time of the next log line; closedCount counts the bodies that were
+	// nextLog is the earliest time of the next log line; unlogged counts the bodies that were
 	// closed or refused since the last one.
-	nextLog     time.Time
-	closedCount int
+	nextLog  time.Time
+	unlogged int
 
 	held       tally.Gauge
 	unfinished tally.Gauge
@@ -75,10 +75,11 @@
 
 // Source is a body that arrives.
 type Source struct {
+	// Owner is the team or customer to whom the memory is charged.
 	Owner  string
 	Reader io.Reader
-	// Size is the announced size, negative if there is none. Limit is the maximum size; the
-	// reader must fail beyond it.
+	// Size is the announced size in bytes, negative if there is none. Limit is the maximum
+	// size in bytes; the reader must fail beyond it.
 	Size  int64
 	Limit int64
 	// Interrupt makes a Read in progress, and later ones, fail. It must not block.
@@ -140,7 +141,8 @@
 	return e, nil
 }
 
-// readAll reads until the end of the body. No memory is allocated before it is needed.
+// readAll reads until the end of the body. The buffer grows only when it is full and a further
+// byte has arrived.
 func (p *Pool) readAll(s Source, e *entry) ([]byte, error) {
 	var data []byte
 	// next receives the byte that arrives when the buffer is full, if the body has not ended.
@@ -259,7 +261,8 @@
 	p.announceFree()
 }
 
-// interrupt makes the reads of a closed body fail. Bodies that wait for memory are woken.
+// interrupt makes the reads of a closed body fail and wakes the bodies that wait for memory. The
+// caller holds mu.
 func (p *Pool) interrupt(victim *entry) {
 	p.count("closed", victim.reason)
 	if f := p.interrupts[victim]; f != nil {
@@ -268,11 +271,13 @@
 	p.announceFree()
 }
 
+// end closes the account of a body. The caller holds mu.
 func (p *Pool) end(e *entry) {
 	p.accounts.end(e)
 	p.announceFree()
 }
 
+// announceFree wakes the bodies that wait for memory. The caller holds mu.
 func (p *Pool) announceFree() {
 	if p.freed != nil {
 		close(p.freed)
@@ -281,34 +286,36 @@
 	p.report()
 }
 
+// report updates the gauges. The caller holds mu.
 func (p *Pool) report() {
 	p.held.Update(float64(p.accounts.total.charged))
 	p.unfinished.Update(float64(len(p.accounts.unfinished)))
 }
 
-// count counts a body that was closed or refused, and logs a line at most every logInterval.
+// count counts a body that was closed or refused, and logs a line at most every logInterval. The
+// caller holds mu.
 func (p *Pool) count(name string, reason Reason) {
 	p.scope.Tagged(map[string]string{"reason": string(reason)}).Counter(name).Inc(1)
-	p.closedCount++
+	p.unlogged++
 	if now := time.Now(); !now.Before(p.nextLog) {
 		p.nextLog = now.Add(logInterval)
-		p.logger.Warn().Str("step", step).Str("reason", string(reason)).Int("bodies", p.closedCount).
+		p.logger.Warn().Str("step", stepRead).Str("reason", string(reason)).Int("bodies", p.unlogged).
 			Int64("held_bytes", p.accounts.total.charged).Int("unfinished", len(p.accounts.unfinished)).
 			Msg("request bodies were closed or refused to stay within the limits")
-		p.closedCount = 0
+		p.unlogged = 0
 	}
 }
 
-// Reserve charges n more bytes for copies of parts of the body until Unreserve. Like the body
-// itself, they are granted to an owner who holds nothing else, whatever the budget.
+// Reserve charges n more bytes, for copies of parts of the body, until Unreserve. An owner who
+// holds nothing else gets them even if they exceed the budget. It fails with a *LimitError.
 func (b *Body) Reserve(n int64) error {
 	return b.pool.acquire(b.entry, n, max(b.peak, int64(cap(b.Bytes))+n))
 }
 
-// Unreserve returns memory that Reserve charged.
+// Unreserve returns n bytes that Reserve charged.
 func (b *Body) Unreserve(n int64) { b.pool.giveBack(b.entry, n) }
 
-// Release ends the charge. The bytes must not be used any more.
+// Release ends the charge. The bytes must not be used afterwards.
 func (b *Body) Release() {
 	b.once.Do(func() {
 		b.pool.mu.Lock()
--- a/internal/bodybuffer/pool_test.go
+++ b/internal/bodybuffer/pool_test.go
@@ -106,7 +106,7 @@
 
 // TestOrdinaryLoad guards against limits that callers inside the limits of the configuration
 // meet: 300 bodies of 72 KB of one team at once, and a body of 4 or 8 MiB beside 100 of them, at
-// a router with the smallest memory of today's deployments.
+// a router of 136 MB, the smallest of the deployments.
 func TestOrdinaryLoad(t *testing.T) {
 	const memory, maxFDs, ordinary, large = 136 << 20, 2870, 72 << 10, 8 << 20
 	for _, announced := range []bool{true, false} {
--- a/internal/overload/demand.go
+++ b/internal/overload/demand.go
@@ -39,11 +39,11 @@
 	offered  decayed
 	admitted decayed
 	teams    map[string]*team
-	// closedPart is the part of the kind that recently was not admitted.
-	closedPart float64
+	// rejectedPart is a moving average of the part of the kind that may not be admitted.
+	rejectedPart float64
 	// firstEvent is the recent time to the first event of this router's own requests.
 	firstEvent mean
-	// turn is when the next rejected caller should return.
+	// turn is the time at which the last rejected caller was told to return.
 	turn time.Time
 }
 
--- a/internal/overload/memory.go
+++ b/internal/overload/memory.go
@@ -14,10 +14,10 @@
 	memoryPart = 0.2
 )
 
-// full returns the ids of the targets whose memory the request would exceed. The requests of this router count with their tokens, those of others with the
-// service's mean. Requests in the queue hold no memory.
-// The tokens of requests are upper bounds, so without a queue and without requests that waited
-// full returns no targets.
+// full returns the ids of the targets whose memory the request would exceed. The requests of this
+// router count with their tokens, those of others with the service's mean. Requests in the queue
+// hold no memory. The tokens of requests are upper bounds, so full returns no targets while no
+// request is queued or no recent one has waited.
 func (a *Admission) full(now time.Time, r Request, targets []Target) []string {
 	s := a.service(r.Service)
 	if r.Memory == 0 || r.Tokens == 0 || takenPart(targets) < calmShare {
@@ -43,9 +43,10 @@
 // the ids of the targets to which the request is not sent.
 //
 // If most engines are full, the few others are the same ones at all routers until the next
-// counts arrive, and would get the requests of all of them. No target is excluded then, and
-// a part of the least urgent kind is rejected, by the teams' shares. Rejecting a more urgent request would turn the order
-// around, since smaller, less urgent ones still find memory; it waits in an engine's queue.
+// counts arrive, and would get the requests of all of them. No target is excluded then, and a
+// part of the least urgent kind is rejected, by the teams' shares. More urgent requests are not
+// rejected but wait in an engine's queue: smaller, less urgent ones still find memory, so
+// rejections would reverse the order of urgency.
 func (a *Admission) Memory(now time.Time, r Request, targets []Target, d Decision, draw float64) (Decision, []string) {
 	full := a.full(now, r, targets)
 	if !d.Admitted || 2*len(full) <= len(targets) {
@@ -74,9 +75,9 @@
 // Tokens returns the tokens of this router's requests at a target.
 func (a *Admission) Tokens(key uint32) int { return a.tokens[key] }
 
-// End records that the request has ended at a target: after the total time, with the first
-// event after firstEvent. If it ended without an event, the two are equal; if it says nothing
-// about the queue, they are zero.
+// End records that the request has ended at a target. total is the time until its end and
+// firstEvent that until its first event, equal to total if there was none. Both are zero if the
+// request tells nothing about the queue.
 func (a *Admission) End(now time.Time, key uint32, r Request, firstEvent, total time.Duration) {
 	if a.tokens[key] -= r.Tokens; a.tokens[key] <= 0 {
 		delete(a.tokens, key)
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -28,16 +28,15 @@
 	// part of a kind rises from nothing to everything. A hard limit oscillates, since the
 	// counts are 150 to 300 ms old.
 	rampWidth = 0.12
-	// partWeight is the weight of the latest decision in the recent part of a kind that was
-	// not admitted.
+	// partWeight is the weight of the latest decision in kind.rejectedPart.
 	partWeight = 0.08
 	// floorShare is the part of the service's ratio of admitted requests that each kind and
-	// team gets at least. It is above the required quarter, since some of the admitted
-	// requests are not served.
+	// team gets at least. Each must be served at least a quarter as often as all; floorShare
+	// is higher, since some of the admitted requests are not served.
 	floorShare = 0.27
 	// firstEventTTL is how long an observed time to the first event is valid.
 	firstEventTTL = 2 * time.Second
-	// minRetryAfter and maxRetryAfter bound the time at which a rejected caller may return.
+	// minRetryAfter and maxRetryAfter bound the time after which a rejected caller may return.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
 )
@@ -66,27 +65,28 @@
 	// InFlight counts the requests of all routers, Own those of this router.
 	InFlight int
 	Own      int
-	Slots    int
+	// Slots is the number of requests that the target runs at the same time.
+	Slots int
 }
 
 // Reason is why a request was admitted or rejected.
 type Reason string
 
-// Reasons.
+// Calm, WithinShare and Floor admit a request; the other reasons reject it.
 const (
-	// Calm: there is no overload.
+	// Calm means that there is no overload.
 	Calm Reason = "calm"
-	// WithinShare: there is overload, and the kind and team are within their part.
+	// WithinShare means that there is overload, and the kind and team are within their share.
 	WithinShare Reason = "share"
-	// Floor: the request is admitted so that its kind or team does not starve.
+	// Floor means that the kind or team would starve without the request.
 	Floor Reason = "floor"
-	// Urgency: more urgent kinds take the capacity.
+	// Urgency means that more urgent kinds take the capacity.
 	Urgency Reason = "urgency"
-	// TeamShare: the team is above its fair share of its kind.
+	// TeamShare means that the team is above its fair share of its kind.
 	TeamShare Reason = "team"
-	// Late: the request would get its first event after its deadline.
+	// Late means that the request would get its first event after its deadline.
 	Late Reason = "late"
-	// NoMemory: most engines have no memory for the request.
+	// NoMemory means that most engines have no memory for the request.
 	NoMemory Reason = "memory"
 )
 
@@ -94,7 +94,7 @@
 type Decision struct {
 	Admitted bool
 	Reason   Reason
-	// RetryAfter is when the turn of a rejected request comes.
+	// RetryAfter is the time until the turn of a rejected request.
 	RetryAfter time.Duration
 	// Queue is the number of requests in the engines' queues, as a part of the slots.
 	Queue float64
@@ -140,16 +140,16 @@
 func (s *service) decide(now time.Time, r Request, k *kind, targets []Target, draw float64) Decision {
 	queue, calm := queuePart(targets)
 	if calm {
-		k.closedPart -= partWeight * k.closedPart
+		k.rejectedPart -= partWeight * k.rejectedPart
 		return Decision{Admitted: true, Reason: Calm}
 	}
-	part := s.openPart(now, k, queue)
-	k.closedPart += partWeight * (1 - part - k.closedPart)
+	part := s.admissiblePart(now, k, queue)
+	k.rejectedPart += partWeight * (1 - part - k.rejectedPart)
 	teamPart := k.admittedPart(now, r.Team, part)
 	if k.aboveShare(now, r.Team) {
 		// The queue varies within a second, and a team would otherwise get its whole demand
-		// in each moment with a short queue.
-		teamPart = min(teamPart, k.admittedPart(now, r.Team, 1-k.closedPart))
+		// whenever the queue is short.
+		teamPart = min(teamPart, k.admittedPart(now, r.Team, 1-k.rejectedPart))
 	}
 	late := now.Sub(k.firstEvent.at) < firstEventTTL && k.firstEvent.value > r.TimeLeft
 	if draw < teamPart && !late {
@@ -192,11 +192,11 @@
 	return float64(taken) / float64(max(slots, 1))
 }
 
-// openPart returns the part of a kind's requests that may be admitted with the given queue.
+// admissiblePart returns the part of a kind's requests that may be admitted with the given queue.
 // The kinds are rejected one after another: the rejected part of a kind begins to rise once
 // the next less urgent one is rejected entirely, and not before the queue delays the kind by
 // queueGoalShare of its objective.
-func (s *service) openPart(now time.Time, k *kind, queue float64) float64 {
+func (s *service) admissiblePart(now time.Time, k *kind, queue float64) float64 {
 	active := s.activeKinds(now)
 	total := 0.0
 	for _, other := range active {
@@ -248,8 +248,8 @@
 	return min(1, admitted/max(offered, 1))
 }
 
-// nextTurn returns when a rejected caller should return. The callers of a kind return one
-// after another, at the rate at which the kind is admitted.
+// nextTurn returns the time after which a rejected caller should return. The callers of a kind
+// return one after another, at the rate at which the kind is admitted.
 func (k *kind) nextTurn(now time.Time) time.Duration {
 	step := time.Duration(float64(demandDecay) / max(k.admitted.get(now), 1))
 	if k.turn.Before(now) {
