Clearer comments and names in cost and balance

Two literals get names, comments name units and actors, and chooseBelowBound has the name that docs/design/cost.md uses. Behaviour is unchanged.

--- a/internal/balance/backpressure.go
+++ b/internal/balance/backpressure.go
@@ -37,7 +37,7 @@
 	return fmt.Sprintf("all targets are at the limits that they name, or are cold and at their rate; the first may take a request in %v", e.RetryAfter.Round(time.Millisecond))
 }
 
-// errEvacuated says that targets would accept the request if their data centres were not
+// errEvacuated means that targets would accept the request if their data centres were not
 // evacuated.
 var errEvacuated = fmt.Errorf("%w: data centres are evacuated", ErrNoTarget)
 
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -17,8 +17,8 @@
 }
 
 // setColdWeights sets the weights of the cold candidates of a service, so that each is selected
-// for about as many requests as it gets permits. The other candidates keep their weights:
-// only requests of cold targets move, and they return once the target is warm.
+// for about as many requests as it gets permits. The other candidates keep their weights, so that
+// only requests of cold targets move to others, and return once the target is warm.
 func (b *Balancer) setColdWeights(now time.Time, service string, all []*candidate) {
 	serving, warm, sum, most := 0, 0, 0.0, 0.0
 	for _, c := range all {
--- a/internal/balance/costs.go
+++ b/internal/balance/costs.go
@@ -17,7 +17,8 @@
 	// first event is expected to be late. A fraction of 0.2 left more responses late.
 	riskyGoal = 0.1
 	// clearlyWorse is the factor by which the delay at a target must exceed that at a lower
-	// ranked one for the target to be passed over.
+	// ranked one for the target to be passed over. It is also the pace from which on a target
+	// counts as slow for requests without a prompt.
 	clearlyWorse = 1.25
 	// maxCostChoices is the number of highest ranked targets among which cost decides. With
 	// more, the parts of a prompt would be cached at more targets.
@@ -87,12 +88,13 @@
 	return e.Wait(inFlight) + work.Read
 }
 
+// scale returns d multiplied by a factor.
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
 }
 
-// delay is the expected time to the first event at a target of the given rank. Only the highest
-// ranked one is expected to have the shared parts of the prompt cached.
+// delay returns the expected time to the first event at a target of the given rank, from zero. Only
+// the highest ranked one is expected to have the shared parts of the prompt cached.
 func (e *expectation) delay(rank int) time.Duration {
 	if rank == 0 {
 		return e.first
@@ -100,12 +102,12 @@
 	return e.first + e.reread
 }
 
-// chooseBelow returns the first of the ranked targets that is below its load bound, and the
-// target that is chosen: the same, unless that puts a first event within the objective at risk and
-// the expected delay there is clearly worse than at one of the next targets, which would have to
-// read the shared parts again. Both are nil if no target is below the bound. Without expectations
-// the first one is chosen.
-func chooseBelow(ranked []*candidate, bound func(*candidate) int) (first, chosen *candidate) {
+// chooseBelowBound returns the first of the ranked targets that is below its load bound, and the
+// target that is chosen. The first one is chosen unless it puts the latency objective at risk and
+// its expected delay is clearly worse than that of one of the next targets, which would have to
+// read the shared parts again. Without expectations the first one is chosen. Both are nil if no
+// target is below the bound.
+func chooseBelowBound(ranked []*candidate, bound func(*candidate) int) (first, chosen *candidate) {
 	var least time.Duration
 	for rank, c := range ranked {
 		switch {
@@ -126,7 +128,7 @@
 	return first, chosen
 }
 
-// costReason says why the first choice was passed over for another target.
+// costReason returns the reason for which the first choice was passed over for another target.
 func costReason(first, chosen *candidate) string {
 	return fmt.Sprintf("first choice %s is slower: first event in %d ms at pace %.2f, here in %d ms at pace %.2f",
 		first.status.Id, first.expected.first.Milliseconds(), first.expected.pace,
@@ -136,13 +138,14 @@
 // atRisk reports whether a first event within the objective is at risk.
 func (e *expectation) atRisk() bool { return e.first > scale(e.goal, riskyGoal) }
 
-// slow reports whether a request without a prompt should not take this lightly loaded target
-// without comparing it with others.
+// slow reports whether a request without a prompt must compare this target with others, although it
+// is lightly loaded.
 func (c *candidate) slow() bool {
 	return c.expected != nil && c.expected.pace >= clearlyWorse && c.expected.atRisk()
 }
 
-// paceWeight is the factor of the target in the random choice for requests without a prompt.
+// paceWeight returns the factor by which the pace of the target changes its weight in the random
+// choice for requests without a prompt.
 func (c *candidate) paceWeight() float64 {
 	if c.expected == nil || !c.expected.atRisk() {
 		return 1
@@ -228,8 +231,8 @@
 }
 
 // ObservePace records the pace that a target has reported in a response: the time that work takes
-// there, in percent of the usual time. It reports whether the pace became unusual or usual, which
-// the other routers should learn at once.
+// there, in percent of the usual time. It reports whether the pace has changed between usual and
+// unusual, which the other routers should learn at once.
 func (b *Balancer) ObservePace(target *pb.TargetStatus, percent int) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -252,7 +255,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if collector {
-		return b.costs.paces.Spread(b.now(), n)
+		return b.costs.paces.TakeLearned(b.now(), n)
 	}
 	return b.costs.paces.TakeSeen(b.now(), n)
 }
--- a/internal/balance/costs_test.go
+++ b/internal/balance/costs_test.go
@@ -41,8 +41,9 @@
 	return r
 }
 
-// TestCostsNeedReportsAndObservations checks that the choice is the one by numbers of requests while
-// no target reports its pace, while nothing is learned, and after all reports have become old.
+// TestCostsNeedReportsAndObservations checks that the choice is the one by numbers of requests
+// while no target reports its pace, while nothing is learned, and after all reports have become
+// old.
 func TestCostsNeedReportsAndObservations(t *testing.T) {
 	plain, _ := costBalancer(t, false)
 	learned, _ := costBalancer(t, true)
@@ -68,8 +69,8 @@
 	}
 }
 
-// TestSlowTargetIsPassedOver checks that a prompt moves away from a target that reports a slow pace,
-// unless its shared parts are expensive to read again.
+// TestSlowTargetIsPassedOver checks that a prompt moves away from a target that reports a slow
+// pace, unless its shared parts are expensive to read again.
 func TestSlowTargetIsPassedOver(t *testing.T) {
 	b, _ := costBalancer(t, true)
 	r := costRequest(1, 8000)
--- a/internal/balance/pressure.go
+++ b/internal/balance/pressure.go
@@ -2,8 +2,8 @@
 
 import "github.com/wigeonwood/wigeonwood/internal/overload"
 
-// ServiceTargets returns the load of the targets that accept r and are healthy, for the
-// decision whether the service takes a new request.
+// ServiceTargets returns the load of the healthy targets that accept r and have a known number of
+// slots, for the decision whether the service takes a new request.
 func (b *Balancer) ServiceTargets(r Request) []overload.Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -13,7 +13,9 @@
 			continue
 		}
 		t := b.target(b.now(), c.status)
-		targets = append(targets, overload.Target{Key: LoadKey(c.status), ID: c.status.Id, InFlight: c.inFlight, Own: t.inFlight, Slots: c.capacity})
+		targets = append(targets, overload.Target{
+			Key: LoadKey(c.status), ID: c.status.Id, InFlight: c.inFlight, Own: t.inFlight, Slots: c.capacity,
+		})
 	}
 	return targets
 }
--- a/internal/balance/select_load.go
+++ b/internal/balance/select_load.go
@@ -22,7 +22,8 @@
 		return selection{}
 	}
 	for _, c := range pool {
-		if distance(c, dataCentre) == 0 && c.utilization() <= lightUtilization && !c.slow() && (c.coldWeight == 0 || draw() < c.coldWeight) {
+		light := distance(c, dataCentre) == 0 && c.utilization() <= lightUtilization && !c.slow()
+		if light && (c.coldWeight == 0 || draw() < c.coldWeight) {
 			return selection{target: c, reason: "lightly loaded in this data centre"}
 		}
 	}
@@ -71,7 +72,7 @@
 func (c *candidate) utilization() float64 { return float64(c.inFlight) / float64(c.capacity) }
 
 // drawWeight is the weight of the target in the random choice. It decreases with the mean
-// load and the pace of the target and is less for a cold one.
+// load and the pace of the target, and is lower for a cold one.
 func (c *candidate) drawWeight() float64 {
 	return orOne(c.coldWeight) * c.paceWeight() / (idleWeightOffset + c.meanInFlight/float64(c.capacity))
 }
--- a/internal/balance/select_prompt.go
+++ b/internal/balance/select_prompt.go
@@ -57,7 +57,7 @@
 	// for it, with the meaning of limitedWeight.
 	coldRate   float64
 	coldWeight float64
-	// expected is nil if the request is selected by numbers of requests only.
+	// expected is nil if the target is selected by numbers of requests only.
 	expected *expectation
 }
 
@@ -112,12 +112,12 @@
 		open = open[:min(len(open), maxLimitedChoices)]
 	}
 	limit := promptLoadLimit(all)
-	first, best := chooseBelow(open, func(c *candidate) int { return min(limit, c.capacity) })
+	first, best := chooseBelowBound(open, func(c *candidate) int { return min(limit, c.capacity) })
 	if best == nil && !limited {
 		// If all targets are at their capacities, the bound without them still applies: the
 		// target with the fewest requests is the same one at all routers until the next
 		// counts arrive, and would get the requests of all of them.
-		first, best = chooseBelow(open, func(*candidate) int { return limit })
+		first, best = chooseBelowBound(open, func(*candidate) int { return limit })
 	}
 	var chosen selection
 	if best != nil {
--- a/internal/cost/cost_test.go
+++ b/internal/cost/cost_test.go
@@ -83,16 +83,16 @@
 	p := &Paces{}
 	p.Observe(Report{Target: 1, Percent: 100, At: start})
 	p.Observe(Report{Target: 2, Percent: 119, At: start})
-	if seen, spread := p.TakeSeen(start, 64), p.Spread(start, 64); len(seen)+len(spread) > 0 {
+	if seen, spread := p.TakeSeen(start, 64), p.TakeLearned(start, 64); len(seen)+len(spread) > 0 {
 		t.Errorf("usual paces are sent: %v, %v", seen, spread)
 	}
 	p.Observe(Report{Target: 1, Percent: 250, At: start.Add(1)})
-	if seen, spread := p.TakeSeen(start, 64), p.Spread(start, 64); len(seen) != 1 || len(spread) != 1 {
+	if seen, spread := p.TakeSeen(start, 64), p.TakeLearned(start, 64); len(seen) != 1 || len(spread) != 1 {
 		t.Errorf("of one unusual pace %v and %v are sent", seen, spread)
 	}
 	p.Observe(Report{Target: 1, Percent: 100, At: start.Add(2)})
 	seen, again := p.TakeSeen(start, 64), p.TakeSeen(start, 64)
-	if spread := p.Spread(start, 64); len(seen) != 1 || len(spread) != 1 || len(again)+len(p.Spread(start, 64)) > 0 {
+	if spread := p.TakeLearned(start, 64); len(seen) != 1 || len(spread) != 1 || len(again)+len(p.TakeLearned(start, 64)) > 0 {
 		t.Errorf("of the end of an unusual pace %v, %v and %v are sent", seen, again, spread)
 	}
 }
--- a/internal/cost/estimator.go
+++ b/internal/cost/estimator.go
@@ -14,6 +14,9 @@
 	runWeight = 0.05
 	// minClassObservations is the number of observations from which on a class is used.
 	minClassObservations = 8
+	// minDeviationShare is the part of a mean below which its deviation does not bound
+	// observations any further.
+	minDeviationShare = 0.1
 	// hintDeviations is how far a hint may take the estimate from the mean of the class, in
 	// mean deviations. A team's false hints then change the estimate by a bounded amount.
 	hintDeviations = 1.5
@@ -26,21 +29,23 @@
 // nothing.
 type Estimator struct {
 	first firstEventModel
-	// tokenRun is the run time for each hinted token.
+	// tokenRun is the run time for each hinted token, in ms.
 	tokenRun mean
 	classes  map[class]*mean
 }
 
-// mean is an exponentially weighted moving average in ms with the mean deviation.
+// mean is an exponentially weighted moving average with the mean deviation, both in ms.
 type mean struct {
 	value     float64
 	deviation float64
 	count     int
 }
 
+// observe adds an observation in ms. Once the mean is used, one observation changes it by a bounded
+// amount.
 func (m *mean) observe(v float64) {
 	if m.count >= minClassObservations {
-		reach := maxDeviations * max(m.deviation, 0.1*m.value)
+		reach := maxDeviations * max(m.deviation, minDeviationShare*m.value)
 		v = min(max(v, m.value-reach), m.value+reach)
 	}
 	m.count++
--- a/internal/cost/firstevent.go
+++ b/internal/cost/firstevent.go
@@ -9,15 +9,17 @@
 	// firstEventMemory is the weight that an observation keeps with each further one. The
 	// model covers about the last 500 observations, a minute at a router.
 	firstEventMemory = 0.998
-	// ridge is the strength of the assumption that a coefficient is zero. It decides while
-	// the observations don't differ in a feature.
+	// ridge is the weight of the assumption that a coefficient is zero. It determines the
+	// coefficient of a feature in which the observations don't differ.
 	ridge = 0.5
 	// minObservations is the number of observations from which on a model is used.
 	minObservations = 30
 	// maxDeviations bounds the effect of one observation, in mean deviations: a stalled
 	// connection says nothing about the work.
 	maxDeviations = 4
-	// maxObserved bounds an observed time.
+	// minDeviationMs is the deviation below which observations are not bounded any further.
+	minDeviationMs = 1
+	// maxObserved is the time above which an observation is ignored.
 	maxObserved = time.Minute
 )
 
@@ -42,11 +44,12 @@
 	return [3]float64{1, float64(inFlight) / requestsUnit, float64(tokens) / tokensUnit}
 }
 
+// observe fits the model to a further time to the first event, in ms.
 func (m *firstEventModel) observe(inFlight, tokens int, ms float64) {
 	x := firstEventFeatures(inFlight, tokens)
 	expected := dot(m.coeffs, x)
 	if m.count >= minObservations {
-		reach := maxDeviations * max(m.deviation, 1)
+		reach := maxDeviations * max(m.deviation, minDeviationMs)
 		ms = min(max(ms, expected-reach), expected+reach)
 	}
 	for i := range x {
@@ -63,8 +66,8 @@
 
 func (m *firstEventModel) known() bool { return m.count >= minObservations }
 
-// wait returns the expected time until a target with the given number of requests begins to
-// read another one.
+// wait returns the expected time until a target with the given number of requests in flight
+// begins to read another one.
 func (m *firstEventModel) wait(inFlight int) time.Duration {
 	return milliseconds(dot(m.coeffs, firstEventFeatures(inFlight, 0)))
 }
--- a/internal/cost/outstanding.go
+++ b/internal/cost/outstanding.go
@@ -5,11 +5,12 @@
 // Outstanding is the estimated work of the requests that this router has in flight at one
 // target. The zero value has none.
 type Outstanding struct {
-	requests map[uint64]outstanding
+	requests map[uint64]reading
 	last     uint64
 }
 
-type outstanding struct {
+// reading is a request whose prompt takes read to be read at usual pace, from started on.
+type reading struct {
 	read    time.Duration
 	started time.Time
 }
@@ -20,11 +21,11 @@
 		return func() {}
 	}
 	if o.requests == nil {
-		o.requests = make(map[uint64]outstanding)
+		o.requests = make(map[uint64]reading)
 	}
 	o.last++
 	id := o.last
-	o.requests[id] = outstanding{read: read, started: now}
+	o.requests[id] = reading{read: read, started: now}
 	return func() { delete(o.requests, id) }
 }
 
--- a/internal/cost/paces.go
+++ b/internal/cost/paces.go
@@ -38,6 +38,7 @@
 
 // Report is what a target has reported of its pace.
 type Report struct {
+	// Target is the load key of one incarnation of the target.
 	Target uint32
 	// Percent is the time that work takes there, in percent of the usual time.
 	Percent int
@@ -63,20 +64,20 @@
 	// the number of observations.
 	observed float64
 	checks   int
-	// toSend and toSpread are set until the report is sent to the collectors, or by a
-	// collector to all routers.
+	// toSend is set until this router has sent the report to the collectors, and toSpread
+	// until it has sent it to all routers as a collector.
 	toSend   bool
 	toSpread bool
 }
 
 // Observe records a report from a response that this router received. It reports whether the pace
-// became unusual or usual with it.
+// has changed between usual and unusual.
 func (p *Paces) Observe(r Report) (changed bool) {
-	// The end of an unusual pace is sent too, so that the collectors stop spreading it.
 	t, wasUnusual := p.learn(r)
 	if t == nil {
 		return false
 	}
+	// The end of an unusual pace is sent too, so that the collectors stop spreading it.
 	t.toSend = t.toSend || r.differs() || wasUnusual
 	return r.differs() != wasUnusual
 }
@@ -137,8 +138,8 @@
 	}
 }
 
-// Active reports whether a target has reported its pace recently. Costs decide nothing
-// otherwise.
+// Active reports whether any target has reported its pace recently. Otherwise costs must not
+// influence the selection.
 func (p *Paces) Active(now time.Time) bool { return now.Sub(p.latest) < maxReportAge }
 
 // Pace returns the expected pace of a target: its usual one, corrected by its last report with
@@ -170,9 +171,9 @@
 	return p.take(now, n, func(t *pace) *bool { return &t.toSend })
 }
 
-// Spread returns at most n reports of unusual paces, or of the end of one, that are known since the
-// last call, for a collector to send to all routers.
-func (p *Paces) Spread(now time.Time, n int) []Report {
+// TakeLearned returns at most n reports of unusual paces, or of the end of one, that this router has
+// received or learned since the last call, for a collector to send to all routers.
+func (p *Paces) TakeLearned(now time.Time, n int) []Report {
 	return p.take(now, n, func(t *pace) *bool { return &t.toSpread })
 }
 
--- a/internal/cost/request.go
+++ b/internal/cost/request.go
@@ -4,20 +4,20 @@
 
 // Request describes a request by what is known before it is sent.
 type Request struct {
-	// Route and Team determine, with Path, which requests are expected to be alike. Path is
-	// set for requests without a prompt only.
+	// Route, Team and Path determine which requests are expected to be alike. Path is set only
+	// for requests without a prompt.
 	Route string
 	Team  string
 	Path  string
-	// PromptTokens is the length of the prompt, of which the first SharedTokens belong to
-	// parts that other requests share.
+	// PromptTokens is the length of the prompt in tokens. The first SharedTokens of them belong
+	// to parts that other requests share.
 	PromptTokens int
 	SharedTokens int
 	// Hint is the client's estimate of the output tokens; zero if there is none.
 	Hint int
 }
 
-// ownTokens is the number of prompt tokens that no other request has caused to be cached.
+// ownTokens returns the number of prompt tokens that are not shared with other requests.
 func (r Request) ownTokens() int { return max(0, r.PromptTokens-r.SharedTokens) }
 
 // class identifies requests that are expected to have similar run times.
@@ -36,7 +36,7 @@
 	Run        time.Duration
 	// InFlight is the number of other requests at the target when this one was sent.
 	InFlight int
-	// Pace is the pace of the target at that time.
+	// Pace is the pace of the target at that time; 1 is usual.
 	Pace float64
 	// Uncached is set if the shared parts of the prompt were not expected to be cached at
 	// the target.
