--- a/internal/testkit/crowd.go
+++ b/internal/testkit/crowd.go
@@ -13,13 +13,13 @@
 )
 
 const (
-	// crowdShort is how many bytes before its end a body that stays unfinished stops.
-	crowdShort = 4 << 10
-	// crowdFar is the size of a body far over the limit, as a multiple of the limit.
-	crowdFar = 8
-	// crowdPiece is the size of one write of a client.
+	// crowdMissing is the number of bytes that an unfinished body lacks at its end.
+	crowdMissing = 4 << 10
+	// crowdOversize is the size of an oversized body, as a multiple of the limit.
+	crowdOversize = 8
+	// crowdPiece is the size of one write of a client, in bytes.
 	crowdPiece = 64 << 10
-	// crowdLargeChunk and crowdSmallChunk are the sizes of chunks.
+	// crowdLargeChunk and crowdSmallChunk are the sizes of chunks, in bytes.
 	crowdLargeChunk = 32 << 10
 	crowdSmallChunk = 16
 	// crowdPause is the pause between two pieces of a trickled body.
@@ -27,18 +27,19 @@
 	// crowdSettle bounds the time in which clients send; it is shorter than the time limit
 	// for a body.
 	crowdSettle = 8 * time.Second
-	// crowdRest is the time for the process to read what is in socket buffers.
+	// crowdRest is the time that the process gets to read what is in socket buffers.
 	crowdRest = 2 * time.Second
 )
 
 // CrowdCase is one kind of misbehaving clients.
 type CrowdCase struct {
-	Name    string
+	Name string
+	// trickle is set if the client pauses between two pieces of the body.
 	trickle bool
 	// chunk is the size of a chunk; zero for a body with an announced length.
 	chunk int
-	// far makes the body larger than the limit. Other bodies stop short of their end.
-	far bool
+	// oversized is set if the body is larger than the limit. Other bodies lack their end.
+	oversized bool
 }
 
 // CrowdCases are the kinds of misbehaving clients against which a process must hold its limits.
@@ -47,14 +48,14 @@
 	{Name: "trickled and short of the end", trickle: true},
 	{Name: "large chunks", chunk: crowdLargeChunk},
 	{Name: "very small chunks", chunk: crowdSmallChunk},
-	{Name: "announced far over the limit", far: true},
-	{Name: "sent far over the limit", chunk: crowdLargeChunk, far: true},
+	{Name: "announced far over the limit", oversized: true},
+	{Name: "sent far over the limit", chunk: crowdLargeChunk, oversized: true},
 }
 
-// SendCrowd opens a number of connections to addr and sends one request on each: the given
-// request line and header lines, and a body of the kind c, of limit bytes unless it is to be
-// over the limit. It returns when each client has sent what it can and the process had time to
-// read it. The connections stay open until the test ends.
+// SendCrowd opens a number of connections to addr and sends one request on each: head, which is the
+// request line and header lines, and a body of the kind c. limit is the maximum size of a body in
+// bytes. SendCrowd returns when each client has sent what it can and the process had time to read
+// it. The connections stay open until the test ends.
 func SendCrowd(t *testing.T, c CrowdCase, clients int, addr, head string, limit int) {
 	t.Helper()
 	var all sync.WaitGroup
@@ -75,9 +76,9 @@
 // connection at any time.
 func (c CrowdCase) send(conn net.Conn, head string, limit int) {
 	_ = conn.SetWriteDeadline(time.Now().Add(crowdSettle))
-	size, length := limit-crowdShort, limit
-	if c.far {
-		size, length = crowdFar*limit, crowdFar*limit
+	size, length := limit-crowdMissing, limit
+	if c.oversized {
+		size, length = crowdOversize*limit, crowdOversize*limit
 	}
 	framing := fmt.Sprintf("Content-Length: %d", length)
 	piece := bytes.Repeat([]byte("x"), crowdPiece)
@@ -93,7 +94,7 @@
 		part := piece
 		if c.chunk == 0 {
 			part = piece[:min(crowdPiece, size-sent)]
-		} else if !c.far && size-sent < crowdPiece {
+		} else if !c.oversized && size-sent < crowdPiece {
 			return
 		}
 		if _, err := conn.Write(part); err != nil {
@@ -105,13 +106,13 @@
 	}
 }
 
-// CheckProcess fails the test if the process does not live, or if the peak of its resident
-// memory or the number of its open descriptors is over its limit.
+// CheckProcess fails the test if the process has ended, or if the peak of its resident memory in
+// MiB or the number of its open descriptors is over its limit.
 func CheckProcess(t *testing.T, pid, memoryMB, maxFDs int) {
 	t.Helper()
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		t.Fatalf("the process does not live: %v", err)
+		t.Fatalf("the process has ended: %v", err)
 	}
 	_, after, found := strings.Cut(string(status), "VmHWM:")
 	if !found {
