--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -25,8 +25,8 @@
 }
 
 // memoryLimitRatio is the fraction of the memory of an instance that is set as the soft memory
-// limit of the Go runtime. Without it, buffers of request bodies that are not collected yet may
-// take as much as those in use.
+// limit of the Go runtime. Without the limit, unused buffers of request bodies that are not yet
+// collected may take as much memory as those in use.
 const memoryLimitRatio = 0.75
 
 // serve runs one instance until ctx ends or the instance fails.
--- a/internal/cost/paces.go
+++ b/internal/cost/paces.go
@@ -171,8 +171,8 @@
 	return p.take(now, n, func(t *pace) *bool { return &t.toSend })
 }
 
-// TakeLearned returns at most n reports of unusual paces, or of the end of one, that this router has
-// received or learned since the last call, for a collector to send to all routers.
+// TakeLearned returns at most n reports of unusual paces, or of the end of one, that this router
+// has received or learned since the last call, for a collector to send to all routers.
 func (p *Paces) TakeLearned(now time.Time, n int) []Report {
 	return p.take(now, n, func(t *pace) *bool { return &t.toSpread })
 }
--- a/internal/filter/cost.go
+++ b/internal/filter/cost.go
@@ -29,7 +29,7 @@
 	return r
 }
 
-// recordFirstEvent records the first event of the current try's answer, or the beginning of an
+// recordFirstEvent records the first event of the current try's answer, or the header of an
 // answer that is no stream of events.
 func (d *dispatch) recordFirstEvent() {
 	if d.choice.FirstEvent != nil {
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -208,7 +208,7 @@
 	}
 	choice, err := d.Picker.Pick(ctx, request)
 	if err != nil && len(request.Full) > 0 {
-		// The memory is estimated, so a queue is better than no target.
+		// The memory is an estimate, so a wait in a target's queue is better than a rejection.
 		request.Full = nil
 		choice, err = d.Picker.Pick(ctx, request)
 	}
--- a/internal/filter/exchange.go
+++ b/internal/filter/exchange.go
@@ -84,7 +84,8 @@
 	// Answer is the answer for the caller.
 	Answer *Answer
 
-	// firstEvent is when the first byte of the answer's body was read, if it is observed.
+	// firstEvent is when the first byte of the answer's body was read; nil before that, or if
+	// Overload does not observe the answer.
 	firstEvent atomic.Pointer[time.Time]
 	// claimed is set once the ledger has granted the claim, which permits one dispatch
 	// of this request.
--- a/internal/filter/overload.go
+++ b/internal/filter/overload.go
@@ -18,7 +18,8 @@
 // CodeOverloaded is the code of a request that is rejected so that others are served in time.
 const CodeOverloaded = "overloaded"
 
-// overloadQuiet is the time without a rejection after which the overload of a service is over.
+// overloadQuiet is the time without a rejection after which the overload of a service counts as
+// ended.
 const overloadQuiet = 5 * time.Second
 
 // ServiceLoads provides the load of a service. balance.Balancer implements it.
@@ -37,7 +38,7 @@
 
 	mu        sync.Mutex
 	admission *overload.Admission
-	// episodes holds the services that reject requests.
+	// episodes holds the times of overload that have not ended, by service.
 	episodes map[string]*episode
 }
 
@@ -57,8 +58,8 @@
 		admission: overload.New(), episodes: make(map[string]*episode)}
 }
 
-// overloadRequest returns the request of an exchange. ok is false if its service has no
-// engines.
+// overloadRequest describes the request of an exchange for the decision. ok is false if its
+// service has no engines.
 func overloadRequest(x *Exchange) (r overload.Request, ok bool) {
 	s := x.Index.Service(x.Demand.Service)
 	if s == nil || s.Engine == nil {
@@ -90,7 +91,7 @@
 	return d, full
 }
 
-// recordLocked counts the decision and logs the begin and the end of an overload.
+// recordLocked counts the decision and logs the start and the end of an overload.
 func (o *Overload) recordLocked(now time.Time, service string, d overload.Decision) {
 	e := o.episodes[service]
 	if e != nil && now.Sub(e.last) >= overloadQuiet {
@@ -177,8 +178,8 @@
 	return c
 }
 
-// end records the end of a request at a target. A request whose caller left waited all the
-// time, unless its first event had come.
+// end records the end of a request at a target. An abandoned request without a first event counts
+// as one that waited until its end.
 func (o *Overload) end(x *Exchange, key uint32, r overload.Request, began time.Time, outcome balance.Outcome) {
 	now := time.Now()
 	var first, total time.Duration
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,7 +28,8 @@
 type Config struct {
 	Tables filter.Tables
 	Picker filter.Picker
-	// Loads provides the load by which overload is recognised.
+	// Loads provides the loads by which overload is recognised. If it is nil, no request is
+	// rejected for overload.
 	Loads filter.ServiceLoads
 	// Guard withholds requests with parts of prompts that crash targets.
 	Guard   filter.PartGuard
@@ -91,7 +92,16 @@
 		&filter.Team{SurgeDetector: balance.NewSurgeDetector(), Warmup: warmup},
 		&filter.Body{},
 		&filter.Quarantine{Guard: c.Guard},
-		&filter.Dispatch{Picker: c.Picker, Guard: c.Guard, Retries: c.Retries, Prepare: c.Prepare, OnHints: c.OnHints, Warmup: warmup, WaitLimits: filter.NewWaitLimits(), Overload: filter.NewOverload(c.Loads, c.Logger, c.Scope)},
+		&filter.Dispatch{
+			Picker:     c.Picker,
+			Guard:      c.Guard,
+			Retries:    c.Retries,
+			Prepare:    c.Prepare,
+			OnHints:    c.OnHints,
+			Warmup:     warmup,
+			WaitLimits: filter.NewWaitLimits(),
+			Overload:   filter.NewOverload(c.Loads, c.Logger, c.Scope),
+		},
 		&filter.Trial{Guard: c.Guard},
 		&filter.Forward{
 			Sender:   g.client,
--- a/internal/idle/conn.go
+++ b/internal/idle/conn.go
@@ -26,7 +26,8 @@
 	*net.TCPListener
 	monitor *Monitor
 	// slots holds an element for each open connection; it is nil without a limit.
-	slots     chan struct{}
+	slots chan struct{}
+	// closed is closed by Close.
 	closed    chan struct{}
 	closeOnce sync.Once
 }
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -111,8 +111,10 @@
 	balancer    *balance.Balancer
 	picker      *picker.Picker
 	costs       *costReports
-	// paceChanged is signalled when a target's pace became unusual or usual.
-	paceChanged   chan struct{}
+	// paceChanged is signalled when a target's pace has changed between usual and unusual.
+	paceChanged chan struct{}
+	// invalidLoadAt is the time of the last log line about an invalid load report, in Unix
+	// nanoseconds.
 	invalidLoadAt atomic.Int64
 	guard         *quarantine.Guard
 	gateway       *gateway.Gateway
--- a/internal/instance/routed_costs.go
+++ b/internal/instance/routed_costs.go
@@ -14,17 +14,17 @@
 // stepCost is the name of this processing step in log lines and metrics.
 const stepCost = "cost"
 
-// minInvalidLoadLog is the minimum time between two log lines about invalid load reports, which a
-// target may send with each answer.
-const minInvalidLoadLog = 10 * time.Second
+// invalidLoadLogInterval is the minimum time between two log lines about invalid load reports,
+// which a target may send with each answer.
+const invalidLoadLogInterval = 10 * time.Second
 
 // estimateErrorBuckets are the histogram buckets of the errors of estimates, from 2 ms to 4 s.
 var estimateErrorBuckets = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 12)
 
 // costReports holds the metrics of the estimates of costs.
 type costReports struct {
-	// under and over count by how much the first events of requests came later or earlier
-	// than estimated.
+	// under and over hold by how much the first events of requests came later or earlier than
+	// estimated.
 	under   tally.Histogram
 	over    tally.Histogram
 	unusual tally.Gauge
@@ -72,7 +72,7 @@
 
 func (in *Routed) logInvalidLoad(target *pb.TargetStatus, requestID, text string) {
 	now, last := time.Now().UnixNano(), in.invalidLoadAt.Load()
-	if now-last < int64(minInvalidLoadLog) || !in.invalidLoadAt.CompareAndSwap(last, now) {
+	if now-last < int64(invalidLoadLogInterval) || !in.invalidLoadAt.CompareAndSwap(last, now) {
 		return
 	}
 	in.logger.Warn().Str("step", stepCost).Str("peer", target.Id).Str("request_id", requestID).Str("text", text).
--- a/internal/instance/routed_evacuation.go
+++ b/internal/instance/routed_evacuation.go
@@ -21,7 +21,7 @@
 var ErrInvalidEvacuation = errors.New("the evacuation order is invalid")
 
 // ErrEvacuationUnsupported means that a live replica runs a build that ignores evacuations.
-// It would lack the order after its upgrade.
+// The order was not submitted, since that replica would lack it after its upgrade.
 var ErrEvacuationUnsupported = errors.New("a replica runs a build without evacuations")
 
 // SetEvacuation starts or ends the evacuation of a data centre and returns once the order is
--- a/internal/instance/routed_inflight.go
+++ b/internal/instance/routed_inflight.go
@@ -13,8 +13,8 @@
 	// inFlightInterval is the time between two messages with the in-flight counts of a
 	// router, and the minimum time between two messages with the totals.
 	inFlightInterval = 150 * time.Millisecond
-	// minPaceInterval is the minimum time between two messages that are sent because a
-	// target's pace changed.
+	// minPaceInterval is the minimum time between two messages that are sent because the pace
+	// of a target has changed.
 	minPaceInterval = 50 * time.Millisecond
 	// totalsBytesPerSecond is the part of a router's control budget that is available for
 	// relaying the totals of one collector. A collector is a router that sums the
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -126,9 +126,8 @@
 		OpenAdmission: true,
 		Peers:         in.replicaAddrs,
 		OnApplied: func() {
-			// The evacuations are read after the table and take effect before it, so
-			// that no table is active here without the evacuations that were
-			// committed before it.
+			// The evacuations are read after the table and take effect before it, so that
+			// no table is active here without the evacuations that were committed before it.
 			t := machine.RoutingTable()
 			if set := machine.Evacuations(); set != nil {
 				in.sync.EvacuationsCommitted(set)
@@ -152,7 +151,15 @@
 		return nil
 	}
 	in.balancer = balance.New(in.members, in.logHealthChange)
-	in.picker = picker.New(picker.Config{Self: in.cfg.ID, Started: time.Now(), Members: in.members, Balancer: in.balancer, Logger: in.logger, Scope: in.scope, Cold: in.coldRule})
+	in.picker = picker.New(picker.Config{
+		Self:     in.cfg.ID,
+		Started:  time.Now(),
+		Members:  in.members,
+		Balancer: in.balancer,
+		Logger:   in.logger,
+		Scope:    in.scope,
+		Cold:     in.coldRule,
+	})
 	in.balancer.SetEvacuated(in.sync.Evacuated)
 	in.costs = newCostReports(in.scope)
 	in.balancer.SetOnEstimate(in.costs.recordEstimate)
--- a/internal/member/cold.go
+++ b/internal/member/cold.go
@@ -16,15 +16,15 @@
 	return uint32(roundedUp(max(0, e.coldUntil.Sub(now)), time.Millisecond))
 }
 
-// sameCold reports whether a status that was received now says about the same of the time
-// that the target stays cold as is known.
+// sameCold reports whether the time that the target stays cold, by a status that was received
+// now, differs from the known one by coldTolerance at most.
 func (e *targetEntry) sameCold(now time.Time, st *pb.TargetStatus) bool {
 	difference := milliseconds(st.ColdMs) - milliseconds(e.coldMs(now))
 	return difference.Abs() <= coldTolerance
 }
 
 // setCold applies the time that the target stays cold, from a status that was received now
-// and that is the entry's status already.
+// and is already stored in the entry.
 func (c *core) setCold(now time.Time, e *targetEntry, st *pb.TargetStatus) {
 	before, cold := now.Before(e.coldUntil), st.ColdMs > 0
 	e.coldUntil = time.Time{}
--- a/internal/member/inflight.go
+++ b/internal/member/inflight.go
@@ -60,7 +60,7 @@
 	Part int
 	// Limits are rate limits that targets name, or that have ended.
 	Limits []permits.Seen
-	// Paces are unusual paces that targets report, or that have ended.
+	// Paces are reports of unusual paces, or of the end of one.
 	Paces []cost.Report
 }
 
@@ -139,7 +139,14 @@
 		return
 	}
 	in := msg.GetInFlight()
-	f := InFlight{Counts: make(map[uint32]int, len(in.GetKeys())), Collector: in.GetCollector(), Hops: in.GetSteps(), Part: int(in.GetPart()), Limits: limits(in, time.Now()), Paces: paces(in, time.Now())}
+	f := InFlight{
+		Counts:    make(map[uint32]int, len(in.GetKeys())),
+		Collector: in.GetCollector(),
+		Hops:      in.GetSteps(),
+		Part:      int(in.GetPart()),
+		Limits:    limits(in, time.Now()),
+		Paces:     paces(in, time.Now()),
+	}
 	for i, key := range in.GetKeys() {
 		f.Counts[key] = int(in.Counts[i])
 	}
--- a/internal/member/paces.go
+++ b/internal/member/paces.go
@@ -15,13 +15,13 @@
 	maxPaceEntryBytes = 9
 	// paceListsBytes is the size of the tags and lengths of the three lists.
 	paceListsBytes = 9
-	// maxPacePercent and maxPaceAgeMs bound what is sent.
+	// maxPacePercent and maxPaceAgeMs bound the percentages and ages (in ms) that are sent.
 	maxPacePercent = 10000
 	maxPaceAgeMs   = 10000
 )
 
 // MaxPaces returns the number of paces that may be sent with the counts of the given number of
-// targets and with limits. They are in the last datagram.
+// targets and the given number of limits. They are in the last datagram.
 func MaxPaces(targets, limits int) int {
 	last := targets % maxInFlightPerDatagram
 	if last == 0 && targets > 0 {
@@ -31,6 +31,7 @@
 	return max(0, min(maxPaces, room/maxPaceEntryBytes))
 }
 
+// setPaces adds reports to the message, with their ages at now.
 func setPaces(in *pb.InFlight, now time.Time, reports []cost.Report) {
 	for _, r := range reports {
 		in.PacedTargets = append(in.PacedTargets, r.Target)
@@ -39,6 +40,7 @@
 	}
 }
 
+// paces returns the reports in a message that was received at now.
 func paces(in *pb.InFlight, now time.Time) []cost.Report {
 	var list []cost.Report
 	for i, target := range in.GetPacedTargets() {
--- a/internal/member/routers.go
+++ b/internal/member/routers.go
@@ -117,8 +117,8 @@
 }
 
 // replaceRouter replaces all knowledge of a router by d. The known address of a dead
-// router is kept, and so are a higher routing table number and a higher revision of the evacuations
-// of the same incarnation.
+// router is kept, and so are a higher routing table number and a higher revision of the
+// evacuations of the same incarnation.
 func (c *core) replaceRouter(now time.Time, old *routerEntry, d *pb.RouterDelta) {
 	invariant.Check(old.state != dead || d.Generation > old.generation, "dead router returns",
 		"router", d.Status.Id, "generation", d.Generation, "dead", old.generation)
--- a/internal/permits/cold.go
+++ b/internal/permits/cold.go
@@ -12,11 +12,12 @@
 	// coldBurst is the most permits that the bucket of a cold target holds.
 	coldBurst = 2
 	// coldDelay is the assumed variation of the time between a permit and the arrival of its
-	// request. Permits of a second and this time may then arrive within a second.
+	// request: the requests of permits granted within a second plus coldDelay may arrive
+	// within one second.
 	coldDelay = 100 * time.Millisecond
 	// minColdFraction is the fraction of the routers that an owner must reach to grant
-	// permits for cold targets. The buckets of many small parts of a split fleet could
-	// together hold more permits than the bound allows.
+	// permits for cold targets. Otherwise the buckets of many small parts of a partitioned
+	// fleet could together hold more permits than the bound allows.
 	minColdFraction = 0.125
 	// coldRetention is how long the bucket of a target is kept after the last request for a
 	// permit. A new bucket is empty, so removing one is safe.
@@ -26,15 +27,18 @@
 // ColdBound bounds the requests that a cold target receives in any second from all routers:
 // PerSecond, the rate that the target tolerates, times Overrun, plus Slack.
 type ColdBound struct {
+	// PerSecond is in requests per second; cold targets are not bounded if it is zero.
 	PerSecond float64
 	Overrun   float64
-	Slack     float64
+	// Slack is a number of requests.
+	Slack float64
 }
 
-// Defaults of ColdBound.Overrun and ColdBound.Slack.
 const (
+	// DefaultColdOverrun is ColdBound.Overrun if the settings name none.
 	DefaultColdOverrun = 1.5
-	DefaultColdSlack   = 5
+	// DefaultColdSlack is ColdBound.Slack, in requests, if the settings name none.
+	DefaultColdSlack = 5
 )
 
 // Rate returns the rate at which the owner of a cold target grants permits, in permits per
@@ -43,7 +47,7 @@
 	if b.PerSecond <= 0 {
 		return 0
 	}
-	// A bound that allows less than a burst is left to the rate in part.
+	// At least half of the share is for the rate, also if the share is less than two bursts.
 	rate := max(b.share()-coldBurst, b.share()/2) / (1 + coldDelay.Seconds())
 	return min(rate, b.PerSecond)
 }
@@ -60,9 +64,9 @@
 type coldMeter struct {
 	tokens     float64
 	refilledAt time.Time
-	// waiting is the number of requests that were denied and whose permit, in the order of
-	// the denials, is still to come. Each is told to wait for its own permit, so that the
-	// routers do not all come back for the first one.
+	// waiting is the number of denied requests whose permit, in the order of the denials, is
+	// not available yet. Each is told to wait for its own permit, so that the routers do not
+	// all return for the first one.
 	waiting float64
 }
 
@@ -81,7 +85,8 @@
 		return 0, true
 	}
 	wait = time.Duration((1 - m.tokens + m.waiting) / rate * float64(time.Second))
-	// Requests beyond maxWait are told to come back earlier, so they are not counted.
+	// Requests whose permit is further away than maxWait are told to return before it is
+	// available, so they are not counted.
 	m.waiting = min(m.waiting+1, rate*maxWait.Seconds())
 	return min(wait, maxWait), false
 }
--- a/internal/picker/cold.go
+++ b/internal/picker/cold.go
@@ -16,15 +16,15 @@
 	// permitTTL is the time for which a permit of a cold target may be used. Permits that are
 	// kept for longer could be used in the same second as those that were granted later.
 	permitTTL = 50 * time.Millisecond
-	// maxColdServices bounds the targets whose service is kept for the permits that this
-	// router grants. Beyond it, all are looked up again.
+	// maxColdServices bounds coldTargets.services. Beyond it, all services are looked up again.
 	maxColdServices = 16384
 )
 
 // ColdRule is the configuration of a service's cold targets.
 type ColdRule struct {
 	permits.ColdBound
-	// Start is the time for which a target counts as cold if it says nothing else.
+	// Start is the time for which a target counts as cold after the evacuation of its data
+	// centre has ended, unless a heartbeat says otherwise.
 	Start time.Duration
 }
 
@@ -85,7 +85,8 @@
 	return rule, rule.Rate() > 0
 }
 
-// coldRate returns the rate of requests that a cold target gets; zero if the target is not cold.
+// coldRate returns the rate of requests that a cold target gets from all routers, in requests per
+// second; zero if the target is not cold.
 func (p *Picker) coldRate(st *pb.TargetStatus) float64 {
 	rule, cold := p.coldRule(st)
 	if !cold {
@@ -118,9 +119,9 @@
 	p.cold.targets.Update(float64(cold))
 }
 
-// grant decides as the owner of the target on a request for a permit. cold is set if the router
-// that asks knows that the target is cold. It then counts as cold here too: that router may have
-// heard of it first. The caller holds limiterMu.
+// grant decides, as the owner of the target, on a request for a permit. cold is set if the target
+// is cold in the view of the router that asks, which may have heard of it earlier than this one.
+// The caller holds limiterMu.
 func (p *Picker) grant(now time.Time, key uint32, latest *permits.Observation, fleet int, cold bool) permits.Answer {
 	if !cold {
 		return p.limiter.Grant(now, key, latest, fleet)
--- a/internal/picker/cold_test.go
+++ b/internal/picker/cold_test.go
@@ -19,7 +19,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/permits"
 )
 
-// coldTestRule is the configuration of today's services.
+// coldTestRule is the configuration that the platform's services have.
 func coldTestRule(string) ColdRule {
 	return ColdRule{ColdBound: permits.ColdBoundOf(11, nil, nil), Start: 3 * time.Second}
 }
@@ -250,8 +250,8 @@
 }
 
 // TestColdTargetReturns guards against a target that crashes again because the requests of a hot
-// key, or of a service with few targets, reach it from all routers while it is cold, also while the fleet is cut in two and the
-// owner of the target changes. The other targets must take the rest.
+// key, or of a service with few targets, reach it from all routers while it is cold, also while the
+// fleet is cut in two and the owner of the target changes. The other targets must take the rest.
 func TestColdTargetReturns(t *testing.T) {
 	for seed := range uint64(4) {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/picker/marks.go
+++ b/internal/picker/marks.go
@@ -10,20 +10,20 @@
 )
 
 // mark makes a target count as cold until a time, or until a heartbeat with a higher sequence
-// number than sequence is known, which says whether it is.
+// number is known, which says whether the target is cold.
 type mark struct {
 	until    time.Time
 	sequence uint64
 }
 
-// marks holds the targets that count as cold although their status does not say so. It is safe
-// for concurrent use by one writer.
+// marks holds the targets that count as cold although their status does not say so. Any number of
+// goroutines may call apply; calls of add must not be concurrent.
 type marks struct {
-	// current is nil if no target is marked. What it points to never changes.
+	// current is nil if no target is marked. The set that it points to is not modified.
 	current atomic.Pointer[markSet]
 }
 
-// markSet holds marks by target key. The last of them ends at until.
+// markSet holds marks by target key (fleet.TargetKey). The last of them ends at until.
 type markSet struct {
 	byTarget map[uint64]mark
 	until    time.Time
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -77,7 +77,7 @@
 	return nil
 }
 
-// appendPart appends a part after its length.
+// appendPart appends the length of a part in bytes, a colon and the part.
 func appendPart[T string | json.RawMessage](to []byte, part T) []byte {
 	return append(fmt.Appendf(to, "%d:", len(part)), part...)
 }
@@ -114,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	// While it is decoded, a chat holds copies of its largest message and of its prefix.
+	// Decoding a chat copies its largest message and its prefix.
 	if size := decodeCopies * int64(len(x.Body)); size > 0 {
 		if err := body.Reserve(size); err != nil {
 			return rejectBody(x, err, r.cfg.Bounds.MaxBodyBytes)
--- a/internal/router/read.go
+++ b/internal/router/read.go
@@ -34,11 +34,10 @@
 	return x.Reject(filter.Rejection{Status: status, Code: code, Message: message, Step: stepRead})
 }
 
-// readBody reads the body into x within the size and time limits. It returns the body, or nil if
-// there is none. The lease and
-// the customer's key are checked first, so that no memory is used for unknown
-// callers. The filter chain repeats both checks after the request is read, since
-// the lease and the contract may change while the body arrives.
+// readBody reads the body into x within the size and time limits, and returns it, or nil
+// if there is none. The lease and the customer's key are checked first, so that no memory
+// is used for unknown callers. The filter chain repeats both checks after the request is
+// read, since the lease and the contract may change while the body arrives.
 func (r *Router) readBody(w http.ResponseWriter, req *http.Request, x *filter.Exchange) (*bodybuffer.Body, error) {
 	if !req.ProtoAtLeast(1, 1) {
 		return nil, invalid(x, http.StatusHTTPVersionNotSupported, "http-version", "HTTP/1.0 can't signal a truncated response; use HTTP/1.1")
--- a/internal/router/refuse.go
+++ b/internal/router/refuse.go
@@ -22,7 +22,7 @@
 	codeInternal         = "internal"
 	codeNotFound         = "not-found"
 	codeMethodNotAllowed = "method-not-allowed"
-	// codeBodiesFull is the code of a request for whose body there is no memory.
+	// codeBodiesFull is the code of a request whose body finds no memory.
 	codeBodiesFull = "bodies-full"
 	// codeBodyClosed is the code of a body that was closed to free memory.
 	codeBodyClosed = "body-closed"
--- a/internal/routesync/evacuations.go
+++ b/internal/routesync/evacuations.go
@@ -76,7 +76,7 @@
 }
 
 // applyEvacuations activates a set at this instance and announces its revision, unless the
-// active set is as new. source is logged as the peer. It reports whether it did so.
+// active set is as new. It reports whether it did so. source is logged as the peer.
 func (s *Sync) applyEvacuations(set *pb.Evacuations, source string) bool {
 	e := &s.evacuations
 	if set.GetRevision() <= s.Evacuations().GetRevision() {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -86,7 +86,8 @@
 	// MaxConns is the maximum number of connections that one target accepts from
 	// all clients together.
 	MaxConns int
-	// ColdStart is the time for which a target counts as cold if it says nothing else.
+	// ColdStart is the time for which a target counts as cold after the evacuation of its
+	// data centre has ended, unless a heartbeat says otherwise.
 	// ColdPerSecond is the number of requests per second that a cold target tolerates from
 	// all routers together; zero if cold targets get as many requests as others.
 	ColdStart     time.Duration
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -157,8 +157,8 @@
 
 // refreshIfChanged refreshes immediately if, since the last refresh, a target joined,
 // left, restarted or announced that it leaves, or the configuration changed, for
-// example to drain a target, or an evacuation started or ended. The load bound is relative to the mean load of the
-// targets that take work now.
+// example to drain a target, or an evacuation started or ended. The load bound is
+// relative to the mean load of the targets that take work now.
 func (s *Scheduler) refreshIfChanged() {
 	targets := s.cfg.View.Targets()
 	revision, _, _ := s.cfg.ConfigView.Lease()
