Paces are sent without requests in flight; findings of the review mended

Cause: a router sends reports of paces with its in-flight counts, and sent nothing while no request was in flight at the tick. After short requests the other routers learned the pace of a target only from the first change, or not at all if that message was lost: TestPaceReachesOtherRouters failed in a full run of the package and in one of two runs alone.

Change: unsent reports are sent at the next tick.

--- a/internal/admin/evacuation.go
+++ b/internal/admin/evacuation.go
@@ -30,7 +30,11 @@
 	start := time.Now()
 	reply, err := s.Control.Submit(r.Context(), &pb.Command{Body: &pb.Command_SetEvacuation{SetEvacuation: order}})
 	result := reply.GetResult().GetSetEvacuation()
-	s.Logger.Info().Err(err).Str("step", "evacuation").Str("operator", order.Operator).Str("data_centre", order.DataCentre).
+	e := s.Logger.Info()
+	if err != nil {
+		e = s.Logger.Warn().Err(err)
+	}
+	e.Str("step", "evacuation").Str("operator", order.Operator).Str("data_centre", order.DataCentre).
 		Bool("evacuated", order.Evacuated).Uint64("revision", result.GetRevision()).Bool("changed", result.GetChanged()).
 		Int64("took_ms", time.Since(start).Milliseconds()).Msg("an evacuation was ordered")
 	switch {
--- a/internal/balance/costs.go
+++ b/internal/balance/costs.go
@@ -260,6 +260,13 @@
 	return b.costs.paces.TakeSeen(b.now(), n)
 }
 
+// HasUnsentPaces reports whether this router has reports of paces to send to the collectors.
+func (b *Balancer) HasUnsentPaces() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.costs.paces.Pending()
+}
+
 // UnusualPaces returns the number of targets whose pace is known to be unusual.
 func (b *Balancer) UnusualPaces() int {
 	b.mu.Lock()
--- a/internal/bodybuffer/pool.go
+++ b/internal/bodybuffer/pool.go
@@ -218,6 +218,9 @@
 		select {
 		case <-freed:
 		case <-timeout:
+			p.mu.Lock()
+			p.count("refused", ReasonMemory)
+			p.mu.Unlock()
 			return &LimitError{Reason: ReasonMemory}
 		}
 	}
--- a/internal/cost/paces.go
+++ b/internal/cost/paces.go
@@ -165,6 +165,16 @@
 	return min(max(t.usual, t.observed/checkTolerance), t.observed*checkTolerance)
 }
 
+// Pending reports whether TakeSeen has reports to return.
+func (p *Paces) Pending() bool {
+	for _, t := range p.targets {
+		if t.toSend {
+			return true
+		}
+	}
+	return false
+}
+
 // TakeSeen returns at most n reports that this router has received in responses since the last
 // call, to be sent to the collectors.
 func (p *Paces) TakeSeen(now time.Time, n int) []Report {
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -109,8 +109,11 @@
 	node        *replica.Node
 	service     *control.Service
 	balancer    *balance.Balancer
-	picker      *picker.Picker
-	costs       *costReports
+	// markCold makes the targets of a data centre count as cold. It is set once this instance
+	// can serve callers.
+	markCold atomic.Pointer[func(dataCentre string)]
+	picker   *picker.Picker
+	costs    *costReports
 	// paceChanged is signalled when a target's pace has changed between usual and unusual.
 	paceChanged chan struct{}
 	// invalidLoadAt is the time of the last log line about an invalid load report, in Unix
--- a/internal/instance/routed_evacuation.go
+++ b/internal/instance/routed_evacuation.go
@@ -64,8 +64,8 @@
 	for _, name := range routesync.EndedEvacuations(before, after) {
 		in.logger.Info().Str("step", stepEvacuation).Str("data_centre", name).Uint64("revision", after.Revision).
 			Msg("the evacuation of a data centre has ended")
-		if in.picker != nil {
-			in.picker.MarkDataCentreCold(name)
+		if markCold := in.markCold.Load(); markCold != nil {
+			(*markCold)(name)
 		}
 	}
 }
--- a/internal/instance/routed_inflight.go
+++ b/internal/instance/routed_inflight.go
@@ -65,10 +65,11 @@
 
 // publishLocal sends this router's in-flight counts to the collectors and reports whether
 // any request was in flight. After the last request ends, publishLocal sends one message
-// that says so, and nothing afterwards. published is the result of the previous call.
+// that says so, and nothing afterwards until there are reports of paces to send. published is
+// the result of the previous call.
 func (in *Routed) publishLocal(collectors []*pb.RouterStatus, published bool) bool {
 	counts := in.balancer.LocalCounts()
-	if len(counts) > 0 || published {
+	if len(counts) > 0 || published || in.balancer.HasUnsentPaces() {
 		limits := in.picker.SeenLimits(false, member.MaxLimits(len(counts)))
 		paces := in.seenPaces(false, len(counts), len(limits))
 		in.members.SendInFlight(in.peerAddrs(collectors), member.InFlight{Counts: orZeroCount(counts), Limits: limits, Paces: paces})
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -160,6 +160,8 @@
 		Scope:    in.scope,
 		Cold:     in.coldRule,
 	})
+	markCold := in.picker.MarkDataCentreCold
+	in.markCold.Store(&markCold)
 	in.balancer.SetEvacuated(in.sync.Evacuated)
 	in.costs = newCostReports(in.scope)
 	in.balancer.SetOnEstimate(in.costs.recordEstimate)
--- a/internal/overload/memory.go
+++ b/internal/overload/memory.go
@@ -107,7 +107,7 @@
 // waits reports whether recent requests of any kind waited for much of their objective.
 func (s *service) waits(now time.Time) bool {
 	for _, k := range s.kinds {
-		if now.Sub(k.firstEvent.at) < firstEventTTL && 2*k.firstEvent.value > k.goal {
+		if k.goal > 0 && now.Sub(k.firstEvent.at) < firstEventTTL && 2*k.firstEvent.value > k.goal {
 			return true
 		}
 	}
