--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/wigeonwood/wigeonwood/internal/cost"
 	"github.com/wigeonwood/wigeonwood/internal/fleet"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
@@ -39,6 +40,8 @@
 	Slots int
 	// Exclude lists the ids of the targets at which this request already failed.
 	Exclude []string
+	// Full lists the ids of the targets that have no memory for this request.
+	Full []string
 	// Only limits the selection to the targets with these ids; empty means no limit.
 	Only []string
 	// WithoutLimit excludes the targets that name a rate limit or are cold.
@@ -49,6 +52,10 @@
 	Overdue bool
 	// TimeLeft is the time until the deadline of the request.
 	TimeLeft time.Duration
+	// Priority is the urgency of the request; zero is the most urgent.
+	Priority int
+	// Cost describes the request for the estimate of its work.
+	Cost cost.Request
 }
 
 // excludes reports whether the target with the given id may not be selected.
@@ -72,6 +79,9 @@
 	// behind such a selection are stale: older than the duration of a request without a
 	// prompt.
 	StaleLoad bool
+	// FirstEvent records that the first event of the response has arrived, from which the
+	// balancer learns the work of requests. It may be nil.
+	FirstEvent func()
 	// Done removes the request from the target's in-flight count and records its
 	// outcome. Only the first call has an effect.
 	Done func(Outcome)
@@ -113,6 +123,7 @@
 	evacuated func(dataCentre string) bool
 	// demands counts the requests by service.
 	demands map[string]*demand
+	costs   costs
 }
 
 // target is this router's state for one incarnation of a target.
@@ -127,6 +138,8 @@
 	// leavingByResponse is set once a response of the target stated that the target
 	// is leaving, which can be earlier than the view shows it.
 	leavingByResponse bool
+	// outstanding is the work that this router has in flight at the target.
+	outstanding cost.Outstanding
 }
 
 // New returns a balancer over the targets of view. onHealth may be nil.
@@ -175,7 +188,7 @@
 	if chosen.target == nil {
 		return Choice{}, noCandidateError(all)
 	}
-	return b.assign(chosen, all), nil
+	return b.assign(r, chosen, all), nil
 }
 
 // PickTarget selects the target with the given load key, which the owner of the service
@@ -187,14 +200,14 @@
 	all := b.candidates(b.now(), r)
 	for _, c := range all {
 		if LoadKey(c.status) == key && c.eligible() {
-			return b.assign(selection{target: c, reason: reason}, all), nil
+			return b.assign(r, selection{target: c, reason: reason}, all), nil
 		}
 	}
 	return Choice{}, ErrNoTarget
 }
 
 // assign counts a request at the selected target and returns the choice.
-func (b *Balancer) assign(chosen selection, all []*candidate) Choice {
+func (b *Balancer) assign(r Request, chosen selection, all []*candidate) Choice {
 	st := chosen.target.status
 	t := b.targets[fleet.TargetKey(st.Id, st.Incarnation)]
 	c := Choice{Target: st, Reason: chosen.reason, InFlight: chosen.target.inFlight, StaleLoad: chosen.staleLoad}
@@ -206,15 +219,17 @@
 			c.Alternatives++
 		}
 	}
+	tracker := b.track(r, t, chosen)
+	c.FirstEvent = sync.OnceFunc(tracker.firstEvent)
 	t.inFlight++
 	t.health.recordSent()
 	ended := false
-	c.Done = func(o Outcome) { b.done(t, st, o, &ended) }
+	c.Done = func(o Outcome) { b.done(t, st, o, &ended, tracker) }
 	return c
 }
 
 // done implements Choice.Done.
-func (b *Balancer) done(t *target, st *pb.TargetStatus, o Outcome, ended *bool) {
+func (b *Balancer) done(t *target, st *pb.TargetStatus, o Outcome, ended *bool, tracker *costTracker) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if *ended {
@@ -222,6 +237,7 @@
 	}
 	*ended = true
 	t.inFlight--
+	tracker.end(o)
 	b.observe(t, st, o)
 }
 
@@ -263,6 +279,7 @@
 			withheldFor:  t.withheldUntil.Sub(now),
 			excluded:     r.excludes(st.Id) || (limited || coldRate > 0) && r.WithoutLimit,
 			coldRate:     coldRate,
+			memoryFull:   slices.Contains(r.Full, st.Id),
 		})
 	}
 	b.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
@@ -313,6 +330,7 @@
 // choose selects by prompt key if the request has one, and by load otherwise.
 func (b *Balancer) choose(r Request, all []*candidate) selection {
 	b.setColdWeights(b.now(), r.Service, all)
+	b.setExpectations(b.now(), r, all)
 	if r.Key != "" {
 		b.setPromptWeights(b.now(), r.Service, all)
 		return selectByPromptKey(r.Key, all)
@@ -334,6 +352,7 @@
 		}
 	}
 	b.remoteLoads.sweep(now)
+	b.sweepCosts(now)
 }
 
 // LocalCounts returns the numbers of requests in flight from this router by load key,
--- a/internal/balance/select_prompt.go
+++ b/internal/balance/select_prompt.go
@@ -41,6 +41,8 @@
 	// excluded is set if the request already failed at the target or excludes it because of
 	// its limit.
 	excluded bool
+	// memoryFull is set if the target has no memory for the request.
+	memoryFull bool
 	// pausedFor is the time until the end of the pause that the target requested from
 	// this router; zero or less if there is none.
 	pausedFor time.Duration
@@ -55,11 +57,13 @@
 	// for it, with the meaning of limitedWeight.
 	coldRate   float64
 	coldWeight float64
+	// expected is nil if the target is selected by numbers of requests only.
+	expected *expectation
 }
 
 // eligible reports whether the target accepts the request, healthy or not.
 func (c *candidate) eligible() bool {
-	return !c.leaving && !c.evacuated && !c.excluded && c.pausedFor <= 0 && c.withheldFor <= 0
+	return !c.leaving && !c.evacuated && !c.excluded && !c.memoryFull && c.pausedFor <= 0 && c.withheldFor <= 0
 }
 
 // weight returns the target's part of the prompts, relative to a target that is neither limited
@@ -87,6 +91,9 @@
 	// full is set if no target is selected because the first choices for the prompt are full
 	// while others are limited.
 	full bool
+	// uncached is set if the shared parts of the prompt are not expected to be cached at the
+	// target.
+	uncached bool
 }
 
 // selectByPromptKey selects a target by rendezvous hashing with bounded loads. All
@@ -105,12 +112,16 @@
 		open = open[:min(len(open), maxLimitedChoices)]
 	}
 	limit := promptLoadLimit(all)
+	first, best := chooseBelowBound(open, func(c *candidate) int { return min(limit, c.capacity) })
+	if best == nil && !limited {
+		// If all targets are at their capacities, the bound without them still applies: the
+		// target with the fewest requests is the same one at all routers until the next
+		// counts arrive, and would get the requests of all of them.
+		first, best = chooseBelowBound(open, func(*candidate) int { return limit })
+	}
 	var chosen selection
-	for _, c := range open {
-		if c.inFlight < min(limit, c.capacity) {
-			chosen = selection{target: c, reason: "cached parts are expected here"}
-			break
-		}
+	if best != nil {
+		chosen = selection{target: best, reason: "cached parts are expected here"}
 	}
 	if chosen.target == nil && limited && len(open) > 0 {
 		return selection{full: true}
@@ -121,7 +132,11 @@
 	// The targets that had the prompts before some were limited still have them cached.
 	chosen.cacheHolder = topCacheHolder(byKey, chosen.target)
 	if chosen.target != nil && chosen.cacheHolder != nil && rankOf(ranked, chosen.cacheHolder) < rankOf(ranked, chosen.target) {
-		chosen.reason = "targets ranked higher are at their bound or limit, leaving or failing"
+		chosen.reason = "targets ranked higher are at their bound or limit, leaving, evacuated or failing"
+		chosen.uncached = true
+	}
+	if best != first {
+		chosen.reason = costReason(first, best)
 	}
 	return chosen
 }
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -108,11 +109,20 @@
 	node        *replica.Node
 	service     *control.Service
 	balancer    *balance.Balancer
-	picker      *picker.Picker
-	guard       *quarantine.Guard
-	gateway     *gateway.Gateway
-	bodies      *bodybuffer.Pool
-	reports     *reports
+	// markCold makes the targets of a data centre count as cold. It is set once this instance
+	// can serve callers.
+	markCold atomic.Pointer[func(dataCentre string)]
+	picker   *picker.Picker
+	costs    *costReports
+	// paceChanged is signalled when a target's pace has changed between usual and unusual.
+	paceChanged chan struct{}
+	// invalidLoadAt is the time of the last log line about an invalid load report, in Unix
+	// nanoseconds.
+	invalidLoadAt atomic.Int64
+	guard         *quarantine.Guard
+	gateway       *gateway.Gateway
+	bodies        *bodybuffer.Pool
+	reports       *reports
 	// heartbeatRate meters the heartbeats that targets send to this instance.
 	heartbeatRate rateMeter
 
@@ -125,7 +135,7 @@
 // process that uses the package runs them and passes the requests of callers to Gateway. On
 // an error, StartRouted closes everything that it has started.
 func StartRouted(cfg RoutedConfig) (*Routed, error) {
-	in := &Routed{cfg: cfg, seeds: cfg.Seeds}
+	in := &Routed{cfg: cfg, seeds: cfg.Seeds, paceChanged: make(chan struct{}, 1)}
 	in.init(cfg.ID, &Listeners{}, cfg.Logger)
 	in.bodies = bodybuffer.New(cfg.Bodies, in.logger, in.scope)
 	steps := []struct {
--- a/internal/instance/routed_evacuation.go
+++ b/internal/instance/routed_evacuation.go
@@ -21,7 +21,7 @@
 var ErrInvalidEvacuation = errors.New("the evacuation order is invalid")
 
 // ErrEvacuationUnsupported means that a live replica runs a build that ignores evacuations.
-// It would lack the order after its upgrade.
+// The order was not submitted, since that replica would lack it after its upgrade.
 var ErrEvacuationUnsupported = errors.New("a replica runs a build without evacuations")
 
 // SetEvacuation starts or ends the evacuation of a data centre and returns once the order is
@@ -64,8 +64,8 @@
 	for _, name := range routesync.EndedEvacuations(before, after) {
 		in.logger.Info().Str("step", stepEvacuation).Str("data_centre", name).Uint64("revision", after.Revision).
 			Msg("the evacuation of a data centre has ended")
-		if in.picker != nil {
-			in.picker.MarkDataCentreCold(name)
+		if markCold := in.markCold.Load(); markCold != nil {
+			(*markCold)(name)
 		}
 	}
 }
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -126,9 +126,8 @@
 		OpenAdmission: true,
 		Peers:         in.replicaAddrs,
 		OnApplied: func() {
-			// The evacuations are read after the table and take effect before it, so
-			// that no table is active here without the evacuations that were
-			// committed before it.
+			// The evacuations are read after the table and take effect before it, so that
+			// no table is active here without the evacuations that were committed before it.
 			t := machine.RoutingTable()
 			if set := machine.Evacuations(); set != nil {
 				in.sync.EvacuationsCommitted(set)
@@ -152,12 +151,25 @@
 		return nil
 	}
 	in.balancer = balance.New(in.members, in.logHealthChange)
-	in.picker = picker.New(picker.Config{Self: in.cfg.ID, Started: time.Now(), Members: in.members, Balancer: in.balancer, Logger: in.logger, Scope: in.scope, Cold: in.coldRule})
+	in.picker = picker.New(picker.Config{
+		Self:     in.cfg.ID,
+		Started:  time.Now(),
+		Members:  in.members,
+		Balancer: in.balancer,
+		Logger:   in.logger,
+		Scope:    in.scope,
+		Cold:     in.coldRule,
+	})
+	markCold := in.picker.MarkDataCentreCold
+	in.markCold.Store(&markCold)
 	in.balancer.SetEvacuated(in.sync.Evacuated)
+	in.costs = newCostReports(in.scope)
+	in.balancer.SetOnEstimate(in.costs.recordEstimate)
 	in.guard = quarantine.New(quarantine.Config{Self: in.cfg.ID, Routers: in.members.Routers, Send: in.members.SendQuarantine, Logger: in.logger, Scope: in.scope})
 	g, err := gateway.New(gateway.Config{
 		Tables:   &in.activeTable,
 		Picker:   in.picker,
+		Loads:    in.balancer,
 		Guard:    in.guard,
 		Retries:  balance.NewRetryBudget(in.cfg.RetryLimits, in.scope.SubScope("gateway")),
 		Forward:  forward.Config{Dialect: in.cfg.Dialect, Scope: in.scope},
@@ -201,6 +213,7 @@
 		in.logger.Warn().Str("step", "limit").Str("peer", target.Id).Str("request_id", requestID).Str("text", h.InvalidLimit).
 			Msg("a target names a limit that is not a number of requests per second")
 	}
+	in.applyLoad(target, requestID, h)
 	changed := in.balancer.Pause(target, h.Pause)
 	if h.Leaving && in.balancer.MarkLeaving(target) {
 		changed = true
