--- a/internal/instance/routed_evacuation.go
+++ b/internal/instance/routed_evacuation.go
@@ -58,7 +58,8 @@
 }
 
 // handleEvacuations is called when a newer set of evacuated data centres took effect at this
-// instance. It must not block.
+// instance. It must not block. At an instance that is a replica, it may be called before the
+// gateway is created.
 func (in *Routed) handleEvacuations(before, after *pb.Evacuations) {
 	for _, name := range routesync.EndedEvacuations(before, after) {
 		in.logger.Info().Str("step", stepEvacuation).Str("data_centre", name).Uint64("revision", after.Revision).
