--- a/internal/instance/routed_evacuation.go
+++ b/internal/instance/routed_evacuation.go
@@ -59,7 +59,8 @@
 
 // handleEvacuations is called just before a newer set of evacuated data centres takes effect at
 // this instance. The targets of a data centre whose evacuation ends count as cold from then on.
-// It must not block.
+// It must not block. At an instance that is a replica, it may be called before the gateway is
+// created.
 func (in *Routed) handleEvacuations(before, after *pb.Evacuations) {
 	for _, name := range routesync.EndedEvacuations(before, after) {
 		in.logger.Info().Str("step", stepEvacuation).Str("data_centre", name).Uint64("revision", after.Revision).
