--- a/internal/balance/backpressure.go
+++ b/internal/balance/backpressure.go
@@ -34,7 +34,7 @@
 	if e.Full {
 		return fmt.Sprintf("targets are at the limits that they name, and those that could take the prompt are full; retry in %v", e.RetryAfter)
 	}
-	return fmt.Sprintf("all targets are at the limits that they name, or are cold and have no permit left; the first may take a request in %v", e.RetryAfter.Round(time.Millisecond))
+	return fmt.Sprintf("all targets are at the limits that they name; the first may take a request in %v", e.RetryAfter.Round(time.Millisecond))
 }
 
 // errEvacuated means that targets would accept the request if their data centres were not
