Overload: nothing is rejected while a service has requests of one priority

Deployments whose configuration names no different priorities were thus not served as before.

Change: requests are rejected only while the service has recent requests of two or more priorities. TestRetryAfterGrows gets a second priority in its setup, its checks are the same.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -139,7 +139,9 @@
 
 func (s *service) decide(now time.Time, r Request, k *kind, targets []Target, draw float64) Decision {
 	queue, calm := queuePart(targets)
-	if calm {
+	// Without a kind of another urgency there is no order of rejection. A queue at the
+	// engines says little then: a few requests at a small service fill it.
+	if calm || len(s.activeKinds(now)) < 2 {
 		k.rejectedPart -= partWeight * k.rejectedPart
 		return Decision{Admitted: true, Reason: Calm}
 	}
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -67,7 +67,8 @@
 func TestRetryAfterGrows(t *testing.T) {
 	a := overload.New()
 	now := time.Unix(1000, 0)
-	r := overload.Request{Service: "llm", TimeLeft: time.Second}
+	r := overload.Request{Service: "llm", Priority: 1, TimeLeft: time.Second}
+	a.Decide(now, overload.Request{Service: "llm", TimeLeft: time.Second}, nil, 0)
 	for range 100 {
 		a.Decide(now, r, nil, 0)
 	}
@@ -84,6 +85,19 @@
 	}
 }
 
+// TestOneKindIsNotRejected guards against a small service of one priority that rejects what its
+// targets' queues would soon have served.
+func TestOneKindIsNotRejected(t *testing.T) {
+	a := overload.New()
+	now := time.Unix(1000, 0)
+	r := overload.Request{Service: "llm", TimeLeft: time.Second}
+	for range 10 {
+		if d := a.Decide(now, r, []overload.Target{{Key: 1, InFlight: 6, Slots: 4}}, 0.9); !d.Admitted {
+			t.Fatalf("%+v, want it admitted", d)
+		}
+	}
+}
+
 // TestMemory checks that a target whose memory would be exceeded is listed, but not while
 // requests neither queue nor wait: their tokens are upper bounds.
 func TestMemory(t *testing.T) {
