Review: the notice that a server is gone is lost with all processes

A replica acknowledges that a server is gone; all processes are killed right after that and start again. The replicas list the server for 4 s from what they saved before, so that requests reach it when the machines are in touch again.

--- a/review/kit-2/fleet.go
+++ b/review/kit-2/fleet.go
@@ -45,11 +45,12 @@
 	procs  map[string]*exec.Cmd
 	record *os.File
 	began  time.Time
-	// runs counts the runs by request id, ranAt holds the server of the last one, and draining the
-	// servers whose notice that they drain was acknowledged.
-	runs     map[string]int
-	ranAt    map[string]string
-	draining map[string]bool
+	// runs counts the runs by request id; ranAt and arrived hold the server and the time of the
+	// last one. noticed holds when the notice of a server that it leaves was acknowledged.
+	runs    map[string]int
+	ranAt   map[string]string
+	arrived map[string]time.Time
+	noticed map[string]time.Time
 }
 
 // newSite locks a free loopback subnet and makes a temporary folder.
@@ -64,7 +65,8 @@
 	}
 	s := &site{
 		dir: dir, replicas: replicas, routers: routers, record: record, began: time.Now(),
-		procs: make(map[string]*exec.Cmd), runs: make(map[string]int), ranAt: make(map[string]string), draining: make(map[string]bool),
+		procs: make(map[string]*exec.Cmd), runs: make(map[string]int), ranAt: make(map[string]string),
+		arrived: make(map[string]time.Time), noticed: make(map[string]time.Time),
 	}
 	for range 200 {
 		s.subnet = 1 + rand.IntN(250)
--- a/review/kit-2/server.go
+++ b/review/kit-2/server.go
@@ -47,8 +47,8 @@
 	fmt.Fprintf(s.out, format+"\n", args...)
 }
 
-// serverMain runs a stand-in server until it is killed. SIGUSR1 makes it say that it drains. It
-// returns only with an error.
+// serverMain runs a stand-in server until it is killed. SIGUSR1 makes it say that it drains,
+// SIGUSR2 that it is gone. It returns only with an error.
 func serverMain(args []string) error {
 	fs := flag.NewFlagSet("server", flag.ContinueOnError)
 	s := &standIn{out: os.Stdout, born: time.Now().UnixMilli()}
@@ -78,10 +78,18 @@
 		}
 		s.say("drain-acknowledged")
 	}()
+	leave := make(chan os.Signal, 1)
+	signal.Notify(leave, syscall.SIGUSR2)
 	go func() {
+		ticker := time.NewTicker(heartbeatInterval)
 		for {
 			s.beat()
-			time.Sleep(1200 * time.Millisecond)
+			select {
+			case <-leave:
+				s.leave()
+				return
+			case <-ticker.C:
+			}
 		}
 	}()
 	for {
@@ -93,6 +101,34 @@
 	}
 }
 
+const (
+	// heartbeatInterval is the time between two heartbeats.
+	heartbeatInterval = 1200 * time.Millisecond
+	// servesOn is how long a server that leaves serves on after the acknowledgement.
+	servesOn = 8 * time.Second
+)
+
+// leave says that the server is gone, serves on for a while and ends the process. The server has
+// not said before that it drains.
+func (s *standIn) leave() {
+	for !s.deregister() {
+		time.Sleep(50 * time.Millisecond)
+	}
+	s.say("leave-acknowledged")
+	time.Sleep(servesOn)
+	os.Exit(0)
+}
+
+// deregister says to the first daemon that acknowledges it that the server is gone.
+func (s *standIn) deregister() bool {
+	for _, control := range s.controls {
+		if status(http.MethodDelete, "http://"+control+"/api/instances/"+s.id, "") == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
 // beat sends a heartbeat to the first daemon that acknowledges it.
 func (s *standIn) beat() bool {
 	body, err := json.Marshal(map[string]any{
@@ -229,8 +265,9 @@
 		case len(fields) > 1 && fields[0] == "run":
 			s.runs[fields[1]]++
 			s.ranAt[fields[1]] = name
-		case len(fields) == 1 && fields[0] == "drain-acknowledged":
-			s.draining[name] = true
+			s.arrived[fields[1]] = time.Now()
+		case len(fields) == 1 && strings.HasSuffix(fields[0], "-acknowledged"):
+			s.noticed[name] = time.Now()
 		}
 		s.mu.Unlock()
 	}
--- a/review/kit-2/spot.go
+++ b/review/kit-2/spot.go
@@ -136,8 +136,8 @@
 	if trouble {
 		leaver := busiest(s.running())
 		s.signal(leaver, syscall.SIGUSR1)
-		if !within(5*time.Second, func() bool { return s.saidDraining(leaver) }) {
-			return 0, fmt.Errorf("%w: the notice of %s was not acknowledged", errCase, leaver)
+		if err := s.awaitNotice(leaver); err != nil {
+			return 0, err
 		}
 		time.Sleep(2 * time.Second)
 		s.kill(leaver)
@@ -161,10 +161,18 @@
 	return wait, stopLoad, err
 }
 
-func (s *site) saidDraining(name string) bool {
+// awaitNotice waits until the notice of a server that it leaves is acknowledged.
+func (s *site) awaitNotice(name string) error {
+	if !within(5*time.Second, func() bool { return !s.noticeOf(name).IsZero() }) {
+		return fmt.Errorf("%w: the notice of %s was not acknowledged", errCase, name)
+	}
+	return nil
+}
+
+func (s *site) noticeOf(name string) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining[name]
+	return s.noticed[name]
 }
 
 // crashWhileFrozen lets a router stand still for 3.5 seconds. Meanwhile a server crashes, and
