Forward: a status outside 100 to 599 is not an answer

Callers of a target that answered with the status 000 (or 001 to 099, or "-00" and "+20", which net/http parses too) had their connection closed without a status: the status went through as that of an answer, and net/http's server panics on a status below 100. Statuses from 600 on reached callers as answers.

Cause: net/http's client accepts every status line with three characters that make a number of at least zero, and nothing after it looked at the range.

Change: forward.checkHead rejects a response whose status is outside 100 to 599 (RFC 9110, section 15) with ErrProtocol before anything else looks at it. The request may have run: it goes to another target if it may be repeated, and otherwise its caller gets 502. A counter, forward.invalid_answers, shows such answers; those with status 101 and those that are not the target's count there too.

Other readers of answers: target.Client, announce, admin and cli compare the status with those that they expect, so 000 is an error there already; nothing changed for them.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -93,6 +93,7 @@
 	mismatched tally.Counter
 	silent     tally.Counter
 	truncated  tally.Counter
+	invalid    tally.Counter
 	unframed   tally.Counter
 	// leftTargets counts the responses without framing whose target had left when they ended.
 	leftTargets tally.Counter
@@ -125,6 +126,7 @@
 		mismatched: scope.Counter("crossed_answers"),
 		silent:     scope.Counter("silent_targets"),
 		truncated:  scope.Counter("cut_answers"),
+		invalid:    scope.Counter("invalid_answers"),
 		unframed:   scope.Counter("unframed_answers"),
 
 		leftTargets: scope.Counter("unframed_answers_of_left_targets"),
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -142,6 +142,13 @@
 		{name: "ends by close", response: ok + "\r\nabc", want: "abc", unframed: true},
 		{name: "another's", response: ok + "Content-Length: 1\r\nX-Request-Id: id-2\r\n\r\na", err: ErrRequestIDMismatch},
 		{name: "upgrade", response: "HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", err: ErrProtocol},
+		{name: "status 000", response: "HTTP/1.1 000 Trouble\r\nContent-Length: 1\r\n\r\na", err: ErrProtocol},
+		{name: "status -00", response: "HTTP/1.1 -00 Trouble\r\nContent-Length: 1\r\n\r\na", err: ErrProtocol},
+		{name: "status 099", response: "HTTP/1.1 099 Trouble\r\nContent-Length: 1\r\n\r\na", err: ErrProtocol},
+		{name: "status 599", response: "HTTP/1.1 599 Trouble\r\nContent-Length: 1\r\n\r\na", want: "a"},
+		{name: "status 600", response: "HTTP/1.1 600 Trouble\r\nContent-Length: 1\r\n\r\na", err: ErrProtocol},
+		{name: "status 1000", response: "HTTP/1.1 1000 Trouble\r\nContent-Length: 1\r\n\r\na", err: ErrTruncated},
+		{name: "status 000 after early hints", response: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Trouble\r\n\r\n", err: ErrProtocol},
 		{name: "redirect", response: "HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n"},
 		{name: "nothing", err: ErrTruncated},
 	}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -68,10 +68,13 @@
 	return chunked || resp.ContentLength >= 0 || resp.Body == http.NoBody
 }
 
-// checkResponse rejects responses that carry another request's id or none where one
-// is required, that do not come from the target, or that switch to another
+// checkResponse rejects responses whose head is broken, that carry another request's id or
+// none where one is required, that do not come from the target, or that switch to another
 // protocol.
 func (c *Client) checkResponse(resp *Response, r *Request, httpResp *http.Response) error {
+	if err := checkHead(httpResp); err != nil {
+		return err
+	}
 	id := httpResp.Header.Get(c.dialect.RequestID)
 	if id != r.RequestID && (id != "" || c.dialect.RequireEcho) {
 		return ErrRequestIDMismatch
@@ -143,7 +146,7 @@
 	r.httpResp.Body.Close()
 }
 
-// countFailure counts mismatched, silent and truncated responses; other errors are
+// countFailure counts mismatched, silent, truncated and invalid responses; other errors are
 // not counted.
 func (c *Client) countFailure(err error) {
 	switch {
@@ -153,5 +156,7 @@
 		c.silent.Inc(1)
 	case errors.Is(err, ErrTruncated):
 		c.truncated.Inc(1)
+	case errors.Is(err, ErrProtocol):
+		c.invalid.Inc(1)
 	}
 }
