Forward: a head whose field names hold blanks is not an answer

Callers of a target whose head held a blank in the name of a field got its answer. With "Content-Length : 2", " Content-Length: 2" or "Transfer-Encoding : chunked" the field was lost, and with it the end of the body: the caller got everything until the connection closed, chunk sizes included, as the body.

Cause: net/http keeps a name with blanks as it is, so that neither it nor anybody else recognises the field, and appends a line that begins with a blank or a tab to the value of the line before. Names with other control bytes it rejects. A line feed before a name ends the head.

Change: the connections to targets pass what is read to a headScanner, which follows the head of each response of the connection. A name that is not a token, a line that begins with a blank, a field without a colon, and a line that ends without a carriage return where the status line has one, make the head broken (RFC 9112, sections 2.2 and 5; a gateway may answer 502 for a folded line). Such a response is ErrProtocol, whatever net/http made of it: the request may have run, goes to another target if it may be repeated, and otherwise its caller gets 502.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -76,7 +76,7 @@
 type Config struct {
 	DialTimeout time.Duration
 	IdleTimeout time.Duration
-	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
+	Dial        dialFunc
 	// Dialect defines the headers of requests and responses; nil means those of
 	// Wigeonwood's own targets.
 	Dialect *Dialect
@@ -87,7 +87,7 @@
 type Client struct {
 	keepAlive  *http.Transport
 	singleUse  *http.Transport
-	dial       func(ctx context.Context, network, addr string) (net.Conn, error)
+	dial       dialFunc
 	dialect    *Dialect
 	echoCache  echoCache
 	mismatched tally.Counter
@@ -139,7 +139,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:            c.Dial,
+		DialContext:            dialTarget(c.Dial),
 		DisableKeepAlives:      singleUse,
 		DisableCompression:     true,
 		MaxIdleConns:           maxIdleConns,
@@ -161,11 +161,8 @@
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := newWatchdog(r.onSilence, func() { cancel(ErrSilent) })
-	var connected, reused bool
-	req := c.buildRequest(ctx, r, func(info httptrace.GotConnInfo) {
-		connected = true
-		reused = info.Reused
-	})
+	var used usedConn
+	req := c.buildRequest(ctx, r, used.set)
 	w.start(r.FirstByte)
 	httpResp, err := c.transport(r).RoundTrip(req)
 	w.stop()
@@ -176,20 +173,13 @@
 		err = ErrSilent
 	}
 	if err != nil {
-		err = classify(err, context.Cause(ctx), connected)
+		err = c.roundTripError(err, context.Cause(ctx), r.Addr, &used)
 		cancel(nil)
-		c.countFailure(err)
-		if errors.Is(err, ErrTruncated) && !reused {
-			c.breaks.record(r.Addr)
-		}
-		if reused {
-			err = fmt.Errorf("%w %w", err, ErrReusedConnection)
-		}
 		return nil, errs.Wrap(err, Step, r.Target)
 	}
 	resp := newResponse(ctx, cancel, w, httpResp, r, c)
 	c.echoCache.record(r.Addr, httpResp.Header.Get(c.dialect.RequestID) == r.RequestID)
-	if err := c.checkResponse(resp, r, httpResp); err != nil {
+	if err := c.checkResponse(resp, r, httpResp, &used); err != nil {
 		resp.abort()
 		c.countFailure(err)
 		return nil, errs.Wrap(err, Step, r.Target)
@@ -200,6 +190,24 @@
 	return resp, nil
 }
 
+// roundTripError converts and counts the error with which the Transport ended a request to addr.
+// cause is context.Cause of the request's context.
+func (c *Client) roundTripError(err, cause error, addr string, used *usedConn) error {
+	if headErr := used.headErr(); headErr != nil {
+		c.countFailure(headErr)
+		return headErr
+	}
+	err = classify(err, cause, used.connected)
+	c.countFailure(err)
+	if errors.Is(err, ErrTruncated) && !used.reused {
+		c.breaks.record(addr)
+	}
+	if used.reused {
+		return fmt.Errorf("%w %w", err, ErrReusedConnection)
+	}
+	return err
+}
+
 // onSilence returns how much longer to wait for a target that is silent.
 func (r *Request) onSilence() time.Duration {
 	if r.OnSilence == nil {
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -243,6 +243,7 @@
 	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc")
 	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n2\r\nab\r\n0\r\nX: y\r\n\r\n")
 	f.Add("HTTP/1.1 103 Early\r\n\r\nHTTP/1.0 200 OK\r\nX-Request-Id: id-2\r\n\r\nabc")
+	f.Add("HTTP/1.1 200 OK\r\nX : y\r\n Content-Length: 1\r\n\r\nab")
 	f.Add("HTTP/1.1 101 S\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")
 	f.Fuzz(func(t *testing.T, response string) {
 		c := New(Config{Dial: func(context.Context, string, string) (net.Conn, error) {
@@ -263,5 +264,12 @@
 		if err == nil && a.Header.Get(HeaderRequestID) != "" && a.Header.Get(HeaderRequestID) != "id-1" {
 			t.Error("the response to another request was accepted")
 		}
+		if err == nil {
+			for name := range a.Header {
+				if name == "" || strings.ContainsFunc(name, func(r rune) bool { return r > 127 || !isTokenByte(byte(r)) }) {
+					t.Errorf("a field with the name %q was accepted", name)
+				}
+			}
+		}
 	})
 }
--- a/internal/forward/doc.go
+++ b/internal/forward/doc.go
@@ -3,7 +3,8 @@
 // an error only if the body is complete according to its framing (Content-Length or
 // chunked encoding). A response without framing ends when its connection closes; it
 // is complete only if its target still accepts connections then or leaves as planned.
-// Response.Framed tells the two framings apart.
+// Response.Framed tells the two framings apart. A response whose head is broken is an
+// error.
 //
 // Non-idempotent requests use new connections and are built so that the Transport
 // cannot replay them. The package neither selects targets nor retries requests.
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -71,8 +71,11 @@
 // checkResponse rejects responses whose head is broken, that carry another request's id or
 // none where one is required, that do not come from the target, or that switch to another
 // protocol.
-func (c *Client) checkResponse(resp *Response, r *Request, httpResp *http.Response) error {
-	if err := checkHead(httpResp); err != nil {
+func (c *Client) checkResponse(resp *Response, r *Request, httpResp *http.Response, used *usedConn) error {
+	if err := used.headErr(); err != nil {
+		return err
+	}
+	if err := checkStatus(httpResp); err != nil {
 		return err
 	}
 	id := httpResp.Header.Get(c.dialect.RequestID)
--- a/internal/router/brokenheads_test.go
+++ b/internal/router/brokenheads_test.go
@@ -14,6 +14,13 @@
 	"status 000": "HTTP/1.1 000 Trouble\r\nContent-Length: 5\r\n",
 	"status 099": "HTTP/1.1 099 Trouble\r\nContent-Length: 5\r\n",
 	"status 600": "HTTP/1.1 600 Trouble\r\nContent-Length: 5\r\n",
+
+	"blank in a name":           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX Trouble: 1\r\n",
+	"blank after a length":      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length : 2\r\n",
+	"blank before a name":       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-First: 1\r\n X-Trouble: 1\r\n",
+	"tab in a name":             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX\tTrouble: 1\r\n",
+	"control byte in a name":    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX\x01Trouble: 1\r\n",
+	"line feed before a length": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\nContent-Length: 2\r\n",
 }
 
 // writeRaw writes a response as it is and closes the connection. head holds the status line and
