Forward: a reset that the upload noticed first is still a reset

Callers got a part of an answer as a complete one: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: such an answer ends with its connection, and the system reports a reset of a connection once. While an upload is being written, two goroutines of net/http use the connection. If the write gets ECONNRESET, the read after it finds an orderly end, io.EOF. The target accepts new connections, so the check that follows the end of such an answer finds nothing either.

Change: when a read from a target ends with io.EOF, targetConn asks the system for the other end of the connection (getpeername). A connection that the target has ended in order still has one; one that was reset has none (ENOTCONN), and the read then fails with an error, which becomes ErrTruncated as if the read had got the reset itself. The state of the connection does not depend on who got the report, so no timing is involved. The question is asked once for each connection that ends.

TestEndDuringUpload, which passed before, keeps an answer complete whose target ends it in order during the upload.

`serve` takes answers without framing for cut ones anyway, but for chats that end with their end marker, which are complete then. Orders and states of targets, announcements and the calls of operators have small requests; their answers are checked on their own.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http/httptrace"
+	"syscall"
 )
 
 // dialFunc opens a connection.
@@ -26,13 +29,38 @@
 	}
 }
 
-// Read reads from the connection.
+// errReset means that the connection is no longer open although it seems to have ended in order.
+var errReset = errors.New("the connection was reset")
+
+// Read reads from the connection. It returns io.EOF only if the target ended the connection in
+// order: the system reports a reset once, and after a write has received that report, reads find
+// an orderly end.
 func (c *targetConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.head.scan(p[:n])
+	if errors.Is(err, io.EOF) && !hasPeer(c.Conn) {
+		return n, errReset
+	}
 	return n, err
 }
 
+// hasPeer reports whether a connection is open at least for writing. One that the other end has
+// ended in order is, one that was reset is not. Connections that are not the system's count as
+// open.
+func hasPeer(conn net.Conn) bool {
+	system, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peerErr error
+	err = raw.Control(func(fd uintptr) { _, peerErr = syscall.Getpeername(int(fd)) })
+	return err == nil && !errors.Is(peerErr, syscall.ENOTCONN)
+}
+
 // usedConn is the connection that the Transport uses for a request.
 type usedConn struct {
 	// conn is nil until there is a connection.
