Forward: read the beginning of an answer that overtakes its request

Callers whose target answered a long upload with a 200 without a length and then reset the connection had their connection reset without a status, although nothing of the answer had been sent to them: net/http's server holds back the beginning of a body.

Cause: an answer is passed on once its head has arrived. The end of its connection, the only sign that it is complete, comes later, and by then only a cut is left.

Change: if a response without framing arrives before its request is sent, and is no stream of events, Client.Do reads the first 2 KB of its body, or all of it, before it returns. If the body breaks off there, the try has failed like one without an answer: the request goes to another target if it may run there, and otherwise its caller gets 502. 2 KB is what the server holds back anyway, so no caller waits longer. What is known of a request while the Transport handles it is now in one struct, attempt.

TestResetDuringUpload asks for an error of Do. TestEndDuringUpload and TestResetOfLongAnswerDuringUpload cover bodies of 0 bytes to 6 KB. TestResetsDuringUploads in internal/router covers `serve`, which sent a visible cut before and now an error with a status.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -45,7 +45,7 @@
 	// Chat is the name of the chat that the router sends to an engine; it is empty for
 	// services.
 	Chat string
-	// Host is the Host header; if empty, Addr is used.
+	// Host is the Host header; if empty, Addr is a.
 	Host string
 	// Extra headers replace those of Header. They are sent unfiltered.
 	Extra http.Header
@@ -156,13 +156,14 @@
 	c.singleUse.CloseIdleConnections()
 }
 
-// Do sends r and returns the response once its header has arrived. The caller must
-// close the response. Errors wrap one of this package's errors.
+// Do sends r and returns the response once its header has arrived, or the beginning of its body
+// as well if it is early. The caller must close the response. Errors wrap one of this package's
+// errors.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := newWatchdog(r.onSilence, func() { cancel(ErrSilent) })
-	var used usedConn
-	req := c.buildRequest(ctx, r, used.set)
+	a := &attempt{}
+	req := c.buildRequest(ctx, r, a)
 	w.start(r.FirstByte)
 	httpResp, err := c.transport(r).RoundTrip(req)
 	w.stop()
@@ -173,13 +174,13 @@
 		err = ErrSilent
 	}
 	if err != nil {
-		err = c.roundTripError(err, context.Cause(ctx), r.Addr, &used)
+		err = c.roundTripError(err, context.Cause(ctx), r.Addr, a)
 		cancel(nil)
 		return nil, errs.Wrap(err, Step, r.Target)
 	}
 	resp := newResponse(ctx, cancel, w, httpResp, r, c)
 	c.echoCache.record(r.Addr, httpResp.Header.Get(c.dialect.RequestID) == r.RequestID)
-	if err := c.checkResponse(resp, r, httpResp, &used); err != nil {
+	if err := c.checkResponse(resp, r, httpResp, a); err != nil {
 		resp.abort()
 		c.countFailure(err)
 		return nil, errs.Wrap(err, Step, r.Target)
@@ -187,22 +188,28 @@
 	if !resp.Framed {
 		c.unframed.Inc(1)
 	}
+	if resp.isEarly(a) {
+		if err := resp.readBeginning(); err != nil {
+			resp.abort()
+			return nil, err
+		}
+	}
 	return resp, nil
 }
 
 // roundTripError converts and counts the error with which the Transport ended a request to addr.
 // cause is context.Cause of the request's context.
-func (c *Client) roundTripError(err, cause error, addr string, used *usedConn) error {
-	if headErr := used.headErr(); headErr != nil {
+func (c *Client) roundTripError(err, cause error, addr string, a *attempt) error {
+	if headErr := a.headErr(); headErr != nil {
 		c.countFailure(headErr)
 		return headErr
 	}
-	err = classify(err, cause, used.connected)
+	err = classify(err, cause, a.connected)
 	c.countFailure(err)
-	if errors.Is(err, ErrTruncated) && !used.reused {
+	if errors.Is(err, ErrTruncated) && !a.reused {
 		c.breaks.record(addr)
 	}
-	if used.reused {
+	if a.reused {
 		return fmt.Errorf("%w %w", err, ErrReusedConnection)
 	}
 	return err
@@ -225,11 +232,11 @@
 	return c.singleUse
 }
 
-// buildRequest creates the request for the Transport. onConn is called once the
-// request has a connection, before r.OnSend.
-func (c *Client) buildRequest(ctx context.Context, r *Request, onConn func(httptrace.GotConnInfo)) *http.Request {
+// buildRequest creates the request for the Transport and sets the body of a. a learns the
+// connection before r.OnSend is called.
+func (c *Client) buildRequest(ctx context.Context, r *Request, a *attempt) *http.Request {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		onConn(info)
+		a.setConn(info)
 		if r.OnSend != nil {
 			r.OnSend()
 		}
@@ -249,7 +256,8 @@
 	// these, the body is an empty reader of unknown length; the Transport finds
 	// that it is empty before it sends the header.
 	if len(r.Body) > 0 || replayedWithoutBody(r.Method) {
-		req.Body = io.NopCloser(&onceReader{data: r.Body})
+		a.upload.data = r.Body
+		req.Body = io.NopCloser(&a.upload)
 		req.ContentLength = int64(len(r.Body))
 	}
 	return req.WithContext(httptrace.WithClientTrace(ctx, trace))
@@ -276,16 +284,3 @@
 	u.Host = r.Addr
 	return u
 }
-
-// onceReader reads data once. Its type hides the data from net/http.
-type onceReader struct{ data []byte }
-
-// Read returns the next bytes of the data.
-func (o *onceReader) Read(p []byte) (int, error) {
-	if len(o.data) == 0 {
-		return 0, io.EOF
-	}
-	n := copy(p, o.data)
-	o.data = o.data[n:]
-	return n, nil
-}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http/httptrace"
 	"syscall"
 )
 
@@ -60,30 +59,3 @@
 	err = raw.Control(func(fd uintptr) { _, peerErr = syscall.Getpeername(int(fd)) })
 	return err == nil && !errors.Is(peerErr, syscall.ENOTCONN)
 }
-
-// usedConn is the connection that the Transport uses for a request.
-type usedConn struct {
-	// conn is nil until there is a connection.
-	conn *targetConn
-	// connected is set once there is a connection, reused if it has carried a request before.
-	connected bool
-	reused    bool
-}
-
-// set records the connection, before any byte of the request is sent.
-func (u *usedConn) set(info httptrace.GotConnInfo) {
-	u.connected = true
-	u.reused = info.Reused
-	if conn, ok := info.Conn.(*targetConn); ok {
-		u.conn = conn
-		conn.head.start()
-	}
-}
-
-// headErr returns an error that wraps ErrProtocol if the head of the response was broken.
-func (u *usedConn) headErr() error {
-	if u.conn == nil {
-		return nil
-	}
-	return u.conn.head.err()
-}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -38,6 +38,8 @@
 	client       *Client
 	// events follows a stream of events that ends with its connection; nil for others.
 	events *eventEnd
+	// beginning was read by Do; it is empty unless the response was early.
+	beginning beginning
 }
 
 func newResponse(ctx context.Context, cancel context.CancelCauseFunc, w *watchdog, httpResp *http.Response, r *Request, c *Client) *Response {
@@ -71,8 +73,8 @@
 // checkResponse rejects responses whose head is broken, that carry another request's id or
 // none where one is required, that do not come from the target, or that switch to another
 // protocol.
-func (c *Client) checkResponse(resp *Response, r *Request, httpResp *http.Response, used *usedConn) error {
-	if err := used.headErr(); err != nil {
+func (c *Client) checkResponse(resp *Response, r *Request, httpResp *http.Response, a *attempt) error {
+	if err := a.headErr(); err != nil {
 		return err
 	}
 	if err := checkStatus(httpResp); err != nil {
@@ -91,8 +93,8 @@
 	return nil
 }
 
-// Read reads from the body.
-func (r *Response) Read(p []byte) (int, error) {
+// readBody reads from the body after its beginning.
+func (r *Response) readBody(p []byte) (int, error) {
 	r.watchdog.start(r.nextTimeout)
 	n, err := r.httpResp.Body.Read(p)
 	r.watchdog.stop()
--- a/internal/forward/upload_test.go
+++ b/internal/forward/upload_test.go
@@ -48,9 +48,31 @@
 	defer c.Close()
 	upload := strings.Repeat("x", uploadBytes)
 	for i := range uploadTries {
-		got, err := read(c.Do(context.Background(), request(addr, false, upload)))
+		resp, err := c.Do(context.Background(), request(addr, false, upload))
 		if !errors.Is(err, ErrTruncated) {
-			t.Errorf("try %d: got %q, error %v, want %v", i, got, err, ErrTruncated)
+			got, err := read(resp, err)
+			t.Errorf("try %d: got %q, error %v, want %v instead of a response", i, got, err, ErrTruncated)
+		}
+	}
+}
+
+// TestResetOfLongAnswerDuringUpload is TestResetDuringUpload for a stream of events and for a
+// response that is too long to be held back.
+func TestResetOfLongAnswerDuringUpload(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: a\n\n",
+		"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("a", 2*maxEarlyBytes),
+	} {
+		addr := earlyTarget(t, response, func(conn *net.TCPConn) { _ = conn.SetLinger(0) })
+		c := New(Config{})
+		defer c.Close()
+		upload := strings.Repeat("x", uploadBytes)
+		_, body, _ := strings.Cut(response, "\r\n\r\n")
+		for i := range uploadTries {
+			got, err := read(c.Do(context.Background(), request(addr, false, upload)))
+			if !errors.Is(err, ErrTruncated) || !strings.HasPrefix(body, got) {
+				t.Errorf("try %d: got %q, error %v, want %v", i, got, err, ErrTruncated)
+			}
 		}
 	}
 }
@@ -58,17 +80,19 @@
 // TestEndDuringUpload checks that a response without framing is complete if its target ends it in
 // order, also while the upload is still being written.
 func TestEndDuringUpload(t *testing.T) {
-	addr := earlyTarget(t, "HTTP/1.1 413 Content Too Large\r\n\r\nabc", func(conn *net.TCPConn) {
-		_ = conn.CloseWrite()
-		_, _ = io.Copy(io.Discard, conn)
-	})
-	c := New(Config{})
-	defer c.Close()
-	upload := strings.Repeat("x", uploadBytes)
-	for i := range uploadTries {
-		got, err := read(c.Do(context.Background(), request(addr, false, upload)))
-		if got != "abc" || err != nil {
-			t.Errorf("try %d: got %q, error %v", i, got, err)
+	for _, body := range []string{"", "abc", strings.Repeat("a", maxEarlyBytes), strings.Repeat("a", 3*maxEarlyBytes)} {
+		addr := earlyTarget(t, "HTTP/1.1 413 Content Too Large\r\n\r\n"+body, func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			_, _ = io.Copy(io.Discard, conn)
+		})
+		c := New(Config{})
+		defer c.Close()
+		upload := strings.Repeat("x", uploadBytes)
+		for i := range uploadTries / 4 {
+			got, err := read(c.Do(context.Background(), request(addr, false, upload)))
+			if got != body || err != nil {
+				t.Errorf("try %d: got %d bytes, error %v, want %d", i, len(got), err, len(body))
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/router/brokenanswers_test.go
@@ -0,0 +1,128 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// brokenHeads holds, by name, the status line and the first fields of responses that are not
+// answers of a target.
+var brokenHeads = map[string]string{
+	"status 000": "HTTP/1.1 000 Trouble\r\nContent-Length: 5\r\n",
+	"status 099": "HTTP/1.1 099 Trouble\r\nContent-Length: 5\r\n",
+	"status 600": "HTTP/1.1 600 Trouble\r\nContent-Length: 5\r\n",
+
+	"blank in a name":           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX Trouble: 1\r\n",
+	"blank after a length":      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length : 2\r\n",
+	"blank before a name":       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-First: 1\r\n X-Trouble: 1\r\n",
+	"tab in a name":             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX\tTrouble: 1\r\n",
+	"control byte in a name":    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX\x01Trouble: 1\r\n",
+	"line feed before a length": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\nContent-Length: 2\r\n",
+}
+
+// writeRaw writes a response as it is and closes the connection. head holds the status line and
+// the first fields; the field with the request's id follows.
+func writeRaw(t *testing.T, w http.ResponseWriter, req *http.Request, head, body string) {
+	_, _ = io.Copy(io.Discard, req.Body)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer conn.Close()
+	if _, err := fmt.Fprintf(conn, "%s%s: %s\r\n\r\n%s", head, headerRequestID, req.Header.Get(headerRequestID), body); err != nil {
+		t.Error(err)
+	}
+}
+
+// brokenKinds are requests of each kind, by the kind.
+var brokenKinds = map[string]struct {
+	method, path, body, key string
+	// repeated is set if the request is sent a second time after its first answer.
+	repeated bool
+}{
+	"chat":            {http.MethodPost, "/v1/chat/completions", plainChat, "", false},
+	"stream":          {http.MethodPost, "/v1/chat/completions", streamChat, "", false},
+	"lookup":          {http.MethodGet, "/v1/services/lab/lookup", "", "", false},
+	"unkeyed":         {http.MethodPost, "/v1/services/lab/book", "steel", "", false},
+	"keyed":           {http.MethodPost, "/v1/services/lab/book", "steel", "key", false},
+	"keyed, repeated": {http.MethodPost, "/v1/services/lab/book", "steel", "key", true},
+}
+
+// maxErrorStatus is the largest status of an error.
+const maxErrorStatus = 599
+
+// checkUnknownOutcome checks that a request to h gets an error with the outcome unknown.
+func checkUnknownOutcome(t *testing.T, h *harness, method, path, body, key string, repeated bool) {
+	t.Helper()
+	var header []string
+	if key != "" {
+		header = []string{"Idempotency-Key", key}
+	}
+	if repeated {
+		_, _, _ = h.do(t, method, path, body, header...)
+	}
+	resp, got, err := h.do(t, method, path, body, header...)
+	if err != nil || resp.StatusCode < http.StatusBadRequest || resp.StatusCode > maxErrorStatus || resp.Header.Get(headerOutcome) != "unknown" {
+		t.Errorf("%v %q, error %v, want an error with the outcome unknown", resp, got, err)
+	}
+}
+
+// TestBrokenHeads guards against a response whose head is broken and that reaches the caller as
+// an answer, and against a caller whose connection ends without a status because of one.
+func TestBrokenHeads(t *testing.T) {
+	for kind, request := range brokenKinds {
+		for name, head := range brokenHeads {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				addr := target(t, func(w http.ResponseWriter, req *http.Request) { writeRaw(t, w, req, head, "whole") })
+				h := newHarness(t, engine("e1", addr), service("s1", addr))
+				checkUnknownOutcome(t, h, request.method, request.path, request.body, request.key, request.repeated)
+			})
+		}
+	}
+}
+
+// TestResetsDuringUploads guards against a part of an answer that reaches the caller as a complete
+// one: the target reset the connection while the request was still being written.
+func TestResetsDuringUploads(t *testing.T) {
+	const uploadBytes, uploads = 12 << 20, 4
+	long := strings.Repeat("x", uploadBytes)
+	for kind, request := range brokenKinds {
+		body := strings.Replace(request.body, "hi", long, 1)
+		if !strings.Contains(body, long) {
+			body = long
+		}
+		t.Run(kind, func(t *testing.T) {
+			addr := target(t, func(w http.ResponseWriter, req *http.Request) { resetEarly(t, w, req) })
+			h := newHarnessWithConfig(t, Config{Bounds: Bounds{MaxBodyBytes: 2 * uploadBytes}}, engine("e1", addr), service("s1", addr))
+			for i := range uploads {
+				key := request.key
+				if key != "" {
+					key += fmt.Sprint(i)
+				}
+				checkUnknownOutcome(t, h, request.method, request.path, body, key, request.repeated)
+			}
+		})
+	}
+}
+
+// resetEarly answers at once, with a response without a length, sends a part of its body, and
+// resets the connection while the request is still being written.
+func resetEarly(t *testing.T, w http.ResponseWriter, req *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer conn.Close()
+	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\npart", headerRequestID, req.Header.Get(headerRequestID)); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(10 * time.Millisecond)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+}
