Target: test of broken answers to orders and reads of a state

Statuses outside HTTP's and control bytes in names are errors already, and a body whose end was lost is no JSON, so no broken answer becomes a state. An answer to an order confirms it by its status alone; the controller reads the state a second later and sends the order again if it does not match. The test passed at once; nothing else changed.

--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -103,3 +103,40 @@
 		t.Fatalf("%d connections for 3 calls", n)
 	}
 }
+
+// TestBrokenAnswers guards against a broken answer that is taken for the state of a target, or
+// for the confirmation of an order.
+func TestBrokenAnswers(t *testing.T) {
+	const state = `{"desired":"serve","fencing":{"term":2,"index":1}}`
+	for name, c := range map[string]struct {
+		answer string
+		// confirms is set if the answer confirms an order, whose state is read on its own.
+		confirms bool
+	}{
+		"status 000":              {answer: "HTTP/1.1 000 Trouble\r\n\r\n" + state},
+		"status 099":              {answer: "HTTP/1.1 099 Trouble\r\n\r\n" + state},
+		"control byte in a name":  {answer: "HTTP/1.1 200 OK\r\nX\x01Trouble: 1\r\n\r\n" + state},
+		"blank after an encoding": {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\n" + state[:5] + "\r\n0\r\n\r\n", confirms: true},
+		"blank after a length":    {answer: "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}" + state, confirms: true},
+		"part, without a length":  {answer: "HTTP/1.1 200 OK\r\n\r\n" + state[:len(state)-1], confirms: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, c.answer)
+			})
+			client := NewClient()
+			if got, err := client.State(t.Context(), addr); err == nil {
+				t.Errorf("state %+v, want an error", got)
+			}
+			if err := client.Order(t.Context(), addr, Order{}); (err == nil) != c.confirms {
+				t.Errorf("order: error %v, confirmed: %t, want %t", err, err == nil, c.confirms)
+			}
+		})
+	}
+}
