--- a/internal/forward/head.go
+++ b/internal/forward/head.go
@@ -14,15 +14,15 @@
 // Values and the status line are left to net/http. A scanner is safe for concurrent use; the zero
 // value ignores everything until start.
 type headScanner struct {
-	mu     sync.Mutex
-	inside headPart
+	mu   sync.Mutex
+	part headPart
 	// statusLine holds the beginning of the status line.
 	statusLine []byte
-	// returns is set if the status line ended with a carriage return and a line feed. last is
-	// the byte before the current one.
-	returns bool
-	last    byte
-	broken  error
+	// crlf is set if the status line ended with a carriage return and a line feed. last is the
+	// byte before the current one.
+	crlf   bool
+	last   byte
+	broken error
 }
 
 // headPart is the part of a head that the next byte belongs to.
@@ -50,7 +50,7 @@
 }
 
 func (s *headScanner) startHead() {
-	s.inside = inStatusLine
+	s.part = inStatusLine
 	s.statusLine = s.statusLine[:0]
 }
 
@@ -66,7 +66,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, b := range p {
-		if s.inside == outsideHead {
+		if s.part == outsideHead {
 			return
 		}
 		s.step(b)
@@ -80,20 +80,20 @@
 		s.endLine()
 		return
 	}
-	switch s.inside {
+	switch s.part {
 	case inStatusLine:
 		if len(s.statusLine) < maxStatusLineBytes {
 			s.statusLine = append(s.statusLine, b)
 		}
 	case atLineStart:
 		if b == '\r' {
-			s.inside = inEmptyLine
+			s.part = inEmptyLine
 			return
 		}
 		s.stepName(b)
 	case inName:
 		if b == ':' {
-			s.inside = inValue
+			s.part = inValue
 			return
 		}
 		s.stepName(b)
@@ -104,7 +104,7 @@
 
 // stepName follows one byte of a name.
 func (s *headScanner) stepName(b byte) {
-	s.inside = inName
+	s.part = inName
 	if !isTokenByte(b) {
 		s.fail(fmt.Sprintf("the name of a field holds the byte %q", b))
 	}
@@ -112,23 +112,23 @@
 
 // endLine follows a line feed.
 func (s *headScanner) endLine() {
-	returns := s.last == '\r'
-	switch s.inside {
+	crlf := s.last == '\r'
+	switch s.part {
 	case inStatusLine:
-		s.returns = returns
-		s.inside = atLineStart
+		s.crlf = crlf
+		s.part = atLineStart
 		if !bytes.HasPrefix(s.statusLine, []byte("HTTP/")) {
 			// net/http rejects bytes that are no response.
-			s.inside = outsideHead
+			s.part = outsideHead
 		}
 	case inName:
 		s.fail("a field has no value")
 	case inValue:
-		s.inside = atLineStart
+		s.part = atLineStart
 	case atLineStart, inEmptyLine:
 		s.endHead()
 	}
-	if s.returns && !returns {
+	if s.crlf && !crlf {
 		s.fail("a line ends without a carriage return")
 	}
 }
@@ -137,7 +137,7 @@
 func (s *headScanner) endHead() {
 	_, status, _ := bytes.Cut(s.statusLine, []byte(" "))
 	status = bytes.TrimLeft(status, " ")
-	s.inside = outsideHead
+	s.part = outsideHead
 	if bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101")) {
 		s.startHead()
 	}
@@ -145,7 +145,7 @@
 
 // fail records that the head is broken. The rest of the connection is ignored.
 func (s *headScanner) fail(text string) {
-	s.inside = outsideHead
+	s.part = outsideHead
 	s.broken = fmt.Errorf("%w: %s", ErrProtocol, text)
 }
 
--- a/internal/router/brokenanswers_test.go
+++ b/internal/router/brokenanswers_test.go
@@ -111,6 +111,26 @@
 	}
 }
 
+// TestBrokenTrailer checks that a trailer whose name holds a blank does not reach the caller, and
+// that the others do.
+func TestBrokenTrailer(t *testing.T) {
+	addr := target(t, func(w http.ResponseWriter, req *http.Request) {
+		writeRaw(t, w, req, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X Trouble, X-Sound\r\n",
+			"5\r\nwhole\r\n0\r\nX-Sound: 1\r\nX Trouble: 1\r\nX-Trouble : 1\r\n\r\n")
+	})
+	h := newHarness(t, service("s1", addr))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET /v1/services/lab/x HTTP/1.1\r\nHost: x\r\nTE: trailers\r\nAuthorization: Bearer %s\r\nConnection: close\r\n\r\n", testKey)
+	answer, err := io.ReadAll(conn)
+	if text := string(answer); err != nil || !strings.HasSuffix(text, "5\r\nwhole\r\n0\r\nX-Sound: 1\r\n\r\n") || strings.Contains(text, "Trouble") {
+		t.Errorf("%q, error %v", text, err)
+	}
+}
+
 // resetEarly answers at once, with a response without a length, sends a part of its body, and
 // resets the connection while the request is still being written.
 func resetEarly(t *testing.T, w http.ResponseWriter, req *http.Request) {
