Forward: check the head of a new connection from its first byte

Callers of a target that sends its answer before it has read the request could get a broken head as an answer, in the moment between the opening of the connection and its first use: the scanner of heads started with the use. Found by reading; net/http drops nearly all such answers as unsolicited, and no run showed the case. The scanner now starts with the connection and again with each further request on it. TestHeadOnReusedConnection and TestHeads pass.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -21,8 +21,12 @@
 func (a *attempt) setConn(info httptrace.GotConnInfo) {
 	a.connected = true
 	a.reused = info.Reused
-	if conn, ok := info.Conn.(*targetConn); ok {
-		a.conn = conn
+	conn, ok := info.Conn.(*targetConn)
+	if !ok {
+		return
+	}
+	a.conn = conn
+	if a.reused {
 		conn.head.start()
 	}
 }
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -24,7 +24,9 @@
 		if err != nil {
 			return nil, err
 		}
-		return &targetConn{Conn: conn}, nil
+		c := &targetConn{Conn: conn}
+		c.head.start()
+		return c, nil
 	}
 }
 
--- a/internal/forward/early.go
+++ b/internal/forward/early.go
@@ -20,8 +20,8 @@
 	whole bool
 }
 
-// readBeginning reads the beginning of the body, and fails if the body breaks off there: the
-// request may then still go to another target, and nothing was sent to its caller.
+// readBeginning reads the beginning of the body, and fails if the body breaks off there: nothing
+// was sent to the caller then, and the request may still go to another target.
 func (r *Response) readBeginning() error {
 	buf := make([]byte, maxEarlyBytes)
 	for n := 0; n < len(buf); {
