--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -45,7 +45,7 @@
 	// Chat is the name of the chat that the router sends to an engine; it is empty for
 	// services.
 	Chat string
-	// Host is the Host header; if empty, Addr is a.
+	// Host is the Host header; if empty, Addr is used.
 	Host string
 	// Extra headers replace those of Header. They are sent unfiltered.
 	Extra http.Header
