Forward: the beginning of an early answer with the readers of io

A type, its method and a loop are gone. TestResetDuringUpload, TestResetOfLongAnswerDuringUpload and TestEndDuringUpload (0, 3, 2,048 and 6,144 bytes) pass unchanged, as do all tests of internal/forward with the race detector.

--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -38,8 +38,8 @@
 	client       *Client
 	// events follows a stream of events that ends with its connection; nil for others.
 	events *eventEnd
-	// beginning was read by Do; it is empty unless the response was early.
-	beginning beginning
+	// body is the whole body for the caller of Do, which may have read its beginning.
+	body io.Reader
 }
 
 func newResponse(ctx context.Context, cancel context.CancelCauseFunc, w *watchdog, httpResp *http.Response, r *Request, c *Client) *Response {
@@ -60,6 +60,7 @@
 	if !resp.Framed && IsEventStream(resp.Header.Get("Content-Type")) {
 		resp.events = &eventEnd{}
 	}
+	resp.body = &targetBody{resp}
 	return resp
 }
 
@@ -93,8 +94,14 @@
 	return nil
 }
 
-// readBody reads from the body after its beginning.
-func (r *Response) readBody(p []byte) (int, error) {
+// Read reads from the body.
+func (r *Response) Read(p []byte) (int, error) { return r.body.Read(p) }
+
+// targetBody is the body of a response as the target sends it.
+type targetBody struct{ *Response }
+
+// Read reads from the target.
+func (r *targetBody) Read(p []byte) (int, error) {
 	r.watchdog.start(r.nextTimeout)
 	n, err := r.httpResp.Body.Read(p)
 	r.watchdog.stop()
