--- a/internal/forward/head_test.go
+++ b/internal/forward/head_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strings"
 	"testing"
@@ -85,6 +87,29 @@
 	}
 }
 
+// TestHeadBeforeFirstUse guards against a broken head that is overlooked because the target sent
+// it before the connection was used for the first time.
+func TestHeadBeforeFirstUse(t *testing.T) {
+	here, there := net.Pipe()
+	defer here.Close()
+	go func() {
+		_, _ = io.WriteString(there, "HTTP/1.1 200 OK\r\nX Trouble: 1\r\n\r\n")
+		there.Close()
+	}()
+	conn, err := dialTarget(func(context.Context, string, string) (net.Conn, error) { return here, nil })(t.Context(), "tcp", "t")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(conn); err != nil {
+		t.Fatal(err)
+	}
+	a := &attempt{}
+	a.setConn(httptrace.GotConnInfo{Conn: conn})
+	if err := a.headErr(); !errors.Is(err, ErrProtocol) {
+		t.Errorf("error %v, want %v", err, ErrProtocol)
+	}
+}
+
 // readRaw returns the result of a request to a target that sends response and closes the
 // connection.
 func readRaw(t *testing.T, response string) (string, error) {
