--- a/internal/router/brokenanswers_test.go
+++ b/internal/router/brokenanswers_test.go
@@ -25,27 +25,49 @@
 	"line feed before a length": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\nContent-Length: 2\r\n",
 }
 
-// writeRaw writes a response as it is and closes the connection. head holds the status line and
-// the first fields; the field with the request's id follows.
-func writeRaw(t *testing.T, w http.ResponseWriter, req *http.Request, head, body string) {
-	_, _ = io.Copy(io.Discard, req.Body)
+// beginRaw writes a response as it is and returns the connection, nil after an error. head holds
+// the status line and the first fields; the field with the request's id follows.
+func beginRaw(t *testing.T, w http.ResponseWriter, req *http.Request, head, body string) *net.TCPConn {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		t.Error(err)
-		return
+		return nil
 	}
-	defer conn.Close()
 	if _, err := fmt.Fprintf(conn, "%s%s: %s\r\n\r\n%s", head, headerRequestID, req.Header.Get(headerRequestID), body); err != nil {
 		t.Error(err)
 	}
+	return conn.(*net.TCPConn)
 }
 
-// brokenKinds are requests of each kind, by the kind.
-var brokenKinds = map[string]struct {
+// writeRaw reads the request, writes a response as it is and closes the connection.
+func writeRaw(t *testing.T, w http.ResponseWriter, req *http.Request, head, body string) {
+	_, _ = io.Copy(io.Discard, req.Body)
+	if conn := beginRaw(t, w, req, head, body); conn != nil {
+		conn.Close()
+	}
+}
+
+// resetEarly answers at once, with a response without a length, sends a part of its body, and
+// resets the connection while the request is still being written.
+func resetEarly(t *testing.T, w http.ResponseWriter, req *http.Request) {
+	conn := beginRaw(t, w, req, "HTTP/1.1 200 OK\r\n", "part")
+	if conn == nil {
+		return
+	}
+	time.Sleep(10 * time.Millisecond)
+	_ = conn.SetLinger(0)
+	conn.Close()
+}
+
+// kindOfRequest is one kind of request; key is its idempotency key, empty for none.
+type kindOfRequest struct {
 	method, path, body, key string
 	// repeated is set if the request is sent a second time after its first answer.
 	repeated bool
-}{
+}
+
+// brokenKinds are requests of each kind, by the kind.
+var brokenKinds = map[string]kindOfRequest{
 	"chat":            {http.MethodPost, "/v1/chat/completions", plainChat, "", false},
 	"stream":          {http.MethodPost, "/v1/chat/completions", streamChat, "", false},
 	"lookup":          {http.MethodGet, "/v1/services/lab/lookup", "", "", false},
@@ -58,16 +80,16 @@
 const maxErrorStatus = 599
 
 // checkUnknownOutcome checks that a request to h gets an error with the outcome unknown.
-func checkUnknownOutcome(t *testing.T, h *harness, method, path, body, key string, repeated bool) {
+func (k kindOfRequest) checkUnknownOutcome(t *testing.T, h *harness) {
 	t.Helper()
 	var header []string
-	if key != "" {
-		header = []string{"Idempotency-Key", key}
+	if k.key != "" {
+		header = []string{"Idempotency-Key", k.key}
 	}
-	if repeated {
-		_, _, _ = h.do(t, method, path, body, header...)
+	if k.repeated {
+		_, _, _ = h.do(t, k.method, k.path, k.body, header...)
 	}
-	resp, got, err := h.do(t, method, path, body, header...)
+	resp, got, err := h.do(t, k.method, k.path, k.body, header...)
 	if err != nil || resp.StatusCode < http.StatusBadRequest || resp.StatusCode > maxErrorStatus || resp.Header.Get(headerOutcome) != "unknown" {
 		t.Errorf("%v %q, error %v, want an error with the outcome unknown", resp, got, err)
 	}
@@ -76,12 +98,11 @@
 // TestBrokenHeads guards against a response whose head is broken and that reaches the caller as
 // an answer, and against a caller whose connection ends without a status because of one.
 func TestBrokenHeads(t *testing.T) {
-	for kind, request := range brokenKinds {
-		for name, head := range brokenHeads {
-			t.Run(kind+"/"+name, func(t *testing.T) {
+	for name, kind := range brokenKinds {
+		for fault, head := range brokenHeads {
+			t.Run(name+"/"+fault, func(t *testing.T) {
 				addr := target(t, func(w http.ResponseWriter, req *http.Request) { writeRaw(t, w, req, head, "whole") })
-				h := newHarness(t, engine("e1", addr), service("s1", addr))
-				checkUnknownOutcome(t, h, request.method, request.path, request.body, request.key, request.repeated)
+				kind.checkUnknownOutcome(t, newHarness(t, engine("e1", addr), service("s1", addr)))
 			})
 		}
 	}
@@ -92,20 +113,20 @@
 func TestResetsDuringUploads(t *testing.T) {
 	const uploadBytes, uploads = 12 << 20, 4
 	long := strings.Repeat("x", uploadBytes)
-	for kind, request := range brokenKinds {
-		body := strings.Replace(request.body, "hi", long, 1)
-		if !strings.Contains(body, long) {
-			body = long
-		}
-		t.Run(kind, func(t *testing.T) {
+	for name, kind := range brokenKinds {
+		t.Run(name, func(t *testing.T) {
 			addr := target(t, func(w http.ResponseWriter, req *http.Request) { resetEarly(t, w, req) })
 			h := newHarnessWithConfig(t, Config{Bounds: Bounds{MaxBodyBytes: 2 * uploadBytes}}, engine("e1", addr), service("s1", addr))
+			upload := kind
+			upload.body = strings.Replace(kind.body, "hi", long, 1)
+			if len(upload.body) < uploadBytes {
+				upload.body = long
+			}
 			for i := range uploads {
-				key := request.key
-				if key != "" {
-					key += fmt.Sprint(i)
+				if kind.key != "" {
+					upload.key = fmt.Sprint(kind.key, i)
 				}
-				checkUnknownOutcome(t, h, request.method, request.path, body, key, request.repeated)
+				upload.checkUnknownOutcome(t, h)
 			}
 		})
 	}
@@ -130,19 +151,3 @@
 		t.Errorf("%q, error %v", text, err)
 	}
 }
-
-// resetEarly answers at once, with a response without a length, sends a part of its body, and
-// resets the connection while the request is still being written.
-func resetEarly(t *testing.T, w http.ResponseWriter, req *http.Request) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		t.Error(err)
-		return
-	}
-	defer conn.Close()
-	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\npart", headerRequestID, req.Header.Get(headerRequestID)); err != nil {
-		t.Error(err)
-	}
-	time.Sleep(10 * time.Millisecond)
-	_ = conn.(*net.TCPConn).SetLinger(0)
-}
