--- a/review/lab3/process.go
+++ b/review/lab3/process.go
@@ -26,13 +26,14 @@
 // serverProcess is a stand-in for a server that runs as a process of its own, so that it can be
 // killed.
 type serverProcess struct {
-	fleet     *fleet
 	id        string
 	service   string
 	zone      string
 	addr      string
 	announced string
-	cmd       *exec.Cmd
+	// controls are the addresses at which the server reaches the core machines.
+	controls []string
+	cmd      *exec.Cmd
 }
 
 // start starts the process, which announces itself as a new incarnation.
@@ -41,12 +42,8 @@
 	if err != nil {
 		return err
 	}
-	var controls []string
-	for _, m := range s.fleet.cores {
-		controls = append(controls, m.controlAddr())
-	}
 	s.cmd = exec.Command(program, serverMode, "-id", s.id, "-service", s.service, "-zone", s.zone,
-		"-addr", s.addr, "-announced", s.announced, "-controls", strings.Join(controls, ","))
+		"-addr", s.addr, "-announced", s.announced, "-controls", strings.Join(s.controls, ","))
 	s.cmd.Stderr = os.Stderr
 	return s.cmd.Start()
 }
--- a/review/lab3/reborn.go
+++ b/review/lab3/reborn.go
@@ -48,14 +48,14 @@
 		return nil, err
 	}
 	var servers []*serverProcess
-	var links []*proxy
+	var links []*serverLinks
 	for i := range rebornServers {
 		s, p, err := startBehindProxy(f, i)
 		if err != nil {
 			return nil, err
 		}
 		defer s.kill()
-		defer p.listener.Close()
+		defer p.close()
 		servers, links = append(servers, s), append(links, p)
 	}
 	time.Sleep(2 * heartbeatTime)
@@ -65,7 +65,7 @@
 	if l.trouble {
 		busiest := 0
 		for i, p := range links {
-			if p.connections() > links[busiest].connections() {
+			if p.routers.connections() > links[busiest].routers.connections() {
 				busiest = i
 			}
 		}
@@ -77,23 +77,52 @@
 	return streams.shortened(), nil
 }
 
-// startBehindProxy starts a server that routers reach through a proxy.
-func startBehindProxy(f *fleet, i int) (*serverProcess, *proxy, error) {
+// serverLinks are the links of one server: to the routers, and to each core machine.
+type serverLinks struct {
+	routers  *proxy
+	controls []*proxy
+}
+
+func (s *serverLinks) setCut(cut bool) {
+	s.routers.setCut(cut)
+	for _, p := range s.controls {
+		p.setCut(cut)
+	}
+}
+
+func (s *serverLinks) close() {
+	s.routers.listener.Close()
+	for _, p := range s.controls {
+		p.listener.Close()
+	}
+}
+
+// startBehindProxy starts a server that routers reach through a proxy, and that reaches the core
+// machines through others.
+func startBehindProxy(f *fleet, i int) (*serverProcess, *serverLinks, error) {
 	free, err := freePorts("127.0.0.1", 1)
 	if err != nil {
 		return nil, nil, err
 	}
 	backend := fmt.Sprintf("127.0.0.1:%d", free[0])
-	p, err := newProxy(backend)
-	if err != nil {
+	links := &serverLinks{}
+	if links.routers, err = newProxy(backend); err != nil {
 		return nil, nil, err
 	}
-	s := &serverProcess{fleet: f, id: fmt.Sprintf("i-%d", i+1), service: "drafter", zone: zones[i%len(zones)], addr: backend, announced: p.addr()}
-	return s, p, s.start()
+	s := &serverProcess{id: fmt.Sprintf("i-%d", i+1), service: "drafter", zone: zones[i%len(zones)], addr: backend, announced: links.routers.addr()}
+	for _, m := range f.cores {
+		p, err := newProxy(m.controlAddr())
+		if err != nil {
+			return nil, nil, err
+		}
+		links.controls = append(links.controls, p)
+		s.controls = append(s.controls, p.addr())
+	}
+	return s, links, s.start()
 }
 
 // reborn cuts a server off, kills it and starts it again, and joins it again.
-func reborn(l *lab, s *serverProcess, link *proxy) error {
+func reborn(l *lab, s *serverProcess, link *serverLinks) error {
 	began := time.Now()
 	link.setCut(true)
 	l.log.say("server %s is cut off", s.id)
