--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -37,6 +37,7 @@
 var cases = map[string]func(l *lab) (breaks []string, err error){
 	"release-streams": releaseStreams,
 	"reborn":          rebornBehindCut,
+	"paths":           changedPaths,
 }
 
 func main() {
