--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -39,6 +39,7 @@
 	"reborn":          rebornBehindCut,
 	"paths":           changedPaths,
 	"last-tenant":     lastTenant,
+	"same-place":      samePlace,
 }
 
 func main() {
