Forward: prove the end of an unframed answer by the process that sent it

Cause: the proof of such an end was that the address accepts a connection. That shows that somebody listens there, not that the process which began the answer outlived it.

Change: an answer without framing that takes its time gets a witness, a second connection to its target that carries no request and that all such answers of one target share. It belongs to the process of the answer if it was open before the request was sent or before data arrived, and if it is open after the end, that process lives. If the witness ended together with the answer and the address accepts connections, the target's announcements decide. Answers too short for a witness are broken off if a later start is known under the target's id or at its address, and wait for the next announcement only if announcements are overdue.

--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -35,9 +35,8 @@
 	NotRun func(status int, h http.Header) bool
 	// Hints returns the hints in a response; nil if targets send none.
 	Hints func(status int, h http.Header) Hints
-	// Leaves reports whether a target is known to leave, or to have left, as planned; nil if
-	// that is never known.
-	Leaves func(target *pb.TargetStatus) bool
+	// Life returns what is known of the process that announced a target; nil if nothing ever is.
+	Life func(target *pb.TargetStatus) forward.Life
 }
 
 // Name returns the filter's name in specs.
@@ -50,8 +49,8 @@
 		return errs.Wrap(err, StepForward, "")
 	}
 	r := x.forwardRequest(f.Timeouts(x), x.Tries > 1)
-	if target := x.Grant.Target; f.Leaves != nil {
-		r.Leaving = func() bool { return f.Leaves(target) }
+	if target := x.Grant.Target; f.Life != nil {
+		r.Life = func() forward.Life { return f.Life(target) }
 	}
 	a, err := f.Sender.Do(ctx, r)
 	if err != nil {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 )
 
 // attempt is what is known of one request to a target while the Transport handles it.
@@ -15,6 +16,10 @@
 	reused    bool
 	// upload is the body of the request.
 	upload onceReader
+	// sentAt is when the request was handed to the Transport. witness is the witness that was
+	// open then; nil if there was none.
+	sentAt  time.Time
+	witness *witness
 }
 
 // setConn records the connection, before any byte of the request is sent.
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -64,9 +64,8 @@
 	// to wait; zero ends the attempt with ErrSilent. It may be nil, and it is called by
 	// another goroutine.
 	OnSilence func() time.Duration
-	// Leaving reports whether the target is known to leave or to have left as planned; nil
-	// if nothing is known of that.
-	Leaving func() bool
+	// Life returns what is known of the target's process; nil if nothing is.
+	Life func() Life
 	// OnSend is called once a connection is available, before any byte of the
 	// request can be sent.
 	OnSend func()
@@ -97,7 +96,14 @@
 	unframed   tally.Counter
 	// leftTargets counts the responses without framing whose target had left when they ended.
 	leftTargets tally.Counter
-	breaks      breakLog
+	// witnessed counts those that a witness proved complete, awaited those whose end waited
+	// for an announcement of the target.
+	witnessed tally.Counter
+	awaited   tally.Counter
+	breaks    breakLog
+	witnesses *witnesses
+	// stop ends what runs in the background.
+	stop context.CancelFunc
 }
 
 // New creates a Client.
@@ -118,6 +124,7 @@
 		c.Dialect = defaultDialect
 	}
 	scope := c.Scope.SubScope("forward")
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		keepAlive:  newTransport(c, false),
 		singleUse:  newTransport(c, true),
@@ -130,6 +137,10 @@
 		unframed:   scope.Counter("unframed_answers"),
 
 		leftTargets: scope.Counter("unframed_answers_of_left_targets"),
+		witnessed:   scope.Counter("unframed_answers_witnessed"),
+		awaited:     scope.Counter("unframed_answers_awaited"),
+		witnesses:   newWitnesses(ctx, c.Dial),
+		stop:        cancel,
 	}
 }
 
@@ -152,6 +163,7 @@
 
 // Close closes the idle connections.
 func (c *Client) Close() {
+	c.stop()
 	c.keepAlive.CloseIdleConnections()
 	c.singleUse.CloseIdleConnections()
 }
@@ -162,7 +174,7 @@
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := newWatchdog(r.onSilence, func() { cancel(ErrSilent) })
-	a := &attempt{}
+	a := &attempt{sentAt: time.Now(), witness: c.witnesses.existing(r.Addr)}
 	req := c.buildRequest(ctx, r, a)
 	w.start(r.FirstByte)
 	httpResp, err := c.transport(r).RoundTrip(req)
@@ -174,11 +186,12 @@
 		err = ErrSilent
 	}
 	if err != nil {
+		c.witnesses.release(a.witness)
 		err = c.roundTripError(err, context.Cause(ctx), r.Addr, a)
 		cancel(nil)
 		return nil, errs.Wrap(err, Step, r.Target)
 	}
-	resp := newResponse(ctx, cancel, w, httpResp, r, c)
+	resp := newResponse(ctx, cancel, w, httpResp, r, c, a)
 	c.echoCache.record(r.Addr, httpResp.Header.Get(c.dialect.RequestID) == r.RequestID)
 	if err := c.checkResponse(resp, r, httpResp, a); err != nil {
 		resp.abort()
@@ -215,6 +228,14 @@
 	return err
 }
 
+// life returns what is known of the target's process.
+func (r *Request) life() Life {
+	if r.Life == nil {
+		return Life{}
+	}
+	return r.Life()
+}
+
 // onSilence returns how much longer to wait for a target that is silent.
 func (r *Request) onSilence() time.Duration {
 	if r.OnSilence == nil {
--- a/internal/forward/doc.go
+++ b/internal/forward/doc.go
@@ -2,7 +2,7 @@
 // one target over net/http's Transport. Reading the body of a response ends without
 // an error only if the body is complete according to its framing (Content-Length or
 // chunked encoding). A response without framing ends when its connection closes; it
-// is complete only if its target still accepts connections then or leaves as planned.
+// is complete only if the process that sent it lives on or leaves as planned.
 // Response.Framed tells the two framings apart. A response whose head is broken is an
 // error.
 //
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -21,9 +21,9 @@
 	// Length is the declared length of the body, or -1 if it is unknown.
 	Length int64
 	// Framed is set if the response marks the end of its body. Otherwise the body
-	// ends when the connection closes. It counts as truncated if the target accepts no
-	// connections after that, unless it is known to leave; a truncation by a target that
-	// serves on cannot be detected.
+	// ends when the connection closes. It counts as truncated if the process that sent it
+	// did not outlive it, unless the target is known to leave; a truncation by a process
+	// that lives on cannot be detected.
 	Framed bool
 
 	httpResp *http.Response
@@ -36,13 +36,15 @@
 	betweenBytes time.Duration
 	request      *Request
 	client       *Client
-	// events follows a stream of events that ends with its connection; nil for others.
+	// end decides on the end of a response without framing; nil for others. events follows a
+	// stream of events among them; nil for others.
+	end    *connectionEnd
 	events *eventEnd
 	// body is the whole body for the caller of Do, which may have read its beginning.
 	body io.Reader
 }
 
-func newResponse(ctx context.Context, cancel context.CancelCauseFunc, w *watchdog, httpResp *http.Response, r *Request, c *Client) *Response {
+func newResponse(ctx context.Context, cancel context.CancelCauseFunc, w *watchdog, httpResp *http.Response, r *Request, c *Client, a *attempt) *Response {
 	resp := &Response{
 		Status:       httpResp.StatusCode,
 		Header:       copyEndToEnd(httpResp.Header, c.dialect.IsReservedResponseHeader),
@@ -57,6 +59,11 @@
 		request:      r,
 		client:       c,
 	}
+	if resp.Framed {
+		c.witnesses.release(a.witness)
+	} else {
+		resp.end = &connectionEnd{client: c, request: r, witness: a.witness, sentAt: a.sentAt}
+	}
 	if !resp.Framed && IsEventStream(resp.Header.Get("Content-Type")) {
 		resp.events = &eventEnd{}
 	}
@@ -102,10 +109,14 @@
 
 // Read reads from the target.
 func (r *targetBody) Read(p []byte) (int, error) {
+	began := time.Now()
 	r.watchdog.start(r.nextTimeout)
 	n, err := r.httpResp.Body.Read(p)
 	r.watchdog.stop()
 	r.nextTimeout = r.betweenBytes
+	if r.end != nil {
+		r.end.recordRead(began, n)
+	}
 	if r.events != nil {
 		r.events.write(p[:n])
 	}
@@ -128,13 +139,13 @@
 
 // checkEnd returns an error if the end of the body is not the end of the response.
 func (r *Response) checkEnd() error {
-	if r.Framed {
+	if r.end == nil {
 		return nil
 	}
 	if r.events != nil && !r.events.afterEvent {
 		return errInsideEvent
 	}
-	return r.client.confirmEnd(r.ctx, r.request)
+	return r.end.confirm(r.ctx)
 }
 
 // Trailer returns the trailers without hop-by-hop and reserved ones. They are
@@ -156,6 +167,9 @@
 	r.watchdog.stop()
 	r.cancel(nil)
 	r.httpResp.Body.Close()
+	if r.end != nil {
+		r.end.release()
+	}
 }
 
 // countFailure counts mismatched, silent, truncated and invalid responses; other errors are
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -17,18 +17,18 @@
 // target that leaves as planned refuses connections, one at its connection limit resets them,
 // and a target that is silent accepts late.
 func TestConnectionEndOfATarget(t *testing.T) {
-	leaving := func() bool { return true }
+	leaving := func() Life { return Life{Leaves: true} }
 	for name, test := range map[string]struct {
 		// afterwards is what the target does with new connections.
 		afterwards func(ln net.Listener)
-		leaving    func() bool
+		leaving    func() Life
 		// broken is set if another response of the target breaks off at the same time.
 		broken bool
 		err    error
 	}{
 		"serves on":           {afterwards: acceptAll},
 		"refuses connections": {afterwards: func(ln net.Listener) { ln.Close() }, err: ErrTruncated},
-		"refuses connections, not known to leave":      {afterwards: func(ln net.Listener) { ln.Close() }, leaving: func() bool { return false }, err: ErrTruncated},
+		"refuses connections, not known to leave":      {afterwards: func(ln net.Listener) { ln.Close() }, leaving: func() Life { return Life{} }, err: ErrTruncated},
 		"refuses connections, leaves":                  {afterwards: func(ln net.Listener) { ln.Close() }, leaving: leaving},
 		"refuses connections, leaves and crashes":      {afterwards: func(ln net.Listener) { ln.Close() }, leaving: leaving, broken: true, err: ErrTruncated},
 		"resets connections at its limit":              {afterwards: resetAll},
@@ -43,7 +43,7 @@
 			c := New(Config{})
 			defer c.Close()
 			r := request(addr, true, "")
-			r.Leaving = test.leaving
+			r.Life = test.leaving
 			resp, err := c.Do(context.Background(), r)
 			if test.broken {
 				c.breaks.record(addr)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,8 +43,8 @@
 	// called with them for each response.
 	Hints   func(status int, h http.Header) filter.Hints
 	OnHints func(target *pb.TargetStatus, requestID string, h filter.Hints)
-	// Leaves reports whether a target is known to leave, or to have left, as planned.
-	Leaves func(target *pb.TargetStatus) bool
+	// Life returns what is known of the process that announced a target.
+	Life func(target *pb.TargetStatus) forward.Life
 	// Observer receives the records of finished requests; may be nil.
 	Observer filter.Observer
 	Logger   *log.Logger
@@ -108,7 +108,7 @@
 			Timeouts: func(x *filter.Exchange) filter.Timeouts { return filter.TryTimeouts(x, time.Now()) },
 			NotRun:   c.NotRun,
 			Hints:    c.Hints,
-			Leaves:   c.Leaves,
+			Life:     c.Life,
 		},
 	)
 	g.chain = chain
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -176,7 +176,7 @@
 		Prepare:  in.cfg.Prepare,
 		NotRun:   in.cfg.NotRun,
 		Hints:    in.cfg.Hints,
-		Leaves:   func(st *pb.TargetStatus) bool { return in.members.HasLeft(st.Id, st.Incarnation) },
+		Life:     in.targetLife,
 		OnHints:  in.applyHints,
 		Observer: in.reports.observer(),
 		Logger:   in.logger,
@@ -186,6 +186,12 @@
 	return err
 }
 
+// targetLife returns what is known of the process that announced a target.
+func (in *Routed) targetLife(st *pb.TargetStatus) forward.Life {
+	l := in.members.TargetLife(st)
+	return forward.Life{Leaves: l.Left, Replaced: l.Replaced, HeardAt: l.ProvenAt, Overdue: l.Overdue}
+}
+
 // handlePlacing passes a message of another router about a slot to the picker. The message
 // requests a slot at a target for one request, replies with the slot's target or with the
 // reason why there is none, or releases a slot.
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -259,13 +259,11 @@
 	return known
 }
 
-// HasLeft reports whether this incarnation of a target is known to leave, or to have left, as
-// planned.
-func (m *Members) HasLeft(id string, incarnation uint64) bool {
+// TargetLife returns what is known of the incarnation of a target that announced st.
+func (m *Members) TargetLife(st *pb.TargetStatus) TargetLife {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	past, known := m.core.history.get(id)
-	return known && past.incarnation == incarnation && past.left
+	return m.core.targetLife(time.Now(), st)
 }
 
 // SetState publishes this router's state.
