Gateway: answer with a status until the body of an answer has begun

Cause: the head of the target's response counted as the answer. From then on an error of the body could only abort the connection, although net/http holds the head back until the first bytes of the body.

Change: in Dispatch an answer that is no stream of events counts once the first bytes of its body, or its end, have arrived; a failure before is one of the try. The gateway reads the first chunk before it writes the status, and answers 504 at the time limit and 502 otherwise. The wait for the first byte of the body has the bound of the wait for the head, so FirstBody, which was there because the head had left, is gone.

Paths with the same cause: length, chunks, events and no length, each with silence, reset, close and a broken chunk, on all four kinds of request, also where another target has taken over a stream.

--- a/internal/filter/answer.go
+++ b/internal/filter/answer.go
@@ -26,3 +26,14 @@
 	// Hints are the drain and backpressure signals of the target.
 	Hints Hints
 }
+
+// awaitBody waits for the first bytes of the body, or its end. It returns an error if the body
+// fails before them.
+func (a *Answer) awaitBody() error {
+	head, end, err := readFirst(a.Body)
+	if err != nil {
+		return err
+	}
+	a.Body = &prefixedBody{prefix: head, end: end, body: a.Body}
+	return nil
+}
--- a/internal/filter/check.go
+++ b/internal/filter/check.go
@@ -17,8 +17,8 @@
 // byte.
 const peekBytes = 16 << 10
 
-// streamPeekBytes bounds the first read from a stream.
-const streamPeekBytes = 4 << 10
+// firstReadBytes bounds the first read of a body.
+const firstReadBytes = 4 << 10
 
 // Check is the filter of StepCheck and detects truncated answers: either the caller
 // receives the complete answer, or reading the body of the answer fails with an error.
@@ -48,36 +48,49 @@
 		x.Answer = nil
 		return err
 	}
-	a.Body = &prefixedBody{prefix: head, complete: end, body: a.Body}
+	a.Body = &prefixedBody{prefix: head, end: end, body: a.Body}
 	return nil
 }
 
 // peek reads the first bytes of a stream, or up to peekBytes of a plain answer. Answers
 // of known length and answers of chats are plain unless they are event streams. end is
-// set if head is the full body.
-func peek(a *Answer, chat bool) (head []byte, end bool, err error) {
+// io.EOF if head is the full body.
+func peek(a *Answer, chat bool) (head []byte, end, err error) {
 	plain := a.Length >= 0 || chat
 	if a.Events || !plain {
-		buf := make([]byte, streamPeekBytes)
-		n, err := a.Body.Read(buf)
-		if err == io.EOF {
-			return buf[:n], true, nil
-		}
-		return buf[:n], false, err
+		return readFirst(a.Body)
 	}
 	head, err = io.ReadAll(io.LimitReader(a.Body, peekBytes))
 	if err != nil {
-		return nil, false, err
+		return nil, nil, err
+	}
+	if len(head) < peekBytes {
+		end = io.EOF
+	}
+	return head, end, nil
+}
+
+// readFirst reads the first bytes of a body. It fails if the body fails before them; end is the
+// result of the read, which must not be repeated if it is not nil.
+func readFirst(body io.Reader) (head []byte, end, err error) {
+	buf := make([]byte, firstReadBytes)
+	n := 0
+	for n == 0 && end == nil {
+		n, end = body.Read(buf)
+	}
+	if n == 0 && !errors.Is(end, io.EOF) {
+		return nil, nil, end
 	}
-	return head, len(head) < peekBytes, nil
+	return buf[:n], end, nil
 }
 
 // prefixedBody is a body whose beginning was read already.
 type prefixedBody struct {
 	prefix []byte
-	// complete is set if prefix is the full body.
-	complete bool
-	body     io.ReadCloser
+	// end is the result of reading on after prefix, if that is known: io.EOF if prefix is the
+	// full body.
+	end  error
+	body io.ReadCloser
 }
 
 // Read returns the beginning that was read already, then the rest of the body.
@@ -87,8 +100,8 @@
 		b.prefix = b.prefix[n:]
 		return n, nil
 	}
-	if b.complete {
-		return 0, io.EOF
+	if b.end != nil {
+		return 0, b.end
 	}
 	return b.body.Read(p)
 }
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -103,7 +103,7 @@
 	if err := work.run(ctx); err != nil {
 		return err
 	}
-	if x.Stream && forward.IsEventStream(x.Answer.Header.Get("Content-Type")) {
+	if work.isEventAnswer(x.Answer.Header) {
 		x.Answer.Events = true
 		// The stream may be resumed at a target whose events have other lengths.
 		x.Answer.Length = -1
@@ -349,29 +349,37 @@
 	began := time.Now()
 	err := d.next(ctx, x)
 	if err != nil {
-		switch {
-		case !x.Token.Spent():
-			d.notRun++
-		case !errors.Is(err, forward.ErrDial):
-			// An earlier try may have spent the token; without a connection this one did not run.
-			d.recordRun()
-		}
-		d.recordSilent(err)
-		c.Done(failedTryOutcome(err, time.Since(began), x.Route.Goal))
-		if errors.Is(err, forward.ErrReusedConnection) {
-			// The target may have closed the idle connection in the meantime. The same
-			// target may succeed on a new connection.
-			d.exclude = d.exclude[:len(d.exclude)-1]
-		}
+		d.recordFailedTry(err, time.Since(began))
 		return err
 	}
-	return d.acceptOrDrop(c)
+	return d.acceptOrDrop(c, began)
+}
+
+// recordFailedTry records that the current try failed with err after elapsed, and releases its
+// slot.
+func (d *dispatch) recordFailedTry(err error, elapsed time.Duration) {
+	switch {
+	case !d.x.Token.Spent():
+		d.notRun++
+	case !errors.Is(err, forward.ErrDial):
+		// An earlier try may have spent the token; without a connection this one did not run.
+		d.recordRun()
+	}
+	d.recordSilent(err)
+	d.choice.Done(failedTryOutcome(err, elapsed, d.x.Route.Goal))
+	if errors.Is(err, forward.ErrReusedConnection) {
+		// The target may have closed the idle connection in the meantime. The same target
+		// may succeed on a new connection.
+		d.exclude = d.exclude[:len(d.exclude)-1]
+	}
 }
 
-// acceptOrDrop accepts the answer. If the target declined the request, or failed it and
-// another target may be tried, acceptOrDrop returns an error. It discards the answer of a
-// target that declined, and keeps that of one that failed until another one answers.
-func (d *dispatch) acceptOrDrop(c balance.Choice) error {
+// acceptOrDrop accepts the answer to the try that began at began. If the target declined the
+// request, or failed it and another target may be tried, acceptOrDrop returns an error. It
+// discards the answer of a target that declined, and keeps that of one that failed until another
+// one answers. An answer that breaks off before its body has begun is a failed try as well: the
+// caller has got nothing of it.
+func (d *dispatch) acceptOrDrop(c balance.Choice, began time.Time) error {
 	a := d.x.Answer
 	d.reportHints(c.Target, a)
 	switch {
@@ -389,10 +397,18 @@
 		c.Done(balance.Failed)
 		return errs.Wrap(errFailed, StepDispatch, c.Target.Id)
 	}
+	events := d.isEventAnswer(a.Header)
+	if !events {
+		if err := a.awaitBody(); err != nil {
+			d.dropAnswer()
+			d.recordFailedTry(err, time.Since(began))
+			return err
+		}
+	}
 	d.failure = failure{}
 	d.recordRun()
 	d.accepted.Store(true)
-	if !d.isEventAnswer(a.Header) {
+	if !events {
 		d.recordFirstEvent()
 	}
 	d.x.OnEnd(func(u Usage) { c.Done(answerOutcome(a, u)) })
--- a/internal/filter/exchange.go
+++ b/internal/filter/exchange.go
@@ -177,7 +177,6 @@
 		Idempotent:    x.Idempotent,
 		NewConnection: fresh,
 		FirstByte:     t.FirstByte,
-		FirstBody:     t.FirstBody,
 		OnSilence:     x.OnSilence,
 		BetweenBytes:  t.BetweenBytes,
 		OnSend:        x.onSend,
--- a/internal/filter/forward.go
+++ b/internal/filter/forward.go
@@ -12,10 +12,9 @@
 
 // Timeouts bound one try at a target.
 type Timeouts struct {
-	// FirstByte bounds the wait for the header and first byte of the response. FirstBody,
-	// if not zero, replaces it for the first byte of the body.
+	// FirstByte bounds the wait for the header of the response, and again that for the first
+	// byte of its body.
 	FirstByte time.Duration
-	FirstBody time.Duration
 	// BetweenBytes bounds each further wait within the response.
 	BetweenBytes time.Duration
 }
--- a/internal/filter/retry.go
+++ b/internal/filter/retry.go
@@ -69,8 +69,12 @@
 
 // rejectUnknownOutcome rejects a request that may have run.
 func (d *dispatch) rejectUnknownOutcome(text string) error {
-	d.x.Token.Spend()
-	return d.x.Reject(Rejection{
+	return rejectUnknownOutcome(d.x, text)
+}
+
+func rejectUnknownOutcome(x *Exchange, text string) *Rejection {
+	x.Token.Spend()
+	return x.Reject(Rejection{
 		Status:  http.StatusBadGateway,
 		Code:    "target-failed",
 		Message: text,
@@ -78,6 +82,14 @@
 	})
 }
 
+// RejectUnbegun rejects a routed request whose answer failed with err before its body began.
+func RejectUnbegun(x *Exchange, err error) *Rejection {
+	if errors.Is(err, forward.ErrCallerGone) || !time.Now().Before(x.Deadline) {
+		return rejectCallerGone(x)
+	}
+	return rejectUnknownOutcome(x, err.Error())
+}
+
 // mayRepeatNow reports whether the request may be sent again: allowRepeat has allowed that
 // already if another target has a place for it.
 func (d *dispatch) mayRepeatNow() bool { return d.successor.held() || d.allowRepeat() }
--- a/internal/filter/timeouts.go
+++ b/internal/filter/timeouts.go
@@ -20,16 +20,15 @@
 // TryTimeouts returns the timeouts of one try of a routed request. A request that may
 // be repeated at another target doesn't spend all of its time on one target. All other
 // requests, and the last permitted try, may use the time until the deadline. So may the
-// body of a response that can't be resumed: its header is with the caller already.
+// rest of a response that can't be resumed, once its body has begun.
 func TryTimeouts(x *Exchange, now time.Time) Timeouts {
 	left := x.Deadline.Sub(now)
-	t := Timeouts{FirstByte: left, FirstBody: left, BetweenBytes: left}
+	t := Timeouts{FirstByte: left, BetweenBytes: left}
 	if !x.Idempotent || x.OtherTargets == 0 || x.Tries >= x.Route.MaxTargets {
 		return t
 	}
 	t.FirstByte = firstByteLimit(x, now)
 	if x.Route.Kind == routing.Stream {
-		t.FirstBody = t.FirstByte
 		t.BetweenBytes = max(streamSilenceGaps*x.Route.GapGoal, minStreamSilence)
 	}
 	return t
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -55,10 +55,8 @@
 	NewConnection bool
 	// FirstByte and BetweenBytes are timeouts; zero means no limit. FirstByte applies
 	// to the wait for the response header and again to the first read of the body,
-	// BetweenBytes to each later read. FirstBody, if not zero, replaces FirstByte for the
-	// first read.
+	// BetweenBytes to each later read.
 	FirstByte    time.Duration
-	FirstBody    time.Duration
 	BetweenBytes time.Duration
 	// OnSilence is called when one of these timeouts has passed. It returns how much longer
 	// to wait; zero ends the attempt with ErrSilent. It may be nil, and it is called by
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -30,8 +29,8 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	watchdog *watchdog
-	// nextTimeout bounds the next read of the body: the first by Request.FirstBody or
-	// FirstByte, later ones by betweenBytes.
+	// nextTimeout bounds the next read of the body: the first by Request.FirstByte, later
+	// ones by betweenBytes.
 	nextTimeout  time.Duration
 	betweenBytes time.Duration
 	request      *Request
@@ -54,7 +53,7 @@
 		ctx:          ctx,
 		cancel:       cancel,
 		watchdog:     w,
-		nextTimeout:  cmp.Or(r.FirstBody, r.FirstByte),
+		nextTimeout:  r.FirstByte,
 		betweenBytes: r.BetweenBytes,
 		request:      r,
 		client:       c,
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -13,9 +13,21 @@
 // writeGrace is how long after a request's deadline its answer may still be written.
 const writeGrace = 2 * time.Second
 
-// writeAnswer writes the answer to the caller. It aborts the connection if the answer
-// is truncated, so that the caller can't take the truncated answer for a complete one.
+// writeAnswer writes the answer to the caller. It writes a rejection instead if the answer fails
+// before its body begins, and aborts the connection if it is truncated later, so that the caller
+// can't take the truncated answer for a complete one.
 func (g *Gateway) writeAnswer(w http.ResponseWriter, req *http.Request, x *filter.Exchange) {
+	last := time.Now()
+	body := relay.Body{
+		Source:  x.Answer.Body,
+		Flush:   x.Answer.Events,
+		OnChunk: func([]byte) { last = time.Now() },
+	}
+	if err := body.Begin(); err != nil {
+		x.SetUsage(filter.Usage{Failed: targetFailed(err, time.Since(last))})
+		g.writeRejection(w, x, filter.RejectUnbegun(x, err))
+		return
+	}
 	res := result{status: x.Answer.Status, outcome: filter.OutcomeRun}
 	// The error can be ignored: only the response writers of tests don't support
 	// deadlines.
@@ -30,12 +42,6 @@
 		g.cfg.Logger.Warn().Str("step", relay.Step).Str("request_id", x.ID).Err(err).Msg("the end of an answer is not guarded")
 	}
 	w.WriteHeader(x.Answer.Status)
-	last := time.Now()
-	body := relay.Body{
-		Source:  x.Answer.Body,
-		Flush:   x.Answer.Events,
-		OnChunk: func([]byte) { last = time.Now() },
-	}
 	first, err := body.Copy(w)
 	if err == nil {
 		err = end.Confirm(w)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,8 +22,12 @@
 // (filter.Exchange.AddReason), which explain to operators how a request was handled.
 const Step = "relay"
 
-// bufferBytes is the size of a copy buffer and thus the maximum size of a chunk.
-const bufferBytes = 16 << 10
+// bufferBytes is the size of a copy buffer and thus the maximum size of a chunk, firstChunkBytes
+// that of the first one if it is read by Begin.
+const (
+	bufferBytes     = 16 << 10
+	firstChunkBytes = 4 << 10
+)
 
 var buffers = sync.Pool{New: func() any {
 	b := make([]byte, bufferBytes)
@@ -58,6 +62,35 @@
 	Flush bool
 	// OnChunk, if not nil, is called with each chunk before it is written.
 	OnChunk func([]byte)
+
+	// head is the first chunk if Begin has read it, and headErr the result of that read.
+	head    []byte
+	headErr error
+}
+
+// Begin reads the first chunk, which Copy then writes. It returns an error if Source fails before
+// it, so that the answer can still be replaced by another one.
+func (b *Body) Begin() error {
+	buf := make([]byte, firstChunkBytes)
+	n := 0
+	for n == 0 && b.headErr == nil {
+		n, b.headErr = b.Source.Read(buf)
+	}
+	b.head = buf[:n]
+	if n == 0 && !errors.Is(b.headErr, io.EOF) {
+		return b.headErr
+	}
+	return nil
+}
+
+// read reads the next chunk.
+func (b *Body) read(buf []byte) (int, error) {
+	if len(b.head) == 0 && b.headErr == nil {
+		return b.Source.Read(buf)
+	}
+	n := copy(buf, b.head)
+	b.head = nil
+	return n, b.headErr
 }
 
 // Copy writes the body to the caller chunk by chunk until Source ends. first is the
@@ -68,7 +101,7 @@
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	for {
-		n, err := b.Source.Read(*buf)
+		n, err := b.read(*buf)
 		if n > 0 {
 			if werr := b.write(w, control, (*buf)[:n]); werr != nil {
 				return first, errs.Wrap(fmt.Errorf("%w: %w", ErrCallerWrite, werr), Step, "")
--- a/internal/router/brokenanswers_test.go
+++ b/internal/router/brokenanswers_test.go
@@ -151,3 +151,42 @@
 		t.Errorf("%q, error %v", text, err)
 	}
 }
+
+// TestAnswersWithoutBody guards against a caller's connection that ends without a status because
+// a target sent the head of its answer and not one byte of the body.
+func TestAnswersWithoutBody(t *testing.T) {
+	heads := map[string]string{
+		"length":    "Content-Length: 40\r\n",
+		"chunks":    "Transfer-Encoding: chunked\r\n",
+		"events":    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+		"no length": "",
+	}
+	ends := map[string]func(conn *net.TCPConn){
+		"reset":        func(conn *net.TCPConn) { _ = conn.SetLinger(0) },
+		"close":        func(*net.TCPConn) {},
+		"broken chunk": func(conn *net.TCPConn) { _, _ = io.WriteString(conn, "no chunk\r\n") },
+	}
+	for name, kind := range brokenKinds {
+		for headName, head := range heads {
+			for endName, end := range ends {
+				if endName == "broken chunk" && !strings.Contains(head, "chunked") {
+					continue
+				}
+				t.Run(fmt.Sprintf("%s/%s/%s", name, headName, endName), func(t *testing.T) {
+					addr := target(t, func(w http.ResponseWriter, req *http.Request) {
+						_, _ = io.Copy(io.Discard, req.Body)
+						conn := beginRaw(t, w, req, "HTTP/1.1 200 OK\r\n"+head, "")
+						if conn == nil {
+							return
+						}
+						defer conn.Close()
+						// The head arrives on its own.
+						time.Sleep(20 * time.Millisecond)
+						end(conn)
+					})
+					kind.checkUnknownOutcome(t, newHarness(t, engine("e1", addr), service("s1", addr)))
+				})
+			}
+		}
+	}
+}
