Routing: compare hosts in one normal form

Cause: the check compared the hosts of routes as texts; the selection wrote them in lower case and left out the port of the request.

Change: routing.NormalHost is the one form, used by the check, the index and the host of a request.

Same cause: a host with a port, an IPv6 address in brackets, letters outside ASCII that strings.ToLower joins; and a key in two teams with one name, which the check allowed and the index gave to the last one.

--- a/internal/routing/check.go
+++ b/internal/routing/check.go
@@ -23,7 +23,7 @@
 	routes := make(map[matchKey]string, len(t.Routes))
 	for _, r := range t.Routes {
 		faults = append(faults, r.check(services))
-		key := matchKey{r.Host, r.Prefix}
+		key := matchKey{NormalHost(r.Host), r.Prefix}
 		if other, taken := routes[key]; taken {
 			faults = append(faults, fmt.Errorf("routes %q and %q share host %q and prefix %q", other, r.Name, r.Host, r.Prefix))
 		}
@@ -33,8 +33,8 @@
 	return errors.Join(faults...)
 }
 
-// matchKey is the pair of host and path prefix that selects a route. Check reports
-// routes with equal pairs. It compares hosts case-sensitively, unlike Match.
+// matchKey is the pair of host, in its normal form, and path prefix that selects a route. Check
+// reports routes with equal pairs.
 type matchKey struct {
 	host   string
 	prefix string
@@ -76,16 +76,16 @@
 // are none: teams without a name, and keys that belong to more than one team.
 func (t *Table) checkTeams() error {
 	var faults []error
-	owners := make(map[string]string)
+	owners := make(map[string]*Team)
 	for _, team := range t.Teams {
 		if team.Name == "" {
 			faults = append(faults, errors.New("a team has no name"))
 		}
 		for _, key := range team.Keys {
-			if other, taken := owners[key]; taken && other != team.Name {
-				faults = append(faults, fmt.Errorf("teams %q and %q share a key", other, team.Name))
+			if other, taken := owners[key]; taken && other != team {
+				faults = append(faults, fmt.Errorf("teams %q and %q share a key", other.Name, team.Name))
 			}
-			owners[key] = team.Name
+			owners[key] = team
 		}
 	}
 	return errors.Join(faults...)
--- a/internal/routing/index.go
+++ b/internal/routing/index.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"net"
 	"sort"
 	"strings"
 )
@@ -9,7 +8,7 @@
 // Index finds the routes, teams and services of one table. It is immutable.
 type Index struct {
 	Table *Table
-	// hosts holds the routes by host name in lower case, longest prefix first.
+	// hosts holds the routes by the normal form of their host, longest prefix first.
 	hosts map[string][]*Route
 	// teams holds the teams by bearer key.
 	teams map[string]*Team
@@ -26,7 +25,7 @@
 		services: make(map[string]*Service, len(t.Services)),
 	}
 	for _, r := range t.Routes {
-		host := strings.ToLower(r.Host)
+		host := NormalHost(r.Host)
 		x.hosts[host] = append(x.hosts[host], r)
 	}
 	for _, routes := range x.hosts {
@@ -44,12 +43,9 @@
 }
 
 // Match returns the route of host whose prefix is the longest prefix of path, or
-// nil if no route matches. It ignores a port in host and the case of host.
+// nil if no route matches. It compares the normal forms of hosts.
 func (x *Index) Match(host, path string) *Route {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	for _, r := range x.hosts[strings.ToLower(host)] {
+	for _, r := range x.hosts[NormalHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -70,12 +70,15 @@
 		"unknown service": {func(b *Table) { b.Routes[0].Services[0].Service = "none" }, `service "none" is unknown`},
 		// Two routes with the same host and prefix.
 		"equal place":       {func(b *Table) { b.Routes[1].Prefix = "/a/" }, "share host"},
+		"equal place, case": {func(b *Table) { b.Routes[2].Host = "ONE.Example" }, "share host"},
+		"equal place, port": {func(b *Table) { b.Routes[2].Host = "one.example:8080" }, "share host"},
 		"no weight":         {func(b *Table) { b.Routes[0].Services[0].Weight = 0 }, "add up to 0"},
 		"negative weight":   {func(b *Table) { b.Routes[0].Services[0].Weight = -1 }, "negative"},
 		"no timeout":        {func(b *Table) { b.Routes[0].Timeout = 0 }, "timeout"},
 		"no kind":           {func(b *Table) { b.Routes[0].Kind = 0 }, "kind"},
 		"prefix":            {func(b *Table) { b.Routes[0].Prefix = "/a" }, "slash"},
 		"shared key":        {func(b *Table) { b.Teams[1].Keys[0] = "k1" }, "share a key"},
+		"shared key, name":  {func(b *Table) { b.Teams[1].Name, b.Teams[1].Keys[0] = "red", "k1" }, "share a key"},
 		"team without name": {func(b *Table) { b.Teams[1].Name = "" }, "no name"},
 	} {
 		b := testTable()
@@ -115,3 +118,21 @@
 		t.Errorf("counts %v", counts)
 	}
 }
+
+// TestRoutesOfOnePlace guards against routes that Check takes for different ones and Match for
+// one: of two routes for the same place the first one would get all requests.
+func TestRoutesOfOnePlace(t *testing.T) {
+	hosts := []string{"a.example", "A.example", "a.EXAMPLE", "a.example:80", "b.example", "a.example.", "[::1]", "[::1]:80", "::1", "\u212a.example", "k.example", ""}
+	for _, one := range hosts {
+		for _, other := range hosts {
+			b := testTable()
+			b.Routes[0].Host, b.Routes[1].Host = one, other
+			b.Routes[1].Prefix = b.Routes[0].Prefix
+			refused := b.Check() != nil
+			selected := NewIndex(b).Match(other, b.Routes[1].Prefix)
+			if same := selected != b.Routes[1]; refused != same {
+				t.Errorf("hosts %q and %q: refused %t, but the same place for requests: %t", one, other, refused, same)
+			}
+		}
+	}
+}
