Notices: keep the notices of leaving targets on disks

Cause: the notice was in the memory of some instances and on no disk. Replicas list the targets of their last run for 4 s after a start, and the target does not repeat its notice.

Change: before an instance acknowledges a notice, one disk more holds it than may be lost at once: its own, if it is a replica, and those of other replicas, which it calls. A replica reads them before its cached targets, lists no target that left, and tells the others.

--- a/internal/fleetcache/targets_test.go
+++ b/internal/fleetcache/targets_test.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/wigeonwood/wigeonwood/internal/journal/journaltest"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 )
 
@@ -92,3 +95,44 @@
 		}
 	})
 }
+
+// TestSavedNoticesSurviveLossOfPower guards against a notice that is acknowledged, since its write
+// has returned, and that a loss of power takes along; and against older ones that a failed or
+// unfinished write takes along.
+func TestSavedNoticesSurviveLossOfPower(t *testing.T) {
+	modes := []journaltest.Crash{journaltest.KeepAll, journaltest.LoseUnsynced, journaltest.Reorder, journaltest.TearTail}
+	for _, mode := range modes {
+		for seed := range uint64(50) {
+			fsys := journaltest.New()
+			if err := SaveNotices(fsys, someTargets(3)); err != nil {
+				t.Fatal(err)
+			}
+			step := int(seed % 6)
+			fsys.Hook = func(journaltest.Op, string) error {
+				if step--; step < 0 {
+					return errFull
+				}
+				return nil
+			}
+			written := SaveNotices(fsys, someTargets(4)) == nil
+			fsys.Crash(mode, rand.New(rand.NewPCG(seed, 0)))
+			got, err := decodeTargets(readAll(t, fsys, noticesFile))
+			if err != nil || len(got) < 3 || written && len(got) != 4 {
+				t.Errorf("%v, seed %d: %d notices, error %v; written: %t", mode, seed, len(got), err, written)
+			}
+		}
+	}
+}
+
+func readAll(t *testing.T, fsys *journaltest.FS, name string) []byte {
+	t.Helper()
+	f, err := fsys.Open(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data := make([]byte, fsys.Size(name))
+	if _, err := f.ReadAt(data, 0); err != nil && !errors.Is(err, io.EOF) {
+		t.Fatal(err)
+	}
+	return data
+}
--- a/internal/instance/routed.go
+++ b/internal/instance/routed.go
@@ -19,6 +19,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/filter"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
 	"github.com/wigeonwood/wigeonwood/internal/gateway"
+	"github.com/wigeonwood/wigeonwood/internal/notice"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/picker"
 	"github.com/wigeonwood/wigeonwood/internal/quarantine"
@@ -123,6 +124,10 @@
 	gateway       *gateway.Gateway
 	bodies        *bodybuffer.Pool
 	reports       *reports
+	// notices keeps the notices of leaving targets on the disk of a replica; nil at other
+	// instances. spread remembers those that enough replicas hold.
+	notices *notice.Store
+	spread  spreadNotices
 	// heartbeatRate meters the heartbeats that targets send to this instance.
 	heartbeatRate rateMeter
 
@@ -215,8 +220,8 @@
 // ErrDraining means that this router is draining and accepts no heartbeats of targets.
 var ErrDraining = errors.New("this router is draining")
 
-// ErrNotHandedOff means that too few other instances hold the notice that a target leaves: it
-// would be lost with this one, so the target must send it to another instance.
+// ErrNotHandedOff means that too few other instances or disks hold the notice that a target
+// leaves: it could be lost, so the target must send it to another instance.
 var ErrNotHandedOff = errors.New("the notice was not handed to other instances")
 
 // ErrUnknownTarget means that this instance knows no incarnation of a target that leaves, so
@@ -249,8 +254,12 @@
 	return in.handOff(ctx, id)
 }
 
+// handOff waits until other instances hold the notice that a target leaves and enough disks do.
 func (in *Routed) handOff(ctx context.Context, id string) error {
-	if err := in.members.HandOffLeaving(ctx, id); err != nil {
+	stored := make(chan error, 1)
+	go func() { stored <- in.storeNotice(ctx, id) }()
+	err := in.members.HandOffLeaving(ctx, id)
+	if err = errors.Join(err, <-stored); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotHandedOff, err)
 	}
 	return nil
--- a/internal/instance/routed_start.go
+++ b/internal/instance/routed_start.go
@@ -29,6 +29,8 @@
 	in.server = transport.NewServer(in.cfg.PeerToken, in.logger)
 	in.server.SetMeter(controlBudget.ServerMeter())
 	in.pool = transport.NewPool(in.cfg.PeerToken, nil, controlBudget)
+	notices := in.savedNotices()
+	in.startNotices(notices)
 	members, err := member.Start(member.Config{
 		Self: &pb.RouterStatus{
 			Id:          in.cfg.ID,
@@ -44,6 +46,7 @@
 		Seeds:         in.cfg.Seeds,
 		CachedPeers:   in.cachedPeers(),
 		CachedTargets: in.cachedTargets(),
+		CachedNotices: notices,
 		Conn:          in.listeners.Gossip,
 		Token:         in.cfg.PeerToken,
 		NoticeCopies:  in.cfg.NoticeCopies,
--- a/internal/member/cached_test.go
+++ b/internal/member/cached_test.go
@@ -189,3 +189,31 @@
 		}
 	}
 }
+
+// TestSavedNotices restarts all routers at once after a target has left. All of them have the
+// target cached and one has the notice saved. Within the time for which a leaving target may still
+// get requests no router may list it any more; a target that left in an earlier incarnation must
+// be listed.
+func TestSavedNotices(t *testing.T) {
+	const nodes, bound = 12, 2 * time.Second
+	w := newSimulation(time.Hour, 7, nodes, 20, 2)
+	w.intervals = Intervals{TargetLease: 7200 * time.Millisecond, Sync: 200 * time.Millisecond, Join: 100 * time.Millisecond}
+	w.run(3 * time.Second)
+	left, again := w.targets[0], w.targets[1]
+	w.end(left)
+	w.end(again)
+	w.cachedNotices = map[int][]*pb.TargetStatus{3: {
+		{Id: left.status.Id, Incarnation: left.status.Incarnation, Leaving: true},
+		{Id: again.status.Id, Incarnation: again.status.Incarnation - 1, Leaving: true},
+	}}
+	restartWithTargets(w, nodes)
+	w.run(bound)
+	for _, n := range w.nodes {
+		if e := n.core.targets[left.status.Id]; e != nil && !e.status.Leaving && n.core.leased(w.now, e) {
+			t.Errorf("%s lists the target that left", n.status.Id)
+		}
+		if e := n.core.targets[again.status.Id]; e == nil || e.status.Leaving || !n.core.leased(w.now, e) {
+			t.Errorf("%s does not list the target that left in an earlier incarnation", n.status.Id)
+		}
+	}
+}
--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -77,6 +77,9 @@
 	CachedPeers []string
 	// CachedTargets are targets that were known before this start.
 	CachedTargets []*pb.TargetStatus
+	// CachedNotices name the targets, and their incarnations, that were known to leave before
+	// this start.
+	CachedNotices []*pb.TargetStatus
 	// Conn receives datagrams at the peer address in Self. Close closes it.
 	Conn net.PacketConn
 	// Token authenticates datagrams within the fleet.
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -115,6 +115,8 @@
 	intervals   Intervals
 	// cachedTargets are the targets known before this start.
 	cachedTargets []*pb.TargetStatus
+	// cachedNotices are the targets known to leave before this start.
+	cachedNotices []*pb.TargetStatus
 	// syncDatagrams limits the datagrams in the reply to one sync request.
 	syncDatagrams int
 	rng           *rand.Rand
@@ -153,6 +155,7 @@
 	c.rng.Shuffle(len(c.cachedPeers), func(i, j int) { c.cachedPeers[i], c.cachedPeers[j] = c.cachedPeers[j], c.cachedPeers[i] })
 	c.self.rehash()
 	c.updates.add(routerUpdate, self.Id)
+	c.addCachedNotices(now, cfg.cachedNotices)
 	c.addCachedTargets(now, cfg.cachedTargets)
 	return c
 }
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -80,6 +80,7 @@
 		seeds:         cfg.Seeds,
 		cachedPeers:   cfg.CachedPeers,
 		cachedTargets: cfg.CachedTargets,
+		cachedNotices: cfg.CachedNotices,
 		intervals:     cfg.Intervals,
 		syncDatagrams: cfg.SyncDatagrams,
 		rng:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -266,6 +267,18 @@
 	return m.core.targetLife(time.Now(), st)
 }
 
+// Notice returns the notice that the last known incarnation of a target leaves: a status with its
+// id and incarnation. It returns nil if that is not known.
+func (m *Members) Notice(id string) *pb.TargetStatus {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	past, known := m.core.history.get(id)
+	if !known || !past.left {
+		return nil
+	}
+	return &pb.TargetStatus{Id: id, Incarnation: past.incarnation, Leaving: true}
+}
+
 // SetState publishes this router's state.
 func (m *Members) SetState(state pb.RouterState) {
 	m.do(func(c *core, _ time.Time) { c.setState(state) })
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -33,6 +33,8 @@
 	// cachedTargets holds, by node index, the targets that a node has cached when it
 	// starts.
 	cachedTargets map[int][]*pb.TargetStatus
+	// cachedNotices holds, by node index, the notices that a node has cached when it starts.
+	cachedNotices map[int][]*pb.TargetStatus
 	// announceEvery is the time between two announcements of a target.
 	announceEvery time.Duration
 	targets       []*simTarget
@@ -184,6 +186,7 @@
 		seeds:         seeds,
 		cachedPeers:   w.cachedPeers[n.index],
 		cachedTargets: w.cachedTargets[n.index],
+		cachedNotices: w.cachedNotices[n.index],
 		intervals:     w.intervals,
 		syncDatagrams: w.syncDatagrams,
 		rng:           rand.New(rand.NewPCG(w.rng.Uint64(), w.rng.Uint64())),
