Routing: an empty list of tenants leaves no key valid

Cause: whether requests need a key was read from the number of teams in the decoded table, which is the same for an empty list and for one that is absent.

Same cause: an empty list of models or services in a contract of the own interface permitted all; the file format refuses it now, and contract show leaves such a list out.

--- a/internal/contractfile/contractfile_test.go
+++ b/internal/contractfile/contractfile_test.go
@@ -77,3 +77,36 @@
 		}
 	}
 }
+
+// TestEmptyListsAreRefused guards against a contract that permits everything after the last name
+// was removed from a list of what it permits.
+func TestEmptyListsAreRefused(t *testing.T) {
+	for _, field := range []string{"models", "services", "key_hashes"} {
+		text := strings.Replace(fullContract, "version: 1\n", "version: 1\n"+field+": []\n", 1)
+		for line := range strings.Lines(fullContract) {
+			if strings.HasPrefix(line, field+":") {
+				text = strings.Replace(text, line, "", 1)
+			}
+		}
+		if _, err := Parse(strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), "line 2: "+field) {
+			t.Errorf("%s: error %v, want one in line 2", field, err)
+		}
+	}
+}
+
+// TestAbsentListsStayAbsent checks that a contract that permits everything can be written, edited
+// and applied again.
+func TestAbsentListsStayAbsent(t *testing.T) {
+	docs, err := Parse(strings.NewReader("version: 1\ncustomer: b\nkey_hashes: [" + keyHash + "]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var buf bytes.Buffer
+	if err := Write(&buf, docs[0].Contract); err != nil {
+		t.Fatal(err)
+	}
+	again, err := Parse(&buf)
+	if err != nil || !proto.Equal(docs[0].Contract, again[0].Contract) {
+		t.Errorf("read %v, error %v, want %v", again, err, docs[0].Contract)
+	}
+}
--- a/internal/contractfile/fields.go
+++ b/internal/contractfile/fields.go
@@ -114,6 +114,9 @@
 
 func (p *parser) names(dst *[]string) func(*yaml.Node, string) {
 	return func(n *yaml.Node, path string) {
+		if n.Kind == yaml.SequenceNode && len(n.Content) == 0 {
+			p.errorf(n, path, "an empty list permits nothing and would be read as all; leave the field out to permit all")
+		}
 		for _, item := range p.sequence(n, path, maxNames) {
 			var name string
 			p.name(&name)(item, path)
--- a/internal/contractfile/write.go
+++ b/internal/contractfile/write.go
@@ -18,8 +18,8 @@
 	KeyHashes  []string       `yaml:"key_hashes"`
 	Weight     uint32         `yaml:"weight"`
 	Limits     yamlLimits     `yaml:"limits"`
-	Models     []string       `yaml:"models,flow"`
-	Services   []string       `yaml:"services,flow"`
+	Models     []string       `yaml:"models,flow,omitempty"`
+	Services   []string       `yaml:"services,flow,omitempty"`
 	Objectives yamlObjectives `yaml:"objectives"`
 }
 
@@ -44,8 +44,8 @@
 		Customer: c.Customer,
 		Replaces: c.Revision,
 		Weight:   c.Weight,
-		Models:   append([]string{}, c.Models...),
-		Services: append([]string{}, c.Services...),
+		Models:   c.Models,
+		Services: c.Services,
 		Limits: yamlLimits{
 			RequestsPerSecond: c.GetLimits().GetRequestsPerSecond(),
 			TokensPerSecond:   c.GetLimits().GetTokensPerSecond(),
--- a/internal/routing/index.go
+++ b/internal/routing/index.go
@@ -54,8 +54,8 @@
 }
 
 // RequiresKey reports whether requests need a bearer key unless their route is
-// public. This is the case if the table has teams.
-func (x *Index) RequiresKey() bool { return len(x.Table.Teams) > 0 }
+// public.
+func (x *Index) RequiresKey() bool { return x.Table.RequiresKey || len(x.Table.Teams) > 0 }
 
 // Team returns the team that owns the bearer key, or nil if there is none.
 func (x *Index) Team(key string) *Team { return x.teams[key] }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -130,5 +130,8 @@
 	Routes   []*Route
 	Services []*Service
 	Limits   Limits
-	Teams    []*Team
+	// RequiresKey is set if requests need a bearer key unless their route is public, also if
+	// no team is left. A table with teams always requires one.
+	RequiresKey bool
+	Teams       []*Team
 }
