Relay: read the first chunk into the buffer of the copy

Begin allocated 4 KB for each answer, and Copy copied them. Both use the pooled buffer now. No change in behaviour; TestBegin and TestCopy pass.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,12 +22,8 @@
 // (filter.Exchange.AddReason), which explain to operators how a request was handled.
 const Step = "relay"
 
-// bufferBytes is the size of a copy buffer and thus the maximum size of a chunk, firstChunkBytes
-// that of the first one if it is read by Begin.
-const (
-	bufferBytes     = 16 << 10
-	firstChunkBytes = 4 << 10
-)
+// bufferBytes is the size of a copy buffer and thus the maximum size of a chunk.
+const bufferBytes = 16 << 10
 
 var buffers = sync.Pool{New: func() any {
 	b := make([]byte, bufferBytes)
@@ -63,34 +59,32 @@
 	// OnChunk, if not nil, is called with each chunk before it is written.
 	OnChunk func([]byte)
 
-	// head is the first chunk if Begin has read it, and headErr the result of that read.
-	head    []byte
-	headErr error
+	// buf holds the current chunk in its first n bytes, and err is the result of the read that
+	// brought it. buf is nil before the first read.
+	buf *[]byte
+	n   int
+	err error
 }
 
-// Begin reads the first chunk, which Copy then writes. It returns an error if Source fails before
-// it, so that the answer can still be replaced by another one.
-func (b *Body) Begin() error {
-	buf := make([]byte, firstChunkBytes)
-	n := 0
-	for n == 0 && b.headErr == nil {
-		n, b.headErr = b.Source.Read(buf)
-	}
-	b.head = buf[:n]
-	if n == 0 && !errors.Is(b.headErr, io.EOF) {
-		return b.headErr
+// read reads the next chunk.
+func (b *Body) read() {
+	if b.buf == nil {
+		b.buf = buffers.Get().(*[]byte)
 	}
-	return nil
+	b.n, b.err = b.Source.Read(*b.buf)
 }
 
-// read reads the next chunk.
-func (b *Body) read(buf []byte) (int, error) {
-	if len(b.head) == 0 && b.headErr == nil {
-		return b.Source.Read(buf)
+// Begin reads the first chunk, which Copy must then write. It returns an error if Source fails
+// before it, so that the answer can still be replaced by another one; Copy must not be called then.
+func (b *Body) Begin() error {
+	for b.n == 0 && b.err == nil {
+		b.read()
+	}
+	if b.n == 0 && !errors.Is(b.err, io.EOF) {
+		buffers.Put(b.buf)
+		return b.err
 	}
-	n := copy(buf, b.head)
-	b.head = nil
-	return n, b.headErr
+	return nil
 }
 
 // Copy writes the body to the caller chunk by chunk until Source ends. first is the
@@ -98,23 +92,24 @@
 // and flushes wrap ErrCallerWrite; other errors are those of Source.
 func (b Body) Copy(w http.ResponseWriter) (first time.Time, err error) {
 	control := http.NewResponseController(w)
-	buf := buffers.Get().(*[]byte)
-	defer buffers.Put(buf)
-	for {
-		n, err := b.read(*buf)
-		if n > 0 {
-			if werr := b.write(w, control, (*buf)[:n]); werr != nil {
+	if b.buf == nil {
+		b.read()
+	}
+	defer buffers.Put(b.buf)
+	for ; ; b.read() {
+		if b.n > 0 {
+			if werr := b.write(w, control, (*b.buf)[:b.n]); werr != nil {
 				return first, errs.Wrap(fmt.Errorf("%w: %w", ErrCallerWrite, werr), Step, "")
 			}
 			if first.IsZero() {
 				first = time.Now()
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(b.err, io.EOF) {
 			return first, nil
 		}
-		if err != nil {
-			return first, err
+		if b.err != nil {
+			return first, b.err
 		}
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -108,7 +108,7 @@
 	}{
 		"whole":                    {from: strings.NewReader("answer"), want: "answer"},
 		"whole, end with data":     {from: iotest.DataErrReader(strings.NewReader("answer")), want: "answer"},
-		"long":                     {from: strings.NewReader(strings.Repeat("a", 3*firstChunkBytes)), want: strings.Repeat("a", 3*firstChunkBytes)},
+		"long":                     {from: strings.NewReader(strings.Repeat("a", 3*bufferBytes)), want: strings.Repeat("a", 3*bufferBytes)},
 		"empty":                    {from: strings.NewReader("")},
 		"fails before its body":    {from: iotest.ErrReader(errBroken), begin: errBroken},
 		"fails with its first":     {from: iotest.DataErrReader(io.MultiReader(strings.NewReader("ans"), iotest.ErrReader(errBroken))), want: "ans", copy: errBroken},
