Filter: answer 504 when the deadline has passed and the context has not noticed

A request whose target was silent until its route's timeoutMs got 502 instead of 504 now and then: the wait for the target and the context of the request end at the same moment, and the first of them decided. Found by TestAnswersWithoutBody (one case of 104, once in six runs). Exchange.deadlinePassed decides now, in the loop of tries, for an answer that has not begun and in rejectCallerGone, which had the expression before.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -133,7 +133,7 @@
 			return nil
 		}
 		d.x.AddReason(StepDispatch, d.choice.Target.Id, err.Error())
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || d.x.deadlinePassed() {
 			return d.rejectEnded(ctx)
 		}
 		if d.mayTryAgain(err) {
--- a/internal/filter/exchange.go
+++ b/internal/filter/exchange.go
@@ -183,6 +183,12 @@
 	}
 }
 
+// deadlinePassed reports whether the caller has stopped waiting. The context of the request may
+// notice that a moment later.
+func (x *Exchange) deadlinePassed() bool {
+	return !x.Deadline.IsZero() && !time.Now().Before(x.Deadline)
+}
+
 // onSend is called before a byte of the request can leave this router.
 func (x *Exchange) onSend() {
 	x.Token.Spend()
--- a/internal/filter/retry.go
+++ b/internal/filter/retry.go
@@ -84,7 +84,7 @@
 
 // RejectUnbegun rejects a routed request whose answer failed with err before its body began.
 func RejectUnbegun(x *Exchange, err error) *Rejection {
-	if errors.Is(err, forward.ErrCallerGone) || !time.Now().Before(x.Deadline) {
+	if errors.Is(err, forward.ErrCallerGone) || x.deadlinePassed() {
 		return rejectCallerGone(x)
 	}
 	return rejectUnknownOutcome(x, err.Error())
--- a/internal/filter/schedule.go
+++ b/internal/filter/schedule.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/errs"
 	"github.com/wigeonwood/wigeonwood/internal/forward"
@@ -161,7 +160,7 @@
 		Message: "the caller left",
 		Step:    StepSchedule,
 	}
-	if !x.Deadline.IsZero() && !time.Now().Before(x.Deadline) {
+	if x.deadlinePassed() {
 		r.Status = http.StatusGatewayTimeout
 		r.Code = "deadline"
 		r.Message = "the request's deadline has passed"
