Forward: a wait for an announcement leaves the caller half of its time

A complete short answer without a length was cut at its route's time limit of 2 s: its target had not announced itself for 2.4 s, and the end waited for the next announcement for up to 3 s.

Change: the wait takes at most half of the time that is left, and the answer is complete then, as before after 3 s.

Evidence: the new case "short, lives, overdue, little time left" of TestEndOfARestartedTarget fails without the change and passes with it.

--- a/internal/forward/connection_end.go
+++ b/internal/forward/connection_end.go
@@ -144,7 +144,7 @@
 		return life.confirm()
 	}
 	e.client.awaited.Inc(1)
-	for time.Since(ended) < announceTimeout {
+	for limit := announceLimit(ctx); time.Since(ended) < limit; {
 		time.Sleep(announcePoll)
 		life = e.request.life()
 		switch {
@@ -160,6 +160,16 @@
 	return nil
 }
 
+// announceLimit returns how long to wait for an announcement: no longer than half of the time that
+// is left, so that a complete response still reaches its caller.
+func announceLimit(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return announceTimeout
+	}
+	return min(announceTimeout, time.Until(deadline)/2)
+}
+
 // confirm returns an error if the process is known to have ended.
 func (l Life) confirm() error {
 	if l.Replaced {
--- a/internal/forward/restart_test.go
+++ b/internal/forward/restart_test.go
@@ -130,8 +130,9 @@
 		crash, idleClosed bool
 		life              func(sinceEnd time.Duration) Life
 		truncated         bool
-		// within bounds the time that the end takes; zero means no bound.
-		within time.Duration
+		// within bounds the time that the end takes; zero means no bound. deadline is the time
+		// that the caller has; zero means no limit.
+		within, deadline time.Duration
 	}{
 		"long, lives":                                  {pieces: long, life: heard(0), within: 200 * time.Millisecond},
 		"long, lives, overdue":                         {pieces: long, life: heard(never), within: 200 * time.Millisecond},
@@ -143,6 +144,7 @@
 		"short, nothing known":                         {pieces: short, within: 200 * time.Millisecond},
 		"short, lives, overdue, heard":                 {pieces: short, life: heard(300 * time.Millisecond)},
 		"short, lives, overdue, never heard":           {pieces: short, life: heard(never)},
+		"short, lives, overdue, little time left":      {pieces: short, life: heard(never), within: 600 * time.Millisecond, deadline: time.Second},
 		"short, replaced, known":                       {pieces: short, crash: true, life: replaced(0), truncated: true},
 		"short, replaced, overdue, known a bit later":  {pieces: short, crash: true, life: replaced(500 * time.Millisecond), truncated: true},
 		"short, replaced, its last heartbeat was late": {pieces: short, crash: true, life: lateHeartbeat, truncated: true},
@@ -158,7 +160,13 @@
 			if test.life != nil {
 				r.Life = func() Life { return test.life(time.Since(time.Unix(0, endedAt.Load()))) }
 			}
-			resp, err := c.Do(context.Background(), r)
+			ctx := t.Context()
+			if test.deadline > 0 {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, test.deadline)
+				defer cancel()
+			}
+			resp, err := c.Do(ctx, r)
 			if err != nil {
 				t.Fatal(err)
 			}
