--- a/internal/filter/answer.go
+++ b/internal/filter/answer.go
@@ -25,15 +25,22 @@
 	NotRun bool
 	// Hints are the drain and backpressure signals of the target.
 	Hints Hints
+
+	// begun is set once AwaitBody has read the first bytes of the body, or its end.
+	begun bool
 }
 
-// awaitBody waits for the first bytes of the body, or its end. It returns an error if the body
-// fails before them.
-func (a *Answer) awaitBody() error {
+// AwaitBody waits for the first bytes of the body, or its end, unless it has done so before. It
+// returns an error if the body fails before them: the answer can then still be replaced.
+func (a *Answer) AwaitBody() error {
+	if a.begun {
+		return nil
+	}
 	head, end, err := readFirst(a.Body)
 	if err != nil {
 		return err
 	}
 	a.Body = &prefixedBody{prefix: head, end: end, body: a.Body}
+	a.begun = true
 	return nil
 }
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -399,7 +399,7 @@
 	}
 	events := d.isEventAnswer(a.Header)
 	if !events {
-		if err := a.awaitBody(); err != nil {
+		if err := a.AwaitBody(); err != nil {
 			d.dropAnswer()
 			d.recordFailedTry(err, time.Since(began))
 			return err
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -18,12 +18,7 @@
 // can't take the truncated answer for a complete one.
 func (g *Gateway) writeAnswer(w http.ResponseWriter, req *http.Request, x *filter.Exchange) {
 	last := time.Now()
-	body := relay.Body{
-		Source:  x.Answer.Body,
-		Flush:   x.Answer.Events,
-		OnChunk: func([]byte) { last = time.Now() },
-	}
-	if err := body.Begin(); err != nil {
+	if err := x.Answer.AwaitBody(); err != nil {
 		x.SetUsage(filter.Usage{Failed: targetFailed(err, time.Since(last))})
 		g.writeRejection(w, x, filter.RejectUnbegun(x, err))
 		return
@@ -42,6 +37,11 @@
 		g.cfg.Logger.Warn().Str("step", relay.Step).Str("request_id", x.ID).Err(err).Msg("the end of an answer is not guarded")
 	}
 	w.WriteHeader(x.Answer.Status)
+	body := relay.Body{
+		Source:  x.Answer.Body,
+		Flush:   x.Answer.Events,
+		OnChunk: func([]byte) { last = time.Now() },
+	}
 	first, err := body.Copy(w)
 	if err == nil {
 		err = end.Confirm(w)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,33 +58,6 @@
 	Flush bool
 	// OnChunk, if not nil, is called with each chunk before it is written.
 	OnChunk func([]byte)
-
-	// buf holds the current chunk in its first n bytes, and err is the result of the read that
-	// brought it. buf is nil before the first read.
-	buf *[]byte
-	n   int
-	err error
-}
-
-// read reads the next chunk.
-func (b *Body) read() {
-	if b.buf == nil {
-		b.buf = buffers.Get().(*[]byte)
-	}
-	b.n, b.err = b.Source.Read(*b.buf)
-}
-
-// Begin reads the first chunk, which Copy must then write. It returns an error if Source fails
-// before it, so that the answer can still be replaced by another one; Copy must not be called then.
-func (b *Body) Begin() error {
-	for b.n == 0 && b.err == nil {
-		b.read()
-	}
-	if b.n == 0 && !errors.Is(b.err, io.EOF) {
-		buffers.Put(b.buf)
-		return b.err
-	}
-	return nil
 }
 
 // Copy writes the body to the caller chunk by chunk until Source ends. first is the
@@ -92,24 +65,23 @@
 // and flushes wrap ErrCallerWrite; other errors are those of Source.
 func (b Body) Copy(w http.ResponseWriter) (first time.Time, err error) {
 	control := http.NewResponseController(w)
-	if b.buf == nil {
-		b.read()
-	}
-	defer buffers.Put(b.buf)
-	for ; ; b.read() {
-		if b.n > 0 {
-			if werr := b.write(w, control, (*b.buf)[:b.n]); werr != nil {
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	for {
+		n, err := b.Source.Read(*buf)
+		if n > 0 {
+			if werr := b.write(w, control, (*buf)[:n]); werr != nil {
 				return first, errs.Wrap(fmt.Errorf("%w: %w", ErrCallerWrite, werr), Step, "")
 			}
 			if first.IsZero() {
 				first = time.Now()
 			}
 		}
-		if errors.Is(b.err, io.EOF) {
+		if errors.Is(err, io.EOF) {
 			return first, nil
 		}
-		if b.err != nil {
-			return first, b.err
+		if err != nil {
+			return first, err
 		}
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -96,39 +96,3 @@
 		})
 	}
 }
-
-// TestBegin guards against an answer that was begun although its body fails before the first
-// byte, and against a first chunk or an end that Begin has read and Copy loses.
-func TestBegin(t *testing.T) {
-	for name, test := range map[string]struct {
-		from  io.Reader
-		begin error
-		want  string
-		copy  error
-	}{
-		"whole":                    {from: strings.NewReader("answer"), want: "answer"},
-		"whole, end with data":     {from: iotest.DataErrReader(strings.NewReader("answer")), want: "answer"},
-		"long":                     {from: strings.NewReader(strings.Repeat("a", 3*bufferBytes)), want: strings.Repeat("a", 3*bufferBytes)},
-		"empty":                    {from: strings.NewReader("")},
-		"fails before its body":    {from: iotest.ErrReader(errBroken), begin: errBroken},
-		"fails with its first":     {from: iotest.DataErrReader(io.MultiReader(strings.NewReader("ans"), iotest.ErrReader(errBroken))), want: "ans", copy: errBroken},
-		"fails in its second read": {from: io.MultiReader(strings.NewReader("ans"), iotest.ErrReader(errBroken)), want: "ans", copy: errBroken},
-	} {
-		t.Run(name, func(t *testing.T) {
-			recorder := httptest.NewRecorder()
-			body := Body{Source: test.from}
-			if err := body.Begin(); !errors.Is(err, test.begin) {
-				t.Fatalf("Begin: %v, want %v", err, test.begin)
-			}
-			if test.begin != nil {
-				return
-			}
-			if _, err := body.Copy(recorder); !errors.Is(err, test.copy) {
-				t.Errorf("Copy: %v, want %v", err, test.copy)
-			}
-			if got := recorder.Body.String(); got != test.want {
-				t.Errorf("the caller got %d bytes, want %d", len(got), len(test.want))
-			}
-		})
-	}
-}
