Forward, instance: ask once what is known of a target's process

The end of an unframed answer asked the membership twice, which looks at all targets each time; confirm hands on what it got. noticeReplicas sorts by cmp.Compare instead of a third comparison of bools.

Behaviour stays. Evidence: packages forward and instance pass; TestAnswersOfRestartedTargets and TestNoticeOutlivesAllProcesses pass.

--- a/internal/forward/connection_end.go
+++ b/internal/forward/connection_end.go
@@ -102,13 +102,15 @@
 		return nil
 	}
 	err := c.probe(ctx, e.request.Addr)
-	if e.request.life().Leaves {
+	life := e.request.life()
+	switch {
+	case life.Leaves:
 		return e.confirmLeaving(err, ended)
-	}
-	if err != nil {
+	case err != nil:
 		return err
+	default:
+		return e.confirmProcess(ctx, life, ended)
 	}
-	return e.confirmProcess(ctx, ended)
 }
 
 // witnessed reports whether the witness proves that the process lives. The end of the witness
@@ -135,10 +137,10 @@
 	return nil
 }
 
-// confirmProcess decides on the end of a response whose target accepts connections. If there are
-// signs that another process accepts them, it waits for the next announcement.
-func (e *connectionEnd) confirmProcess(ctx context.Context, ended time.Time) error {
-	life := e.request.life()
+// confirmProcess decides on the end of a response whose target accepts connections and of whose
+// process life is known. If there are signs that another process accepts them, it waits for the
+// next announcement.
+func (e *connectionEnd) confirmProcess(ctx context.Context, life Life, ended time.Time) error {
 	witnessEnded := e.witnessEnded()
 	if life.Replaced || !life.Overdue && !witnessEnded || life.HeardAt.IsZero() {
 		return life.confirm()
--- a/internal/instance/routed_notices.go
+++ b/internal/instance/routed_notices.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -120,22 +121,12 @@
 func (in *Routed) noticeReplicas() []string {
 	addrs := in.replicaAddrs()
 	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	near := make(map[string]bool)
+	near := make(map[string]int)
 	for _, r := range in.members.Routers() {
-		near[r.PeerAddr] = r.DataCentre == in.cfg.DataCentre
+		if r.DataCentre == in.cfg.DataCentre {
+			near[r.PeerAddr] = 1
+		}
 	}
-	slices.SortStableFunc(addrs, func(a, b string) int { return compareBool(near[a], near[b]) })
+	slices.SortStableFunc(addrs, func(a, b string) int { return cmp.Compare(near[a], near[b]) })
 	return slices.DeleteFunc(addrs, func(addr string) bool { return addr == in.cfg.PeerListen })
 }
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
