Tests: ports below the ephemeral range everywhere; a failed start ends the test

The instances of that package asked the kernel for a free port, closed it, and opened it again later, up to some seconds later in TestEmptiedAndNewReplicasAloneServeNothing. The port came from the range of outgoing connections, so a connection or another test could take it meanwhile. start then failed with "address already in use", after the node had been started; the cleanup called stop, which waited for a Serve that was never called. The failure was hidden until the time limit of the package.

Change: start opens the listener before the node, so that a failed start leaves nothing for stop to wait for. The port allocator of the process tests (ports below the ephemeral range, reserved in blocks for one test process) moves from cmd/wigeonwood to internal/testkit; internal/replica and internal/instance use it in place of their two copies of freeAddr. No check and no bound is changed.

--- a/cmd/wigeonwood/fleet_test.go
+++ b/cmd/wigeonwood/fleet_test.go
@@ -24,6 +24,7 @@
 	"github.com/wigeonwood/wigeonwood/internal/admin"
 	"github.com/wigeonwood/wigeonwood/internal/pb"
 	"github.com/wigeonwood/wigeonwood/internal/standin"
+	"github.com/wigeonwood/wigeonwood/internal/testkit"
 )
 
 // Secrets and names in the fleets that tests run.
@@ -147,7 +148,7 @@
 	for i := range replicas + routers {
 		p := &process{id: fmt.Sprintf("i%d", i+1), program: program}
 		for j := range p.addrs {
-			p.addrs[j] = freeAddr(t)
+			p.addrs[j] = testkit.FreeAddr(t)
 		}
 		p.logPath = filepath.Join(f.dir, p.id+".log")
 		if i < replicas {
@@ -197,14 +198,6 @@
 
 const maxLogBytes = 3000
 
-func freeAddr(t *testing.T) string {
-	addr, err := testPorts.freeLoopback()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return addr
-}
-
 // startTargets runs stand-in engines and one stand-in service in the test process.
 func (f *processFleet) startTargets(t *testing.T, engines int) {
 	logger := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
--- a/cmd/wigeonwood/main_test.go
+++ b/cmd/wigeonwood/main_test.go
@@ -60,7 +60,7 @@
 // port is free for TCP and UDP.
 func setPorts(ts *testscript.TestScript, neg bool, args []string) {
 	for _, name := range args {
-		addr, err := testPorts.freeLoopback()
+		addr, err := testkit.FreeAddrOfProcess()
 		ts.Check(err)
 		ts.Setenv(name, addr)
 	}
--- a/internal/instance/routed_evacuation_test.go
+++ b/internal/instance/routed_evacuation_test.go
@@ -20,7 +20,7 @@
 // that ignores it: after an upgrade that replica would lack the order. A replica that
 // restarts must have the set no later than its table.
 func TestEvacuationNeedsSupportOfAllReplicas(t *testing.T) {
-	addr := freeAddr(t)
+	addr := testkit.FreeAddr(t)
 	cfg := RoutedConfig{
 		ID: "replica", DataCentre: "a", PeerListen: addr, Seeds: []string{addr}, Founders: []string{addr},
 		DataDir: t.TempDir(), PeerToken: "0123456789abcdef0123456789abcdef", TargetLease: 7200 * time.Millisecond,
--- a/internal/instance/routed_start_test.go
+++ b/internal/instance/routed_start_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -23,7 +22,7 @@
 		// bound is half of an election timeout.
 		bound = 400 * time.Millisecond
 	)
-	addr := freeAddr(t)
+	addr := testkit.FreeAddr(t)
 	cfg := RoutedConfig{
 		ID: "replica", DataCentre: "a", PeerListen: addr, Seeds: []string{addr}, Founders: []string{addr},
 		DataDir: t.TempDir(), PeerToken: "0123456789abcdef0123456789abcdef", TargetLease: 7200 * time.Millisecond,
@@ -63,13 +62,3 @@
 		t.Errorf("targets at the start: %v", got)
 	}
 }
-
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
--- a/internal/replica/formation_test.go
+++ b/internal/replica/formation_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/testkit"
 )
 
 // founder models one founder during the bootstrap: the contents of its directory and
@@ -194,7 +195,7 @@
 				}
 			}
 			for range c.added {
-				added := &instance{t: t, addr: freeAddr(t), dir: t.TempDir(), founders: all[0].founders, edit: func(cfg *Config) {
+				added := &instance{t: t, addr: testkit.FreeAddr(t), dir: t.TempDir(), founders: all[0].founders, edit: func(cfg *Config) {
 					openAdmission(cfg)
 					cfg.JoinOnly = true
 				}}
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"go.uber.org/goleak"
 
+	"github.com/wigeonwood/wigeonwood/internal/testkit"
 	"github.com/wigeonwood/wigeonwood/internal/testseed"
 	"github.com/wigeonwood/wigeonwood/internal/transport"
 )
@@ -106,15 +107,16 @@
 	if in.edit != nil {
 		in.edit(&cfg)
 	}
-	node, err := Start(context.Background(), cfg)
+	l, err := net.Listen("tcp", in.addr)
 	if err != nil {
 		in.t.Fatal(err)
 	}
-	in.node = node
-	l, err := net.Listen("tcp", in.addr)
+	node, err := Start(context.Background(), cfg)
 	if err != nil {
+		l.Close()
 		in.t.Fatal(err)
 	}
+	in.node = node
 	served := make(chan struct{})
 	in.served = served
 	go func() {
@@ -144,7 +146,7 @@
 	t.Helper()
 	var addrs []string
 	for range n {
-		addrs = append(addrs, freeAddr(t))
+		addrs = append(addrs, testkit.FreeAddr(t))
 	}
 	var c cluster
 	for _, addr := range addrs {
@@ -161,15 +163,6 @@
 	return c
 }
 
-func freeAddr(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // leader waits until a replica holds the leader lease, and returns it.
 func (c cluster) leader() *instance {
 	c[0].t.Helper()
--- a/internal/replica/repair_test.go
+++ b/internal/replica/repair_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/testkit"
 )
 
 // smallSnapshots makes replicas take a snapshot every 25 entries.
@@ -90,7 +91,7 @@
 func TestAddAndRemoveReplica(t *testing.T) {
 	c := newCluster(t, 3, smallSnapshots)
 	want := commitMany(c, nil, 60)
-	added := &instance{t: t, addr: freeAddr(t), dir: t.TempDir(), founders: c[0].founders, edit: smallSnapshots}
+	added := &instance{t: t, addr: testkit.FreeAddr(t), dir: t.TempDir(), founders: c[0].founders, edit: smallSnapshots}
 	added.start()
 	t.Cleanup(added.stop)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
--- a/internal/replica/replace_test.go
+++ b/internal/replica/replace_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonwood/wigeonwood/internal/pb"
+	"github.com/wigeonwood/wigeonwood/internal/testkit"
 )
 
 func TestReplacedVoter(t *testing.T) {
@@ -69,7 +70,7 @@
 	}
 	lostID := lost.node.ID()
 	lost.stop()
-	added := &instance{t: t, addr: freeAddr(t), dir: t.TempDir(), founders: c[0].founders, edit: func(cfg *Config) {
+	added := &instance{t: t, addr: testkit.FreeAddr(t), dir: t.TempDir(), founders: c[0].founders, edit: func(cfg *Config) {
 		openAdmission(cfg)
 		cfg.JoinOnly = true
 	}}
@@ -121,7 +122,7 @@
 		in.stop()
 	}
 	for range lost {
-		added := &instance{t: t, addr: freeAddr(t), dir: t.TempDir(), founders: c[0].founders, edit: func(cfg *Config) {
+		added := &instance{t: t, addr: testkit.FreeAddr(t), dir: t.TempDir(), founders: c[0].founders, edit: func(cfg *Config) {
 			openAdmission(cfg)
 			cfg.JoinOnly = true
 		}}
@@ -158,7 +159,7 @@
 func TestReplicasOfTheFirstStartSucceedNobody(t *testing.T) {
 	c := newCluster(t, 3, openAdmission)
 	for _, joinOnly := range []bool{false, true} {
-		added := &instance{t: t, addr: freeAddr(t), dir: t.TempDir(), founders: c[0].founders, edit: func(cfg *Config) {
+		added := &instance{t: t, addr: testkit.FreeAddr(t), dir: t.TempDir(), founders: c[0].founders, edit: func(cfg *Config) {
 			openAdmission(cfg)
 			cfg.JoinOnly = joinOnly
 		}}
